--- /dev/null
+++ b/src/codec.h
@@ -0,0 +1,105 @@
+#ifndef MIMOSABEND_CODEC_H_
+#define MIMOSABEND_CODEC_H_
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cstdint>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <vector>
+
+namespace mimosabend {
+
+// Bounds of what one message may hold. cereal reserves what a length field says before it reads
+// the elements, so unchecked lengths would let a short message take all memory.
+inline constexpr std::uint32_t kMaxEncodedText = 2 * 1024 * 1024;
+inline constexpr std::uint32_t kMaxEncodedItems = 65536;
+
+namespace codec_internal {
+
+inline void CheckLength(std::uint32_t length, std::uint32_t limit) {
+  if (length > limit) throw cereal::Exception("length field above its limit");
+}
+
+}  // namespace codec_internal
+
+// Serializes a text with a checked length. Throws cereal::Exception.
+template <class Archive>
+void SerializeText(Archive& archive, std::string& text) {
+  auto length = static_cast<std::uint32_t>(text.size());
+  archive(length);
+  codec_internal::CheckLength(length, kMaxEncodedText);
+  if constexpr (Archive::is_loading::value) text.resize(length);
+  archive(cereal::binary_data(text.data(), length));
+}
+
+// Serializes a list whose items have a `serialize` member. Throws cereal::Exception.
+template <class Archive, class T>
+void SerializeList(Archive& archive, std::vector<T>& items) {
+  auto length = static_cast<std::uint32_t>(items.size());
+  archive(length);
+  codec_internal::CheckLength(length, kMaxEncodedItems);
+  if constexpr (Archive::is_loading::value) {
+    items.clear();
+    for (std::uint32_t i = 0; i < length; ++i) {
+      T item;
+      item.serialize(archive);
+      items.push_back(std::move(item));
+    }
+  } else {
+    for (T& item : items) item.serialize(archive);
+  }
+}
+
+// Serializes a list of texts. Throws cereal::Exception.
+template <class Archive>
+void SerializeList(Archive& archive, std::vector<std::string>& items) {
+  auto length = static_cast<std::uint32_t>(items.size());
+  archive(length);
+  codec_internal::CheckLength(length, kMaxEncodedItems);
+  if constexpr (Archive::is_loading::value) items.resize(length);
+  for (std::string& item : items) SerializeText(archive, item);
+}
+
+// Serializes an enumerator. Loading checks it against the number of enumerators. Throws
+// cereal::Exception.
+template <class Archive, class Enum>
+void SerializeEnum(Archive& archive, Enum& value, std::uint8_t count) {
+  auto number = static_cast<std::uint8_t>(value);
+  archive(number);
+  if (number >= count) throw cereal::Exception("unknown enumerator");
+  value = static_cast<Enum>(number);
+}
+
+// Encodes a struct with a `serialize` member. Thread-safe.
+template <class T>
+std::string Encode(const T& value) {
+  std::ostringstream stream(std::ios::binary);
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    const_cast<T&>(value).serialize(archive);
+  }
+  return std::move(stream).str();
+}
+
+// Decodes what Encode wrote; std::nullopt if it is truncated, malformed or has bytes left over.
+// Thread-safe.
+template <class T>
+std::optional<T> Decode(std::string_view bytes) {
+  std::istringstream stream(std::string(bytes), std::ios::binary);
+  T value;
+  try {
+    cereal::PortableBinaryInputArchive archive(stream);
+    value.serialize(archive);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+  if (stream.peek() != std::istringstream::traits_type::eof()) return std::nullopt;
+  return value;
+}
+
+}  // namespace mimosabend
+
+#endif  // MIMOSABEND_CODEC_H_
--- /dev/null
+++ b/src/daemon.cpp
@@ -0,0 +1,387 @@
+#include "daemon.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/json.hpp>
+#include <cassert>
+#include <cstdlib>
+#include <iostream>
+
+#include "completion_handler.h"
+#include "document_keeper.h"
+#include "gossip.h"
+#include "host_cache.h"
+#include "http_client.h"
+#include "http_engine.h"
+#include "http_host_list.h"
+#include "http_kv_store.h"
+#include "http_server.h"
+#include "log.h"
+#include "ownership.h"
+#include "service_handler.h"
+
+namespace mimosabend {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds kDrainPoll{20};
+// Beyond the time that the owner may hold an answer back.
+constexpr milliseconds kDemandAllowance{500};
+constexpr milliseconds kMetricsPeriod{1000};
+constexpr HttpLimits kAdminLimits{64, 8192, 8192, milliseconds(10000)};
+
+MemberUpdate SelfUpdate(const DaemonSettings& settings) {
+  MemberUpdate self;
+  self.name = settings.name;
+  self.region = settings.region;
+  self.failure_domain = settings.failure_domain;
+  self.address = settings.peer_address;
+  self.incarnation = static_cast<std::uint64_t>(ToUnixMillis(WallNow()));
+  return self;
+}
+
+// All parts of a daemon, built in the order of their dependencies.
+class Daemon {
+ public:
+  Daemon(asio::io_context* io, const DaemonSettings& settings);
+
+  // Binds all listeners and starts all tasks. Returns an error text.
+  Result<void, std::string> Start();
+
+  int exit_code() const { return exit_code_; }
+
+ private:
+  using Kv = HttpKvStore;
+  using Engine = HttpEngine;
+
+  Task<void> HandleCaller(HttpExchange& exchange);
+  Task<void> HandleAdmin(HttpExchange& exchange);
+  Task<Result<Envelope, PeerError>> HandlePeer(Envelope request);
+  Task<DemandAnswer> AskOwner(DemandRequest request);
+  Task<void> UpdateMetrics();
+  Task<void> WaitForSignals();
+  Task<void> Drain();
+  bool IsReady() const { return !stopping_ && document_.version() > 0 && hosts_.known(); }
+  std::string StatusJson() const;
+  void GiveUp(const std::string& task);
+
+  asio::io_context* io_;
+  DaemonSettings settings_;
+  Metrics metrics_;
+  Supervisor supervisor_;
+  HttpClient client_;
+  Kv kv_;
+  Engine engine_;
+  HttpHostList host_list_;
+  HostCache<HttpHostList> hosts_;
+  Membership membership_;
+  PeerIdentity identity_;
+  PeerClient peer_client_;
+  DocumentKeeper<Kv> document_;
+  LeaseKeeper<Kv> lease_;
+  Ownership<Kv, Engine> ownership_;
+  ReplicaDirectory directory_;
+  Router router_;
+  RequestLedger<Kv> ledger_;
+  CompletionHandler<Engine> completions_;
+  ServiceHandler<Kv> services_;
+  Gossip gossip_;
+  PeerServer peer_server_;
+  HttpServer caller_server_;
+  HttpServer admin_server_;
+  asio::signal_set signals_;
+  bool stopping_ = false;
+  int exit_code_ = 0;
+};
+
+Daemon::Daemon(asio::io_context* io, const DaemonSettings& settings)
+    : io_(io),
+      settings_(settings),
+      supervisor_(io->get_executor(), &metrics_, settings.name,
+                  [this](const std::string& task) { GiveUp(task); }),
+      client_(io->get_executor()),
+      kv_(&client_, settings.platform.kv),
+      engine_(&client_),
+      host_list_(&client_, settings.platform.host_list),
+      hosts_(&host_list_, settings.region),
+      membership_(SelfUpdate(settings), MonotonicNow(), RandomId()),
+      identity_{settings.name, settings.shared_key},
+      peer_client_(io->get_executor(), identity_, &metrics_),
+      document_(io->get_executor(), settings.environment, &kv_, &peer_client_, &metrics_),
+      lease_(&kv_),
+      ownership_(io->get_executor(),
+                 OwnerContext{settings.name, EnvironmentKeyPrefix(settings.environment),
+                              [this] { return document_.environment(); },
+                              [this] { return hosts_.hosts(); }},
+                 &membership_, &kv_, &lease_, &engine_, &supervisor_, &metrics_),
+      directory_(
+          io->get_executor(), settings.region, [this] { return document_.environment(); },
+          [this](DemandRequest request) { return AskOwner(std::move(request)); }),
+      router_(settings.region, RandomId()),
+      ledger_(io->get_executor(), EnvironmentKeyPrefix(settings.environment), &kv_, &metrics_),
+      completions_(
+          &engine_, &directory_, &router_,
+          [this](const std::string& endpoint) { return hosts_.MayServe(endpoint); }, &metrics_),
+      services_(
+          &client_, &ledger_,
+          [this](const std::string& service) { return hosts_.ServiceHosts(service); }, &metrics_),
+      gossip_(io->get_executor(), &membership_, identity_, settings.seeds, &metrics_,
+              Gossip::Hooks{[this] { return document_.version(); },
+                            [this](const Address& peer, std::uint64_t version) {
+                              document_.NotePeerVersion(peer, version);
+                            }}),
+      peer_server_(io->get_executor(), identity_, &metrics_,
+                   [this](Envelope request) { return HandlePeer(std::move(request)); }),
+      caller_server_(io->get_executor(), settings.limits,
+                     [this](HttpExchange& exchange) { return HandleCaller(exchange); }),
+      admin_server_(io->get_executor(), kAdminLimits,
+                    [this](HttpExchange& exchange) { return HandleAdmin(exchange); }),
+      signals_(*io, SIGTERM, SIGINT) {}
+
+Result<void, std::string> Daemon::Start() {
+  auto peer = peer_server_.Listen(settings_.peer_address);
+  if (!peer) return outcome::failure(peer.error());
+  auto udp = gossip_.Bind(settings_.peer_address);
+  if (!udp) return outcome::failure(udp.error());
+  auto admin = admin_server_.Listen(settings_.admin_address);
+  if (!admin) return outcome::failure(admin.error());
+  auto caller = caller_server_.Listen(settings_.caller_address);
+  if (!caller) return outcome::failure(caller.error());
+  supervisor_.Start("hosts", [this] { return hosts_.Run(); });
+  supervisor_.Start("lease", [this] { return lease_.Run(); });
+  supervisor_.Start("document watch", [this] { return document_.WatchService(); });
+  supervisor_.Start("document peers", [this] { return document_.FollowPeers(); });
+  supervisor_.Start("gossip receive", [this] { return gossip_.Receive(); });
+  supervisor_.Start("gossip probe", [this] { return gossip_.Probe(); });
+  supervisor_.Start("gossip exchange", [this] { return gossip_.ExchangeMembers(&peer_client_); });
+  supervisor_.Start("ownership", [this] { return ownership_.Run(); });
+  supervisor_.Start("directory", [this] { return directory_.Refresh(); });
+  supervisor_.Start("metrics", [this] { return UpdateMetrics(); });
+  asio::co_spawn(*io_, WaitForSignals(), asio::detached);
+  LOG4CPLUS_INFO(Log(), "serves callers at " << ToString(settings_.caller_address));
+  return outcome::success();
+}
+
+void Daemon::GiveUp(const std::string& task) {
+  LOG4CPLUS_ERROR(Log(), "task '" << task << "' keeps failing, the process ends");
+  exit_code_ = 1;
+  io_->stop();
+}
+
+Task<void> Daemon::HandleCaller(HttpExchange& exchange) {
+  const HttpRequest& request = exchange.request();
+  auto context = ReadCallContext(document_.environment(), request, MonotonicNow());
+  if (!context) {
+    metrics_.http_rejected_total->Increment();
+    co_await ReplyError(&exchange, context.error(), "");
+    co_return;
+  }
+  const std::string& target = request.target;
+  if (target == kCompletionsPath || target == kChatCompletionsPath) {
+    if (request.method == "POST") {
+      co_await completions_.Handle(context.value(), &exchange);
+      co_return;
+    }
+  } else if (target == "/v1/models") {
+    if (request.method == "GET") {
+      HttpHeaders headers;
+      headers.emplace_back("Content-Type", "application/json");
+      std::string body = ModelList(*context.value().environment, *context.value().caller);
+      co_await exchange.Reply(200, std::move(headers), std::move(body));
+      co_return;
+    }
+  } else if (target.starts_with(kServicesPath)) {
+    co_await services_.Handle(context.value(), &exchange);
+    co_return;
+  } else {
+    metrics_.http_rejected_total->Increment();
+    ApiError error;
+    error.status = 404;
+    error.type = "invalid_request_error";
+    error.code = "unknown_path";
+    error.message = "no such path: " + target;
+    co_await ReplyError(&exchange, std::move(error), context.value().request_id);
+    co_return;
+  }
+  metrics_.http_rejected_total->Increment();
+  ApiError error;
+  error.status = 405;
+  error.type = "invalid_request_error";
+  error.code = "method_not_allowed";
+  error.message = "method " + request.method + " is not allowed for " + target;
+  co_await ReplyError(&exchange, std::move(error), context.value().request_id);
+}
+
+Task<void> Daemon::HandleAdmin(HttpExchange& exchange) {
+  const std::string& target = exchange.request().target;
+  HttpHeaders headers;
+  headers.emplace_back("Content-Type", "text/plain; charset=utf-8");
+  std::string body = "ok\n";
+  int status = 200;
+  if (target == "/readyz") {
+    if (!IsReady()) {
+      status = 503;
+      body = stopping_ ? "stopping\n" : "no environment document or host list is known yet\n";
+    }
+  } else if (target == "/metrics") {
+    body = metrics_.Expose();
+  } else if (target == "/status") {
+    headers.front().second = "application/json";
+    body = StatusJson();
+  } else if (target != "/healthz") {
+    status = 404;
+    body = "use /healthz, /readyz, /metrics or /status\n";
+  }
+  co_await exchange.Reply(status, std::move(headers), std::move(body));
+}
+
+std::string Daemon::StatusJson() const {
+  boost::json::object status;
+  status["name"] = settings_.name;
+  status["environment"] = settings_.environment;
+  status["version"] = document_.version();
+  status["digest"] = document_.head().digest;
+  status["ready"] = IsReady();
+  boost::json::array members;
+  for (const auto& [name, member] : membership_.members()) {
+    boost::json::object item;
+    item["name"] = name;
+    item["region"] = member.update.region;
+    item["state"] = std::string(kMemberStateNames[member.update.state]);
+    members.push_back(std::move(item));
+  }
+  status["members"] = std::move(members);
+  boost::json::array groups;
+  for (const auto& [name, owner] : ownership_.owners()) {
+    if (!owner->is_owner()) continue;
+    boost::json::object group;
+    group["group"] = name;
+    group["fence"] = owner->record().fence;
+    boost::json::array replicas;
+    for (const PlacedReplica& replica : owner->record().replicas) {
+      boost::json::object item;
+      item["model"] = replica.model;
+      item["version"] = replica.version;
+      item["endpoint"] = replica.endpoint;
+      item["state"] = std::string(kReplicaStateNames[replica.state]);
+      item["memory_mib"] = replica.memory_mib;
+      replicas.push_back(std::move(item));
+    }
+    group["replicas"] = std::move(replicas);
+    groups.push_back(std::move(group));
+  }
+  status["owned_groups"] = std::move(groups);
+  return boost::json::serialize(status);
+}
+
+Task<Result<Envelope, PeerError>> Daemon::HandlePeer(Envelope request) {
+  if (request.type == PeerMessageType::kMembersRequest) {
+    auto message = Unwrap<MembersRequest>(request);
+    if (!message) co_return outcome::failure(message.error());
+    for (const MemberUpdate& update : message.value().updates) {
+      membership_.Apply(update, MonotonicNow());
+    }
+    MembersAnswer answer;
+    answer.updates = membership_.AllUpdates();
+    co_return Wrap(answer, identity_.name, 0, WallNow());
+  }
+  if (request.type == PeerMessageType::kDemandRequest) {
+    auto message = Unwrap<DemandRequest>(request);
+    if (!message) co_return outcome::failure(message.error());
+    DemandAnswer answer;
+    answer.status = DemandStatus::kNotOwner;
+    const auto owner = ownership_.Find(message.value().group);
+    if (owner != nullptr) {
+      answer = co_await owner->Demand(request.sender, std::move(message).value());
+    }
+    co_return Wrap(answer, identity_.name, 0, WallNow());
+  }
+  if (request.type == PeerMessageType::kDocumentRequest) {
+    auto message = Unwrap<DocumentRequest>(request);
+    if (!message) co_return outcome::failure(message.error());
+    co_return Wrap(document_.Answer(message.value()), identity_.name, 0, WallNow());
+  }
+  co_return outcome::failure(PeerError::kUnknownType);
+}
+
+// Asks the daemon that is preferred for the group, or this one's own owner.
+Task<DemandAnswer> Daemon::AskOwner(DemandRequest request) {
+  DemandAnswer answer;
+  answer.status = DemandStatus::kNotOwner;
+  const std::size_t region_start = request.group.find('.') + 1;
+  const std::string region =
+      request.group.substr(region_start, request.group.rfind('.') - region_start);
+  const Member* preferred = membership_.PreferredOwner(request.group, region);
+  if (preferred->update.name == settings_.name) {
+    const auto owner = ownership_.Find(request.group);
+    if (owner != nullptr) answer = co_await owner->Demand(settings_.name, std::move(request));
+    co_return answer;
+  }
+  const Address peer = preferred->update.address;
+  const milliseconds timeout = milliseconds(request.wait_ms) + kDemandAllowance;
+  auto reply = co_await peer_client_.Call<DemandAnswer>(peer, std::move(request), timeout);
+  if (reply) answer = std::move(reply).value();
+  co_return answer;
+}
+
+Task<void> Daemon::UpdateMetrics() {
+  std::uint64_t kv_calls = 0;
+  for (;;) {
+    std::size_t live = 0;
+    for (const auto& [name, member] : membership_.members()) live += member.can_own() ? 1 : 0;
+    metrics_.live_members->Set(static_cast<double>(live));
+    metrics_.kv_calls_total->Increment(static_cast<double>(kv_.calls() - kv_calls));
+    kv_calls = kv_.calls();
+    co_await Sleep(kMetricsPeriod);
+  }
+}
+
+Task<void> Daemon::WaitForSignals() {
+  co_await signals_.async_wait(asio::use_awaitable);
+  asio::co_spawn(*io_, Drain(), asio::detached);
+  co_await signals_.async_wait(asio::use_awaitable);
+  LOG4CPLUS_WARN(Log(), "second signal: ends at once");
+  std::_Exit(2);
+}
+
+// Stops without cutting a request: the balancer sees the daemon unready, peers take its groups,
+// open requests finish, and only then the process ends.
+Task<void> Daemon::Drain() {
+  LOG4CPLUS_INFO(Log(), "drains");
+  stopping_ = true;
+  membership_.Leave(MonotonicNow());
+  co_await ownership_.Stop();
+  co_await Sleep(settings_.drain_delay);
+  caller_server_.StopAccepting();
+  while (caller_server_.open_connections() > 0) co_await Sleep(kDrainPoll);
+  co_await lease_.Stop();
+  assert(metrics_.accepted() == metrics_.ended());
+  supervisor_.Stop();
+  peer_server_.Stop();
+  gossip_.Close();
+  LOG4CPLUS_INFO(Log(), "stopped after " << metrics_.ended() << " requests");
+  io_->stop();
+}
+
+}  // namespace
+
+int RunDaemon(const DaemonSettings& settings) {
+  SetUpLog(settings.log, settings.name);
+  asio::io_context io(1);
+  // Never destroyed: coroutines that are still suspended refer to it until the process ends.
+  auto* daemon = new Daemon(&io, settings);
+  auto started = daemon->Start();
+  if (!started) {
+    std::cerr << "mimosabend: cannot listen: " << started.error() << "\n";
+    std::_Exit(1);
+  }
+  io.run();
+  std::cerr.flush();
+  std::_Exit(daemon->exit_code());
+}
+
+}  // namespace mimosabend
--- /dev/null
+++ b/src/digest.h
@@ -0,0 +1,34 @@
+#ifndef MIMOSABEND_DIGEST_H_
+#define MIMOSABEND_DIGEST_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace mimosabend {
+
+inline constexpr std::size_t kMacBytes = 16;
+using Mac = std::array<std::uint8_t, kMacBytes>;
+
+// SHA-256 as 64 lower-case hexadecimal digits. Thread-safe.
+std::string Sha256Hex(std::string_view data);
+
+// HMAC-SHA-256 truncated to its first 16 bytes. Thread-safe.
+Mac ComputeMac(std::string_view key, std::string_view data);
+
+// Compares in a time that depends only on the lengths. Thread-safe.
+bool ConstantTimeEqual(std::string_view a, std::string_view b);
+
+// 64-bit xxHash for placement and fingerprints; not for authentication. Thread-safe.
+std::uint64_t Hash64(std::string_view data, std::uint64_t seed = 0);
+
+// 16 lower-case hexadecimal digits. Thread-safe.
+std::string Hex64(std::uint64_t value);
+
+// A random 64-bit number from the operating system. Thread-safe.
+std::uint64_t RandomId();
+
+}  // namespace mimosabend
+
+#endif  // MIMOSABEND_DIGEST_H_
--- /dev/null
+++ b/src/document_head.h
@@ -0,0 +1,54 @@
+#ifndef MIMOSABEND_DOCUMENT_HEAD_H_
+#define MIMOSABEND_DOCUMENT_HEAD_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "codec.h"
+#include "name_table.h"
+
+namespace mimosabend {
+
+enum class StoreError : std::uint8_t {
+  kUnavailable,
+  kOutcomeUnknown,
+  kConflict,
+  kNotOnTrial,
+  kCorrupt
+};
+inline constexpr NameTable<StoreError, 5> kStoreErrorNames{
+    {"service unavailable", "outcome unknown", "conflict", "not on trial", "corrupt"}};
+
+// Names the document of one version. Copies of it are the audit trail.
+struct DocumentHead {
+  std::uint64_t version = 0;
+  // SHA-256 of the whole document.
+  std::string digest;
+  // SHA-256 of each part, in order.
+  std::vector<std::string> parts;
+  std::string author;
+  std::int64_t time_ms = 0;
+  // The document that this one replaced.
+  std::string previous_digest;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(version);
+    SerializeText(archive, digest);
+    SerializeList(archive, parts);
+    SerializeText(archive, author);
+    archive(time_ms);
+    SerializeText(archive, previous_digest);
+  }
+};
+
+// A head and the version of its key in the key-value service.
+struct StoredHead {
+  DocumentHead head;
+  std::uint64_t kv_version = 0;
+};
+
+}  // namespace mimosabend
+
+#endif  // MIMOSABEND_DOCUMENT_HEAD_H_
--- /dev/null
+++ b/src/document_parts.cpp
@@ -0,0 +1,44 @@
+#include "document_parts.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cstdint>
+
+#include "digest.h"
+
+namespace mimosabend {
+
+namespace {
+
+// One section line in 32 starts a part: about 4 KB at 120 bytes a section.
+constexpr std::uint64_t kCutModulus = 32;
+// A part is cut here even inside a section; the key-value service takes up to 1 MB.
+constexpr std::size_t kMaxPartBytes = 64 * 1024;
+
+bool StartsPart(std::string_view line) {
+  return !line.empty() && line.front() == '[' && Hash64(line) % kCutModulus == 0;
+}
+
+}  // namespace
+
+std::vector<std::string> SplitDocument(std::string_view document) {
+  std::vector<std::string> parts;
+  std::string part;
+  while (!document.empty()) {
+    const std::size_t end = document.find('\n');
+    std::size_t length = end == std::string_view::npos ? document.size() : end + 1;
+    length = std::min(length, kMaxPartBytes);
+    const std::string_view line = document.substr(0, length);
+    document.remove_prefix(length);
+    if (!part.empty() && (StartsPart(line) || part.size() + line.size() > kMaxPartBytes)) {
+      parts.push_back(std::move(part));
+      part.clear();
+    }
+    part += line;
+  }
+  if (!part.empty()) parts.push_back(std::move(part));
+  for (const std::string& checked : parts) assert(checked.size() <= kMaxPartBytes);
+  return parts;
+}
+
+}  // namespace mimosabend
--- /dev/null
+++ b/src/document_store.h
@@ -0,0 +1,181 @@
+#ifndef MIMOSABEND_DOCUMENT_STORE_H_
+#define MIMOSABEND_DOCUMENT_STORE_H_
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "digest.h"
+#include "document_head.h"
+#include "document_parts.h"
+#include "kv_store.h"
+
+namespace mimosabend {
+
+// The prefix of all keys of an environment. Thread-safe.
+inline std::string EnvironmentKeyPrefix(const std::string& environment) {
+  return "env/" + environment + "/";
+}
+
+// Documents of one environment in the key-value service: content-addressed parts under a head
+// that is swapped last. Not thread-safe.
+template <KvStore Kv>
+class DocumentStore {
+ public:
+  // Precondition: `kv` outlives this object.
+  DocumentStore(Kv* kv, const std::string& environment)
+      : kv_(kv), prefix_(EnvironmentKeyPrefix(environment)) {}
+
+  std::string head_key() const { return prefix_ + "head"; }
+
+  // The head in force; version 0 if there is none.
+  Task<Result<StoredHead, StoreError>> ReadHead() { co_return co_await ReadHeadAt(head_key()); }
+
+  // The head on trial; version 0 if there is none.
+  Task<Result<StoredHead, StoreError>> ReadTrial() {
+    co_return co_await ReadHeadAt(prefix_ + "trial");
+  }
+
+  // Stores a document and puts it on trial.
+  Task<Result<DocumentHead, StoreError>> Trial(std::string document, std::string author,
+                                               WallTime now) {
+    DocumentHead head;
+    head.digest = Sha256Hex(document);
+    head.author = std::move(author);
+    head.time_ms = ToUnixMillis(now);
+    for (const std::string& part : SplitDocument(document)) {
+      head.parts.push_back(Sha256Hex(part));
+      auto stored = co_await StorePart(head.parts.back(), part);
+      if (!stored) co_return outcome::failure(stored.error());
+    }
+    auto current = co_await ReadTrial();
+    if (!current) co_return outcome::failure(current.error());
+    head.version = current.value().head.version + 1;
+    auto swapped = co_await Swap(prefix_ + "trial", current.value().kv_version, head);
+    if (!swapped) co_return outcome::failure(swapped.error());
+    co_return head;
+  }
+
+  // Puts the document on trial in force, if it is still the one with this digest.
+  Task<Result<DocumentHead, StoreError>> Promote(std::string digest, std::string author,
+                                                 WallTime now) {
+    auto trial = co_await ReadTrial();
+    if (!trial) co_return outcome::failure(trial.error());
+    if (trial.value().head.digest != digest) co_return outcome::failure(StoreError::kNotOnTrial);
+    auto current = co_await ReadHead();
+    if (!current) co_return outcome::failure(current.error());
+    DocumentHead head = trial.value().head;
+    head.version = current.value().head.version + 1;
+    head.author = std::move(author);
+    head.time_ms = ToUnixMillis(now);
+    head.previous_digest = current.value().head.digest;
+    auto swapped = co_await Swap(head_key(), current.value().kv_version, head);
+    if (!swapped) co_return outcome::failure(swapped.error());
+    auto recorded = co_await RecordInHistory(head);
+    static_cast<void>(recorded);  // Daemons that adopt the head enter it, too.
+    co_return head;
+  }
+
+  // Enters a head in the audit trail unless it is there. The entry is a copy of the head, so that
+  // it can be written after a promotion whose operator process died.
+  Task<Result<void, StoreError>> RecordInHistory(DocumentHead head) {
+    auto swap = co_await kv_->CompareAndSwap(HistoryKey(head.version), Encode(head), 0);
+    if (!swap) co_return outcome::failure(StoreError::kUnavailable);
+    if (head.version > kHistoryLength) {
+      const std::string expired = HistoryKey(head.version - kHistoryLength);
+      auto entry = co_await kv_->Read(expired);
+      if (entry && entry.value().exists()) {
+        auto ignored = co_await kv_->Delete(expired, entry.value().version);
+        static_cast<void>(ignored);
+      }
+    }
+    co_return outcome::success();
+  }
+
+  // The audit trail, oldest first.
+  Task<Result<std::vector<DocumentHead>, StoreError>> History() {
+    auto items = co_await kv_->List(prefix_ + "history/");
+    if (!items) co_return outcome::failure(StoreError::kUnavailable);
+    std::vector<DocumentHead> heads;
+    for (const KvItem& item : items.value()) {
+      std::optional<DocumentHead> head = Decode<DocumentHead>(item.entry.value);
+      if (!head) co_return outcome::failure(StoreError::kCorrupt);
+      heads.push_back(std::move(*head));
+    }
+    std::sort(heads.begin(), heads.end(),
+              [](const auto& a, const auto& b) { return a.version < b.version; });
+    co_return heads;
+  }
+
+  // The text of a part, checked against its digest.
+  Task<Result<std::string, StoreError>> ReadPart(std::string digest) {
+    auto entry = co_await kv_->Read(prefix_ + "part/" + digest);
+    if (!entry) co_return outcome::failure(StoreError::kUnavailable);
+    if (!entry.value().exists() || Sha256Hex(entry.value().value) != digest) {
+      co_return outcome::failure(StoreError::kCorrupt);
+    }
+    co_return std::move(entry.value().value);
+  }
+
+ private:
+  // Changes that the audit trail keeps.
+  static constexpr std::uint64_t kHistoryLength = 2000;
+
+  std::string HistoryKey(std::uint64_t version) const {
+    std::string digits = std::to_string(version);
+    digits.insert(0, digits.size() < 12 ? 12 - digits.size() : 0, '0');
+    return prefix_ + "history/" + digits;
+  }
+
+  Task<Result<StoredHead, StoreError>> ReadHeadAt(std::string key) {
+    auto entry = co_await kv_->Read(key);
+    if (!entry) co_return outcome::failure(StoreError::kUnavailable);
+    StoredHead stored;
+    stored.kv_version = entry.value().version;
+    if (entry.value().exists()) {
+      std::optional<DocumentHead> head = Decode<DocumentHead>(entry.value().value);
+      if (!head) co_return outcome::failure(StoreError::kCorrupt);
+      stored.head = std::move(*head);
+    }
+    co_return stored;
+  }
+
+  Task<Result<void, StoreError>> StorePart(std::string digest, std::string part) {
+    const std::string key = prefix_ + "part/" + digest;
+    auto entry = co_await kv_->Read(key);
+    if (!entry) co_return outcome::failure(StoreError::kUnavailable);
+    if (entry.value().value == part) co_return outcome::success();
+    auto swap = co_await kv_->CompareAndSwap(key, part, entry.value().version);
+    if (!swap && swap.error() == KvError::kTooLarge)
+      co_return outcome::failure(StoreError::kCorrupt);
+    auto check = co_await kv_->Read(key);
+    if (!check || check.value().value != part) co_return outcome::failure(StoreError::kUnavailable);
+    co_return outcome::success();
+  }
+
+  // Swaps a head; a lost answer is resolved by reading the key back.
+  Task<Result<void, StoreError>> Swap(std::string key, std::uint64_t expected, DocumentHead head) {
+    const std::string bytes = Encode(head);
+    auto swap = co_await kv_->CompareAndSwap(key, bytes, expected);
+    if (swap) {
+      if (swap.value().swapped) co_return outcome::success();
+      co_return outcome::failure(StoreError::kConflict);
+    }
+    if (swap.error() != KvError::kOutcomeUnknown)
+      co_return outcome::failure(StoreError::kUnavailable);
+    auto entry = co_await kv_->Read(key);
+    if (!entry) co_return outcome::failure(StoreError::kOutcomeUnknown);
+    if (entry.value().value == bytes) co_return outcome::success();
+    if (entry.value().version != expected) co_return outcome::failure(StoreError::kConflict);
+    co_return outcome::failure(StoreError::kOutcomeUnknown);
+  }
+
+  Kv* kv_;
+  std::string prefix_;
+};
+
+}  // namespace mimosabend
+
+#endif  // MIMOSABEND_DOCUMENT_STORE_H_
--- /dev/null
+++ b/src/gossip.cpp
@@ -0,0 +1,200 @@
+#include "gossip.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "supervisor.h"
+
+namespace mimosabend {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+namespace {
+
+constexpr milliseconds kProbePeriod{500};
+constexpr milliseconds kDirectTimeout{200};
+constexpr milliseconds kIndirectTimeout{300};
+constexpr std::size_t kIndirectHelpers = 3;
+constexpr std::size_t kMaxDatagramBytes = 8192;
+constexpr milliseconds kExchangeTimeout{1000};
+constexpr milliseconds kJoinRetry{500};
+constexpr seconds kExchangePeriod{30};
+
+udp::endpoint ToEndpoint(const Address& address) {
+  boost::system::error_code ignored;
+  return {asio::ip::make_address(address.ip, ignored), address.port};
+}
+
+}  // namespace
+
+Gossip::Gossip(asio::any_io_executor executor, Membership* membership, PeerIdentity identity,
+               std::vector<Address> seeds, Metrics* metrics, Hooks hooks)
+    : executor_(std::move(executor)),
+      membership_(membership),
+      identity_(std::move(identity)),
+      seeds_(std::move(seeds)),
+      metrics_(metrics),
+      hooks_(std::move(hooks)),
+      socket_(executor_) {}
+
+Result<void, std::string> Gossip::Bind(const Address& address) {
+  boost::system::error_code error;
+  const udp::endpoint endpoint(asio::ip::make_address(address.ip, error), address.port);
+  if (!error) socket_.open(endpoint.protocol(), error);
+  if (!error) socket_.bind(endpoint, error);
+  if (error) return outcome::failure(ToString(address) + ": " + error.message());
+  return outcome::success();
+}
+
+void Gossip::Close() {
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
+void Gossip::ApplyUpdates(const std::vector<MemberUpdate>& updates) {
+  for (const MemberUpdate& update : updates) membership_->Apply(update, MonotonicNow());
+}
+
+template <class Message>
+Task<void> Gossip::Send(Address peer, Message message) {
+  const std::string bytes =
+      EncodeEnvelope(Wrap(message, identity_.name, 0, WallNow()), identity_.shared_key);
+  boost::system::error_code error;
+  co_await socket_.async_send_to(asio::buffer(bytes), ToEndpoint(peer),
+                                 asio::redirect_error(asio::use_awaitable, error));
+  if (error) co_return;
+  metrics_->peer_messages_sent_total->Increment();
+  metrics_->peer_bytes_sent_total->Increment(static_cast<double>(bytes.size()));
+}
+
+Task<void> Gossip::SendPing(Address target, std::uint64_t sequence) {
+  Ping ping;
+  ping.sequence = sequence;
+  ping.environment_version = hooks_.environment_version();
+  ping.updates = membership_->TakeUpdates();
+  co_await Send(std::move(target), std::move(ping));
+}
+
+Task<void> Gossip::Receive() {
+  std::array<char, kMaxDatagramBytes> buffer;
+  while (socket_.is_open()) {
+    udp::endpoint sender;
+    boost::system::error_code error;
+    const std::size_t length = co_await socket_.async_receive_from(
+        asio::buffer(buffer), sender, asio::redirect_error(asio::use_awaitable, error));
+    if (error) continue;  // An ICMP error of an earlier datagram, or the socket was closed.
+    metrics_->peer_messages_received_total->Increment();
+    metrics_->peer_bytes_received_total->Increment(static_cast<double>(length));
+    auto envelope =
+        DecodeEnvelope(std::string_view(buffer.data(), length), identity_.shared_key, WallNow());
+    if (!envelope) {
+      metrics_->CountPeerError(envelope.error());
+      continue;
+    }
+    const Address peer{sender.address().to_string(), sender.port()};
+    co_await Handle(peer, std::move(envelope).value());
+  }
+}
+
+Task<void> Gossip::Handle(Address peer, Envelope envelope) {
+  if (envelope.type == PeerMessageType::kPing) {
+    if (auto ping = Unwrap<Ping>(envelope)) {
+      ApplyUpdates(ping.value().updates);
+      hooks_.on_environment_version(peer, ping.value().environment_version);
+      Ack ack;
+      ack.sequence = ping.value().sequence;
+      ack.environment_version = hooks_.environment_version();
+      ack.updates = membership_->TakeUpdates();
+      co_await Send(peer, std::move(ack));
+      co_return;
+    }
+  } else if (envelope.type == PeerMessageType::kAck) {
+    if (auto ack = Unwrap<Ack>(envelope)) {
+      ApplyUpdates(ack.value().updates);
+      acknowledged_.insert(ack.value().sequence);
+      hooks_.on_environment_version(peer, ack.value().environment_version);
+      co_return;
+    }
+  } else if (envelope.type == PeerMessageType::kPingRequest) {
+    if (auto request = Unwrap<PingRequest>(envelope)) {
+      asio::co_spawn(executor_, Relay(peer, std::move(request).value()), asio::detached);
+      co_return;
+    }
+  } else {
+    metrics_->CountPeerError(PeerError::kUnknownType);
+    co_return;
+  }
+  metrics_->CountPeerError(PeerError::kMalformed);
+}
+
+// Pings on behalf of a peer and passes the answer back under the peer's sequence number.
+Task<void> Gossip::Relay(Address requester, PingRequest request) {
+  const bool answered = co_await PingAndWait(request.target, kDirectTimeout);
+  if (!answered) co_return;
+  Ack ack;
+  ack.sequence = request.sequence;
+  ack.environment_version = hooks_.environment_version();
+  co_await Send(std::move(requester), std::move(ack));
+}
+
+Task<bool> Gossip::PingAndWait(Address target, milliseconds timeout) {
+  const std::uint64_t sequence = ++last_sequence_;
+  co_await SendPing(std::move(target), sequence);
+  co_await Sleep(timeout);
+  co_return acknowledged_.erase(sequence) > 0;
+}
+
+Task<void> Gossip::Probe() {
+  while (socket_.is_open()) {
+    const MonotonicTime start = MonotonicNow();
+    membership_->Tick(start);
+    const Member* member = membership_->NextPingTarget();
+    if (member != nullptr) {
+      const MemberUpdate target = member->update;
+      const std::uint64_t sequence = ++last_sequence_;
+      co_await SendPing(target.address, sequence);
+      co_await Sleep(kDirectTimeout);
+      if (!acknowledged_.contains(sequence)) {
+        for (const Address& helper : membership_->RandomPeers(kIndirectHelpers, target.name)) {
+          PingRequest request;
+          request.sequence = sequence;
+          request.target = target.address;
+          co_await Send(helper, std::move(request));
+        }
+        co_await Sleep(kIndirectTimeout);
+      }
+      if (acknowledged_.erase(sequence) == 0) membership_->Suspect(target.name, MonotonicNow());
+    }
+    const auto rest = kProbePeriod - (MonotonicNow() - start);
+    if (rest.count() > 0) co_await Sleep(rest);
+  }
+}
+
+Task<void> Gossip::ExchangeMembers(PeerClient* client) {
+  bool joined = false;
+  std::size_t next_seed = 0;
+  while (socket_.is_open()) {
+    std::vector<Address> peers = membership_->RandomPeers(1, "");
+    if (!joined && !seeds_.empty()) peers = {seeds_[next_seed++ % seeds_.size()]};
+    if (!peers.empty() && peers.front() != membership_->self().address) {
+      MembersRequest request;
+      request.updates = membership_->AllUpdates();
+      auto answer =
+          co_await client->Call<MembersAnswer>(peers.front(), std::move(request), kExchangeTimeout);
+      if (answer) {
+        ApplyUpdates(answer.value().updates);
+        joined = true;
+      }
+    }
+    if (joined) {
+      co_await Sleep(kExchangePeriod);
+    } else {
+      co_await Sleep(kJoinRetry);
+    }
+  }
+}
+
+}  // namespace mimosabend
--- /dev/null
+++ b/src/http_server.cpp
@@ -0,0 +1,290 @@
+#include "http_server.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <cassert>
+
+namespace mimosabend {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+// How long a slow caller may take to accept the bytes of one write.
+constexpr std::chrono::seconds kWriteTimeout{30};
+// After the listener is closed, idle connections may still bring a request for this long.
+constexpr std::chrono::seconds kDrainIdleTimeout{1};
+constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
+
+HttpRequest ConvertRequest(http::request<http::string_body> message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.headers.emplace_back(field.name_string(), field.value());
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+// The status for a request that could not be read; 0 if the connection is just closed.
+int StatusOfReadError(const boost::system::error_code& error) {
+  if (error == http::error::header_limit) return 431;
+  if (error == http::error::body_limit) return 413;
+  const bool closed = error == http::error::end_of_stream || error == http::error::partial_message;
+  const bool malformed =
+      error.category() == http::make_error_code(http::error::bad_method).category();
+  return malformed && !closed ? 400 : 0;
+}
+
+std::string ReadErrorBody(int status) {
+  const char* message = status == 431   ? "the request header is too large"
+                        : status == 413 ? "the request body is too large"
+                                        : "not a valid HTTP request";
+  return std::string(R"({"error":{"message":")") + message +
+         R"(","type":"invalid_request_error","param":null,"code":"bad_request"},"outcome":"not_run"})";
+}
+
+}  // namespace
+
+class ServerConnection {
+ public:
+  ServerConnection(HttpServer* server, asio::ip::tcp::socket socket)
+      : server_(server), stream_(std::move(socket)) {}
+
+  Task<void> Run();
+
+  // Ends the wait for a next request unless a part of one has arrived.
+  void CloseIfIdle() {
+    if (buffer_.size() == 0) stream_.cancel();
+  }
+
+  bool IsPeerGone() {
+    char byte;
+    const ssize_t count =
+        ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
+  Task<bool> WriteHeader(int status, const HttpHeaders& headers) {
+    http::response<http::empty_body> response;
+    Prepare(&response, status, headers);
+    response.chunked(true);
+    http::response_serializer<http::empty_body> serializer(response);
+    boost::system::error_code error;
+    stream_.expires_after(kWriteTimeout);
+    co_await http::async_write_header(stream_, serializer,
+                                      asio::redirect_error(asio::use_awaitable, error));
+    chunked_open_ = !error;
+    co_return Note(error);
+  }
+
+  Task<bool> WriteWhole(int status, const HttpHeaders& headers, std::string body) {
+    http::response<http::string_body> response;
+    Prepare(&response, status, headers);
+    response.body() = std::move(body);
+    response.prepare_payload();
+    boost::system::error_code error;
+    stream_.expires_after(kWriteTimeout);
+    co_await http::async_write(stream_, response, asio::redirect_error(asio::use_awaitable, error));
+    co_return Note(error);
+  }
+
+  Task<bool> WriteChunk(const std::string& bytes) {
+    boost::system::error_code error;
+    stream_.expires_after(kWriteTimeout);
+    co_await asio::async_write(stream_, http::make_chunk(asio::buffer(bytes)),
+                               asio::redirect_error(asio::use_awaitable, error));
+    co_return Note(error);
+  }
+
+  Task<bool> WriteLastChunk() {
+    boost::system::error_code error;
+    stream_.expires_after(kWriteTimeout);
+    co_await asio::async_write(stream_, http::make_chunk_last(),
+                               asio::redirect_error(asio::use_awaitable, error));
+    chunked_open_ = false;
+    co_return Note(error);
+  }
+
+ private:
+  template <class Response>
+  void Prepare(Response* response, int status, const HttpHeaders& headers) {
+    response->version(11);
+    response->result(status);
+    for (const auto& [name, value] : headers) response->set(name, value);
+    keep_alive_ = keep_alive_ && !server_->stopping();
+    response->keep_alive(keep_alive_);
+  }
+
+  bool Note(const boost::system::error_code& error) {
+    if (error) keep_alive_ = false;
+    return !error;
+  }
+
+  Task<bool> ReadRequest(std::optional<HttpRequest>* request);
+
+  HttpServer* server_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  bool keep_alive_ = true;
+  bool chunked_open_ = false;
+};
+
+// Reads the next request; false if the connection is to be closed.
+Task<bool> ServerConnection::ReadRequest(std::optional<HttpRequest>* request) {
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(server_->limits_.header_bytes);
+  parser.body_limit(server_->limits_.body_bytes);
+  boost::system::error_code error;
+  stream_.expires_after(server_->limits_.idle_timeout);
+  server_->idle_.insert(this);
+  co_await http::async_read_header(stream_, buffer_, parser,
+                                   asio::redirect_error(asio::use_awaitable, error));
+  server_->idle_.erase(this);
+  if (!error) {
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+      http::response<http::empty_body> interim{http::status::continue_, 11};
+      co_await http::async_write(stream_, interim,
+                                 asio::redirect_error(asio::use_awaitable, error));
+    }
+    stream_.expires_after(server_->limits_.idle_timeout);
+    co_await http::async_read(stream_, buffer_, parser,
+                              asio::redirect_error(asio::use_awaitable, error));
+  }
+  if (error) {
+    const int status = StatusOfReadError(error);
+    keep_alive_ = false;
+    if (status != 0) {
+      ++server_->rejected_requests_;
+      HttpHeaders headers{{"Content-Type", "application/json"}};
+      co_await WriteWhole(status, headers, ReadErrorBody(status));
+    }
+    co_return false;
+  }
+  keep_alive_ = parser.get().keep_alive();
+  *request = ConvertRequest(parser.release());
+  co_return true;
+}
+
+Task<void> ServerConnection::Run() {
+  boost::system::error_code ignored;
+  stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  while (keep_alive_) {
+    std::optional<HttpRequest> request;
+    const bool read = co_await ReadRequest(&request);
+    if (!read) break;
+    HttpExchange exchange(this, std::move(*request));
+    co_await server_->handler_(exchange);
+    // A handler leaves a request without an answer only if its caller is gone.
+    if (!exchange.answered() || chunked_open_) break;
+  }
+  stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  // Reads what the caller still sends, so that a reset does not destroy the answer on its way.
+  if (!chunked_open_) {
+    stream_.expires_after(kDrainIdleTimeout);
+    std::array<char, 4096> discarded;
+    boost::system::error_code error;
+    while (!error) {
+      co_await stream_.async_read_some(asio::buffer(discarded),
+                                       asio::redirect_error(asio::use_awaitable, error));
+    }
+  }
+}
+
+Task<bool> HttpExchange::Reply(int status, HttpHeaders headers, std::string body) {
+  assert(!answered_);
+  answered_ = true;
+  co_return co_await connection_->WriteWhole(status, headers, std::move(body));
+}
+
+Task<bool> HttpExchange::StartStream(int status, HttpHeaders headers) {
+  assert(!answered_);
+  answered_ = true;
+  co_return co_await connection_->WriteHeader(status, headers);
+}
+
+Task<bool> HttpExchange::Write(std::string bytes) {
+  if (bytes.empty()) co_return true;  // An empty chunk would end the stream.
+  co_return co_await connection_->WriteChunk(bytes);
+}
+
+Task<bool> HttpExchange::FinishStream() { co_return co_await connection_->WriteLastChunk(); }
+
+bool HttpExchange::IsCallerGone() const { return connection_->IsPeerGone(); }
+
+HttpServer::HttpServer(asio::any_io_executor executor, HttpLimits limits, HttpHandler handler)
+    : executor_(std::move(executor)),
+      limits_(limits),
+      handler_(std::move(handler)),
+      acceptor_(executor_) {}
+
+HttpServer::~HttpServer() = default;
+
+Result<std::uint16_t, std::string> HttpServer::Listen(const Address& address) {
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(address.ip, error);
+  const asio::ip::tcp::endpoint endpoint(ip, address.port);
+  if (!error) acceptor_.open(endpoint.protocol(), error);
+  if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error) acceptor_.bind(endpoint, error);
+  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) return outcome::failure(ToString(address) + ": " + error.message());
+  asio::co_spawn(executor_, Accept(), asio::detached);
+  return acceptor_.local_endpoint().port();
+}
+
+void HttpServer::StopAccepting() {
+  stopping_ = true;
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  asio::co_spawn(executor_, CloseIdleConnections(), asio::detached);
+}
+
+// Callers that sent a request before they saw the listener close get kDrainIdleTimeout to arrive.
+Task<void> HttpServer::CloseIdleConnections() {
+  asio::steady_timer timer(executor_, kDrainIdleTimeout);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  for (ServerConnection* connection : idle_) connection->CloseIfIdle();
+}
+
+Task<void> HttpServer::Accept() {
+  while (!stopping_) {
+    boost::system::error_code error;
+    asio::ip::tcp::socket socket(executor_);
+    co_await acceptor_.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      // Out of file descriptors, for example: accept again when some may have been closed.
+      if (stopping_) co_return;
+      asio::steady_timer timer(executor_, kAcceptRetryDelay);
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
+    if (open_connections_ >= limits_.connections) {
+      ++rejected_requests_;
+      continue;
+    }
+    asio::co_spawn(executor_, Serve(std::move(socket)), asio::detached);
+  }
+}
+
+Task<void> HttpServer::Serve(asio::ip::tcp::socket socket) {
+  ++open_connections_;
+  {
+    ServerConnection connection(this, std::move(socket));
+    co_await connection.Run();
+  }
+  --open_connections_;
+}
+
+}  // namespace mimosabend
--- /dev/null
+++ b/src/json.h
@@ -0,0 +1,48 @@
+#ifndef MIMOSABEND_JSON_H_
+#define MIMOSABEND_JSON_H_
+
+#include <boost/json.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace mimosabend {
+
+// Parses JSON from outside; std::nullopt if it is malformed or nested too deeply. Thread-safe.
+inline std::optional<boost::json::value> ParseJson(std::string_view text) {
+  boost::json::error_code error;
+  boost::json::value value =
+      boost::json::parse(boost::json::string_view(text.data(), text.size()), error);
+  if (error) return std::nullopt;
+  return value;
+}
+
+// The member of an object, or nullptr if `value` is no object or lacks it. Thread-safe.
+inline const boost::json::value* JsonMember(const boost::json::value& value,
+                                            std::string_view name) {
+  const boost::json::object* object = value.if_object();
+  if (object == nullptr) return nullptr;
+  return object->if_contains(boost::json::string_view(name.data(), name.size()));
+}
+
+// The text of a member; empty if it is absent or of another type. Thread-safe.
+inline std::string TextMember(const boost::json::value& value, std::string_view name) {
+  const boost::json::value* member = JsonMember(value, name);
+  const boost::json::string* text = member == nullptr ? nullptr : member->if_string();
+  return text == nullptr ? std::string() : std::string(text->data(), text->size());
+}
+
+// The whole number of a member; std::nullopt if it is absent, of another type or does not fit.
+// Thread-safe.
+inline std::optional<std::int64_t> IntegerMember(const boost::json::value& value,
+                                                 std::string_view name) {
+  const boost::json::value* member = JsonMember(value, name);
+  if (member == nullptr) return std::nullopt;
+  if (const std::int64_t* number = member->if_int64()) return *number;
+  return std::nullopt;
+}
+
+}  // namespace mimosabend
+
+#endif  // MIMOSABEND_JSON_H_
--- /dev/null
+++ b/src/log.cpp
@@ -0,0 +1,71 @@
+#include "log.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/spi/loggingevent.h>
+
+#include <boost/json.hpp>
+#include <memory>
+
+namespace mimosabend {
+
+namespace {
+
+constexpr char kTextPattern[] = "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p ";
+
+log4cplus::LogLevel TranslateLevel(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return log4cplus::DEBUG_LOG_LEVEL;
+    case LogLevel::kInfo:
+      return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::kWarn:
+      return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::kError:
+      return log4cplus::ERROR_LOG_LEVEL;
+  }
+  return log4cplus::INFO_LOG_LEVEL;
+}
+
+// One JSON object a line.
+class JsonLayout : public log4cplus::Layout {
+ public:
+  explicit JsonLayout(std::string process_name) : process_name_(std::move(process_name)) {}
+
+  void formatAndAppend(log4cplus::tostream& output,
+                       const log4cplus::spi::InternalLoggingEvent& event) override {
+    boost::json::object line;
+    line["time_ms"] = ToUnixMillis(event.getTimestamp());
+    line["level"] = log4cplus::getLogLevelManager().toString(event.getLogLevel());
+    line["process"] = process_name_;
+    line["message"] = event.getMessage();
+    output << boost::json::serialize(line) << '\n';
+  }
+
+ private:
+  std::string process_name_;
+};
+
+}  // namespace
+
+void SetUpLog(const LogSettings& settings, const std::string& process_name) {
+  log4cplus::initialize();
+  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+  if (settings.format == LogFormat::kJson) {
+    appender->setLayout(std::make_unique<JsonLayout>(process_name));
+  } else {
+    appender->setLayout(
+        std::make_unique<log4cplus::PatternLayout>(kTextPattern + process_name + ": %m%n"));
+  }
+  log4cplus::Logger logger = log4cplus::Logger::getInstance("mimosabend");
+  logger.addAppender(appender);
+  logger.setLogLevel(TranslateLevel(settings.level));
+  logger.setAdditivity(false);
+}
+
+const log4cplus::Logger& Log() {
+  static const log4cplus::Logger logger = log4cplus::Logger::getInstance("mimosabend");
+  return logger;
+}
+
+}  // namespace mimosabend
--- /dev/null
+++ b/src/notifier.h
@@ -0,0 +1,43 @@
+#ifndef MIMOSABEND_NOTIFIER_H_
+#define MIMOSABEND_NOTIFIER_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <set>
+
+#include "clock.h"
+#include "result.h"
+
+namespace mimosabend {
+
+// Wakes all coroutines that wait for a change. Not thread-safe.
+class Notifier {
+ public:
+  explicit Notifier(boost::asio::any_io_executor executor) : executor_(std::move(executor)) {}
+
+  // Precondition: every waiter has returned or its executor has stopped for good.
+  ~Notifier() = default;
+
+  void NotifyAll() {
+    for (boost::asio::steady_timer* timer : waiters_) timer->cancel();
+  }
+
+  // Returns at the next NotifyAll or at the deadline.
+  Task<void> WaitUntil(MonotonicTime deadline) {
+    boost::asio::steady_timer timer(executor_, deadline);
+    waiters_.insert(&timer);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    waiters_.erase(&timer);
+  }
+
+ private:
+  boost::asio::any_io_executor executor_;
+  std::set<boost::asio::steady_timer*> waiters_;
+};
+
+}  // namespace mimosabend
+
+#endif  // MIMOSABEND_NOTIFIER_H_
--- /dev/null
+++ b/src/operator_commands.cpp
@@ -0,0 +1,372 @@
+#include "operator_commands.h"
+
+#include <gflags/gflags.h>
+#include <unistd.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdlib>
+#include <ctime>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "daemon.h"
+#include "document_store.h"
+#include "environment.h"
+#include "http_kv_store.h"
+#include "json.h"
+#include "settings.h"
+#include "supervisor.h"
+
+DEFINE_string(config, "", "settings file of the process");
+DEFINE_string(environment, "", "name of the environment");
+DEFINE_string(author, "", "who makes the change, for the audit trail; default: $USER");
+DEFINE_string(digest, "", "promote only if the document on trial has this SHA-256");
+DEFINE_bool(json, false, "print JSON for scripts");
+DEFINE_int32(wait_s, 30, "how long promote waits until the document is in force everywhere");
+
+namespace mimosabend {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr milliseconds kStatusTimeout{1000};
+constexpr milliseconds kStatusPoll{200};
+constexpr std::string_view kSetFlag = "--set";
+
+constexpr char kUsage[] =
+    R"(usage: mimosabend COMMAND [FLAGS]
+
+  daemon  --config=FILE [--set section.key=value ...]   serve callers
+  check   FILE                                          check an environment document
+  trial   FILE --config=FILE --environment=NAME         store a document and put it on trial
+  promote --config=FILE --environment=NAME [--digest=SHA256] [--wait_s=30]
+                                                        put the document on trial in force
+  status  --config=FILE --environment=NAME [--json]     what is in force, and where
+  history --config=FILE --environment=NAME [--json]     audit trail of changes
+
+Further flags: --author=NAME for trial and promote.
+Exit codes: 0 done, 1 failed, 2 wrong usage or document, 3 another operator was faster,
+4 the platform's service can't be reached or the outcome is unknown.
+)";
+
+// Command line after the subcommand's name.
+struct CommandLine {
+  std::string command;
+  std::vector<std::string> arguments;
+  std::vector<std::string> overrides;
+};
+
+int ToInt(ExitCode code) { return static_cast<int>(code); }
+
+ExitCode Fail(ExitCode code, const std::string& message) {
+  std::cerr << "mimosabend: " << message << "\n";
+  return code;
+}
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return std::nullopt;
+  std::ostringstream text;
+  text << file.rdbuf();
+  return std::move(text).str();
+}
+
+ExitCode ReportIssues(const IniIssues& issues) {
+  for (const IniIssue& issue : issues) std::cerr << issue.Format() << "\n";
+  return ExitCode::kUsage;
+}
+
+std::string Author() {
+  if (!FLAGS_author.empty()) return FLAGS_author;
+  const char* user = std::getenv("USER");
+  return user != nullptr ? user : "unknown";
+}
+
+std::string FormatTime(std::int64_t unix_ms) {
+  const std::time_t time = unix_ms / 1000;
+  std::tm utc{};
+  gmtime_r(&time, &utc);
+  char text[32];
+  std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &utc);
+  return text;
+}
+
+ExitCode FailStore(StoreError error) {
+  const std::string text(kStoreErrorNames[error]);
+  switch (error) {
+    case StoreError::kConflict:
+      return Fail(ExitCode::kConflict,
+                  "another operator has changed this environment meanwhile; nothing was changed by "
+                  "this command. Look at 'mimosabend history', then try again");
+    case StoreError::kNotOnTrial:
+      return Fail(ExitCode::kConflict,
+                  "the document on trial is another one; put yours on trial again");
+    case StoreError::kUnavailable:
+      return Fail(ExitCode::kUnavailable, text + ": nothing was changed; try again later");
+    case StoreError::kOutcomeUnknown:
+      return Fail(ExitCode::kUnavailable,
+                  text + ": look at 'mimosabend history' before trying again");
+    case StoreError::kCorrupt:
+      return Fail(ExitCode::kFailed, "the stored document is corrupt; put it on trial again");
+  }
+  return ExitCode::kFailed;
+}
+
+// What a command needs to talk to the platform.
+struct Session {
+  explicit Session(const OperatorSettings& given)
+      : settings(given),
+        client(io.get_executor()),
+        kv(&client, settings.platform.kv),
+        store(&kv, FLAGS_environment) {}
+
+  asio::io_context io{1};
+  OperatorSettings settings;
+  HttpClient client;
+  HttpKvStore kv;
+  DocumentStore<HttpKvStore> store;
+};
+
+// Runs one command's coroutine to its end.
+ExitCode RunInSession(const CommandLine& line,
+                      Task<ExitCode> (*command)(Session*, const CommandLine&)) {
+  if (FLAGS_environment.empty()) return Fail(ExitCode::kUsage, "name an --environment");
+  const auto text = ReadFile(FLAGS_config);
+  if (!text) return Fail(ExitCode::kUsage, "cannot read --config file '" + FLAGS_config + "'");
+  auto settings = ParseOperatorSettings(FLAGS_config, *text, line.overrides);
+  if (!settings) return ReportIssues(settings.error());
+  Session session(settings.value());
+  ExitCode code = ExitCode::kFailed;
+  asio::co_spawn(session.io, command(&session, line),
+                 [&code](std::exception_ptr error, ExitCode result) {
+                   if (error == nullptr) code = result;
+                 });
+  session.io.run();
+  return code;
+}
+
+ExitCode RunCheck(const CommandLine& line) {
+  if (line.arguments.size() != 1) return Fail(ExitCode::kUsage, "usage: mimosabend check FILE");
+  const std::string& path = line.arguments.front();
+  const auto text = ReadFile(path);
+  if (!text) return Fail(ExitCode::kUsage, "cannot read '" + path + "'");
+  auto environment = ParseEnvironment(path, *text);
+  if (!environment) return ReportIssues(environment.error());
+  std::cout << path << ": valid; " << environment.value().models.size() << " models and adapters, "
+            << environment.value().callers.size() << " callers, "
+            << environment.value().services.size() << " services, SHA-256 " << Sha256Hex(*text)
+            << "\n";
+  return ExitCode::kOk;
+}
+
+Task<ExitCode> Trial(Session* session, const CommandLine& line) {
+  if (line.arguments.size() != 1) co_return Fail(ExitCode::kUsage, "name one document file");
+  const std::string& path = line.arguments.front();
+  const auto text = ReadFile(path);
+  if (!text) co_return Fail(ExitCode::kUsage, "cannot read '" + path + "'");
+  auto environment = ParseEnvironment(path, *text);
+  if (!environment) co_return ReportIssues(environment.error());
+  if (environment.value().name != FLAGS_environment) {
+    co_return Fail(ExitCode::kUsage, "the document is of environment '" + environment.value().name +
+                                         "', not '" + FLAGS_environment + "'");
+  }
+  auto head = co_await session->store.Trial(*text, Author(), WallNow());
+  if (!head) co_return FailStore(head.error());
+  std::cout << "on trial: " << head.value().digest << "\n"
+            << "promote it with: mimosabend promote --environment=" << FLAGS_environment
+            << " --digest=" << head.value().digest << "\n";
+  co_return ExitCode::kOk;
+}
+
+// The /status document of a daemon.
+Task<std::optional<json::value>> ReadStatus(Session* session, Address daemon) {
+  HttpCall call;
+  call.address = daemon;
+  call.target = "/status";
+  call.deadline = MonotonicNow() + kStatusTimeout;
+  auto reply = co_await session->client.Call(std::move(call));
+  if (!reply || reply.value().status != 200) co_return std::nullopt;
+  co_return ParseJson(reply.value().body);
+}
+
+// Waits until all daemons of the settings have a version in force.
+Task<ExitCode> WaitUntilInForce(Session* session, std::uint64_t version) {
+  const std::vector<Address>& daemons = session->settings.daemons;
+  const MonotonicTime deadline = MonotonicNow() + seconds(FLAGS_wait_s);
+  std::size_t last_shown = daemons.size() + 1;
+  for (;;) {
+    std::size_t adopted = 0;
+    for (const Address& daemon : daemons) {
+      const auto status = co_await ReadStatus(session, daemon);
+      const auto reached = status ? IntegerMember(*status, "version") : std::nullopt;
+      if (reached && static_cast<std::uint64_t>(*reached) >= version) ++adopted;
+    }
+    if (adopted != last_shown) {
+      std::cout << "in force at " << adopted << " of " << daemons.size() << " daemons\n";
+      last_shown = adopted;
+    }
+    if (adopted == daemons.size()) co_return ExitCode::kOk;
+    if (MonotonicNow() >= deadline) {
+      co_return Fail(ExitCode::kFailed, "accepted, but not yet in force everywhere after " +
+                                            std::to_string(FLAGS_wait_s) + " s");
+    }
+    co_await Sleep(kStatusPoll);
+  }
+}
+
+Task<ExitCode> Promote(Session* session, const CommandLine& line) {
+  if (!line.arguments.empty()) co_return Fail(ExitCode::kUsage, "promote takes no file");
+  std::string digest = FLAGS_digest;
+  if (digest.empty()) {
+    auto trial = co_await session->store.ReadTrial();
+    if (!trial) co_return FailStore(trial.error());
+    if (trial.value().head.version == 0) {
+      co_return Fail(ExitCode::kUsage, "nothing is on trial; use 'mimosabend trial' first");
+    }
+    digest = trial.value().head.digest;
+  }
+  auto head = co_await session->store.Promote(digest, Author(), WallNow());
+  if (!head) co_return FailStore(head.error());
+  std::cout << "accepted: version " << head.value().version << ", " << digest << "\n";
+  co_return co_await WaitUntilInForce(session, head.value().version);
+}
+
+Task<ExitCode> Status(Session* session, const CommandLine&) {
+  auto head = co_await session->store.ReadHead();
+  json::array daemons;
+  for (const Address& address : session->settings.daemons) {
+    auto status = co_await ReadStatus(session, address);
+    json::object item;
+    item["address"] = ToString(address);
+    item["status"] = status ? std::move(*status) : json::value();
+    daemons.push_back(std::move(item));
+  }
+  if (FLAGS_json) {
+    json::object out;
+    out["version"] = head ? json::value(head.value().head.version) : json::value();
+    out["digest"] = head ? json::value(head.value().head.digest) : json::value();
+    out["daemons"] = std::move(daemons);
+    std::cout << json::serialize(out) << "\n";
+    co_return head ? ExitCode::kOk : ExitCode::kUnavailable;
+  }
+  if (head) {
+    std::cout << "accepted  version " << head.value().head.version << " by "
+              << head.value().head.author << " at " << FormatTime(head.value().head.time_ms)
+              << "\n";
+  } else {
+    std::cout << "accepted  unknown, the key-value service can't be reached\n";
+  }
+  for (const json::value& item : daemons) {
+    const json::value& status = item.at("status");
+    std::cout << "daemon    " << item.at("address").as_string().c_str();
+    if (status.is_null()) {
+      std::cout << "  no answer\n";
+      continue;
+    }
+    std::cout << "  " << TextMember(status, "name") << "  version "
+              << IntegerMember(status, "version").value_or(0)
+              << (status.at("ready").as_bool() ? "  ready" : "  not ready") << "\n";
+    for (const json::value& group : status.at("owned_groups").as_array()) {
+      std::cout << "  owns    " << TextMember(group, "group") << "\n";
+      for (const json::value& replica : group.at("replicas").as_array()) {
+        std::cout << "    " << TextMember(replica, "state") << "  " << TextMember(replica, "model")
+                  << " " << TextMember(replica, "version") << " at "
+                  << TextMember(replica, "endpoint") << ", "
+                  << IntegerMember(replica, "memory_mib").value_or(0) << " MiB\n";
+      }
+    }
+  }
+  co_return head ? ExitCode::kOk : ExitCode::kUnavailable;
+}
+
+Task<ExitCode> History(Session* session, const CommandLine&) {
+  auto heads = co_await session->store.History();
+  if (!heads) co_return FailStore(heads.error());
+  json::array list;
+  for (const DocumentHead& head : heads.value()) {
+    if (!FLAGS_json) {
+      std::cout << "version " << head.version << "  " << FormatTime(head.time_ms) << "  "
+                << head.author << "  " << head.digest.substr(0, 12)
+                << (head.previous_digest.empty() ? "" : "  replaces ")
+                << head.previous_digest.substr(0, 12) << "\n";
+      continue;
+    }
+    json::object item;
+    item["version"] = head.version;
+    item["time"] = FormatTime(head.time_ms);
+    item["author"] = head.author;
+    item["digest"] = head.digest;
+    item["previous_digest"] = head.previous_digest;
+    list.push_back(std::move(item));
+  }
+  if (FLAGS_json) std::cout << json::serialize(list) << "\n";
+  co_return ExitCode::kOk;
+}
+
+ExitCode RunDaemonCommand(const CommandLine& line) {
+  const auto text = ReadFile(FLAGS_config);
+  if (!text) return Fail(ExitCode::kUsage, "cannot read --config file '" + FLAGS_config + "'");
+  auto settings = ParseDaemonSettings(FLAGS_config, *text, line.overrides);
+  if (!settings) return ReportIssues(settings.error());
+  return static_cast<ExitCode>(RunDaemon(settings.value()));
+}
+
+ExitCode Dispatch(const CommandLine& line) {
+  if (line.command == "daemon") return RunDaemonCommand(line);
+  if (line.command == "check") return RunCheck(line);
+  if (line.command == "trial") return RunInSession(line, Trial);
+  if (line.command == "promote") return RunInSession(line, Promote);
+  if (line.command == "status") return RunInSession(line, Status);
+  if (line.command == "history") return RunInSession(line, History);
+  std::cerr << kUsage;
+  return ExitCode::kUsage;
+}
+
+// Takes out what gflags cannot hold: the subcommand, repeated --set, and --help.
+std::optional<CommandLine> SplitCommandLine(std::vector<char*>* argv) {
+  CommandLine line;
+  std::vector<char*> rest{argv->front()};
+  for (std::size_t i = 1; i < argv->size(); ++i) {
+    const std::string_view word = (*argv)[i];
+    if (word == "--help" || word == "-h") return std::nullopt;
+    if (word == kSetFlag && i + 1 < argv->size()) {
+      line.overrides.emplace_back((*argv)[++i]);
+    } else if (word.starts_with("--set=")) {
+      line.overrides.emplace_back(word.substr(6));
+    } else {
+      rest.push_back((*argv)[i]);
+    }
+  }
+  *argv = std::move(rest);
+  return line;
+}
+
+}  // namespace
+
+int RunCommandLine(int argc, char** argv) {
+  std::vector<char*> words(argv, argv + argc);
+  std::optional<CommandLine> line = SplitCommandLine(&words);
+  if (!line) {
+    std::cout << kUsage;
+    return ToInt(ExitCode::kOk);
+  }
+  int count = static_cast<int>(words.size());
+  words.push_back(nullptr);
+  char** data = words.data();
+  gflags::ParseCommandLineFlags(&count, &data, true);
+  for (int i = 1; i < count; ++i) {
+    if (line->command.empty()) {
+      line->command = data[i];
+    } else {
+      line->arguments.emplace_back(data[i]);
+    }
+  }
+  return ToInt(Dispatch(*line));
+}
+
+}  // namespace mimosabend
--- /dev/null
+++ b/src/peer_message.h
@@ -0,0 +1,235 @@
+#ifndef MIMOSABEND_PEER_MESSAGE_H_
+#define MIMOSABEND_PEER_MESSAGE_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "codec.h"
+#include "engine.h"
+#include "membership.h"
+#include "rank.h"
+#include "result.h"
+
+namespace mimosabend {
+
+// Version of the messages between daemons. A daemon drops messages of other versions.
+inline constexpr std::uint8_t kWireVersion = 1;
+
+enum class PeerError : std::uint8_t {
+  kTruncated,
+  kBadMagic,
+  kBadVersion,
+  kUnknownType,
+  kBadMac,
+  kOutsideReplayWindow,
+  kMalformed,
+  kNotSent,
+  kTimedOut,
+  kBroken
+};
+inline constexpr std::uint8_t kPeerErrorCount = 10;
+inline constexpr NameTable<PeerError, kPeerErrorCount> kPeerErrorNames{
+    {"truncated", "bad_magic", "bad_version", "unknown_type", "bad_mac", "outside_replay_window",
+     "malformed", "not_sent", "timed_out", "broken"}};
+
+enum class PeerMessageType : std::uint8_t {
+  kPing,
+  kAck,
+  kPingRequest,
+  kMembersRequest,
+  kMembersAnswer,
+  kDemandRequest,
+  kDemandAnswer,
+  kDocumentRequest,
+  kDocumentAnswer
+};
+inline constexpr std::uint8_t kPeerMessageTypeCount = 9;
+
+// Asks whether a daemon is alive. UDP.
+struct Ping {
+  static constexpr PeerMessageType kType = PeerMessageType::kPing;
+  std::uint64_t sequence = 0;
+  std::uint64_t environment_version = 0;
+  std::vector<MemberUpdate> updates;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(sequence, environment_version);
+    SerializeList(archive, updates);
+  }
+};
+
+// Answers a Ping. UDP.
+struct Ack {
+  static constexpr PeerMessageType kType = PeerMessageType::kAck;
+  std::uint64_t sequence = 0;
+  std::uint64_t environment_version = 0;
+  std::vector<MemberUpdate> updates;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(sequence, environment_version);
+    SerializeList(archive, updates);
+  }
+};
+
+// Asks a third daemon to ping a target that did not answer. UDP.
+struct PingRequest {
+  static constexpr PeerMessageType kType = PeerMessageType::kPingRequest;
+  std::uint64_t sequence = 0;
+  Address target;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(sequence);
+    SerializeText(archive, target.ip);
+    archive(target.port);
+  }
+};
+
+// Exchanges the whole membership. TCP.
+struct MembersRequest {
+  static constexpr PeerMessageType kType = PeerMessageType::kMembersRequest;
+  std::vector<MemberUpdate> updates;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SerializeList(archive, updates);
+  }
+};
+
+struct MembersAnswer {
+  static constexpr PeerMessageType kType = PeerMessageType::kMembersAnswer;
+  std::vector<MemberUpdate> updates;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SerializeList(archive, updates);
+  }
+};
+
+// A replica that serves a model.
+struct ReplicaLocation {
+  std::string endpoint;
+  Address address;
+  std::string region;
+  ReplicaState state = ReplicaState::kLoading;
+  // Last load report of the endpoint.
+  std::uint32_t slots = 0;
+  std::uint32_t running = 0;
+  std::uint32_t queued = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SerializeText(archive, endpoint);
+    SerializeText(archive, address.ip);
+    archive(address.port);
+    SerializeText(archive, region);
+    SerializeEnum(archive, state, 3);
+    archive(slots, running, queued);
+  }
+};
+
+// Tells a group's owner that a model is in use and how many requests wait for it, and waits for a
+// replica. TCP.
+struct DemandRequest {
+  static constexpr PeerMessageType kType = PeerMessageType::kDemandRequest;
+  std::string group;
+  std::string model;
+  // Waiting requests by rank.
+  std::array<std::uint32_t, kRankCount> waiting{};
+  // How long the owner may hold the answer back while a load is under way.
+  std::uint32_t wait_ms = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SerializeText(archive, group);
+    SerializeText(archive, model);
+    for (std::uint32_t& count : waiting) archive(count);
+    archive(wait_ms);
+  }
+};
+
+enum class DemandStatus : std::uint8_t { kReady, kLoading, kNotOwner, kNoCapacity, kUnavailable };
+inline constexpr std::uint8_t kDemandStatusCount = 5;
+inline constexpr NameTable<DemandStatus, kDemandStatusCount> kDemandStatusNames{
+    {"ready", "loading", "not_owner", "no_capacity", "unavailable"}};
+
+struct DemandAnswer {
+  static constexpr PeerMessageType kType = PeerMessageType::kDemandAnswer;
+  DemandStatus status = DemandStatus::kUnavailable;
+  std::vector<ReplicaLocation> replicas;
+  // Estimated time until a replica is ready, or until it is worth asking again.
+  std::uint32_t estimated_ms = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SerializeEnum(archive, status, kDemandStatusCount);
+    SerializeList(archive, replicas);
+    archive(estimated_ms);
+  }
+};
+
+// Asks for the document in force and the parts that the sender lacks. TCP.
+struct DocumentRequest {
+  static constexpr PeerMessageType kType = PeerMessageType::kDocumentRequest;
+  std::vector<std::string> known_parts;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SerializeList(archive, known_parts);
+  }
+};
+
+struct DocumentAnswer {
+  static constexpr PeerMessageType kType = PeerMessageType::kDocumentAnswer;
+  // Encoded DocumentHead; empty if none is in force.
+  std::string head;
+  std::vector<std::string> parts;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SerializeText(archive, head);
+    SerializeList(archive, parts);
+  }
+};
+
+// What every message between daemons is wrapped in.
+struct Envelope {
+  PeerMessageType type = PeerMessageType::kPing;
+  std::string sender;
+  // Ties an answer to its request.
+  std::uint64_t correlation = 0;
+  std::int64_t sent_at_ms = 0;
+  std::string body;
+};
+
+// "MB", version, type, cereal fields, and an HMAC over all of it. Thread-safe.
+std::string EncodeEnvelope(const Envelope& envelope, std::string_view shared_key);
+
+// Checks everything about a received envelope but its body. Thread-safe.
+Result<Envelope, PeerError> DecodeEnvelope(std::string_view bytes, std::string_view shared_key,
+                                           WallTime now);
+
+// Wraps a message. Thread-safe.
+template <class Message>
+Envelope Wrap(const Message& message, std::string sender, std::uint64_t correlation, WallTime now) {
+  return Envelope{Message::kType, std::move(sender), correlation, ToUnixMillis(now),
+                  Encode(message)};
+}
+
+// Unwraps a message of a known type. Thread-safe.
+template <class Message>
+Result<Message, PeerError> Unwrap(const Envelope& envelope) {
+  if (envelope.type != Message::kType) return outcome::failure(PeerError::kUnknownType);
+  std::optional<Message> message = Decode<Message>(envelope.body);
+  if (!message) return outcome::failure(PeerError::kMalformed);
+  return std::move(*message);
+}
+
+}  // namespace mimosabend
+
+#endif  // MIMOSABEND_PEER_MESSAGE_H_
--- /dev/null
+++ b/src/peer_transport.cpp
@@ -0,0 +1,225 @@
+#include "peer_transport.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include "log.h"
+#include "supervisor.h"
+
+namespace mimosabend {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+namespace {
+
+constexpr std::size_t kMaxFrameBytes = 4 * 1024 * 1024;
+constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kMaxIdlePerPeer = 16;
+constexpr std::size_t kMaxConnections = 4096;
+// A peer keeps an idle connection open for this long; a client reuses it for half as long.
+constexpr seconds kServerIdleTimeout{60};
+constexpr seconds kClientIdleTimeout{30};
+constexpr seconds kWriteTimeout{5};
+constexpr milliseconds kAcceptRetryDelay{50};
+
+std::string AddLength(std::string_view bytes) {
+  std::string frame;
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    frame += static_cast<char>((bytes.size() >> shift) & 0xff);
+  }
+  frame += bytes;
+  return frame;
+}
+
+// Reads one frame. The stream's time-out has been set.
+Task<Result<std::string, PeerError>> ReadFrame(beast::tcp_stream* stream) {
+  boost::system::error_code error;
+  std::array<unsigned char, kLengthBytes> prefix;
+  co_await asio::async_read(*stream, asio::buffer(prefix),
+                            asio::redirect_error(asio::use_awaitable, error));
+  if (error == beast::error::timeout) co_return outcome::failure(PeerError::kTimedOut);
+  if (error) co_return outcome::failure(PeerError::kBroken);
+  std::size_t length = 0;
+  for (unsigned char byte : prefix) length = (length << 8) | byte;
+  if (length > kMaxFrameBytes) co_return outcome::failure(PeerError::kMalformed);
+  std::string frame(length, '\0');
+  co_await asio::async_read(*stream, asio::buffer(frame),
+                            asio::redirect_error(asio::use_awaitable, error));
+  if (error == beast::error::timeout) co_return outcome::failure(PeerError::kTimedOut);
+  if (error) co_return outcome::failure(PeerError::kTruncated);
+  co_return frame;
+}
+
+void CountSent(Metrics* metrics, std::size_t bytes) {
+  metrics->peer_messages_sent_total->Increment();
+  metrics->peer_bytes_sent_total->Increment(static_cast<double>(bytes));
+}
+
+void CountReceived(Metrics* metrics, std::size_t bytes) {
+  metrics->peer_messages_received_total->Increment();
+  metrics->peer_bytes_received_total->Increment(static_cast<double>(bytes));
+}
+
+}  // namespace
+
+struct PeerClient::Connection {
+  explicit Connection(const asio::any_io_executor& executor) : stream(executor) {}
+
+  bool IsStale(MonotonicTime now) {
+    char byte;
+    const ssize_t count =
+        ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool silent = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return !silent || now - idle_since > kClientIdleTimeout;
+  }
+
+  beast::tcp_stream stream;
+  MonotonicTime idle_since;
+};
+
+PeerClient::PeerClient(asio::any_io_executor executor, PeerIdentity identity, Metrics* metrics)
+    : executor_(std::move(executor)), identity_(std::move(identity)), metrics_(metrics) {}
+
+PeerClient::~PeerClient() = default;
+
+std::unique_ptr<PeerClient::Connection> PeerClient::TakeIdle(const Address& peer) {
+  std::vector<std::unique_ptr<Connection>>& pool = idle_[peer];
+  while (!pool.empty()) {
+    std::unique_ptr<Connection> connection = std::move(pool.back());
+    pool.pop_back();
+    if (!connection->IsStale(MonotonicNow())) return connection;
+  }
+  return nullptr;
+}
+
+Task<Result<Envelope, PeerError>> PeerClient::ExchangeOnce(Address peer, const Envelope& request,
+                                                           milliseconds timeout) {
+  std::unique_ptr<Connection> connection = TakeIdle(peer);
+  boost::system::error_code error;
+  const MonotonicTime deadline = MonotonicNow() + timeout;
+  if (connection == nullptr) {
+    connection = std::make_unique<Connection>(executor_);
+    connection->stream.expires_at(deadline);
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(peer.ip), peer.port);
+    co_await connection->stream.async_connect(endpoint,
+                                              asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return outcome::failure(PeerError::kNotSent);
+    connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  }
+  const std::string frame = AddLength(EncodeEnvelope(request, identity_.shared_key));
+  connection->stream.expires_at(deadline);
+  co_await asio::async_write(connection->stream, asio::buffer(frame),
+                             asio::redirect_error(asio::use_awaitable, error));
+  if (error) co_return outcome::failure(PeerError::kBroken);
+  CountSent(metrics_, frame.size());
+  auto reply = co_await ReadFrame(&connection->stream);
+  if (!reply) co_return outcome::failure(reply.error());
+  CountReceived(metrics_, reply.value().size() + kLengthBytes);
+  auto envelope = DecodeEnvelope(reply.value(), identity_.shared_key, WallNow());
+  if (!envelope) co_return outcome::failure(envelope.error());
+  // A late answer to another request must not be taken for this one's.
+  if (envelope.value().correlation != request.correlation) {
+    co_return outcome::failure(PeerError::kMalformed);
+  }
+  connection->stream.expires_never();
+  connection->idle_since = MonotonicNow();
+  std::vector<std::unique_ptr<Connection>>& pool = idle_[peer];
+  if (pool.size() < kMaxIdlePerPeer) pool.push_back(std::move(connection));
+  co_return std::move(envelope).value();
+}
+
+Task<Result<Envelope, PeerError>> PeerClient::Exchange(Address peer, Envelope request,
+                                                       milliseconds timeout) {
+  auto reply = co_await ExchangeOnce(std::move(peer), request, timeout);
+  if (!reply) metrics_->CountPeerError(reply.error());
+  co_return reply;
+}
+
+PeerServer::PeerServer(asio::any_io_executor executor, PeerIdentity identity, Metrics* metrics,
+                       PeerHandler handler)
+    : executor_(std::move(executor)),
+      identity_(std::move(identity)),
+      metrics_(metrics),
+      handler_(std::move(handler)),
+      acceptor_(executor_) {}
+
+Result<void, std::string> PeerServer::Listen(const Address& address) {
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(address.ip, error);
+  const asio::ip::tcp::endpoint endpoint(ip, address.port);
+  if (!error) acceptor_.open(endpoint.protocol(), error);
+  if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error) acceptor_.bind(endpoint, error);
+  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) return outcome::failure(ToString(address) + ": " + error.message());
+  asio::co_spawn(executor_, Accept(), asio::detached);
+  return outcome::success();
+}
+
+void PeerServer::Stop() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+Task<void> PeerServer::Accept() {
+  while (acceptor_.is_open()) {
+    boost::system::error_code error;
+    asio::ip::tcp::socket socket(executor_);
+    co_await acceptor_.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      if (acceptor_.is_open()) co_await Sleep(kAcceptRetryDelay);
+    } else if (open_connections_ < kMaxConnections) {
+      asio::co_spawn(executor_, Serve(std::move(socket)), asio::detached);
+    }
+  }
+}
+
+Task<void> PeerServer::Serve(asio::ip::tcp::socket socket) {
+  ++open_connections_;
+  {
+    beast::tcp_stream stream(std::move(socket));
+    boost::system::error_code error;
+    stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+    for (;;) {
+      stream.expires_after(kServerIdleTimeout);
+      auto frame = co_await ReadFrame(&stream);
+      if (!frame) {
+        if (frame.error() == PeerError::kMalformed || frame.error() == PeerError::kTruncated) {
+          metrics_->CountPeerError(frame.error());
+        }
+        break;
+      }
+      CountReceived(metrics_, frame.value().size() + kLengthBytes);
+      auto request = DecodeEnvelope(frame.value(), identity_.shared_key, WallNow());
+      if (!request) {
+        metrics_->CountPeerError(request.error());
+        break;
+      }
+      const std::uint64_t correlation = request.value().correlation;
+      auto answer = co_await handler_(std::move(request).value());
+      if (!answer) {
+        metrics_->CountPeerError(answer.error());
+        break;
+      }
+      Envelope envelope = std::move(answer).value();
+      envelope.correlation = correlation;
+      const std::string bytes = AddLength(EncodeEnvelope(envelope, identity_.shared_key));
+      stream.expires_after(kWriteTimeout);
+      co_await asio::async_write(stream, asio::buffer(bytes),
+                                 asio::redirect_error(asio::use_awaitable, error));
+      if (error) break;
+      CountSent(metrics_, bytes.size());
+    }
+  }
+  --open_connections_;
+}
+
+}  // namespace mimosabend
--- /dev/null
+++ b/src/placement.cpp
@@ -0,0 +1,424 @@
+#include "placement.h"
+
+#include <algorithm>
+#include <cassert>
+#include <numeric>
+
+#include "digest.h"
+#include "idle_policy.h"
+
+namespace mimosabend {
+
+namespace {
+
+// Longest pause of a former owner for which a late order cannot overcommit memory.
+constexpr seconds kLateOrderReservation{60};
+
+bool Holds(const PlacedReplica& replica, const std::string& model) {
+  return replica.model == model && replica.state != ReplicaState::kUnloading;
+}
+
+const EngineReplica* FindReported(const EngineState& state, const PlacedReplica& replica) {
+  for (const EngineReplica& reported : state.replicas) {
+    if (reported.model == replica.model && reported.version == replica.version) return &reported;
+  }
+  return nullptr;
+}
+
+// The new state of a replica, or std::nullopt if it is known to be gone.
+std::optional<ReplicaState> ObservedState(const PlacedReplica& replica, const EndpointView& view) {
+  if (!view.listed && !view.reachable) return std::nullopt;
+  if (!view.reachable || !view.fence_raised) return replica.state;
+  const EngineReplica* reported = FindReported(view.state, replica);
+  switch (replica.state) {
+    case ReplicaState::kLoading:
+      // An order that the engine does not know of may still arrive, so the charge stays.
+      return reported != nullptr && reported->state == ReplicaState::kReady ? ReplicaState::kReady
+                                                                            : replica.state;
+    case ReplicaState::kReady:
+      if (reported == nullptr) return std::nullopt;
+      return reported->state == ReplicaState::kLoading ? ReplicaState::kLoading : replica.state;
+    case ReplicaState::kUnloading:
+      if (reported == nullptr) return std::nullopt;
+      return replica.state;
+  }
+  return replica.state;
+}
+
+bool IsDecided(const PlacementRecord& record, const std::string& endpoint,
+               const EngineReplica& reported) {
+  return std::any_of(record.replicas.begin(), record.replicas.end(), [&](const auto& replica) {
+    return replica.endpoint == endpoint && replica.model == reported.model &&
+           replica.version == reported.version;
+  });
+}
+
+// Decides for one group. Lives for one call of PlanGroup.
+class Planner {
+ public:
+  Planner(const Environment& environment, const GroupId& group, const EndpointViews& views,
+          const DemandTable& demand, const Now& now, PlacementRecord* record)
+      : environment_(environment),
+        pool_(*environment.FindPool(group.pool)),
+        group_(group),
+        views_(views),
+        demand_(demand),
+        now_(now),
+        record_(record) {}
+
+  PlanResult Run() {
+    UnloadWhatIsNotWanted();
+    for (const Model* model : ModelsByUrgency()) Place(*model);
+    CheckInvariants();
+    return std::move(result_);
+  }
+
+ private:
+  std::int64_t GroupBudget() const { return pool_.budget_mib / pool_.groups; }
+
+  std::int64_t GroupCharge() const {
+    std::int64_t sum = 0;
+    for (const PlacedReplica& replica : record_->replicas) sum += replica.memory_mib;
+    return sum;
+  }
+
+  // An engine that has less memory than the document says is believed.
+  std::int64_t Capacity(const EndpointView& view) const {
+    return std::min(pool_.endpoint_memory_mib, view.state.memory_total_mib);
+  }
+
+  std::int64_t FreeMemory(const EndpointView& view) const {
+    const std::int64_t charged = ChargedMemory(*record_, view.host.id, now_.wall);
+    // What the engine uses beyond the record, a KV cache import for example, is not free either.
+    return Capacity(view) - std::max(charged, view.state.memory_used_mib);
+  }
+
+  WaitingByRank WaitingFor(const std::string& model) const {
+    const auto it = demand_.find(model);
+    return it == demand_.end() ? WaitingByRank{} : it->second.waiting(now_.monotonic);
+  }
+
+  std::uint32_t Waiting(const std::string& model) const {
+    const WaitingByRank waiting = WaitingFor(model);
+    return std::accumulate(waiting.begin(), waiting.end(), 0u);
+  }
+
+  MonotonicTime LastUsed(const std::string& model) const {
+    const auto it = demand_.find(model);
+    return it == demand_.end() ? MonotonicTime() : it->second.last_used;
+  }
+
+  bool IsResident(const PlacedReplica& replica) const {
+    return ToUnixMillis(now_.wall) - replica.decided_at_ms < kMinResidence.count();
+  }
+
+  // Marks a replica and, if it is a model, the adapters on top of it.
+  void Unload(PlacedReplica* replica) {
+    for (PlacedReplica& other : record_->replicas) {
+      const bool on_top = other.base == replica->model && other.endpoint == replica->endpoint;
+      if (&other == replica || on_top) other.state = ReplicaState::kUnloading;
+    }
+    result_.changed = true;
+  }
+
+  bool IsIdle(const PlacedReplica& replica) const {
+    if (Waiting(replica.model) > 0 || IsResident(replica)) return false;
+    return now_.monotonic - LastUsed(replica.model) > IdleTimeout(environment_.idle_weight);
+  }
+
+  // True if the document no longer wants a replica where it is.
+  bool IsUnwanted(const PlacedReplica& replica) const {
+    const Model* model = environment_.FindModel(replica.model);
+    if (model == nullptr || model->version != replica.version) return true;
+    const auto view = views_.find(replica.endpoint);
+    return view != views_.end() && view->second.host.state == HostState::kLeaving;
+  }
+
+  void UnloadWhatIsNotWanted() {
+    for (PlacedReplica& replica : record_->replicas) {
+      if (replica.state == ReplicaState::kUnloading) continue;
+      const Model* model = environment_.FindModel(replica.model);
+      const std::uint32_t kept = model == nullptr ? 0 : model->min_replicas;
+      const bool idle =
+          replica.state == ReplicaState::kReady && IsIdle(replica) && Active(replica.model) > kept;
+      const bool surplus = model != nullptr && Active(replica.model) > model->max_replicas;
+      if (IsUnwanted(replica) || idle || surplus || HasStalled(replica)) Unload(&replica);
+    }
+    while (GroupCharge() > GroupBudget()) {
+      PlacedReplica* victim = LeastRecentlyUsed("");
+      if (victim == nullptr) break;
+      Unload(victim);
+    }
+  }
+
+  bool HasStalled(const PlacedReplica& replica) const {
+    return replica.state == ReplicaState::kLoading &&
+           ToUnixMillis(now_.wall) - replica.decided_at_ms > environment_.load_timeout.count();
+  }
+
+  std::uint32_t Active(const std::string& model) const {
+    return std::count_if(record_->replicas.begin(), record_->replicas.end(),
+                         [&](const PlacedReplica& replica) { return Holds(replica, model); });
+  }
+
+  // Models that need a replica: by their most urgent waiting rank, then by the number waiting.
+  std::vector<const Model*> ModelsByUrgency() const {
+    std::vector<const Model*> models;
+    for (const auto& [name, model] : environment_.models) {
+      const bool wanted = Waiting(name) > 0 || Active(name) < model.min_replicas;
+      if (wanted && HomeGroup(environment_, model, group_.region) == group_) {
+        models.push_back(&model);
+      }
+    }
+    std::stable_sort(models.begin(), models.end(), [&](const Model* a, const Model* b) {
+      return WaitingFor(a->name) > WaitingFor(b->name);
+    });
+    return models;
+  }
+
+  void Place(const Model& model) {
+    const std::uint32_t target = std::max(1u, model.min_replicas);
+    if (Active(model.name) >= target) return;
+    // Unloading replicas still count against the bound.
+    if (CountReplicas(*record_, model.name) >= model.max_replicas) return;
+    const Model* base = model.is_adapter() ? environment_.FindModel(model.base) : nullptr;
+    if (base != nullptr && Active(base->name) == 0) {
+      Place(*base);
+      return;
+    }
+    const bool over_budget = GroupCharge() + model.memory_mib > GroupBudget();
+    const EndpointView* view = over_budget ? nullptr : ChooseEndpoint(model);
+    if (view != nullptr) {
+      Add(model, *view);
+    } else if (!MakeRoom(model, over_budget)) {
+      result_.unplaced.push_back(model.name);
+    }
+  }
+
+  bool HasReadyBase(const Model& model, const std::string& endpoint) const {
+    return std::any_of(record_->replicas.begin(), record_->replicas.end(),
+                       [&](const PlacedReplica& replica) {
+                         return replica.endpoint == endpoint && replica.model == model.base &&
+                                replica.state == ReplicaState::kReady;
+                       });
+  }
+
+  bool HoldsModel(const std::string& endpoint, const std::string& model) const {
+    return std::any_of(record_->replicas.begin(), record_->replicas.end(),
+                       [&](const PlacedReplica& replica) {
+                         return replica.endpoint == endpoint && replica.model == model;
+                       });
+  }
+
+  // The endpoint with the most free memory that can take the model now.
+  const EndpointView* ChooseEndpoint(const Model& model) const {
+    const EndpointView* best = nullptr;
+    for (const auto& [id, view] : views_) {
+      if (!view.may_take_loads() || HoldsModel(id, model.name)) continue;
+      if (model.is_adapter() && !HasReadyBase(model, id)) continue;
+      if (FreeMemory(view) < model.memory_mib) continue;
+      if (best == nullptr || FreeMemory(view) > FreeMemory(*best)) best = &view;
+    }
+    return best;
+  }
+
+  // The ready replica of the least recently used model that nobody waits for, on `endpoint` or
+  // anywhere.
+  PlacedReplica* LeastRecentlyUsed(const std::string& endpoint) {
+    PlacedReplica* victim = nullptr;
+    for (PlacedReplica& replica : record_->replicas) {
+      if (replica.state != ReplicaState::kReady || Waiting(replica.model) > 0) continue;
+      if (!endpoint.empty() && replica.endpoint != endpoint) continue;
+      if (IsResident(replica) || SupportsWaiting(replica)) continue;
+      if (victim == nullptr || LastUsed(replica.model) < LastUsed(victim->model)) {
+        victim = &replica;
+      }
+    }
+    return victim;
+  }
+
+  // True if an adapter of this model has waiting requests.
+  bool SupportsWaiting(const PlacedReplica& replica) const {
+    for (const auto& [name, demand] : demand_) {
+      const Model* model = environment_.FindModel(name);
+      if (model != nullptr && model->base == replica.model && Waiting(name) > 0) return true;
+    }
+    return false;
+  }
+
+  std::int64_t UnloadingMemory(const std::string& endpoint) const {
+    std::int64_t sum = 0;
+    for (const PlacedReplica& replica : record_->replicas) {
+      const bool counted = endpoint.empty() || replica.endpoint == endpoint;
+      if (counted && replica.state == ReplicaState::kUnloading) sum += replica.memory_mib;
+    }
+    return sum;
+  }
+
+  // Unloads one replica where that helps. True if room is being made.
+  bool MakeRoom(const Model& model, bool over_budget) {
+    if (over_budget && GroupCharge() - UnloadingMemory("") + model.memory_mib <= GroupBudget()) {
+      return true;
+    }
+    for (const auto& [id, view] : views_) {
+      if (!view.may_take_loads() || HoldsModel(id, model.name)) continue;
+      if (FreeMemory(view) + UnloadingMemory(id) >= model.memory_mib && !over_budget) return true;
+    }
+    PlacedReplica* victim = LeastRecentlyUsed("");
+    if (victim == nullptr) return AnyUnloading();
+    Unload(victim);
+    return true;
+  }
+
+  bool AnyUnloading() const { return UnloadingMemory("") > 0; }
+
+  void Add(const Model& model, const EndpointView& view) {
+    PlacedReplica replica;
+    replica.model = model.name;
+    replica.base = model.base;
+    replica.version = model.version;
+    replica.endpoint = view.host.id;
+    replica.memory_mib = model.memory_mib;
+    replica.order_id = group_.ToString() + "-" + std::to_string(++record_->last_order);
+    replica.decided_at_ms = ToUnixMillis(now_.wall);
+    record_->replicas.push_back(std::move(replica));
+    result_.changed = true;
+    assert(ChargedMemory(*record_, view.host.id, now_.wall) <= Capacity(view));
+    assert(CountReplicas(*record_, model.name) <= model.max_replicas);
+  }
+
+  // An order id names one order for ever.
+  void CheckInvariants() const {
+    for (std::size_t i = 1; i < record_->replicas.size(); ++i) {
+      for (std::size_t j = 0; j < i; ++j) {
+        assert(record_->replicas[i].order_id != record_->replicas[j].order_id);
+      }
+    }
+  }
+
+  const Environment& environment_;
+  const Pool& pool_;
+  const GroupId& group_;
+  const EndpointViews& views_;
+  const DemandTable& demand_;
+  const Now& now_;
+  PlacementRecord* record_;
+  PlanResult result_;
+};
+
+}  // namespace
+
+std::string GroupId::ToString() const { return pool + "." + region + "." + std::to_string(index); }
+
+GroupId GroupOfEndpoint(const Pool& pool, const Host& host) {
+  return {pool.name, host.region, static_cast<std::uint32_t>(Hash64(host.id) % pool.groups)};
+}
+
+GroupId HomeGroup(const Environment& environment, const Model& model, const std::string& region) {
+  const Pool* pool = environment.FindPool(model.pool);
+  assert(pool != nullptr);
+  const std::string& name = model.is_adapter() ? model.base : model.name;
+  return {pool->name, region, static_cast<std::uint32_t>(Hash64(name) % pool->groups)};
+}
+
+std::vector<GroupId> AllGroups(const Environment& environment) {
+  std::vector<GroupId> groups;
+  for (const auto& [name, pool] : environment.pools) {
+    for (const std::string& region : environment.regions) {
+      for (std::uint32_t index = 0; index < pool.groups; ++index) {
+        groups.push_back({name, region, index});
+      }
+    }
+  }
+  return groups;
+}
+
+WaitingByRank ModelDemand::waiting(MonotonicTime now) const {
+  WaitingByRank sum{};
+  for (const auto& [daemon, report] : reports) {
+    if (now >= report.until) continue;
+    for (std::size_t i = 0; i < kRankCount; ++i) sum[i] += report.waiting[i];
+  }
+  return sum;
+}
+
+std::int64_t ChargedMemory(const PlacementRecord& record, const std::string& endpoint,
+                           WallTime now) {
+  std::int64_t sum = 0;
+  for (const PlacedReplica& replica : record.replicas) {
+    if (replica.endpoint == endpoint) sum += replica.memory_mib;
+  }
+  for (const MemoryReservation& reservation : record.reservations) {
+    const bool valid = reservation.until_ms > ToUnixMillis(now);
+    const bool held_by_replica =
+        std::any_of(record.replicas.begin(), record.replicas.end(),
+                    [&](const auto& replica) { return replica.order_id == reservation.order_id; });
+    if (valid && !held_by_replica && reservation.endpoint == endpoint) {
+      sum += reservation.memory_mib;
+    }
+  }
+  return sum;
+}
+
+std::uint32_t CountReplicas(const PlacementRecord& record, const std::string& model) {
+  return std::count_if(record.replicas.begin(), record.replicas.end(),
+                       [&](const PlacedReplica& replica) { return replica.model == model; });
+}
+
+ObservationResult ApplyObservations(const EndpointViews& views, const Now& now,
+                                    PlacementRecord* record) {
+  ObservationResult result;
+  std::vector<PlacedReplica> kept;
+  for (PlacedReplica& replica : record->replicas) {
+    const auto view = views.find(replica.endpoint);
+    const auto state =
+        view == views.end() ? std::optional(replica.state) : ObservedState(replica, view->second);
+    result.changed |= state != replica.state;
+    if (!state) continue;
+    replica.state = *state;
+    kept.push_back(std::move(replica));
+  }
+  record->replicas = std::move(kept);
+  for (const auto& [id, view] : views) {
+    if (!view.reachable || !view.fence_raised) continue;
+    for (const EngineReplica& reported : view.state.replicas) {
+      if (IsDecided(*record, id, reported)) continue;
+      PlacedReplica replica;
+      replica.model = reported.model;
+      replica.version = reported.version;
+      replica.endpoint = id;
+      replica.state = ReplicaState::kUnloading;
+      replica.memory_mib = reported.memory_mib;
+      replica.order_id = "undecided-" + std::to_string(++record->last_order);
+      replica.decided_at_ms = ToUnixMillis(now.wall);
+      record->replicas.push_back(std::move(replica));
+      result.changed = true;
+      ++result.undecided;
+    }
+  }
+  const std::size_t removed = std::erase_if(record->reservations, [&](const auto& reservation) {
+    return reservation.until_ms <= ToUnixMillis(now.wall);
+  });
+  result.changed |= removed > 0;
+  return result;
+}
+
+void ReserveForLateOrders(WallTime now, PlacementRecord* record) {
+  for (const PlacedReplica& replica : record->replicas) {
+    if (replica.state == ReplicaState::kReady) continue;
+    MemoryReservation reservation;
+    reservation.endpoint = replica.endpoint;
+    reservation.order_id = replica.order_id;
+    reservation.memory_mib = replica.memory_mib;
+    reservation.until_ms = ToUnixMillis(now + kLateOrderReservation);
+    record->reservations.push_back(std::move(reservation));
+  }
+}
+
+PlanResult PlanGroup(const Environment& environment, const GroupId& group,
+                     const EndpointViews& views, const DemandTable& demand, const Now& now,
+                     PlacementRecord* record) {
+  return Planner(environment, group, views, demand, now, record).Run();
+}
+
+}  // namespace mimosabend
--- /dev/null
+++ b/src/request_record.cpp
@@ -0,0 +1,76 @@
+#include "request_record.h"
+
+#include <cassert>
+
+#include "digest.h"
+#include "uuid7.h"
+
+namespace mimosabend {
+
+namespace {
+
+// Clocks of callers may run ahead by this much.
+constexpr seconds kMaxKeyLead{300};
+
+ReserveStatus StatusOfRepeat(const RequestRecord& known, const RequestRecord& repeat,
+                             WallTime now) {
+  if (known.fingerprint != repeat.fingerprint) return ReserveStatus::kKeyReused;
+  switch (known.state) {
+    case RecordState::kDone:
+      return ReserveStatus::kReplay;
+    case RecordState::kUnknown:
+      return ReserveStatus::kOutcomeUnknown;
+    case RecordState::kReleased:
+      return ReserveStatus::kReserved;
+    case RecordState::kReserved:
+      return ToUnixMillis(now) < known.deadline_ms ? ReserveStatus::kInProgress
+                                                   : ReserveStatus::kOutcomeUnknown;
+  }
+  return ReserveStatus::kOutcomeUnknown;
+}
+
+}  // namespace
+
+ReserveStatus CheckKeyAge(const Service& service, const std::string& key, WallTime now) {
+  const auto created = ParseUuid7Time(key);
+  if (!created) return ReserveStatus::kKeyMalformed;
+  const bool expired = now - *created > service.record_window;
+  const bool from_future = *created - now > kMaxKeyLead;
+  return expired || from_future ? ReserveStatus::kKeyExpired : ReserveStatus::kReserved;
+}
+
+std::string SlotName(const Service& service, const std::string& key) {
+  const auto created = ParseUuid7Time(key);
+  assert(created);
+  const std::int64_t slot = ToUnixMillis(*created) / milliseconds(service.slot_length).count();
+  const std::uint64_t range = Hash64(key) % service.ranges;
+  return service.name + "/" + std::to_string(range) + "/" + std::to_string(slot);
+}
+
+SlotChange ReserveInSlot(const RequestRecord& record, WallTime now, RecordSlot* slot) {
+  for (RequestRecord& known : slot->records) {
+    if (known.key != record.key) continue;
+    if (known.nonce == record.nonce) return {false, ReserveStatus::kReserved, known};
+    const ReserveStatus status = StatusOfRepeat(known, record, now);
+    if (status != ReserveStatus::kReserved) return {false, status, known};
+    known = record;
+    return {true, status, known};
+  }
+  slot->records.push_back(record);
+  return {true, ReserveStatus::kReserved, record};
+}
+
+SlotChange FinishInSlot(const RequestRecord& result, RecordSlot* slot) {
+  for (RequestRecord& known : slot->records) {
+    if (known.nonce != result.nonce) continue;
+    if (known.state != RecordState::kReserved) return {false, ReserveStatus::kReserved, known};
+    known.state = result.state;
+    known.status = result.status;
+    known.content_type = result.content_type;
+    known.body = result.body;
+    return {true, ReserveStatus::kReserved, known};
+  }
+  return {false, ReserveStatus::kOutcomeUnknown, result};
+}
+
+}  // namespace mimosabend
--- /dev/null
+++ b/src/request_record.h
@@ -0,0 +1,101 @@
+#ifndef MIMOSABEND_REQUEST_RECORD_H_
+#define MIMOSABEND_REQUEST_RECORD_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "clock.h"
+#include "codec.h"
+#include "environment.h"
+#include "name_table.h"
+
+namespace mimosabend {
+
+// Longest answer body that is kept for repeats.
+inline constexpr std::size_t kMaxRecordedBody = 4096;
+
+// A reserved request may have run: there is no state between the reservation and the end.
+enum class RecordState : std::uint8_t { kReserved, kDone, kReleased, kUnknown };
+inline constexpr std::uint8_t kRecordStateCount = 4;
+inline constexpr NameTable<RecordState, kRecordStateCount> kRecordStateNames{
+    {"reserved", "done", "released", "unknown"}};
+
+// One non-idempotent request.
+struct RequestRecord {
+  std::string key;
+  std::uint64_t fingerprint = 0;
+  // Tells the writer of the reservation, whose answer may have been lost, from all others.
+  std::uint64_t nonce = 0;
+  RecordState state = RecordState::kReserved;
+  std::int64_t deadline_ms = 0;
+  std::int32_t status = 0;
+  std::string content_type;
+  std::string body;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SerializeText(archive, key);
+    archive(fingerprint, nonce);
+    SerializeEnum(archive, state, kRecordStateCount);
+    archive(deadline_ms, status);
+    SerializeText(archive, content_type);
+    SerializeText(archive, body);
+  }
+};
+
+// The records that share one value: one range of keys within one slot of time.
+struct RecordSlot {
+  std::vector<RequestRecord> records;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SerializeList(archive, records);
+  }
+};
+
+enum class ReserveStatus : std::uint8_t {
+  kReserved,
+  kReplay,
+  kInProgress,
+  kOutcomeUnknown,
+  kKeyReused,
+  kKeyMalformed,
+  kKeyExpired,
+  kServiceUnavailable
+};
+inline constexpr NameTable<ReserveStatus, 8> kReserveStatusNames{
+    {"reserved", "replay", "in_progress", "outcome_unknown", "key_reused", "key_malformed",
+     "key_expired", "service_unavailable"}};
+
+struct SlotChange {
+  bool changed = false;
+  ReserveStatus status = ReserveStatus::kReserved;
+  // The record that was found, for replays.
+  RequestRecord record;
+};
+
+// A reservation and what is needed to end it.
+struct Reservation {
+  ReserveStatus status = ReserveStatus::kServiceUnavailable;
+  std::string slot;
+  std::uint64_t nonce = 0;
+  RequestRecord record;
+};
+
+// kReserved if the key is within its window at `now`, else why not. Thread-safe.
+ReserveStatus CheckKeyAge(const Service& service, const std::string& key, WallTime now);
+
+// "service/range/slot" of a key. Precondition: CheckKeyAge has accepted the key. Thread-safe.
+std::string SlotName(const Service& service, const std::string& key);
+
+// Adds a reservation unless the key is there. Applied again to a slot that already holds the
+// same reservation, by its nonce, it succeeds without a change. Thread-safe.
+SlotChange ReserveInSlot(const RequestRecord& record, WallTime now, RecordSlot* slot);
+
+// Ends the reservation that has the nonce of `result`. Thread-safe.
+SlotChange FinishInSlot(const RequestRecord& result, RecordSlot* slot);
+
+}  // namespace mimosabend
+
+#endif  // MIMOSABEND_REQUEST_RECORD_H_
--- /dev/null
+++ b/src/service_handler.h
@@ -0,0 +1,236 @@
+#ifndef MIMOSABEND_SERVICE_HANDLER_H_
+#define MIMOSABEND_SERVICE_HANDLER_H_
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "caller_api.h"
+#include "digest.h"
+#include "host_list.h"
+#include "http_client.h"
+#include "metrics.h"
+#include "request_ledger.h"
+#include "uuid7.h"
+
+namespace mimosabend {
+
+inline constexpr std::string_view kServicesPath = "/services/";
+
+// Passes calls on to plain services. Calls that must not be repeated are entered in the request
+// ledger before they are sent, and are sent at most once. Not thread-safe.
+template <KvStore Kv>
+class ServiceHandler {
+ public:
+  // `hosts` names the hosts of a service that may take new work, the best first.
+  // Precondition: all pointers outlive this object.
+  ServiceHandler(HttpClient* client, RequestLedger<Kv>* ledger,
+                 std::function<std::vector<Host>(const std::string&)> hosts, Metrics* metrics)
+      : client_(client), ledger_(ledger), hosts_(std::move(hosts)), metrics_(metrics) {}
+
+  // Answers one request for /services/NAME/PATH.
+  Task<void> Handle(CallContext context, HttpExchange* exchange) {
+    const std::string rest = exchange->request().target.substr(kServicesPath.size());
+    const std::size_t slash = rest.find('/');
+    const std::string name = rest.substr(0, slash);
+    const std::string path = slash == std::string::npos ? "/" : rest.substr(slash);
+    const Service* service = context.environment->FindService(name);
+    if (service == nullptr || !context.caller->services.contains(name)) {
+      metrics_->http_rejected_total->Increment();
+      co_await ReplyError(exchange, UnknownService(name), context.request_id);
+      co_return;
+    }
+    context.deadline = std::min(context.deadline, context.arrival + service->timeout);
+    AcceptedRequest accepted(metrics_, context.rank);
+    const bool safe = IsSafeMethod(exchange->request().method);
+    RequestOutcome outcome = RequestOutcome::kFailed;
+    if (service->repeatable || safe) {
+      outcome = co_await ServeRepeatable(context, *service, path, exchange);
+    } else {
+      outcome = co_await ServeOnce(context, *service, path, exchange);
+    }
+    accepted.End(outcome);
+  }
+
+ private:
+  // Safe methods as HTTP defines them: they change nothing at the service.
+  static bool IsSafeMethod(const std::string& method) {
+    return method == "GET" || method == "HEAD" || method == "OPTIONS";
+  }
+
+  static ApiError MakeError(int status, std::string code, std::string message,
+                            Disposition disposition) {
+    ApiError error;
+    error.status = status;
+    error.type = status < 500 ? "invalid_request_error" : "server_error";
+    error.code = std::move(code);
+    error.message = std::move(message);
+    error.disposition = disposition;
+    if (status == 503 || disposition == Disposition::kInProgress) {
+      error.retry_after = RetryAfter(seconds(2));
+    }
+    return error;
+  }
+
+  static ApiError UnknownService(const std::string& name) {
+    return MakeError(404, "service_not_found", "no service '" + name + "' for this caller",
+                     Disposition::kNotRun);
+  }
+
+  HttpCall MakeCall(const CallContext& context, const Host& host, const std::string& path,
+                    const HttpRequest& request) const {
+    HttpCall call;
+    call.address = host.address;
+    call.method = request.method;
+    call.target = path;
+    call.body = request.body;
+    call.deadline = context.deadline;
+    call.headers.emplace_back("X-Request-Id", context.request_id);
+    call.headers.emplace_back("X-Mimosabend-Caller", context.caller->name);
+    for (const char* name : {"Content-Type", "Accept", "Idempotency-Key"}) {
+      const std::string_view value = request.header(name);
+      if (!value.empty()) call.headers.emplace_back(name, std::string(value));
+    }
+    return call;
+  }
+
+  Task<RequestOutcome> Deliver(const CallContext& context, HttpExchange* exchange, int status,
+                               std::string content_type, std::string body, bool replayed) {
+    HttpHeaders headers;
+    if (!content_type.empty()) headers.emplace_back("Content-Type", content_type);
+    headers.emplace_back("X-Request-Id", context.request_id);
+    if (replayed) headers.emplace_back("Idempotent-Replayed", "true");
+    const bool sent = co_await exchange->Reply(status, std::move(headers), std::move(body));
+    co_return sent ? RequestOutcome::kAnswered : RequestOutcome::kCancelled;
+  }
+
+  Task<RequestOutcome> Refuse(const CallContext& context, HttpExchange* exchange, ApiError error) {
+    const bool refused = error.disposition != Disposition::kFailed;
+    co_await ReplyError(exchange, std::move(error), context.request_id);
+    co_return refused ? RequestOutcome::kRefused : RequestOutcome::kFailed;
+  }
+
+  // Tries the hosts in turn until one answers.
+  Task<RequestOutcome> ServeRepeatable(const CallContext& context, const Service& service,
+                                       const std::string& path, HttpExchange* exchange) {
+    constexpr std::size_t kMaxAttempts = 3;
+    const std::vector<Host> hosts = hosts_(service.name);
+    for (std::size_t i = 0; i < hosts.size() && i < kMaxAttempts; ++i) {
+      auto reply = co_await client_->Call(MakeCall(context, hosts[i], path, exchange->request()));
+      if (reply) {
+        std::string content_type(FindHeader(reply.value().headers, "Content-Type"));
+        co_return co_await Deliver(context, exchange, reply.value().status, std::move(content_type),
+                                   std::move(reply.value().body), false);
+      }
+      if (MonotonicNow() >= context.deadline) break;
+    }
+    ApiError error = MakeError(503, "service_unavailable", "no host of the service answered",
+                               hosts.empty() ? Disposition::kNotRun : Disposition::kFailed);
+    co_return co_await Refuse(context, exchange, std::move(error));
+  }
+
+  // Sends the call at most once, over all daemons.
+  Task<RequestOutcome> ServeOnce(const CallContext& context, const Service& service,
+                                 const std::string& path, HttpExchange* exchange) {
+    const HttpRequest& request = exchange->request();
+    const std::string key(request.header("Idempotency-Key"));
+    if (key.empty()) co_return co_await AskForKey(context, exchange);
+    const std::uint64_t fingerprint =
+        Hash64(request.body, Hash64(request.method + " " + path, Hash64(context.caller->name)));
+    const Reservation reservation = co_await ledger_->Reserve(
+        service, key, fingerprint, context.timeout() + kFinishAllowance, WallNow());
+    if (reservation.status == ReserveStatus::kReplay) {
+      metrics_->record_replays_total->Increment();
+      const RequestRecord& record = reservation.record;
+      co_return co_await Deliver(context, exchange, record.status, record.content_type, record.body,
+                                 true);
+    }
+    if (reservation.status != ReserveStatus::kReserved) {
+      co_return co_await Refuse(context, exchange, ReservationError(reservation.status));
+    }
+    co_return co_await SendOnce(context, service, path, reservation, exchange);
+  }
+
+  // Precondition: the reservation is known to be stored.
+  Task<RequestOutcome> SendOnce(const CallContext& context, const Service& service,
+                                const std::string& path, const Reservation& reservation,
+                                HttpExchange* exchange) {
+    for (const Host& host : hosts_(service.name)) {
+      HttpCall call = MakeCall(context, host, path, exchange->request());
+      call.reuse_connection = false;
+      auto reply = co_await client_->Call(std::move(call));
+      if (!reply && reply.error() == HttpError::kNotSent) continue;  // Nothing ran there.
+      if (!reply) {
+        co_await ledger_->Finish(reservation, RecordState::kUnknown, 0, "", "");
+        ApiError error =
+            MakeError(502, "outcome_unknown", "the service may or may not have run the request",
+                      Disposition::kOutcomeUnknown);
+        co_await ReplyError(exchange, std::move(error), context.request_id);
+        co_return RequestOutcome::kFailed;
+      }
+      std::string content_type(FindHeader(reply.value().headers, "Content-Type"));
+      co_await ledger_->Finish(reservation, RecordState::kDone, reply.value().status, content_type,
+                               reply.value().body);
+      co_return co_await Deliver(context, exchange, reply.value().status, std::move(content_type),
+                                 std::move(reply.value().body), false);
+    }
+    co_await ledger_->Finish(reservation, RecordState::kReleased, 0, "", "");
+    ApiError error = MakeError(503, "service_unavailable", "no host of the service can be reached",
+                               Disposition::kNotRun);
+    co_return co_await Refuse(context, exchange, std::move(error));
+  }
+
+  // A caller without a key gets a fresh one; nothing is run, since a repeat could not be told.
+  Task<RequestOutcome> AskForKey(const CallContext& context, HttpExchange* exchange) {
+    const ApiError error = MakeError(
+        428, "idempotency_key_required",
+        "this service must not repeat requests; send the request again with the Idempotency-Key "
+        "of this answer, and use the same key for every repeat",
+        Disposition::kNotRun);
+    HttpHeaders headers;
+    headers.emplace_back("Content-Type", "application/json");
+    headers.emplace_back("X-Request-Id", context.request_id);
+    headers.emplace_back("Idempotency-Key", MakeUuid7(WallNow()));
+    co_await exchange->Reply(error.status, std::move(headers), ErrorBody(error));
+    co_return RequestOutcome::kRefused;
+  }
+
+  static ApiError ReservationError(ReserveStatus status) {
+    const std::string code(kReserveStatusNames[status]);
+    switch (status) {
+      case ReserveStatus::kInProgress:
+        return MakeError(409, code, "a request with this key is being run",
+                         Disposition::kInProgress);
+      case ReserveStatus::kOutcomeUnknown:
+        return MakeError(409, code, "a request with this key may or may not have been run",
+                         Disposition::kOutcomeUnknown);
+      case ReserveStatus::kKeyReused:
+        return MakeError(422, code, "the key was used for another request; this one was not run",
+                         Disposition::kNotRun);
+      case ReserveStatus::kKeyMalformed:
+        return MakeError(400, code, "Idempotency-Key is not a UUID of version 7 in lower case",
+                         Disposition::kNotRun);
+      case ReserveStatus::kKeyExpired:
+        return MakeError(410, code,
+                         "the key's time lies outside the window in which repeats are "
+                         "recognised; check whether the order exists before a new one",
+                         Disposition::kNotRun);
+      default:
+        return MakeError(503, "records_unavailable",
+                         "request records can't be written, so nothing was run",
+                         Disposition::kNotRun);
+    }
+  }
+
+  // Time that a record counts as in progress beyond the request's deadline.
+  static constexpr milliseconds kFinishAllowance{5000};
+
+  HttpClient* client_;
+  RequestLedger<Kv>* ledger_;
+  std::function<std::vector<Host>(const std::string&)> hosts_;
+  Metrics* metrics_;
+};
+
+}  // namespace mimosabend
+
+#endif  // MIMOSABEND_SERVICE_HANDLER_H_
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,88 @@
+#ifndef MIMOSABEND_SETTINGS_H_
+#define MIMOSABEND_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "clock.h"
+#include "ini_file.h"
+#include "name_table.h"
+
+namespace mimosabend {
+
+// An IP number and a port.
+struct Address {
+  std::string ip;
+  std::uint16_t port = 0;
+
+  auto operator<=>(const Address&) const = default;
+};
+
+// "127.0.0.1:80" or "[::1]:80". Thread-safe.
+std::string ToString(const Address& address);
+
+// Parses what ToString writes; std::nullopt for anything else, host names included. Thread-safe.
+std::optional<Address> ParseAddress(std::string_view text);
+
+enum class LogFormat : std::uint8_t { kText, kJson };
+inline constexpr NameTable<LogFormat, 2> kLogFormatNames{{"text", "json"}};
+
+enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarn, kError };
+inline constexpr NameTable<LogLevel, 4> kLogLevelNames{{"debug", "info", "warn", "error"}};
+
+struct LogSettings {
+  LogLevel level = LogLevel::kInfo;
+  LogFormat format = LogFormat::kText;
+};
+
+// Limits of one HTTP listener.
+struct HttpLimits {
+  std::size_t connections = 2000;
+  std::uint32_t header_bytes = 16 * 1024;
+  std::uint64_t body_bytes = 1024 * 1024;
+  milliseconds idle_timeout{30000};
+};
+
+// How to reach the platform; daemons and operator commands need it.
+struct PlatformSettings {
+  Address kv;
+  Address host_list;
+  Address weight_store;
+};
+
+struct DaemonSettings {
+  std::string name;
+  std::string environment;
+  std::string region;
+  std::string failure_domain;
+  Address caller_address;
+  Address admin_address;
+  Address peer_address;
+  PlatformSettings platform;
+  std::vector<Address> seeds;
+  std::string shared_key;
+  HttpLimits limits;
+  milliseconds drain_delay{2000};
+  LogSettings log;
+};
+
+struct OperatorSettings {
+  PlatformSettings platform;
+  // Admin addresses of the daemons, for `status` and for waiting on a promotion.
+  std::vector<Address> daemons;
+};
+
+// Reads the settings of a daemon. `overrides` are "section.key=value". Thread-safe.
+Result<DaemonSettings, IniIssues> ParseDaemonSettings(const std::string& file,
+                                                      std::string_view text,
+                                                      const std::vector<std::string>& overrides);
+
+// Reads the settings of the operator commands. Thread-safe.
+Result<OperatorSettings, IniIssues> ParseOperatorSettings(
+    const std::string& file, std::string_view text, const std::vector<std::string>& overrides);
+
+}  // namespace mimosabend
+
+#endif  // MIMOSABEND_SETTINGS_H_
--- /dev/null
+++ b/tests/demo.cpp
@@ -0,0 +1,92 @@
+// Shows the whole path: starts the stand-ins and six daemons, puts an environment in force, and
+// sends a cold question, a warm one, and an order twice through two daemons. Exits with 0 only if
+// all answers are right.
+#include <iostream>
+
+#include "engine_text.h"
+#include "fleet.h"
+#include "json.h"
+#include "uuid7.h"
+
+namespace mimosabend::testing {
+
+namespace {
+
+bool Report(const std::string& what, bool right, const std::string& details) {
+  std::cout << (right ? "ok    " : "WRONG ") << what << ": " << details << std::endl;
+  return right;
+}
+
+// Sends a streamed question through one daemon.
+bool AskStreamed(Fleet* fleet, int daemon, const std::string& what) {
+  const std::string prompt = "What can a village kitchen cook with four hours of sun?";
+  const auto start = MonotonicNow();
+  auto reply = fleet->Call(PostAs("urgent-key", fleet->caller_address(daemon), "/v1/completions",
+                                  CompletionBody("recipes", prompt, 12, true)));
+  const auto took = std::chrono::duration_cast<milliseconds>(MonotonicNow() - start);
+  if (!reply) return Report(what, false, std::string(kHttpErrorNames[reply.error()]));
+  bool complete = false;
+  const std::string text = StreamedText(reply.value().body, &complete);
+  const bool right = complete && text == standin::AnswerText("recipes", prompt, 12);
+  return Report(what, right,
+                "status " + std::to_string(reply.value().status) + ", 12 tokens in " +
+                    std::to_string(took.count()) + " ms");
+}
+
+bool OrderTwice(Fleet* fleet) {
+  const std::string key = MakeUuid7(WallNow());
+  std::string first_body;
+  bool right = true;
+  for (int daemon : {0, 1}) {
+    HttpCall call = PostAs("standard-key", fleet->caller_address(daemon),
+                           "/services/orders/reflectors", R"({"item":"reflector","count":2})");
+    call.headers.emplace_back("Idempotency-Key", key);
+    auto reply = fleet->Call(std::move(call));
+    if (!reply) return Report("order", false, std::string(kHttpErrorNames[reply.error()]));
+    const bool replayed = FindHeader(reply.value().headers, "Idempotent-Replayed") == "true";
+    if (daemon == 0) first_body = reply.value().body;
+    right &= Report("order through daemon " + std::to_string(daemon),
+                    reply.value().status == 201 && replayed == (daemon == 1) &&
+                        reply.value().body == first_body,
+                    reply.value().body + (replayed ? " (recorded answer)" : ""));
+  }
+  int runs = 0;
+  for (auto& [id, process] : fleet->endpoints()) {
+    if (!id.starts_with("service-")) continue;
+    HttpCall call;
+    call.address = process->address();
+    call.target = "/runs";
+    auto reply = fleet->Call(std::move(call));
+    const auto body = reply ? ParseJson(reply.value().body) : std::nullopt;
+    if (body) runs += static_cast<int>(IntegerMember(*body, key).value_or(0));
+  }
+  return Report("runs at the service", runs == 1, std::to_string(runs)) && right;
+}
+
+int RunDemo() {
+  Fleet fleet;
+  std::cout << "stand-ins run; starting " << fleet.options().daemons << " daemons" << std::endl;
+  fleet.StartDaemons();
+  fleet.PutInForce(TestDocument(fleet.options()));
+  std::cout << fleet.Operate({"history"}).output;
+  // Daemons 0 and 3 stand in the same region, so the second question finds the model loaded.
+  bool right = AskStreamed(&fleet, 0, "cold question through daemon 0");
+  right &= AskStreamed(&fleet, 3, "warm question through daemon 3");
+  right &= OrderTwice(&fleet);
+  std::cout << fleet.Operate({"status"}).output;
+  std::cout << (right ? "all answers are right" : "some answers are wrong") << std::endl;
+  return right ? 0 : 1;
+}
+
+}  // namespace
+
+}  // namespace mimosabend::testing
+
+int main() {
+  try {
+    return mimosabend::testing::RunDemo();
+  } catch (const std::exception& error) {
+    std::cerr << "demo: " << error.what() << "\n";
+    return 1;
+  }
+}
--- /dev/null
+++ b/tests/standins/standin.cpp
@@ -0,0 +1,57 @@
+#include "standin.h"
+
+#include <cstdlib>
+#include <iostream>
+
+namespace mimosabend::standin {
+
+namespace {
+
+constexpr HttpLimits kLimits{8192, 64 * 1024, 16 * 1024 * 1024, milliseconds(60000)};
+
+}  // namespace
+
+int RunStandin(boost::asio::io_context* io, std::uint16_t port, HttpHandler handler) {
+  HttpServer server(io->get_executor(), kLimits, std::move(handler));
+  auto bound = server.Listen({"127.0.0.1", port});
+  if (!bound) {
+    std::cerr << "cannot listen: " << bound.error() << "\n";
+    return 1;
+  }
+  std::cout << "listening " << bound.value() << std::endl;
+  io->run();
+  std::_Exit(0);
+}
+
+Task<void> ReplyJson(HttpExchange* exchange, int status, boost::json::value body) {
+  HttpHeaders headers;
+  headers.emplace_back("Content-Type", "application/json");
+  std::string text = boost::json::serialize(body);
+  co_await exchange->Reply(status, std::move(headers), std::move(text));
+}
+
+std::string QueryParameter(std::string_view target, std::string_view name) {
+  const std::size_t question = target.find('?');
+  if (question == std::string_view::npos) return {};
+  std::string_view rest = target.substr(question + 1);
+  while (!rest.empty()) {
+    const std::size_t end = std::min(rest.find('&'), rest.size());
+    const std::string_view pair = rest.substr(0, end);
+    const std::size_t equals = std::min(pair.find('='), pair.size());
+    if (pair.substr(0, equals) == name) {
+      return std::string(pair.substr(std::min(equals + 1, pair.size())));
+    }
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+  }
+  return {};
+}
+
+std::string_view TargetPath(std::string_view target) { return target.substr(0, target.find('?')); }
+
+boost::json::value BodyOf(const HttpExchange& exchange) {
+  const auto body = ParseJson(exchange.request().body);
+  if (!body || !body->is_object()) return boost::json::object();
+  return *body;
+}
+
+}  // namespace mimosabend::standin
--- /dev/null
+++ b/tests/test_documents.cpp
@@ -0,0 +1,111 @@
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <numeric>
+#include <sstream>
+
+#include "digest.h"
+#include "document_parts.h"
+#include "environment.h"
+#include "settings.h"
+
+namespace mimosabend {
+
+namespace {
+
+std::string ReadExample(const std::string& name) {
+  std::ifstream file(std::string(MIMOSABEND_SOURCE_DIRECTORY) + "/examples/" + name);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+// The one issue of a document, as text.
+std::string IssueOf(const std::string& document) {
+  auto environment = ParseEnvironment("doc.ini", document);
+  if (environment) return "";
+  return environment.error().front().Format();
+}
+
+constexpr char kHeader[] = "[environment]\nname = test\nregions = a\n";
+constexpr char kPool[] =
+    "[pool p]\nfencing = ignored\nendpoint_memory_mib = 100\nbudget_mib = 100\n";
+
+}  // namespace
+
+// Guards against examples that no longer match the parser.
+TEST_CASE("the example files are valid") {
+  CHECK(ParseDaemonSettings("daemon.ini", ReadExample("daemon.ini"), {}));
+  CHECK(ParseOperatorSettings("operator.ini", ReadExample("operator.ini"), {}));
+  CHECK(ParseEnvironment("environment.ini", ReadExample("environment.ini")));
+}
+
+// Guards against errors that do not say where the fault is or how to mend it.
+TEST_CASE("a wrong document is refused with line, section, key and remedy") {
+  struct Case {
+    std::string document;
+    std::string expected;
+  };
+  const std::vector<Case> cases{
+      {std::string(kHeader) + "colour = red\n", "doc.ini:4: [environment] colour: unknown key"},
+      {std::string(kHeader) + "[poool p]\nx = 1\n", "doc.ini:5: [poool p] unknown section"},
+      {std::string(kHeader) + "name = other\n",
+       "doc.ini:4: [environment] name: the key stands twice"},
+      {std::string(kHeader) + "[model m]\npool = p\nversion = 1\nmemory_mib = 1\n",
+       "[model m] pool: no pool 'p'"},
+      {std::string(kHeader) + kPool + "[model m]\npool = p\nversion = 1\nmemory_mib = 101\n",
+       "memory_mib: does not fit an endpoint"},
+      {std::string(kHeader) + kPool + "[model m]\npool = p\nversion = 1\nmemory_mib = -5\n",
+       "'-5' is not a whole number in range"},
+      {std::string(kHeader) + "[adapter x]\nmodel = m\nversion = 1\nmemory_mib = 1\n",
+       "model: no model 'm'"},
+      {std::string(kHeader) + "[caller c]\nkey_sha256 = abc\n", "not a SHA-256 digest"},
+      {std::string(kHeader) + "[caller c]\nkey_sha256 = " + Sha256Hex("k") + "\nmodels = m\n",
+       "models: no model or adapter 'm'"},
+      {std::string(kHeader) + "[service s]\nrepeatable = maybe\n", "neither true nor false"},
+      {std::string(kHeader) + "[rank urgent]\nfloor = 0.9\n", "not a number in range"},
+      {"name = x\n", "the key stands before any section"},
+      {"[environment\n", "not a section"},
+      {"", "the document has no name"},
+  };
+  for (const Case& item : cases) {
+    CAPTURE(item.document);
+    CHECK_THAT(IssueOf(item.document), Catch::Matchers::Contains(item.expected));
+  }
+}
+
+// Guards against settings that are silently ignored.
+TEST_CASE("overrides replace settings and are checked the same way") {
+  const std::string text = ReadExample("daemon.ini");
+  auto settings =
+      ParseDaemonSettings("daemon.ini", text, {"daemon.region=south", "log.level=warn"});
+  REQUIRE(settings);
+  CHECK(settings.value().region == "south");
+  CHECK(settings.value().log.level == LogLevel::kWarn);
+  CHECK_FALSE(ParseDaemonSettings("daemon.ini", text, {"log.level=loud"}));
+  CHECK_FALSE(ParseDaemonSettings("daemon.ini", text, {"log.colour=red"}));
+  CHECK_FALSE(ParseDaemonSettings("daemon.ini", text, {"nonsense"}));
+}
+
+// Guards against parts that exceed a value of the key-value service, and against small changes
+// that rewrite many parts.
+TEST_CASE("a large document is cut into small parts that change locally") {
+  std::string document = kHeader;
+  for (int i = 0; i < 22000; ++i) {
+    document += "[adapter adapter-" + std::to_string(i) +
+                "]\nmodel = model-1\nversion = 1\nmemory_mib = 100\n";
+  }
+  const std::vector<std::string> parts = SplitDocument(document);
+  CHECK(std::accumulate(parts.begin(), parts.end(), std::string()) == document);
+  for (const std::string& part : parts) REQUIRE(part.size() <= 64 * 1024);
+
+  std::string changed = document;
+  changed.replace(changed.find("[adapter adapter-9000]\nmodel = model-1"), 38,
+                  "[adapter adapter-9000]\nmodel = model-2");
+  std::size_t new_parts = 0;
+  for (const std::string& part : SplitDocument(changed)) {
+    new_parts += std::find(parts.begin(), parts.end(), part) == parts.end() ? 1 : 0;
+  }
+  CHECK(new_parts == 1);
+}
+
+}  // namespace mimosabend
