Reach the owner of a group through a relay, and end a lost wake-up

Cause 1: a daemon that could not reach the owner of a group refused its requests though other daemons could reach it, and two daemons that each believed the other dead disputed the group until the lease moved. Change: a demand whose owner does not answer goes through another daemon; a daemon that fails to take a group reads who holds it and asks that one. Cause 2: a demand to an owner in the same process can be answered before its waiter sleeps, and the waiter then slept until its deadline. Change: it compares the number of answers first. Also: connections of streams that began before a stop no longer keep the daemon open for the idle time-out. [peers] blocked cuts links for tests.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -62,6 +62,7 @@
   Task<void> HandleAdmin(HttpExchange& exchange);
   Task<Result<Envelope, PeerError>> HandlePeer(Envelope request);
   Task<DemandAnswer> AskOwner(DemandRequest request);
+  Task<DemandAnswer> AskThroughRelay(DemandRequest request, std::string owner);
   Task<void> UpdateMetrics();
   Task<void> WaitForSignals();
   Task<void> Drain();
@@ -109,7 +110,7 @@
       host_list_(&client_, settings.platform.host_list),
       hosts_(&host_list_, settings.region),
       membership_(SelfUpdate(settings), MonotonicNow(), RandomId()),
-      identity_{settings.name, settings.shared_key},
+      identity_{settings.name, settings.shared_key, settings.blocked_peers},
       peer_client_(io->get_executor(), identity_, &metrics_),
       document_(io->get_executor(), settings.environment, &kv_, &peer_client_, &metrics_),
       lease_(&kv_),
@@ -295,8 +296,10 @@
     DemandAnswer answer;
     answer.status = DemandStatus::kNotOwner;
     const auto owner = ownership_.Find(message.value().group);
-    if (owner != nullptr) {
+    if (owner != nullptr && owner->is_owner()) {
       answer = co_await owner->Demand(request.sender, std::move(message).value());
+    } else if (message.value().relay) {
+      answer = co_await AskOwner(std::move(message).value());
     }
     co_return Wrap(answer, identity_.name, 0, WallNow());
   }
@@ -308,22 +311,42 @@
   co_return outcome::failure(PeerError::kUnknownType);
 }
 
-// Asks the daemon that is preferred for the group, or this one's own owner.
+// Asks the daemon that is preferred for the group, or this one's own owner. If this daemon prefers
+// itself but another one holds the group, their views of the membership differ, and the holder is
+// asked.
 Task<DemandAnswer> Daemon::AskOwner(DemandRequest request) {
-  DemandAnswer answer;
-  answer.status = DemandStatus::kNotOwner;
   const std::size_t region_start = request.group.find('.') + 1;
   const std::string region =
       request.group.substr(region_start, request.group.rfind('.') - region_start);
-  const Member* preferred = membership_.PreferredOwner(request.group, region);
-  if (preferred->update.name == settings_.name) {
-    const auto owner = ownership_.Find(request.group);
-    if (owner != nullptr) answer = co_await owner->Demand(settings_.name, std::move(request));
-    co_return answer;
+  std::string target = membership_.PreferredOwner(request.group, region)->update.name;
+  const auto owner = ownership_.Find(request.group);
+  const bool own = target == settings_.name && owner != nullptr;
+  if (own && owner->is_owner()) {
+    DemandAnswer owned = co_await owner->Demand(settings_.name, std::move(request));
+    co_return owned;
   }
-  const Address peer = preferred->update.address;
+  if (own) target = owner->holder();
+  const auto member = membership_.members().find(target);
+  DemandAnswer answer;
+  answer.status = DemandStatus::kNotOwner;
+  if (member == membership_.members().end() || target == settings_.name) co_return answer;
+  const Address peer = member->second.update.address;
   const milliseconds timeout = milliseconds(request.wait_ms) + kDemandAllowance;
-  auto reply = co_await peer_client_.Call<DemandAnswer>(peer, std::move(request), timeout);
+  auto reply = co_await peer_client_.Call<DemandAnswer>(peer, request, timeout);
+  if (reply) co_return std::move(reply).value();
+  co_return co_await AskThroughRelay(std::move(request), target);
+}
+
+// Asks by way of another daemon, since a cut link need not cut that one off as well.
+Task<DemandAnswer> Daemon::AskThroughRelay(DemandRequest request, std::string owner) {
+  DemandAnswer answer;
+  answer.status = DemandStatus::kNotOwner;
+  const std::vector<Address> peers = membership_.RandomPeers(1, owner);
+  if (peers.empty() || request.relay) co_return answer;
+  request.relay = true;
+  const milliseconds timeout = milliseconds(request.wait_ms) + 2 * kDemandAllowance;
+  const Address relay = peers.front();
+  auto reply = co_await peer_client_.Call<DemandAnswer>(relay, std::move(request), timeout);
   if (reply) answer = std::move(reply).value();
   co_return answer;
 }
--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -60,6 +60,7 @@
 
 template <class Message>
 Task<void> Gossip::Send(Address peer, Message message) {
+  if (identity_.blocked_peers.contains(peer)) co_return;
   const std::string bytes =
       EncodeEnvelope(Wrap(message, identity_.name, 0, WallNow()), identity_.shared_key);
   boost::system::error_code error;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -146,7 +146,9 @@
   parser.header_limit(server_->limits_.header_bytes);
   parser.body_limit(server_->limits_.body_bytes);
   boost::system::error_code error;
-  stream_.expires_after(server_->limits_.idle_timeout);
+  // A stream that began before the stop has announced that its connection stays open.
+  const auto idle_timeout = std::chrono::duration_cast<milliseconds>(kDrainIdleTimeout);
+  stream_.expires_after(server_->stopping() ? idle_timeout : server_->limits_.idle_timeout);
   server_->idle_.insert(this);
   co_await http::async_read_header(stream_, buffer_, parser,
                                    asio::redirect_error(asio::use_awaitable, error));
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -145,6 +145,11 @@
       peers.push_back(member.update.address);
     }
   }
+  // With all of them silent, one that was declared dead may still answer.
+  for (const auto& [name, member] : members_) {
+    if (!peers.empty()) break;
+    if (name != self_name_ && name != excluded) peers.push_back(member.update.address);
+  }
   std::shuffle(peers.begin(), peers.end(), random_);
   if (peers.size() > count) peers.resize(count);
   return peers;
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -143,13 +143,15 @@
   std::array<std::uint32_t, kRankCount> waiting{};
   // How long the owner may hold the answer back while a load is under way.
   std::uint32_t wait_ms = 0;
+  // The sender can't reach the owner: the receiver passes the request on.
+  bool relay = false;
 
   template <class Archive>
   void serialize(Archive& archive) {
     SerializeText(archive, group);
     SerializeText(archive, model);
     for (std::uint32_t& count : waiting) archive(count);
-    archive(wait_ms);
+    archive(wait_ms, relay);
   }
 };
 
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -102,6 +102,7 @@
 
 Task<Result<Envelope, PeerError>> PeerClient::ExchangeOnce(Address peer, const Envelope& request,
                                                            milliseconds timeout) {
+  if (identity_.blocked_peers.contains(peer)) co_return outcome::failure(PeerError::kNotSent);
   std::unique_ptr<Connection> connection = TakeIdle(peer);
   boost::system::error_code error;
   const MonotonicTime deadline = MonotonicNow() + timeout;
--- a/src/peer_transport.h
+++ b/src/peer_transport.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,10 +15,11 @@
 
 namespace mimosabend {
 
-// What a daemon needs to sign its messages.
+// What a daemon needs to sign its messages, and the peers that it sends nothing to.
 struct PeerIdentity {
   std::string name;
   std::string shared_key;
+  std::set<Address> blocked_peers;
 };
 
 // Requests to other daemons over TCP. A connection carries one request at a time and is reused;
--- a/src/placement_owner.h
+++ b/src/placement_owner.h
@@ -53,6 +53,8 @@
 
   const GroupId& group() const { return group_; }
   bool is_owner() const { return owning_; }
+  // The daemon that held the group when this one last tried to take it; empty if unknown.
+  const std::string& holder() const { return holder_; }
   const PlacementRecord& record() const { return record_; }
 
   // Takes the group over when it is free and decides for it until Stop is called or the lease is
@@ -127,7 +129,12 @@
     if (safe_lease == nullptr) co_return false;
     const LeaseId lease = *safe_lease;
     auto acquired = co_await kv_->Acquire(OwnerKey(), context_.daemon_name, lease);
-    if (!acquired || !acquired.value()) co_return false;
+    if (!acquired) co_return false;
+    if (!acquired.value()) {
+      auto held = co_await kv_->Read(OwnerKey());
+      if (held) holder_ = held.value().value;
+      co_return false;
+    }
     auto entry = co_await kv_->Read(RecordKey());
     if (!entry) co_return false;
     PlacementRecord record;
@@ -411,6 +418,7 @@
   PlacementRecord record_;
   std::uint64_t version_ = 0;
   LeaseId owning_lease_;
+  std::string holder_;
   EndpointViews views_;
   DemandTable demand_;
   std::set<std::string> unplaced_;
--- a/src/replica_directory.cpp
+++ b/src/replica_directory.cpp
@@ -109,12 +109,14 @@
     if (environment_()->FindModel(model) == nullptr) {
       co_return outcome::failure(FindError::kUnknownModel);
     }
+    const std::uint64_t answers = entry->answers;
     ++entry->waiting[Index(rank)];
     if (!entry->fetching) {
       entry->fetching = true;
       asio::co_spawn(executor_, Fetch(model, entry), asio::detached);
     }
-    co_await entry->changed.WaitUntil(deadline);
+    // An owner in this process may have answered before the coroutine above was suspended once.
+    if (entry->answers == answers) co_await entry->changed.WaitUntil(deadline);
     --entry->waiting[Index(rank)];
     if (!entry->replicas.empty() || entry->answers == answers_before) continue;
     if (entry->last_status == DemandStatus::kNoCapacity) {
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -146,6 +146,9 @@
        {"peers",
         [&](IniSection* section) {
           settings.seeds = ReadAddresses(section, "seeds");
+          for (const Address& peer : ReadAddresses(section, "blocked")) {
+            settings.blocked_peers.insert(peer);
+          }
           settings.shared_key = section->Text("shared_key");
           if (settings.shared_key.size() < kMinSharedKeyLength) {
             section->Report("shared_key", "the key is too short",
--- a/src/settings.h
+++ b/src/settings.h
@@ -2,6 +2,7 @@
 #define MIMOSABEND_SETTINGS_H_
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -63,6 +64,8 @@
   PlatformSettings platform;
   std::vector<Address> seeds;
   std::string shared_key;
+  // Peers that this daemon sends nothing to, as if the link to them were cut.
+  std::set<Address> blocked_peers;
   HttpLimits limits;
   milliseconds drain_delay{2000};
   LogSettings log;
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -161,6 +161,13 @@
   for (std::size_t i = 0; i < daemon_addresses_.size(); ++i) {
     file << (i == 0 ? "" : ", ") << ToString(daemon_addresses_[i].peer);
   }
+  std::string blocked;
+  for (const auto& [from, to] : options_.cut_links) {
+    if (from == index) {
+      blocked += (blocked.empty() ? "" : ", ") + ToString(daemon_addresses_[to].peer);
+    }
+  }
+  if (!blocked.empty()) file << "\nblocked = " << blocked;
   file << "\n[limits]\ndrain_delay_ms = 500\n";
 }
 
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -51,6 +51,8 @@
   int services_per_region = 1;
   bool honour_fence = true;
   int host_list_lag_ms = 200;
+  // Links that are cut in one direction: the first daemon sends nothing to the second.
+  std::vector<std::pair<int, int>> cut_links;
   // Added to the command line of each stand-in.
   std::vector<std::string> engine_flags;
   std::vector<std::string> weight_store_flags{"--loads_per_s=4"};
--- a/tests/test_documents.cpp
+++ b/tests/test_documents.cpp
@@ -6,6 +6,7 @@
 #include "digest.h"
 #include "document_parts.h"
 #include "environment.h"
+#include "environment_diff.h"
 #include "settings.h"
 
 namespace mimosabend {
@@ -108,4 +109,34 @@
   CHECK(new_parts == 1);
 }
 
+// Guards against an audit trail that does not say what was changed, and against a change that
+// would move memory charges between records.
+TEST_CASE("two documents are compared section by section") {
+  const std::string text = ReadExample("environment.ini");
+  std::string changed = text;
+  const auto replace = [&](const std::string& from, const std::string& to) {
+    changed.replace(changed.find(from), from.size(), to);
+  };
+  replace("budget_mib = 160000", "budget_mib = 80000");
+  replace("[service orders]", "[service shipments]");
+  replace("services = orders", "services = shipments");
+  replace("2c70e12b", "3c70e12b");
+  const Environment before = ParseEnvironment("a", text).value();
+  const Environment after = ParseEnvironment("b", changed).value();
+  const std::vector<std::string> expected{
+      "[pool chat] budget_mib: 160000 -> 80000",
+      "[caller village-kitchens] services: orders -> shipments",
+      "[service orders] removed",
+      "[service shipments] added",
+      "[caller village-kitchens] key_sha256: changed",
+  };
+  CHECK(DiffEnvironments(before, after) == expected);
+  CHECK(DiffEnvironments(before, before).empty());
+  CHECK(FindForbiddenChange(before, after).empty());
+  replace("groups = 1", "groups = 2");
+  CHECK_THAT(FindForbiddenChange(before, ParseEnvironment("c", changed).value()),
+             Catch::Matchers::Contains("groups must stay 1"));
+  CHECK(SummarizeDiff(std::vector<std::string>(1000, "a change")).size() <= 2048);
+}
+
 }  // namespace mimosabend
--- a/tests/test_path.cpp
+++ b/tests/test_path.cpp
@@ -137,4 +137,23 @@
   }
 }
 
+// Guards against requests that fail because one daemon can't reach the owner of a group, though
+// others can.
+TEST_CASE("a demand reaches the owner through another daemon", "[path]") {
+  FleetOptions options;
+  options.daemons = 3;
+  options.regions = {"nordeste"};
+  // Whichever daemon owns the group, one other can not reach it directly.
+  for (int from = 0; from < 3; ++from) options.cut_links.emplace_back(from, (from + 1) % 3);
+  Fleet fleet(options);
+  fleet.StartDaemons();
+  fleet.PutInForce(TestDocument(fleet.options()));
+  for (int daemon = 0; daemon < options.daemons; ++daemon) {
+    CAPTURE(daemon);
+    auto reply = fleet.Call(Complete(&fleet, daemon, "urgent-key", "recipes", "beans", 4, false));
+    REQUIRE(reply);
+    CHECK(reply.value().status == 200);
+  }
+}
+
 }  // namespace mimosabend::testing
