Show what a document changes on trial, at promotion and in the audit trail

Cause: the audit trail named digests but not what differed, and an operator could change the number of placement groups of a pool, which would move memory charges between records.

--- a/src/document_head.h
+++ b/src/document_head.h
@@ -31,6 +31,8 @@
   std::int64_t time_ms = 0;
   // The document that this one replaced.
   std::string previous_digest;
+  // What differs from the document that this one replaced.
+  std::string summary;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -40,9 +42,20 @@
     SerializeText(archive, author);
     archive(time_ms);
     SerializeText(archive, previous_digest);
+    SerializeText(archive, summary);
   }
 };
 
+// What an operator asks to put in force.
+struct Promotion {
+  // SHA-256 of the document on trial.
+  std::string digest;
+  // The version that the operator has compared it with.
+  std::uint64_t expected_version = 0;
+  std::string author;
+  std::string summary;
+};
+
 // A head and the version of its key in the key-value service.
 struct StoredHead {
   DocumentHead head;
--- a/src/document_store.h
+++ b/src/document_store.h
@@ -58,17 +58,23 @@
     co_return head;
   }
 
-  // Puts the document on trial in force, if it is still the one with this digest.
-  Task<Result<DocumentHead, StoreError>> Promote(std::string digest, std::string author,
-                                                 WallTime now) {
+  // Puts the document on trial in force, if it is still the one with this digest and no other
+  // version has come into force since the operator looked.
+  Task<Result<DocumentHead, StoreError>> Promote(Promotion promotion, WallTime now) {
     auto trial = co_await ReadTrial();
     if (!trial) co_return outcome::failure(trial.error());
-    if (trial.value().head.digest != digest) co_return outcome::failure(StoreError::kNotOnTrial);
+    if (trial.value().head.digest != promotion.digest) {
+      co_return outcome::failure(StoreError::kNotOnTrial);
+    }
     auto current = co_await ReadHead();
     if (!current) co_return outcome::failure(current.error());
+    if (current.value().head.version != promotion.expected_version) {
+      co_return outcome::failure(StoreError::kConflict);
+    }
     DocumentHead head = trial.value().head;
     head.version = current.value().head.version + 1;
-    head.author = std::move(author);
+    head.author = std::move(promotion.author);
+    head.summary = std::move(promotion.summary);
     head.time_ms = ToUnixMillis(now);
     head.previous_digest = current.value().head.digest;
     auto swapped = co_await Swap(head_key(), current.value().kv_version, head);
@@ -109,6 +115,18 @@
     co_return heads;
   }
 
+  // The whole text of a document, checked against the digest of its head.
+  Task<Result<std::string, StoreError>> ReadDocument(DocumentHead head) {
+    std::string document;
+    for (const std::string& digest : head.parts) {
+      auto part = co_await ReadPart(digest);
+      if (!part) co_return outcome::failure(part.error());
+      document += part.value();
+    }
+    if (Sha256Hex(document) != head.digest) co_return outcome::failure(StoreError::kCorrupt);
+    co_return document;
+  }
+
   // The text of a part, checked against its digest.
   Task<Result<std::string, StoreError>> ReadPart(std::string digest) {
     auto entry = co_await kv_->Read(prefix_ + "part/" + digest);
--- a/src/operator_commands.cpp
+++ b/src/operator_commands.cpp
@@ -15,6 +15,7 @@
 #include "daemon.h"
 #include "document_store.h"
 #include "environment.h"
+#include "environment_diff.h"
 #include "http_kv_store.h"
 #include "json.h"
 #include "settings.h"
@@ -164,6 +165,36 @@
   return ExitCode::kOk;
 }
 
+// The document in force and its version; an empty one if there is none.
+struct InForce {
+  std::uint64_t version = 0;
+  Environment environment;
+};
+
+Task<Result<InForce, StoreError>> ReadInForce(Session* session) {
+  auto stored = co_await session->store.ReadHead();
+  if (!stored) co_return outcome::failure(stored.error());
+  InForce in_force;
+  in_force.version = stored.value().head.version;
+  if (in_force.version == 0) co_return in_force;
+  auto document = co_await session->store.ReadDocument(stored.value().head);
+  if (!document) co_return outcome::failure(document.error());
+  auto environment = ParseEnvironment("document in force", document.value());
+  if (!environment) co_return outcome::failure(StoreError::kCorrupt);
+  in_force.environment = std::move(environment).value();
+  co_return in_force;
+}
+
+// Prints what a document would change. Says why it must not come into force, or nothing.
+std::string ShowChanges(const InForce& in_force, const Environment& environment,
+                        std::string* summary) {
+  const auto lines = DiffEnvironments(in_force.environment, environment);
+  *summary = SummarizeDiff(lines);
+  std::cout << "changes against version " << in_force.version << ":\n"
+            << (lines.empty() ? "none" : *summary) << "\n";
+  return FindForbiddenChange(in_force.environment, environment);
+}
+
 Task<ExitCode> Trial(Session* session, const CommandLine& line) {
   if (line.arguments.size() != 1) co_return Fail(ExitCode::kUsage, "name one document file");
   const std::string& path = line.arguments.front();
@@ -175,6 +206,11 @@
     co_return Fail(ExitCode::kUsage, "the document is of environment '" + environment.value().name +
                                          "', not '" + FLAGS_environment + "'");
   }
+  auto in_force = co_await ReadInForce(session);
+  if (!in_force) co_return FailStore(in_force.error());
+  std::string summary;
+  const std::string forbidden = ShowChanges(in_force.value(), environment.value(), &summary);
+  if (!forbidden.empty()) co_return Fail(ExitCode::kUsage, forbidden);
   auto head = co_await session->store.Trial(*text, Author(), WallNow());
   if (!head) co_return FailStore(head.error());
   std::cout << "on trial: " << head.value().digest << "\n"
@@ -221,18 +257,28 @@
 
 Task<ExitCode> Promote(Session* session, const CommandLine& line) {
   if (!line.arguments.empty()) co_return Fail(ExitCode::kUsage, "promote takes no file");
-  std::string digest = FLAGS_digest;
-  if (digest.empty()) {
-    auto trial = co_await session->store.ReadTrial();
-    if (!trial) co_return FailStore(trial.error());
-    if (trial.value().head.version == 0) {
-      co_return Fail(ExitCode::kUsage, "nothing is on trial; use 'mimosabend trial' first");
-    }
-    digest = trial.value().head.digest;
+  auto trial = co_await session->store.ReadTrial();
+  if (!trial) co_return FailStore(trial.error());
+  if (trial.value().head.version == 0) {
+    co_return Fail(ExitCode::kUsage, "nothing is on trial; use 'mimosabend trial' first");
   }
-  auto head = co_await session->store.Promote(digest, Author(), WallNow());
+  Promotion promotion;
+  promotion.digest = FLAGS_digest.empty() ? trial.value().head.digest : FLAGS_digest;
+  if (promotion.digest != trial.value().head.digest) co_return FailStore(StoreError::kNotOnTrial);
+  auto document = co_await session->store.ReadDocument(trial.value().head);
+  if (!document) co_return FailStore(document.error());
+  auto environment = ParseEnvironment("document on trial", document.value());
+  if (!environment) co_return ReportIssues(environment.error());
+  auto in_force = co_await ReadInForce(session);
+  if (!in_force) co_return FailStore(in_force.error());
+  const std::string forbidden =
+      ShowChanges(in_force.value(), environment.value(), &promotion.summary);
+  if (!forbidden.empty()) co_return Fail(ExitCode::kUsage, forbidden);
+  promotion.expected_version = in_force.value().version;
+  promotion.author = Author();
+  auto head = co_await session->store.Promote(promotion, WallNow());
   if (!head) co_return FailStore(head.error());
-  std::cout << "accepted: version " << head.value().version << ", " << digest << "\n";
+  std::cout << "accepted: version " << head.value().version << ", " << head.value().digest << "\n";
   co_return co_await WaitUntilInForce(session, head.value().version);
 }
 
@@ -294,6 +340,10 @@
                 << head.author << "  " << head.digest.substr(0, 12)
                 << (head.previous_digest.empty() ? "" : "  replaces ")
                 << head.previous_digest.substr(0, 12) << "\n";
+      std::istringstream changes(head.summary);
+      for (std::string change; std::getline(changes, change);) {
+        std::cout << "    " << change << "\n";
+      }
       continue;
     }
     json::object item;
@@ -302,6 +352,7 @@
     item["author"] = head.author;
     item["digest"] = head.digest;
     item["previous_digest"] = head.previous_digest;
+    item["summary"] = head.summary;
     list.push_back(std::move(item));
   }
   if (FLAGS_json) std::cout << json::serialize(list) << "\n";
