--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -247,6 +247,17 @@
   status["version"] = document_.version();
   status["digest"] = document_.head().digest;
   status["ready"] = IsReady();
+  boost::json::object requests;
+  for (Rank rank : kAllRanks) {
+    boost::json::object counts;
+    for (std::size_t i = 0; i < kRequestOutcomeCount; ++i) {
+      const auto ending = static_cast<RequestOutcome>(i);
+      counts[kRequestOutcomeNames[ending]] =
+          static_cast<std::int64_t>(metrics_.outcome_count(ending, rank));
+    }
+    requests[kRankNames[rank]] = std::move(counts);
+  }
+  status["requests"] = std::move(requests);
   boost::json::array members;
   for (const auto& [name, member] : membership_.members()) {
     boost::json::object item;
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -42,6 +42,10 @@
   void ObserveFirstToken(Rank rank, bool cold, std::chrono::steady_clock::duration time);
   void ObserveTokenGap(Rank rank, std::chrono::steady_clock::duration time);
 
+  double outcome_count(RequestOutcome outcome, Rank rank) const {
+    return outcomes_[static_cast<std::size_t>(outcome)][Index(rank)]->Value();
+  }
+
   // Accepted requests and the sum of all outcomes, for the invariant that both are equal at exit.
   double accepted() const { return accepted_->Value(); }
   double ended() const;
--- a/src/operator_commands.cpp
+++ b/src/operator_commands.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdlib>
-#include <ctime>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -19,6 +18,7 @@
 #include "http_kv_store.h"
 #include "json.h"
 #include "settings.h"
+#include "status_report.h"
 #include "supervisor.h"
 
 DEFINE_string(config, "", "settings file of the process");
@@ -88,15 +88,6 @@
   return user != nullptr ? user : "unknown";
 }
 
-std::string FormatTime(std::int64_t unix_ms) {
-  const std::time_t time = unix_ms / 1000;
-  std::tm utc{};
-  gmtime_r(&time, &utc);
-  char text[32];
-  std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &utc);
-  return text;
-}
-
 ExitCode FailStore(StoreError error) {
   const std::string text(kStoreErrorNames[error]);
   switch (error) {
@@ -283,51 +274,36 @@
 }
 
 Task<ExitCode> Status(Session* session, const CommandLine&) {
-  auto head = co_await session->store.ReadHead();
-  json::array daemons;
+  auto stored = co_await session->store.ReadHead();
+  auto in_force = co_await ReadInForce(session);
+  std::vector<DaemonStatus> daemons;
   for (const Address& address : session->settings.daemons) {
-    auto status = co_await ReadStatus(session, address);
-    json::object item;
-    item["address"] = ToString(address);
-    item["status"] = status ? std::move(*status) : json::value();
-    daemons.push_back(std::move(item));
-  }
-  if (FLAGS_json) {
-    json::object out;
-    out["version"] = head ? json::value(head.value().head.version) : json::value();
-    out["digest"] = head ? json::value(head.value().head.digest) : json::value();
-    out["daemons"] = std::move(daemons);
-    std::cout << json::serialize(out) << "\n";
-    co_return head ? ExitCode::kOk : ExitCode::kUnavailable;
+    DaemonStatus daemon;
+    daemon.address = ToString(address);
+    daemon.status = co_await ReadStatus(session, address);
+    daemons.push_back(std::move(daemon));
   }
-  if (head) {
-    std::cout << "accepted  version " << head.value().head.version << " by "
-              << head.value().head.author << " at " << FormatTime(head.value().head.time_ms)
-              << "\n";
-  } else {
-    std::cout << "accepted  unknown, the key-value service can't be reached\n";
+  const ExitCode code = stored && in_force ? ExitCode::kOk : ExitCode::kUnavailable;
+  std::optional<DocumentHead> head;
+  if (stored) head = stored.value().head;
+  if (!FLAGS_json) {
+    const Environment environment = in_force ? in_force.value().environment : Environment{};
+    std::cout << FormatStatus(head, environment, daemons);
+    co_return code;
   }
-  for (const json::value& item : daemons) {
-    const json::value& status = item.at("status");
-    std::cout << "daemon    " << item.at("address").as_string().c_str();
-    if (status.is_null()) {
-      std::cout << "  no answer\n";
-      continue;
-    }
-    std::cout << "  " << TextMember(status, "name") << "  version "
-              << IntegerMember(status, "version").value_or(0)
-              << (status.at("ready").as_bool() ? "  ready" : "  not ready") << "\n";
-    for (const json::value& group : status.at("owned_groups").as_array()) {
-      std::cout << "  owns    " << TextMember(group, "group") << "\n";
-      for (const json::value& replica : group.at("replicas").as_array()) {
-        std::cout << "    " << TextMember(replica, "state") << "  " << TextMember(replica, "model")
-                  << " " << TextMember(replica, "version") << " at "
-                  << TextMember(replica, "endpoint") << ", "
-                  << IntegerMember(replica, "memory_mib").value_or(0) << " MiB\n";
-      }
-    }
+  json::array list;
+  for (DaemonStatus& daemon : daemons) {
+    json::object item;
+    item["address"] = daemon.address;
+    item["status"] = daemon.status ? std::move(*daemon.status) : json::value();
+    list.push_back(std::move(item));
   }
-  co_return head ? ExitCode::kOk : ExitCode::kUnavailable;
+  json::object out;
+  out["version"] = head ? json::value(head->version) : json::value();
+  out["digest"] = head ? json::value(head->digest) : json::value();
+  out["daemons"] = std::move(list);
+  std::cout << json::serialize(out) << "\n";
+  co_return code;
 }
 
 Task<ExitCode> History(Session* session, const CommandLine&) {
