Pass the timings of leases and placement into the code that uses them

Cause: tests of take-overs had to wait for leases of 6 s, and the deciding functions could not be replaced in a test. Change: PlacementTimings holds the periods and time-outs, and PlacementOwner takes its deciding functions as a template parameter.

--- a/src/lease_keeper.h
+++ b/src/lease_keeper.h
@@ -6,27 +6,21 @@
 #include "clock.h"
 #include "kv_store.h"
 #include "log.h"
+#include "placement_timings.h"
 #include "supervisor.h"
 
 namespace mimosabend {
 
-// How long the key-value service keeps a lease that is not renewed.
-inline constexpr milliseconds kLeaseTimeToLive{6000};
-inline constexpr milliseconds kLeaseRenewPeriod{2000};
-// The holder stops acting on its lease this long after it sent the last renewal that succeeded.
-// What is left of the time to live covers a pause between the check and the act.
-inline constexpr milliseconds kLeaseSafeTime{4000};
-
 // Keeps the one lease of a daemon, to which it attaches all groups it owns. Not thread-safe.
 template <KvStore Kv>
 class LeaseKeeper {
  public:
   // Precondition: `kv` outlives this object.
-  explicit LeaseKeeper(Kv* kv) : kv_(kv) {}
+  explicit LeaseKeeper(Kv* kv, PlacementTimings timings = {}) : kv_(kv), timings_(timings) {}
 
   // The lease, or nullptr if there is none or it may lapse before an act has ended.
   const LeaseId* SafeLease(MonotonicTime now) const {
-    const bool safe = lease_ && now - renewed_at_ < kLeaseSafeTime;
+    const bool safe = lease_ && now - renewed_at_ < timings_.lease_safe_time;
     return safe ? &*lease_ : nullptr;
   }
 
@@ -42,7 +36,7 @@
       } else {
         co_await Grant(sent_at);
       }
-      co_await Sleep(lease_ ? kLeaseRenewPeriod : kRetryDelay);
+      co_await Sleep(lease_ ? timings_.lease_renew_period : timings_.lease_retry_delay);
     }
   }
 
@@ -57,10 +51,8 @@
   }
 
  private:
-  static constexpr milliseconds kRetryDelay{500};
-
   Task<void> Grant(MonotonicTime sent_at) {
-    auto granted = co_await kv_->GrantLease(kLeaseTimeToLive);
+    auto granted = co_await kv_->GrantLease(timings_.lease_time_to_live);
     if (!granted || stopping_) co_return;
     lease_ = granted.value();
     renewed_at_ = sent_at;
@@ -78,6 +70,7 @@
   }
 
   Kv* kv_;
+  PlacementTimings timings_;
   std::optional<LeaseId> lease_;
   MonotonicTime renewed_at_;
   bool stopping_ = false;
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-// Longest pause of a former owner for which a late order cannot overcommit memory.
-constexpr seconds kLateOrderReservation{60};
-
 bool Holds(const PlacedReplica& replica, const std::string& model) {
   return replica.model == model && replica.state != ReplicaState::kUnloading;
 }
@@ -57,14 +54,16 @@
 class Planner {
  public:
   Planner(const Environment& environment, const GroupId& group, const EndpointViews& views,
-          const DemandTable& demand, const Now& now, PlacementRecord* record)
+          const DemandTable& demand, const Now& now, PlacementRecord* record,
+          milliseconds min_residence)
       : environment_(environment),
         pool_(*environment.FindPool(group.pool)),
         group_(group),
         views_(views),
         demand_(demand),
         now_(now),
-        record_(record) {}
+        record_(record),
+        min_residence_(min_residence) {}
 
   PlanResult Run() {
     UnloadWhatIsNotWanted();
@@ -109,7 +108,7 @@
   }
 
   bool IsResident(const PlacedReplica& replica) const {
-    return ToUnixMillis(now_.wall) - replica.decided_at_ms < kMinResidence.count();
+    return ToUnixMillis(now_.wall) - replica.decided_at_ms < min_residence_.count();
   }
 
   // Marks a replica and, if it is a model, the adapters on top of it.
@@ -303,6 +302,7 @@
   const DemandTable& demand_;
   const Now& now_;
   PlacementRecord* record_;
+  milliseconds min_residence_;
   PlanResult result_;
 };
 
@@ -403,22 +403,22 @@
   return result;
 }
 
-void ReserveForLateOrders(WallTime now, PlacementRecord* record) {
+void ReserveForLateOrders(WallTime now, milliseconds hold, PlacementRecord* record) {
   for (const PlacedReplica& replica : record->replicas) {
     if (replica.state == ReplicaState::kReady) continue;
     MemoryReservation reservation;
     reservation.endpoint = replica.endpoint;
     reservation.order_id = replica.order_id;
     reservation.memory_mib = replica.memory_mib;
-    reservation.until_ms = ToUnixMillis(now + kLateOrderReservation);
+    reservation.until_ms = ToUnixMillis(now + hold);
     record->reservations.push_back(std::move(reservation));
   }
 }
 
 PlanResult PlanGroup(const Environment& environment, const GroupId& group,
                      const EndpointViews& views, const DemandTable& demand, const Now& now,
-                     PlacementRecord* record) {
-  return Planner(environment, group, views, demand, now, record).Run();
+                     PlacementRecord* record, milliseconds min_residence) {
+  return Planner(environment, group, views, demand, now, record, min_residence).Run();
 }
 
 }  // namespace mimosabend
--- a/src/placement.h
+++ b/src/placement.h
@@ -13,6 +13,7 @@
 #include "engine.h"
 #include "environment.h"
 #include "host_list.h"
+#include "idle_policy.h"
 
 namespace mimosabend {
 
@@ -161,7 +162,7 @@
 
 // After a takeover: holds back the memory of orders that the former owner may still send. Needed
 // where engines ignore fences.
-void ReserveForLateOrders(WallTime now, PlacementRecord* record);
+void ReserveForLateOrders(WallTime now, milliseconds hold, PlacementRecord* record);
 
 struct PlanResult {
   bool changed = false;
@@ -173,7 +174,7 @@
 // memory is overcommitted and no model has more replicas than its bound.
 PlanResult PlanGroup(const Environment& environment, const GroupId& group,
                      const EndpointViews& views, const DemandTable& demand, const Now& now,
-                     PlacementRecord* record);
+                     PlacementRecord* record, milliseconds min_residence = kMinResidence);
 
 }  // namespace mimosabend
 
--- a/src/placement_owner.h
+++ b/src/placement_owner.h
@@ -17,6 +17,7 @@
 #include "notifier.h"
 #include "peer_message.h"
 #include "placement.h"
+#include "placement_timings.h"
 #include "supervisor.h"
 
 namespace mimosabend {
@@ -31,15 +32,32 @@
   std::function<std::vector<Host>()> hosts;
 };
 
+// The deciding functions of an owner. Tests pass others, in which one mechanism is switched off.
+struct PlacementDecisions {
+  static ObservationResult ApplyObservations(const EndpointViews& views, const Now& now,
+                                             PlacementRecord* record) {
+    return mimosabend::ApplyObservations(views, now, record);
+  }
+  static PlanResult PlanGroup(const Environment& environment, const GroupId& group,
+                              const EndpointViews& views, const DemandTable& demand, const Now& now,
+                              PlacementRecord* record, milliseconds min_residence) {
+    return mimosabend::PlanGroup(environment, group, views, demand, now, record, min_residence);
+  }
+  static void ReserveForLateOrders(WallTime now, milliseconds hold, PlacementRecord* record) {
+    mimosabend::ReserveForLateOrders(now, hold, record);
+  }
+};
+
 // Owns one placement group: takes it over, decides its loads and unloads, writes each decision
 // before it is ordered, and carries the orders out with one coroutine for each endpoint. Not
 // thread-safe.
-template <KvStore Kv, EngineControl Engine>
-class PlacementOwner : public std::enable_shared_from_this<PlacementOwner<Kv, Engine>> {
+template <KvStore Kv, EngineControl Engine, class Decisions = PlacementDecisions>
+class PlacementOwner : public std::enable_shared_from_this<PlacementOwner<Kv, Engine, Decisions>> {
  public:
   // Precondition: all pointers outlive this object.
   PlacementOwner(boost::asio::any_io_executor executor, GroupId group, OwnerContext context, Kv* kv,
-                 LeaseKeeper<Kv>* lease, Engine* engine, Metrics* metrics)
+                 LeaseKeeper<Kv>* lease, Engine* engine, Metrics* metrics,
+                 PlacementTimings timings = {})
       : executor_(executor),
         group_(std::move(group)),
         context_(std::move(context)),
@@ -47,6 +65,7 @@
         lease_(lease),
         engine_(engine),
         metrics_(metrics),
+        timings_(timings),
         work_(executor),
         answers_(executor),
         orders_(executor) {}
@@ -65,7 +84,7 @@
         co_await Decide();
         co_await Release();
       } else {
-        co_await Sleep(kTakeOverRetry);
+        co_await Sleep(timings_.take_over_retry);
       }
     }
     finished_ = true;
@@ -92,13 +111,6 @@
   }
 
  private:
-  static constexpr milliseconds kTakeOverRetry{500};
-  static constexpr milliseconds kDecidePeriod{500};
-  static constexpr milliseconds kEndpointPeriod{500};
-  static constexpr milliseconds kLoadingPeriod{50};
-  static constexpr milliseconds kOrderRepeat{1000};
-  // Demand that is not repeated within this time counts no more.
-  static constexpr milliseconds kDemandLifetime{3000};
   static constexpr std::uint32_t kLoadEstimateMs = 2000;
 
   std::string RecordKey() const {
@@ -141,7 +153,9 @@
     if (new_owner) {
       ++record.fence;
       record.owner = OwnerTag(lease);
-      if (PoolFencing() == Fencing::kIgnored) ReserveForLateOrders(WallNow(), &record);
+      if (PoolFencing() == Fencing::kIgnored) {
+        Decisions::ReserveForLateOrders(WallNow(), timings_.late_order_hold, &record);
+      }
     }
     const WriteResult result = co_await Write(std::move(record));
     if (result != WriteResult::kWritten) co_return false;
@@ -162,7 +176,7 @@
     views_.clear();
     answers_.NotifyAll();
     orders_.NotifyAll();
-    while (endpoint_tasks_ > 0) co_await Sleep(kLoadingPeriod);
+    while (endpoint_tasks_ > 0) co_await Sleep(timings_.loading_period);
     metrics_->ownership_changes_total->Increment();
     LOG4CPLUS_INFO(Log(), "gives up " << group_.ToString());
     if (!stopping_) co_return;
@@ -184,7 +198,7 @@
         if (!kept) co_return;
       }
       answers_.NotifyAll();
-      if (!work_pending_) co_await work_.WaitUntil(MonotonicNow() + kDecidePeriod);
+      if (!work_pending_) co_await work_.WaitUntil(MonotonicNow() + timings_.decide_period);
     }
   }
 
@@ -192,11 +206,12 @@
   Task<bool> DecideOnce() {
     PlacementRecord next = record_;
     const Now now{MonotonicNow(), WallNow()};
-    const ObservationResult observed = ApplyObservations(views_, now, &next);
+    const ObservationResult observed = Decisions::ApplyObservations(views_, now, &next);
     const auto environment = context_.environment();
     PlanResult plan;
     if (environment->FindPool(group_.pool) != nullptr) {
-      plan = PlanGroup(*environment, group_, views_, demand_, now, &next);
+      plan = Decisions::PlanGroup(*environment, group_, views_, demand_, now, &next,
+                                  timings_.min_residence);
     }
     unplaced_ = std::set<std::string>(plan.unplaced.begin(), plan.unplaced.end());
     if (!observed.changed && !plan.changed) co_return true;
@@ -264,7 +279,8 @@
           break;
         }
       }
-      const auto period = self->HasTransitions(endpoint) ? kLoadingPeriod : kEndpointPeriod;
+      const auto period = self->HasTransitions(endpoint) ? self->timings_.loading_period
+                                                         : self->timings_.endpoint_period;
       co_await self->orders_.WaitUntil(MonotonicNow() + period);
     }
     --self->endpoint_tasks_;
@@ -334,7 +350,7 @@
       if (view == views_.end() || !view->second.reachable || !view->second.fence_raised) co_return;
       const std::string attempt = order.order_id + std::string(kOrderKindNames[order.kind]);
       MonotonicTime& last = (*sent)[attempt];
-      if (MonotonicNow() - last < kOrderRepeat) continue;
+      if (MonotonicNow() - last < timings_.order_repeat) continue;
       if (!MayAct()) co_return;
       last = MonotonicNow();
       const bool load = order.kind == OrderKind::kLoad;
@@ -358,7 +374,8 @@
     const Model* model = context_.environment()->FindModel(request.model);
     if (!owning_ || model == nullptr) return false;
     NoteUsed(request.model);
-    demand_[request.model].reports[daemon] = {request.waiting, MonotonicNow() + kDemandLifetime};
+    demand_[request.model].reports[daemon] = {request.waiting,
+                                              MonotonicNow() + timings_.demand_lifetime};
     if (request.waiting != WaitingByRank{}) Wake();
     return true;
   }
@@ -404,6 +421,7 @@
   LeaseKeeper<Kv>* lease_;
   Engine* engine_;
   Metrics* metrics_;
+  PlacementTimings timings_;
   // Wakes the deciding coroutine, the waiting demands, and the endpoints' coroutines.
   Notifier work_;
   Notifier answers_;
