Keep late load orders from loading what the record no longer charges

Cause: a load order that timed out could arrive after its replica was dropped from the record, because its owner held the same fence or the engine ignores fences; an owner that lost a race took the group over again with the same fence; and a replica could be dropped on an observation older than its last order. Behaviour changed: a replica that an engine no longer reports is dropped by way of 'unloading'; the format of the placement record changed.

--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -11,6 +11,34 @@
 
 namespace {
 
+constexpr char kUndecidedPrefix[] = "undecided-";
+
+// Raises the fence above that of all load orders of the replica, so that an engine that honours
+// fences can be made to refuse late ones before the replica is dropped.
+void MarkUnloading(PlacementRecord* record, PlacedReplica* replica) {
+  replica->state = ReplicaState::kUnloading;
+  replica->unload_fence = ++record->fence;
+}
+
+// A reservation counts while its time runs and no replica of the same order is charged.
+bool Counts(const PlacementRecord& record, const LateOrderReservation& reservation, WallTime now) {
+  if (reservation.until_ms <= ToUnixMillis(now)) return false;
+  return std::none_of(record.replicas.begin(), record.replicas.end(), [&](const auto& replica) {
+    return replica.order_id == reservation.order_id;
+  });
+}
+
+// Adds a reservation for the order of a replica, or prolongs the one that exists.
+void Reserve(const PlacedReplica& replica, WallTime until, PlacementRecord* record) {
+  for (LateOrderReservation& reservation : record->reservations) {
+    if (reservation.order_id != replica.order_id) continue;
+    reservation.until_ms = std::max(reservation.until_ms, ToUnixMillis(until));
+    return;
+  }
+  record->reservations.push_back(
+      {replica.endpoint, replica.model, replica.order_id, replica.memory_mib, ToUnixMillis(until)});
+}
+
 bool Holds(const PlacedReplica& replica, const std::string& model) {
   return replica.model == model && replica.state != ReplicaState::kUnloading;
 }
@@ -33,11 +61,15 @@
       return reported != nullptr && reported->state == ReplicaState::kReady ? ReplicaState::kReady
                                                                             : replica.state;
     case ReplicaState::kReady:
-      if (reported == nullptr) return std::nullopt;
-      return reported->state == ReplicaState::kLoading ? ReplicaState::kLoading : replica.state;
-    case ReplicaState::kUnloading:
-      if (reported == nullptr) return std::nullopt;
+      // A copy of the load order may still arrive, so the replica is dropped only by way of
+      // kUnloading.
+      if (reported == nullptr) return ReplicaState::kUnloading;
+      return reported->state;
+    case ReplicaState::kUnloading: {
+      const bool refuses_loads = !view.honours_fence || view.state.fence >= replica.unload_fence;
+      if (reported == nullptr && view.is_current && refuses_loads) return std::nullopt;
       return replica.state;
+    }
   }
   return replica.state;
 }
@@ -115,7 +147,7 @@
   void Unload(PlacedReplica* replica) {
     for (PlacedReplica& other : record_->replicas) {
       const bool on_top = other.base == replica->model && other.endpoint == replica->endpoint;
-      if (&other == replica || on_top) other.state = ReplicaState::kUnloading;
+      if (&other == replica || on_top) MarkUnloading(record_, &other);
     }
     result_.changed = true;
   }
@@ -179,7 +211,7 @@
     const std::uint32_t target = std::max(1u, model.min_replicas);
     if (Active(model.name) >= target) return;
     // Unloading replicas still count against the bound.
-    if (CountReplicas(*record_, model.name) >= model.max_replicas) return;
+    if (CountReplicas(*record_, model.name, now_.wall) >= model.max_replicas) return;
     const Model* base = model.is_adapter() ? environment_.FindModel(model.base) : nullptr;
     if (base != nullptr && Active(base->name) == 0) {
       Place(*base);
@@ -283,7 +315,7 @@
     record_->replicas.push_back(std::move(replica));
     result_.changed = true;
     assert(ChargedMemory(*record_, view.host.id, now_.wall) <= Capacity(view));
-    assert(CountReplicas(*record_, model.name) <= model.max_replicas);
+    assert(CountReplicas(*record_, model.name, now_.wall) <= model.max_replicas);
   }
 
   // An order id names one order for ever.
@@ -348,21 +380,22 @@
   for (const PlacedReplica& replica : record.replicas) {
     if (replica.endpoint == endpoint) sum += replica.memory_mib;
   }
-  for (const MemoryReservation& reservation : record.reservations) {
-    const bool valid = reservation.until_ms > ToUnixMillis(now);
-    const bool held_by_replica =
-        std::any_of(record.replicas.begin(), record.replicas.end(),
-                    [&](const auto& replica) { return replica.order_id == reservation.order_id; });
-    if (valid && !held_by_replica && reservation.endpoint == endpoint) {
+  for (const LateOrderReservation& reservation : record.reservations) {
+    if (reservation.endpoint == endpoint && Counts(record, reservation, now)) {
       sum += reservation.memory_mib;
     }
   }
   return sum;
 }
 
-std::uint32_t CountReplicas(const PlacementRecord& record, const std::string& model) {
-  return std::count_if(record.replicas.begin(), record.replicas.end(),
-                       [&](const PlacedReplica& replica) { return replica.model == model; });
+std::uint32_t CountReplicas(const PlacementRecord& record, const std::string& model, WallTime now) {
+  const auto replicas =
+      std::count_if(record.replicas.begin(), record.replicas.end(),
+                    [&](const PlacedReplica& replica) { return replica.model == model; });
+  const auto reserved = std::count_if(
+      record.reservations.begin(), record.reservations.end(),
+      [&](const auto& item) { return item.model == model && Counts(record, item, now); });
+  return static_cast<std::uint32_t>(replicas + reserved);
 }
 
 ObservationResult ApplyObservations(const EndpointViews& views, const Now& now,
@@ -374,7 +407,15 @@
     const auto state =
         view == views.end() ? std::optional(replica.state) : ObservedState(replica, view->second);
     result.changed |= state != replica.state;
-    if (!state) continue;
+    if (!state) {
+      const auto late = view->second.late_loads.find(replica.order_id);
+      const bool ignores = !view->second.honours_fence;
+      if (ignores && late != view->second.late_loads.end()) Reserve(replica, late->second, record);
+      continue;
+    }
+    if (*state == ReplicaState::kUnloading && replica.state != *state) {
+      MarkUnloading(record, &replica);
+    }
     replica.state = *state;
     kept.push_back(std::move(replica));
   }
@@ -387,9 +428,9 @@
       replica.model = reported.model;
       replica.version = reported.version;
       replica.endpoint = id;
-      replica.state = ReplicaState::kUnloading;
+      MarkUnloading(record, &replica);
       replica.memory_mib = reported.memory_mib;
-      replica.order_id = "undecided-" + std::to_string(++record->last_order);
+      replica.order_id = kUndecidedPrefix + std::to_string(++record->last_order);
       replica.decided_at_ms = ToUnixMillis(now.wall);
       record->replicas.push_back(std::move(replica));
       result.changed = true;
@@ -403,15 +444,15 @@
   return result;
 }
 
-void ReserveForLateOrders(WallTime now, milliseconds hold, PlacementRecord* record) {
+void ReserveForLateOrders(WallTime now, milliseconds load_timeout, milliseconds hold,
+                          PlacementRecord* record) {
   for (const PlacedReplica& replica : record->replicas) {
-    if (replica.state == ReplicaState::kReady) continue;
-    MemoryReservation reservation;
-    reservation.endpoint = replica.endpoint;
-    reservation.order_id = replica.order_id;
-    reservation.memory_mib = replica.memory_mib;
-    reservation.until_ms = ToUnixMillis(now + hold);
-    record->reservations.push_back(std::move(reservation));
+    // No load was ordered for a replica that nobody decided.
+    if (replica.order_id.starts_with(kUndecidedPrefix)) continue;
+    const WallTime decided_at{milliseconds(replica.decided_at_ms)};
+    const bool loading = replica.state == ReplicaState::kLoading;
+    const WallTime last_order = loading ? now : std::min(now, decided_at + load_timeout);
+    if (last_order + hold > now) Reserve(replica, last_order + hold, record);
   }
 }
 
--- a/src/placement.h
+++ b/src/placement.h
@@ -57,6 +57,8 @@
   std::int64_t memory_mib = 0;
   std::string order_id;
   std::int64_t decided_at_ms = 0;
+  // Load orders of this replica carry lower fences; 0 while the replica is wanted.
+  std::uint64_t unload_fence = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -67,13 +69,14 @@
     SerializeEnum(archive, state, 3);
     archive(memory_mib);
     SerializeText(archive, order_id);
-    archive(decided_at_ms);
+    archive(decided_at_ms, unload_fence);
   }
 };
 
-// Memory held back at an endpoint, because a late order may still take it.
-struct MemoryReservation {
+// Memory and one replica of the bound held back, because a late order may still take them.
+struct LateOrderReservation {
   std::string endpoint;
+  std::string model;
   // The reservation counts only while the record has no replica of this order.
   std::string order_id;
   std::int64_t memory_mib = 0;
@@ -82,6 +85,7 @@
   template <class Archive>
   void serialize(Archive& archive) {
     SerializeText(archive, endpoint);
+    SerializeText(archive, model);
     SerializeText(archive, order_id);
     archive(memory_mib, until_ms);
   }
@@ -89,12 +93,12 @@
 
 // All decisions for one group, as kept in the key-value service.
 struct PlacementRecord {
-  // Raised by each new owner.
+  // Raised by each take-over and by each decision to unload.
   std::uint64_t fence = 0;
   std::string owner;
   std::uint64_t last_order = 0;
   std::vector<PlacedReplica> replicas;
-  std::vector<MemoryReservation> reservations;
+  std::vector<LateOrderReservation> reservations;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -115,6 +119,12 @@
   bool fence_raised = false;
   // False once the host list no longer names the host.
   bool listed = true;
+  // The engine refuses orders with an old fence.
+  bool honours_fence = false;
+  // No load order was sent since the observation in `state` began.
+  bool is_current = false;
+  // Load orders of unknown outcome, by order id, and until when they may still arrive.
+  std::map<std::string, WallTime> late_loads;
   EngineState state;
 
   bool may_take_loads() const {
@@ -147,8 +157,8 @@
 std::int64_t ChargedMemory(const PlacementRecord& record, const std::string& endpoint,
                            WallTime now);
 
-// Replicas of a model in any state. Thread-safe.
-std::uint32_t CountReplicas(const PlacementRecord& record, const std::string& model);
+// Replicas of a model in any state, and those that a late order may still load. Thread-safe.
+std::uint32_t CountReplicas(const PlacementRecord& record, const std::string& model, WallTime now);
 
 struct ObservationResult {
   bool changed = false;
@@ -156,13 +166,17 @@
 };
 
 // Brings the record in line with what the endpoints report. Replicas that nobody decided are
-// charged and marked for unloading.
+// charged and marked for unloading. A replica is dropped only when the engine does not hold it
+// and refuses late load orders of it; where engines ignore fences, a reservation takes its place
+// while a load order of unknown outcome may still arrive.
 ObservationResult ApplyObservations(const EndpointViews& views, const Now& now,
                                     PlacementRecord* record);
 
-// After a takeover: holds back the memory of orders that the former owner may still send. Needed
-// where engines ignore fences.
-void ReserveForLateOrders(WallTime now, milliseconds hold, PlacementRecord* record);
+// After a take-over: holds back what load orders of the former owner may still take within `hold`.
+// A former owner sends no load order later than `load_timeout` after the decision. Needed where
+// engines ignore fences.
+void ReserveForLateOrders(WallTime now, milliseconds load_timeout, milliseconds hold,
+                          PlacementRecord* record);
 
 struct PlanResult {
   bool changed = false;
--- a/src/placement_owner.h
+++ b/src/placement_owner.h
@@ -43,8 +43,9 @@
                               PlacementRecord* record, milliseconds min_residence) {
     return mimosabend::PlanGroup(environment, group, views, demand, now, record, min_residence);
   }
-  static void ReserveForLateOrders(WallTime now, milliseconds hold, PlacementRecord* record) {
-    mimosabend::ReserveForLateOrders(now, hold, record);
+  static void ReserveForLateOrders(WallTime now, milliseconds load_timeout, milliseconds hold,
+                                   PlacementRecord* record) {
+    mimosabend::ReserveForLateOrders(now, load_timeout, hold, record);
   }
 };
 
@@ -149,17 +150,18 @@
       record = std::move(*stored);
     }
     version_ = entry.value().version;
-    const bool new_owner = record.owner != OwnerTag(lease);
-    if (new_owner) {
-      ++record.fence;
-      record.owner = OwnerTag(lease);
-      if (PoolFencing() == Fencing::kIgnored) {
-        Decisions::ReserveForLateOrders(WallNow(), timings_.late_order_hold, &record);
-      }
+    // Also when this daemon was the last owner: it may have orders under way that it no longer
+    // knows of.
+    ++record.fence;
+    record.owner = OwnerTag(lease);
+    if (PoolFencing() == Fencing::kIgnored) {
+      Decisions::ReserveForLateOrders(WallNow(), context_.environment()->load_timeout,
+                                      timings_.late_order_hold, &record);
     }
     const WriteResult result = co_await Write(std::move(record));
     if (result != WriteResult::kWritten) co_return false;
     owning_lease_ = lease;
+    owned_fence_ = record_.fence;
     owning_ = true;
     demand_.clear();
     for (const PlacedReplica& replica : record_.replicas) NoteUsed(replica.model);
@@ -257,6 +259,7 @@
       const auto [it, inserted] = views_.try_emplace(host.id);
       it->second.host = host;
       it->second.listed = true;
+      it->second.honours_fence = pool->fencing == Fencing::kHonoured;
       if (inserted) {
         boost::asio::co_spawn(executor_, Attend(this->shared_from_this(), host.id),
                               boost::asio::detached);
@@ -300,13 +303,22 @@
     return false;
   }
 
+  // The fence that an engine must have before the owner may decide for it and drop what it has
+  // unloaded there.
+  std::uint64_t RequiredFence(const std::string& endpoint) const {
+    std::uint64_t fence = owned_fence_;
+    for (const PlacedReplica& replica : record_.replicas) {
+      if (replica.endpoint == endpoint) fence = std::max(fence, replica.unload_fence);
+    }
+    return fence;
+  }
+
   Task<void> Observe(std::string endpoint) {
-    const Address address = views_.at(endpoint).host.address;
-    if (PoolFencing() == Fencing::kHonoured && !views_.at(endpoint).fence_raised) {
+    const EndpointView& known = views_.at(endpoint);
+    const Address address = known.host.address;
+    if (known.honours_fence && known.state.fence < RequiredFence(endpoint)) {
       auto raised = co_await engine_->RaiseFence(address, record_.fence);
-      const auto view = views_.find(endpoint);
-      if (view == views_.end()) co_return;
-      view->second.fence_raised = static_cast<bool>(raised);
+      if (!raised) metrics_->engine_errors_total->Increment();
     }
     auto state = co_await engine_->State(address);
     const auto it = views_.find(endpoint);
@@ -315,11 +327,11 @@
     const bool was_reachable = view.reachable;
     view.reachable = static_cast<bool>(state);
     if (state) {
-      // A restarted engine has forgotten its fence.
-      if (view.state.incarnation != state.value().incarnation) view.fence_raised = false;
       view.state = std::move(state).value();
-      if (PoolFencing() == Fencing::kIgnored) view.fence_raised = true;
-      if (view.state.fence >= record_.fence) view.fence_raised = true;
+      view.is_current = true;
+      // An engine that restarts forgets its fence.
+      view.fence_raised = !view.honours_fence || view.state.fence >= owned_fence_;
+      std::erase_if(view.late_loads, [](const auto& load) { return load.second <= WallNow(); });
     } else {
       metrics_->engine_errors_total->Increment();
     }
@@ -332,33 +344,60 @@
 
   // Sends the orders that the record holds for an endpoint and the engine has not carried out.
   Task<void> SendOrders(std::string endpoint, std::map<std::string, MonotonicTime>* sent) {
-    std::vector<EngineOrder> orders;
+    for (;;) {
+      // The record may have changed while the last order was under way.
+      std::optional<EngineOrder> order = NextOrder(endpoint, sent);
+      if (!order) co_return;
+      const bool load = order->kind == OrderKind::kLoad;
+      (load ? metrics_->load_orders_total : metrics_->unload_orders_total)->Increment();
+      const Address address = views_.at(endpoint).host.address;
+      if (!load) {
+        auto result = co_await engine_->Order(address, std::move(*order));
+        if (!result) metrics_->engine_errors_total->Increment();
+        continue;
+      }
+      views_.at(endpoint).is_current = false;
+      const std::string order_id = order->order_id;
+      auto result = co_await engine_->Order(address, std::move(*order));
+      if (result) continue;
+      metrics_->engine_errors_total->Increment();
+      const auto view = views_.find(endpoint);
+      if (view == views_.end()) co_return;
+      if (MayArriveLate(result.error())) {
+        view->second.late_loads[order_id] = WallNow() + timings_.late_order_hold;
+      }
+    }
+  }
+
+  static bool MayArriveLate(EngineError error) {
+    return error == EngineError::kTimedOut || error == EngineError::kBroken ||
+           error == EngineError::kBadAnswer;
+  }
+
+  // The next order for an endpoint that is due now.
+  std::optional<EngineOrder> NextOrder(const std::string& endpoint,
+                                       std::map<std::string, MonotonicTime>* sent) const {
+    const auto view = views_.find(endpoint);
+    if (view == views_.end() || !view->second.reachable || !view->second.fence_raised) return {};
+    if (!MayAct()) return {};
     for (const PlacedReplica& replica : record_.replicas) {
       if (replica.endpoint != endpoint || replica.state == ReplicaState::kReady) continue;
+      const bool load = replica.state == ReplicaState::kLoading;
+      const OrderKind kind = load ? OrderKind::kLoad : OrderKind::kUnload;
+      MonotonicTime& last = (*sent)[replica.order_id + std::string(kOrderKindNames[kind])];
+      if (MonotonicNow() - last < timings_.order_repeat) continue;
+      last = MonotonicNow();
       EngineOrder order;
       order.order_id = replica.order_id;
       order.fence = record_.fence;
-      order.kind = replica.state == ReplicaState::kLoading ? OrderKind::kLoad : OrderKind::kUnload;
+      order.kind = kind;
       order.model = replica.model;
       order.base = replica.base;
       order.version = replica.version;
       order.memory_mib = replica.memory_mib;
-      orders.push_back(std::move(order));
-    }
-    for (EngineOrder& order : orders) {
-      const auto view = views_.find(endpoint);
-      if (view == views_.end() || !view->second.reachable || !view->second.fence_raised) co_return;
-      const std::string attempt = order.order_id + std::string(kOrderKindNames[order.kind]);
-      MonotonicTime& last = (*sent)[attempt];
-      if (MonotonicNow() - last < timings_.order_repeat) continue;
-      if (!MayAct()) co_return;
-      last = MonotonicNow();
-      const bool load = order.kind == OrderKind::kLoad;
-      (load ? metrics_->load_orders_total : metrics_->unload_orders_total)->Increment();
-      const Address address = view->second.host.address;
-      auto result = co_await engine_->Order(address, std::move(order));
-      if (!result) metrics_->engine_errors_total->Increment();
+      return order;
     }
+    return {};
   }
 
   void NoteUsed(const std::string& model) {
@@ -429,6 +468,8 @@
   PlacementRecord record_;
   std::uint64_t version_ = 0;
   LeaseId owning_lease_;
+  // The fence of the take-over.
+  std::uint64_t owned_fence_ = 0;
   EndpointViews views_;
   DemandTable demand_;
   std::set<std::string> unplaced_;
