Give a host up only after it was missing and silent for 5 s

Cause: a replica was dropped at once when one host list lacked its host and the endpoint did not answer, so a glitch of the list during a cut link freed a live replica; a replica whose host went before a take-over stayed charged for ever; a daemon that had not read the list yet took all hosts as unlisted. Change: missing and gone are judged over vanish_grace; hosts of the record that are not listed get a view; an empty list says nothing; a host that is missing but answers has its replicas unloaded. Behaviour changed: a replica of a host that vanished is charged for 5 s more.

--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -52,7 +52,7 @@
 
 // The new state of a replica, or std::nullopt if it is known to be gone.
 std::optional<ReplicaState> ObservedState(const PlacedReplica& replica, const EndpointView& view) {
-  if (!view.listed && !view.reachable) return std::nullopt;
+  if (view.gone) return std::nullopt;
   if (!view.reachable || !view.fence_raised) return replica.state;
   const EngineReplica* reported = FindReported(view.state, replica);
   switch (replica.state) {
@@ -162,7 +162,8 @@
     const Model* model = environment_.FindModel(replica.model);
     if (model == nullptr || model->version != replica.version) return true;
     const auto view = views_.find(replica.endpoint);
-    return view != views_.end() && view->second.host.state == HostState::kLeaving;
+    if (view == views_.end()) return false;
+    return view->second.missing || view->second.host.state == HostState::kLeaving;
   }
 
   void UnloadWhatIsNotWanted() {
@@ -409,8 +410,8 @@
     result.changed |= state != replica.state;
     if (!state) {
       const auto late = view->second.late_loads.find(replica.order_id);
-      const bool ignores = !view->second.honours_fence;
-      if (ignores && late != view->second.late_loads.end()) Reserve(replica, late->second, record);
+      const bool may_load = !view->second.honours_fence && !view->second.gone;
+      if (may_load && late != view->second.late_loads.end()) Reserve(replica, late->second, record);
       continue;
     }
     if (*state == ReplicaState::kUnloading && replica.state != *state) {
@@ -438,7 +439,9 @@
     }
   }
   const std::size_t removed = std::erase_if(record->reservations, [&](const auto& reservation) {
-    return reservation.until_ms <= ToUnixMillis(now.wall);
+    const auto view = views.find(reservation.endpoint);
+    const bool gone = view != views.end() && view->second.gone;
+    return gone || reservation.until_ms <= ToUnixMillis(now.wall);
   });
   result.changed |= removed > 0;
   return result;
--- a/src/placement.h
+++ b/src/placement.h
@@ -117,8 +117,12 @@
   bool reachable = false;
   // The engine refuses orders below the owner's fence, or its pool ignores fences.
   bool fence_raised = false;
-  // False once the host list no longer names the host.
+  // The last host list names the host.
   bool listed = true;
+  // The host list has not named the host for some time.
+  bool missing = false;
+  // The host is missing and has not answered for some time.
+  bool gone = false;
   // The engine refuses orders with an old fence.
   bool honours_fence = false;
   // No load order was sent since the observation in `state` began.
--- a/src/placement_owner.h
+++ b/src/placement_owner.h
@@ -176,6 +176,7 @@
   Task<void> Release() {
     owning_ = false;
     views_.clear();
+    contacts_.clear();
     answers_.NotifyAll();
     orders_.NotifyAll();
     while (endpoint_tasks_ > 0) co_await Sleep(timings_.loading_period);
@@ -249,24 +250,55 @@
     co_return WriteResult::kWritten;
   }
 
-  // Starts a coroutine for each endpoint that is new on the host list.
+  // Brings the views in line with the host list and starts a coroutine for each new endpoint.
   void RefreshHosts() {
     const Pool* pool = context_.environment()->FindPool(group_.pool);
-    if (pool == nullptr) return;
+    const std::vector<Host> hosts = context_.hosts();
+    // An empty list was not read yet, and says nothing of any host.
+    if (pool == nullptr || hosts.empty()) return;
     for (auto& [id, view] : views_) view.listed = false;
-    for (const Host& host : context_.hosts()) {
+    for (const Host& host : hosts) {
       if (host.serves != group_.pool || GroupOfEndpoint(*pool, host) != group_) continue;
-      const auto [it, inserted] = views_.try_emplace(host.id);
-      it->second.host = host;
-      it->second.listed = true;
-      it->second.honours_fence = pool->fencing == Fencing::kHonoured;
-      if (inserted) {
-        boost::asio::co_spawn(executor_, Attend(this->shared_from_this(), host.id),
-                              boost::asio::detached);
-      }
+      EndpointView& view = views_[host.id];
+      view.host = host;
+      view.listed = true;
+      view.honours_fence = pool->fencing == Fencing::kHonoured;
+      if (contacts_[host.id].attended) continue;
+      contacts_[host.id].attended = true;
+      boost::asio::co_spawn(executor_, Attend(this->shared_from_this(), host.id),
+                            boost::asio::detached);
+    }
+    NoteUnlistedHosts();
+    NoteMissingHosts();
+  }
+
+  // Hosts of the record that were off the list before this owner took over.
+  void NoteUnlistedHosts() {
+    for (const PlacedReplica& replica : record_.replicas) {
+      const auto [it, inserted] = views_.try_emplace(replica.endpoint);
+      if (!inserted) continue;
+      it->second.host.id = replica.endpoint;
+      it->second.listed = false;
+      contacts_[replica.endpoint].answered_at = MonotonicNow();
+      contacts_[replica.endpoint].listed_at = MonotonicNow();
     }
   }
 
+  void NoteMissingHosts() {
+    const MonotonicTime now = MonotonicNow();
+    for (auto& [id, view] : views_) {
+      Contact& contact = contacts_[id];
+      if (view.listed) contact.listed_at = now;
+      if (view.reachable) contact.answered_at = now;
+      view.missing = now - contact.listed_at > timings_.vanish_grace;
+      view.gone = view.missing && now - contact.answered_at > timings_.vanish_grace;
+    }
+    std::erase_if(views_, [&](const auto& item) {
+      const bool attended = contacts_[item.first].attended;
+      return item.second.gone && !attended && !HasReplicas(item.first);
+    });
+  }
+
   // Watches one endpoint and sends it its orders, one after another.
   static Task<void> Attend(std::shared_ptr<PlacementOwner> self, std::string endpoint) {
     ++self->endpoint_tasks_;
@@ -276,16 +308,15 @@
       co_await self->SendOrders(endpoint, &sent);
       const auto view = self->views_.find(endpoint);
       if (view == self->views_.end()) break;
-      if (!view->second.listed && !view->second.reachable) {
-        if (!self->HasReplicas(endpoint)) {
-          self->views_.erase(view);
-          break;
-        }
+      if (view->second.gone && !self->HasReplicas(endpoint)) {
+        self->views_.erase(view);
+        break;
       }
       const auto period = self->HasTransitions(endpoint) ? self->timings_.loading_period
                                                          : self->timings_.endpoint_period;
       co_await self->orders_.WaitUntil(MonotonicNow() + period);
     }
+    self->contacts_.erase(endpoint);
     --self->endpoint_tasks_;
   }
 
@@ -470,7 +501,16 @@
   LeaseId owning_lease_;
   // The fence of the take-over.
   std::uint64_t owned_fence_ = 0;
+  // When an endpoint was last on the host list and last answered.
+  struct Contact {
+    MonotonicTime listed_at;
+    MonotonicTime answered_at;
+    // A coroutine watches the endpoint.
+    bool attended = false;
+  };
+
   EndpointViews views_;
+  std::map<std::string, Contact> contacts_;
   DemandTable demand_;
   std::set<std::string> unplaced_;
   int endpoint_tasks_ = 0;
--- a/src/placement_timings.h
+++ b/src/placement_timings.h
@@ -24,6 +24,10 @@
   // Demand that is not repeated within this time counts no more.
   milliseconds demand_lifetime{3000};
   milliseconds min_residence = kMinResidence;
+  // A host is held to be missing once the host list has not named it, and gone once it has not
+  // answered either, for this long: a list that lacks a live host for a moment while a link is cut
+  // must not free what the host holds.
+  milliseconds vanish_grace{5000};
   // Longest time after which an order of unknown outcome may still arrive at an engine that
   // ignores fences.
   milliseconds late_order_hold{60000};
