Count reservations against the budget and drain no more than needed

Cause: the budget of a group did not count reservations; memory that an engine uses beyond its replicas was hidden by the charge of loads that it had not started; a budget exceeded by one replica unloaded every idle one, since an unloading replica stays charged; a smaller endpoint_memory_mib drained nothing; a model that moved to another pool stayed loaded in the old one. Change: the charge of a group includes reservations, uncharged memory is added to the charge, draining stops when the unloads under way suffice, and also drains endpoints.

--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -107,9 +107,13 @@
  private:
   std::int64_t GroupBudget() const { return pool_.budget_mib / pool_.groups; }
 
+  // All that counts against the budget of the group, reservations included.
   std::int64_t GroupCharge() const {
     std::int64_t sum = 0;
     for (const PlacedReplica& replica : record_->replicas) sum += replica.memory_mib;
+    for (const LateOrderReservation& reservation : record_->reservations) {
+      if (Counts(*record_, reservation, now_.wall)) sum += reservation.memory_mib;
+    }
     return sum;
   }
 
@@ -118,10 +122,20 @@
     return std::min(pool_.endpoint_memory_mib, view.state.memory_total_mib);
   }
 
+  // What the engine uses beyond the charge of the replicas it reports, a KV cache import for
+  // example.
+  std::int64_t UnchargedMemory(const EndpointView& view) const {
+    std::int64_t reported = 0;
+    for (const PlacedReplica& replica : record_->replicas) {
+      const bool here = replica.endpoint == view.host.id;
+      if (here && FindReported(view.state, replica) != nullptr) reported += replica.memory_mib;
+    }
+    return std::max<std::int64_t>(0, view.state.memory_used_mib - reported);
+  }
+
   std::int64_t FreeMemory(const EndpointView& view) const {
     const std::int64_t charged = ChargedMemory(*record_, view.host.id, now_.wall);
-    // What the engine uses beyond the record, a KV cache import for example, is not free either.
-    return Capacity(view) - std::max(charged, view.state.memory_used_mib);
+    return Capacity(view) - charged - UnchargedMemory(view);
   }
 
   WaitingByRank WaitingFor(const std::string& model) const {
@@ -161,6 +175,7 @@
   bool IsUnwanted(const PlacedReplica& replica) const {
     const Model* model = environment_.FindModel(replica.model);
     if (model == nullptr || model->version != replica.version) return true;
+    if (HomeGroup(environment_, *model, group_.region) != group_) return true;
     const auto view = views_.find(replica.endpoint);
     if (view == views_.end()) return false;
     return view->second.missing || view->second.host.state == HostState::kLeaving;
@@ -176,11 +191,18 @@
       const bool surplus = model != nullptr && Active(replica.model) > model->max_replicas;
       if (IsUnwanted(replica) || idle || surplus || HasStalled(replica)) Unload(&replica);
     }
-    while (GroupCharge() > GroupBudget()) {
+    while (GroupCharge() - UnloadingMemory("") > GroupBudget()) {
       PlacedReplica* victim = LeastRecentlyUsed("");
       if (victim == nullptr) break;
       Unload(victim);
     }
+    for (const auto& [id, view] : views_) {
+      while (view.reachable && FreeMemory(view) + UnloadingMemory(id) < 0) {
+        PlacedReplica* victim = LeastRecentlyUsed(id);
+        if (victim == nullptr) break;
+        Unload(victim);
+      }
+    }
   }
 
   bool HasStalled(const PlacedReplica& replica) const {
