Keep the owners alive that a stopping daemon waits for

Cause: Ownership::Stop iterated over owners_ across suspensions, while Adjust erased the finished owners from it. Change: Stop waits on a copy. Found by reading; no test.

--- a/src/ownership.h
+++ b/src/ownership.h
@@ -50,8 +50,10 @@
   // Gives all groups up and returns when that is done.
   Task<void> Stop() {
     stopping_ = true;
-    for (auto& [group, owner] : owners_) owner->Stop();
-    for (auto& [group, owner] : owners_) {
+    // Adjust drops finished owners from owners_ while this coroutine waits.
+    const std::map<std::string, std::shared_ptr<Owner>> owners = owners_;
+    for (const auto& [group, owner] : owners) owner->Stop();
+    for (const auto& [group, owner] : owners) {
       while (!owner->finished()) co_await Sleep(kStopPoll);
     }
   }
