Act only under the lease that holds the group, and place nothing at leaving hosts

Change: the lease of the take-over is compared, a refused fence leads to a new take-over, host states are read again before each answer, and loads go to live hosts only.

--- a/src/placement_owner.h
+++ b/src/placement_owner.h
@@ -104,6 +104,8 @@
     const MonotonicTime deadline = MonotonicNow() + milliseconds(request.wait_ms);
     const bool known = NoteDemand(daemon, request);
     for (;;) {
+      // The deciding coroutine may be held up by a write.
+      if (owning_) RefreshHosts();
       DemandAnswer answer = known || !owning_ ? AnswerNow(request.model) : DemandAnswer{};
       const bool final = answer.status != DemandStatus::kLoading;
       if (final || MonotonicNow() >= deadline || stopping_) co_return answer;
@@ -127,7 +129,14 @@
     work_.NotifyAll();
   }
 
-  bool MayAct() const { return owning_ && lease_->SafeLease(MonotonicNow()) != nullptr; }
+  // True while the lease by which this daemon acquired the group is safe. A lease that was granted
+  // since then does not hold the group.
+  bool HoldsGroup() const {
+    const LeaseId* lease = lease_->SafeLease(MonotonicNow());
+    return lease != nullptr && *lease == owning_lease_;
+  }
+
+  bool MayAct() const { return owning_ && HoldsGroup(); }
 
   Fencing PoolFencing() const {
     const Pool* pool = context_.environment()->FindPool(group_.pool);
@@ -159,9 +168,10 @@
                                       timings_.late_order_hold, &record);
     }
     const WriteResult result = co_await Write(std::move(record));
-    if (result != WriteResult::kWritten) co_return false;
+    if (result != WriteResult::kWritten || !lease_->Holds(lease)) co_return false;
     owning_lease_ = lease;
     owned_fence_ = record_.fence;
+    fence_refused_ = false;
     owning_ = true;
     demand_.clear();
     for (const PlacedReplica& replica : record_.replicas) NoteUsed(replica.model);
@@ -177,6 +187,7 @@
     owning_ = false;
     views_.clear();
     contacts_.clear();
+    hosts_read_at_ = {};
     answers_.NotifyAll();
     orders_.NotifyAll();
     while (endpoint_tasks_ > 0) co_await Sleep(timings_.loading_period);
@@ -193,10 +204,10 @@
   // Decides until the group is lost. While the service can't be reached nothing is decided, but
   // the ready replicas are still named to daemons that ask.
   Task<void> Decide() {
-    while (!stopping_ && lease_->Holds(owning_lease_)) {
+    while (!stopping_ && !fence_refused_ && lease_->Holds(owning_lease_)) {
       work_pending_ = false;
       RefreshHosts();
-      if (lease_->SafeLease(MonotonicNow()) != nullptr) {
+      if (HoldsGroup()) {
         const bool kept = co_await DecideOnce();
         if (!kept) co_return;
       }
@@ -252,6 +263,8 @@
 
   // Brings the views in line with the host list and starts a coroutine for each new endpoint.
   void RefreshHosts() {
+    if (MonotonicNow() - hosts_read_at_ < timings_.loading_period) return;
+    hosts_read_at_ = MonotonicNow();
     const Pool* pool = context_.environment()->FindPool(group_.pool);
     const std::vector<Host> hosts = context_.hosts();
     // An empty list was not read yet, and says nothing of any host.
@@ -303,7 +316,9 @@
   static Task<void> Attend(std::shared_ptr<PlacementOwner> self, std::string endpoint) {
     ++self->endpoint_tasks_;
     std::map<std::string, MonotonicTime> sent;
-    while (self->owning_ && self->views_.contains(endpoint)) {
+    while (self->owning_) {
+      self->RefreshHosts();
+      if (!self->views_.contains(endpoint)) break;
       co_await self->Observe(endpoint);
       co_await self->SendOrders(endpoint, &sent);
       const auto view = self->views_.find(endpoint);
@@ -349,7 +364,7 @@
     const Address address = known.host.address;
     if (known.honours_fence && known.state.fence < RequiredFence(endpoint)) {
       auto raised = co_await engine_->RaiseFence(address, record_.fence);
-      if (!raised) metrics_->engine_errors_total->Increment();
+      if (!raised) NoteEngineError(raised.error());
     }
     auto state = co_await engine_->State(address);
     const auto it = views_.find(endpoint);
@@ -384,14 +399,14 @@
       const Address address = views_.at(endpoint).host.address;
       if (!load) {
         auto result = co_await engine_->Order(address, std::move(*order));
-        if (!result) metrics_->engine_errors_total->Increment();
+        if (!result) NoteEngineError(result.error());
         continue;
       }
       views_.at(endpoint).is_current = false;
       const std::string order_id = order->order_id;
       auto result = co_await engine_->Order(address, std::move(*order));
       if (result) continue;
-      metrics_->engine_errors_total->Increment();
+      NoteEngineError(result.error());
       const auto view = views_.find(endpoint);
       if (view == views_.end()) co_return;
       if (MayArriveLate(result.error())) {
@@ -400,6 +415,15 @@
     }
   }
 
+  // A refused fence means that another daemon has written the record since, so the group is taken
+  // over anew.
+  void NoteEngineError(EngineError error) {
+    metrics_->engine_errors_total->Increment();
+    if (error != EngineError::kStaleFence) return;
+    fence_refused_ = true;
+    Wake();
+  }
+
   static bool MayArriveLate(EngineError error) {
     return error == EngineError::kTimedOut || error == EngineError::kBroken ||
            error == EngineError::kBadAnswer;
@@ -414,6 +438,7 @@
     for (const PlacedReplica& replica : record_.replicas) {
       if (replica.endpoint != endpoint || replica.state == ReplicaState::kReady) continue;
       const bool load = replica.state == ReplicaState::kLoading;
+      if (load && !view->second.may_take_loads()) continue;
       const OrderKind kind = load ? OrderKind::kLoad : OrderKind::kUnload;
       MonotonicTime& last = (*sent)[replica.order_id + std::string(kOrderKindNames[kind])];
       if (MonotonicNow() - last < timings_.order_repeat) continue;
@@ -459,8 +484,9 @@
     for (const PlacedReplica& replica : record_.replicas) {
       const auto view = views_.find(replica.endpoint);
       if (replica.model != model || replica.state != ReplicaState::kReady) continue;
-      if (view == views_.end() || view->second.host.state != HostState::kLive) continue;
+      if (view == views_.end() || !view->second.listed) continue;
       const EndpointView& endpoint = view->second;
+      if (endpoint.host.state != HostState::kLive) continue;
       ReplicaLocation location;
       location.endpoint = replica.endpoint;
       location.address = endpoint.host.address;
@@ -501,6 +527,8 @@
   LeaseId owning_lease_;
   // The fence of the take-over.
   std::uint64_t owned_fence_ = 0;
+  // An engine has a higher fence than the record that this daemon knows.
+  bool fence_refused_ = false;
   // When an endpoint was last on the host list and last answered.
   struct Contact {
     MonotonicTime listed_at;
@@ -511,6 +539,7 @@
 
   EndpointViews views_;
   std::map<std::string, Contact> contacts_;
+  MonotonicTime hosts_read_at_;
   DemandTable demand_;
   std::set<std::string> unplaced_;
   int endpoint_tasks_ = 0;
