--- /dev/null
+++ b/tests/test_placement.cpp
@@ -0,0 +1,680 @@
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "fake_engine.h"
+#include "fake_kv.h"
+#include "placement_owner.h"
+
+namespace mimosabend::testing {
+
+namespace {
+
+constexpr int kDaemons = 3;
+constexpr int kEngines = 3;
+constexpr std::int64_t kEndpointMemoryMib = 100;
+constexpr milliseconds kHorizon{4500};
+// Longer than any reservation, lease and grace time below.
+constexpr milliseconds kSettleTime{4000};
+
+// A tenth of the product's times. Late orders are held for less, so that a run of a few seconds
+// sees reservations end.
+PlacementTimings ShortTimings() {
+  PlacementTimings timings;
+  timings.lease_time_to_live = milliseconds(600);
+  timings.lease_renew_period = milliseconds(200);
+  timings.lease_safe_time = milliseconds(400);
+  timings.lease_retry_delay = milliseconds(50);
+  timings.take_over_retry = milliseconds(50);
+  timings.decide_period = milliseconds(50);
+  timings.endpoint_period = milliseconds(50);
+  timings.loading_period = milliseconds(5);
+  timings.order_repeat = milliseconds(100);
+  timings.demand_lifetime = milliseconds(300);
+  timings.min_residence = milliseconds(50);
+  timings.vanish_grace = milliseconds(500);
+  timings.late_order_hold = milliseconds(1500);
+  return timings;
+}
+
+// Six models that do not fit at once, and an adapter.
+Environment GroupEnvironment(Fencing fencing) {
+  Environment environment;
+  environment.regions = {"sul"};
+  environment.load_timeout = milliseconds(200);
+  Pool pool;
+  pool.name = "assistant";
+  pool.fencing = fencing;
+  pool.endpoint_memory_mib = kEndpointMemoryMib;
+  pool.budget_mib = kEngines * kEndpointMemoryMib;
+  environment.pools["assistant"] = pool;
+  for (int i = 0; i < 6; ++i) {
+    Model model;
+    model.name = "model-" + std::to_string(i);
+    model.pool = "assistant";
+    model.version = "1";
+    model.memory_mib = 45 + 5 * (i % 3);
+    model.max_replicas = 1 + i % 2;
+    model.min_replicas = i == 1 ? 2 : 0;
+    environment.models[model.name] = model;
+  }
+  Model adapter;
+  adapter.name = "adapter";
+  adapter.base = "model-0";
+  adapter.pool = "assistant";
+  adapter.version = "1";
+  adapter.memory_mib = 5;
+  environment.models["adapter"] = adapter;
+  return environment;
+}
+
+// The key-value client of a daemon that can be paused.
+class PausableKv {
+ public:
+  PausableKv(FakeKvService* service, PauseGate* gate)
+      : service_(service), kv_(service), gate_(gate) {}
+
+  KvFaults& faults() { return kv_.faults(); }
+  // Reports each write as done and stores it only after this time, whatever the version is then.
+  void set_write_behind(milliseconds time) { write_behind_ = time; }
+
+  Task<Result<KvEntry, KvError>> Read(std::string key) { co_return co_await Gated(kv_.Read(key)); }
+  Task<Result<KvSwap, KvError>> CompareAndSwap(std::string key, std::string value,
+                                               std::uint64_t expected) {
+    if (write_behind_.count() > 0) {
+      boost::asio::co_spawn(co_await boost::asio::this_coro::executor, StoreLate(key, value),
+                            boost::asio::detached);
+      co_return KvSwap{true, expected + 1};
+    }
+    co_return co_await Gated(kv_.CompareAndSwap(key, value, expected));
+  }
+  Task<Result<bool, KvError>> Delete(std::string key, std::uint64_t expected) {
+    co_return co_await Gated(kv_.Delete(key, expected));
+  }
+  Task<Result<std::vector<KvItem>, KvError>> List(std::string prefix) {
+    co_return co_await Gated(kv_.List(prefix));
+  }
+  Task<Result<KvEntry, KvError>> Watch(std::string key, std::uint64_t known, milliseconds wait) {
+    co_return co_await Gated(kv_.Watch(key, known, wait));
+  }
+  Task<Result<LeaseId, KvError>> GrantLease(milliseconds time_to_live) {
+    co_return co_await Gated(kv_.GrantLease(time_to_live));
+  }
+  Task<Result<bool, KvError>> RenewLease(LeaseId lease) {
+    co_return co_await Gated(kv_.RenewLease(lease));
+  }
+  Task<Result<void, KvError>> RevokeLease(LeaseId lease) {
+    co_return co_await Gated(kv_.RevokeLease(lease));
+  }
+  Task<Result<bool, KvError>> Acquire(std::string key, std::string value, LeaseId lease) {
+    co_return co_await Gated(kv_.Acquire(key, value, lease));
+  }
+
+ private:
+  template <class T>
+  Task<T> Gated(Task<T> call) {
+    co_await gate_->Pass();
+    T result = co_await std::move(call);
+    co_await gate_->Pass();
+    co_return result;
+  }
+
+  Task<void> StoreLate(std::string key, std::string value) {
+    co_await Sleep(write_behind_);
+    co_await gate_->Pass();
+    service_->Swap(key, value, service_->Get(key).version);
+  }
+
+  FakeKvService* service_;
+  FakeKv kv_;
+  PauseGate* gate_;
+  milliseconds write_behind_{0};
+};
+
+static_assert(KvStore<PausableKv>);
+
+struct WorldOptions {
+  Fencing fencing = Fencing::kHonoured;
+  // Share of orders that arrive late, or of which a copy does.
+  double late_orders = 0.1;
+  milliseconds max_lateness{1000};
+  // Instead of random faults, an owner dies right after its first load, at an engine that the
+  // others cannot reach.
+  bool owner_dies = false;
+  // Mechanisms that are switched off: orders are sent before the decision is stored, which happens
+  // without comparison; engines take every order though they report the fence that was raised.
+  bool skip_comparison = false;
+  bool skip_fences = false;
+};
+
+// What one run showed, as the engines see it.
+struct WorldResult {
+  std::uint64_t seed = 0;
+  Fencing fencing = Fencing::kHonoured;
+  bool memory_bound_held = true;
+  bool replica_bound_held = true;
+  std::uint64_t loads = 0;
+  std::uint64_t fence = 0;
+  std::uint64_t loads_to_leaving = 0;
+  std::uint64_t leaving_named = 0;
+  // Once the faults have ended, the record and the engines agree, and all replicas are ready.
+  bool settled = false;
+
+  bool held() const { return memory_bound_held && replica_bound_held; }
+};
+
+class RunnableWorld {
+ public:
+  virtual ~RunnableWorld() = default;
+  virtual void Start() = 0;
+  virtual WorldResult result() = 0;
+};
+
+// Daemons that compete for one group, its engines, and random faults.
+template <class Decisions>
+class World : public RunnableWorld {
+ public:
+  using Owner = PlacementOwner<PausableKv, FakeEngine, Decisions>;
+
+  World(boost::asio::io_context* io, std::uint64_t seed, const WorldOptions& options)
+      : io_(io),
+        seed_(seed),
+        options_(options),
+        random_(seed),
+        kv_service_(seed),
+        engines_(seed, options.skip_fences ? Fencing::kIgnored : options.fencing,
+                 kEndpointMemoryMib),
+        environment_(std::make_shared<Environment>(GroupEnvironment(options.fencing))) {
+    for (int i = 0; i < kEngines; ++i) AddHost();
+    for (int i = 0; i < kDaemons; ++i) daemons_.push_back(std::make_unique<Daemon>(this, i));
+  }
+
+  void Start() override {
+    for (auto& daemon : daemons_) {
+      Spawn(daemon->lease.Run());
+      Spawn(RunOwner(daemon.get()));
+    }
+    Spawn(options_.owner_dies ? KillOwner() : Disturb());
+  }
+
+  WorldResult result() override {
+    WorldResult result;
+    result.seed = seed_;
+    result.fencing = options_.fencing;
+    result.memory_bound_held = memory_bound_held_;
+    result.replica_bound_held = replica_bound_held_;
+    result.loads = engines_.loads();
+    result.fence = StoredRecord().fence;
+    result.settled = settled_;
+    for (const auto& daemon : daemons_) {
+      result.loads_to_leaving += daemon->engine.loads_to_leaving();
+    }
+    result.leaving_named = leaving_named_;
+    return result;
+  }
+
+ private:
+  struct Daemon {
+    Daemon(World* world, int index)
+        : name("daemon-" + std::to_string(index)),
+          kv(&world->kv_service_, &gate),
+          engine(&world->engines_, &gate),
+          lease(&kv, ShortTimings()) {
+      kv.faults().max_delay = milliseconds(4);
+      if (world->options_.skip_comparison) kv.set_write_behind(milliseconds(300));
+      engine.faults().max_delay = milliseconds(6);
+      engine.faults().lost_orders = 0.05;
+      engine.faults().lost_answers = 0.05;
+      engine.faults().late_orders = world->options_.late_orders;
+      // An engine that ignores fences and takes a copy of an order that was confirmed cannot be
+      // guarded against; a connection does not repeat what it carries.
+      const bool honoured = world->options_.fencing == Fencing::kHonoured;
+      engine.faults().duplicates = honoured ? world->options_.late_orders : 0;
+      engine.faults().max_lateness = world->options_.max_lateness;
+    }
+
+    std::string name;
+    PauseGate gate;
+    PausableKv kv;
+    FakeEngine engine;
+    LeaseKeeper<PausableKv> lease;
+    Metrics metrics;
+    // A host that the list of this daemon leaves out for a short time.
+    std::string unlisted;
+    std::shared_ptr<Owner> owner;
+  };
+
+  PlacementRecord StoredRecord() {
+    const auto bytes = kv_service_.Get("env/t/place/assistant.sul.0/record").value;
+    return Decode<PlacementRecord>(bytes).value_or(PlacementRecord());
+  }
+
+  void Spawn(Task<void> task) {
+    boost::asio::co_spawn(*io_, std::move(task), [](std::exception_ptr error) {
+      if (error) std::rethrow_exception(error);
+    });
+  }
+
+  int Random(int low, int high) { return std::uniform_int_distribution<int>(low, high)(random_); }
+  milliseconds RandomTime(int low, int high) { return milliseconds(Random(low, high)); }
+  Daemon& RandomDaemon() { return *daemons_[Random(0, kDaemons - 1)]; }
+  Host& RandomHost() { return hosts_[Random(0, static_cast<int>(hosts_.size()) - 1)]; }
+
+  void AddHost() {
+    Host host;
+    host.id = "host-" + std::to_string(++last_host_);
+    host.serves = "assistant";
+    host.region = "sul";
+    host.address = {"127.0.0.1", static_cast<std::uint16_t>(last_host_)};
+    engines_.Start(host.address);
+    hosts_.push_back(host);
+  }
+
+  OwnerContext Context(Daemon* daemon) {
+    OwnerContext context;
+    context.daemon_name = daemon->name;
+    context.key_prefix = "env/t/";
+    context.environment = [this] { return environment_; };
+    context.hosts = [this, daemon] {
+      std::vector<Host> hosts = hosts_;
+      std::erase_if(hosts, [&](const Host& host) { return host.id == daemon->unlisted; });
+      return hosts;
+    };
+    return context;
+  }
+
+  // As class Ownership does: a new owner object after each one that was stopped.
+  Task<void> RunOwner(Daemon* daemon) {
+    while (!stopping_) {
+      const GroupId group{"assistant", "sul", 0};
+      daemon->owner = std::make_shared<Owner>(io_->get_executor(), group, Context(daemon),
+                                              &daemon->kv, &daemon->lease, &daemon->engine,
+                                              &daemon->metrics, ShortTimings());
+      co_await daemon->owner->Run();
+      const milliseconds wait = RandomTime(20, 300);
+      co_await Sleep(wait);
+    }
+  }
+
+  // One random fault, demand or change after another, until the horizon.
+  Task<void> Disturb() {
+    const MonotonicTime end = MonotonicNow() + kHorizon;
+    while (MonotonicNow() < end) {
+      Disturb(Random(0, 19));
+      const milliseconds pause = RandomTime(5, 40);
+      co_await Sleep(pause);
+      CheckBounds();
+    }
+    for (auto& daemon : daemons_) daemon->engine.faults() = {};
+    const MonotonicTime settle_end = MonotonicNow() + kSettleTime;
+    while (!settled_ && MonotonicNow() < settle_end) {
+      co_await Sleep(milliseconds(20));
+      settled_ = IsSettled();
+    }
+    CheckBounds();
+    Stop();
+  }
+
+  void Stop() {
+    stopping_ = true;
+    for (auto& daemon : daemons_) {
+      daemon->owner->Stop();
+      Spawn(daemon->lease.Stop());
+    }
+  }
+
+  Daemon* FindOwner(const Daemon* other_than) {
+    for (auto& daemon : daemons_) {
+      if (daemon.get() != other_than && daemon->owner->is_owner()) return daemon.get();
+    }
+    return nullptr;
+  }
+
+  // Asks an owner for model-0, which may have one replica, for some time.
+  static Task<void> AskFor(Daemon* daemon, milliseconds time) {
+    DemandRequest request;
+    request.group = "assistant.sul.0";
+    request.model = "model-0";
+    request.waiting[0] = 1;
+    const MonotonicTime end = MonotonicNow() + time;
+    while (MonotonicNow() < end) {
+      auto ignored = co_await daemon->owner->Demand("asker", request);
+      static_cast<void>(ignored);
+      co_await Sleep(milliseconds(10));
+    }
+  }
+
+  Task<void> KillOwner() {
+    while (FindOwner(nullptr) == nullptr) co_await Sleep(milliseconds(10));
+    Daemon* first = FindOwner(nullptr);
+    co_await AskFor(first, milliseconds(200));
+    for (const Host& host : hosts_) {
+      for (const EngineReplica& replica : engines_.State(host.address).replicas) {
+        if (replica.model != "model-0") continue;
+        for (auto& daemon : daemons_) daemon->engine.cut().insert(host.address.port);
+      }
+    }
+    // Longer than the rest of the run.
+    first->gate.PauseFor(seconds(3));
+    while (FindOwner(first) == nullptr) co_await Sleep(milliseconds(10));
+    co_await AskFor(FindOwner(first), milliseconds(500));
+    CheckBounds();
+    Stop();
+  }
+
+  void Disturb(int kind) {
+    Daemon& daemon = RandomDaemon();
+    switch (kind) {
+      case 0:
+        daemon.gate.PauseFor(RandomTime(50, 1500));
+        break;
+      case 1:
+        Spawn(Down(&daemon, RandomTime(50, 900)));
+        break;
+      case 2:
+        for (auto& each : daemons_) Spawn(Down(each.get(), milliseconds(500)));
+        break;
+      case 3:
+        Spawn(Lossy(&daemon, RandomTime(100, 900)));
+        break;
+      case 4:
+        engines_.Start(RandomHost().address);
+        break;
+      case 5:
+        Spawn(Replace());
+        break;
+      case 6:
+        Spawn(Cut(&daemon, RandomHost().address.port, RandomTime(20, 400)));
+        break;
+      case 7:
+        Spawn(Unlist(&daemon, RandomHost()));
+        break;
+      case 8:
+        daemon.owner->Stop();
+        break;
+      case 9:
+        ChangeDocument();
+        break;
+      default:
+        Spawn(Ask());
+        break;
+    }
+  }
+
+  // A daemon that asks the owner for a model.
+  Task<void> Ask() {
+    DemandRequest request;
+    request.group = "assistant.sul.0";
+    const int choice = Random(0, 6);
+    request.model = choice == 6 ? "adapter" : "model-" + std::to_string(choice);
+    request.waiting[0] = 1;
+    for (auto& daemon : daemons_) {
+      const std::shared_ptr<Owner> owner = daemon->owner;
+      if (owner == nullptr || !owner->is_owner()) continue;
+      const DemandAnswer answer = co_await owner->Demand("asker", request);
+      for (const ReplicaLocation& replica : answer.replicas) {
+        if (engines_.LeavingFor(replica.address) > milliseconds(400)) ++leaving_named_;
+      }
+    }
+  }
+
+  static Task<void> Down(Daemon* daemon, milliseconds time) {
+    daemon->kv.faults().down = true;
+    co_await Sleep(time);
+    daemon->kv.faults().down = false;
+  }
+
+  static Task<void> Lossy(Daemon* daemon, milliseconds time) {
+    daemon->kv.faults().lost_answers = 0.2;
+    daemon->kv.faults().lost_calls = 0.1;
+    daemon->kv.faults().late_calls = 0.1;
+    co_await Sleep(time);
+    daemon->kv.faults().lost_answers = 0;
+    daemon->kv.faults().lost_calls = 0;
+    daemon->kv.faults().late_calls = 0;
+  }
+
+  static Task<void> Cut(Daemon* daemon, std::uint16_t port, milliseconds time) {
+    daemon->engine.cut().insert(port);
+    co_await Sleep(time);
+    daemon->engine.cut().erase(port);
+  }
+
+  // A host that one list leaves out while the same daemon cannot reach it.
+  static Task<void> Unlist(Daemon* daemon, Host host) {
+    daemon->unlisted = host.id;
+    daemon->engine.cut().insert(host.address.port);
+    co_await Sleep(milliseconds(200));
+    daemon->unlisted.clear();
+    daemon->engine.cut().erase(host.address.port);
+  }
+
+  // A host leaves, is gone, and another one takes its place.
+  Task<void> Replace() {
+    Host& chosen = RandomHost();
+    if (chosen.state == HostState::kLeaving) co_return;
+    chosen.state = HostState::kLeaving;
+    const Host host = chosen;
+    engines_.NoteLeaving(host.address);
+    const milliseconds notice = RandomTime(0, 800);
+    co_await Sleep(notice);
+    engines_.Kill(host.address);
+    std::erase_if(hosts_, [&](const Host& each) { return each.id == host.id; });
+    AddHost();
+  }
+
+  void ChangeDocument() {
+    auto next = std::make_shared<Environment>(*environment_);
+    if (Random(0, 1) == 0) {
+      Pool& pool = next->pools["assistant"];
+      pool.budget_mib = Random(2, kEngines) * kEndpointMemoryMib;
+    } else {
+      Model& model = next->models["model-" + std::to_string(Random(0, 5))];
+      model.version = std::to_string(++last_version_);
+    }
+    environment_ = std::move(next);
+  }
+
+  bool IsSettled() {
+    const PlacementRecord record = StoredRecord();
+    std::size_t held = 0;
+    for (const Host& host : hosts_) {
+      for (const EngineReplica& held_replica : engines_.State(host.address).replicas) {
+        ++held;
+        const auto matches = [&](const PlacedReplica& replica) {
+          return replica.endpoint == host.id && replica.model == held_replica.model &&
+                 replica.version == held_replica.version && replica.state == ReplicaState::kReady;
+        };
+        if (!std::any_of(record.replicas.begin(), record.replicas.end(), matches)) return false;
+      }
+    }
+    return held == record.replicas.size() && held > 0;
+  }
+
+  void CheckBounds() {
+    memory_bound_held_ &= engines_.peak_memory_mib() <= kEndpointMemoryMib;
+    for (const auto& [name, peak] : engines_.peak_replicas()) {
+      replica_bound_held_ &= peak <= environment_->models.at(name).max_replicas;
+    }
+  }
+
+  boost::asio::io_context* io_;
+  std::uint64_t seed_;
+  WorldOptions options_;
+  std::mt19937_64 random_;
+  FakeKvService kv_service_;
+  FakeEngineFleet engines_;
+  std::shared_ptr<const Environment> environment_;
+  std::vector<Host> hosts_;
+  std::vector<std::unique_ptr<Daemon>> daemons_;
+  int last_host_ = 0;
+  int last_version_ = 1;
+  std::uint64_t leaving_named_ = 0;
+  bool memory_bound_held_ = true;
+  bool replica_bound_held_ = true;
+  bool settled_ = false;
+  bool stopping_ = false;
+};
+
+// Worlds that run side by side.
+class WorldSet {
+ public:
+  // Adds worlds with the seeds 1 to `seeds`.
+  template <class Decisions = PlacementDecisions>
+  void Add(const WorldOptions& options, std::uint64_t seeds) {
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+      worlds_.push_back(std::make_unique<World<Decisions>>(&io_, seed, options));
+    }
+  }
+
+  // The results in the order in which the worlds were added.
+  std::vector<WorldResult> Run() {
+    for (auto& world : worlds_) world->Start();
+    io_.run();
+    std::vector<WorldResult> results;
+    for (auto& world : worlds_) results.push_back(world->result());
+    return results;
+  }
+
+ private:
+  boost::asio::io_context io_{1};
+  std::vector<std::unique_ptr<RunnableWorld>> worlds_;
+};
+
+// Seeds of the randomised test; MIMOSABEND_PLACEMENT_SEEDS asks for a longer run.
+std::uint64_t SeedCount() {
+  const char* text = std::getenv("MIMOSABEND_PLACEMENT_SEEDS");
+  return text == nullptr ? 16 : std::strtoull(text, nullptr, 10);
+}
+
+// Switches off the charge of orders that are not confirmed: a load that an engine does not report
+// is dropped.
+struct ForgetUnconfirmed : PlacementDecisions {
+  static ObservationResult ApplyObservations(const EndpointViews& views, const Now& now,
+                                             PlacementRecord* record) {
+    ObservationResult result = PlacementDecisions::ApplyObservations(views, now, record);
+    const std::size_t dropped = std::erase_if(record->replicas, [&](const auto& replica) {
+      const auto view = views.find(replica.endpoint);
+      if (replica.state == ReplicaState::kReady || view == views.end()) return false;
+      const auto& reported = view->second.state.replicas;
+      return std::none_of(reported.begin(), reported.end(),
+                          [&](const auto& held) { return held.model == replica.model; });
+    });
+    result.changed |= dropped > 0;
+    return result;
+  }
+};
+
+// Switches off the reservations for late orders.
+struct SkipReservations : PlacementDecisions {
+  static ObservationResult ApplyObservations(const EndpointViews& views, const Now& now,
+                                             PlacementRecord* record) {
+    ObservationResult result = PlacementDecisions::ApplyObservations(views, now, record);
+    record->reservations.clear();
+    return result;
+  }
+  static void ReserveForLateOrders(WallTime, milliseconds, milliseconds, PlacementRecord*) {}
+};
+
+std::string Summary(const std::vector<WorldResult>& results) {
+  std::string text;
+  for (const WorldResult& result : results) {
+    text += "seed " + std::to_string(result.seed) + ": " + std::to_string(result.loads) +
+            " loads, fence " + std::to_string(result.fence) +
+            (result.memory_bound_held ? "" : ", MEMORY OVERCOMMITTED") +
+            (result.replica_bound_held ? "" : ", TOO MANY REPLICAS") +
+            std::string(result.settled ? "" : ", NOT SETTLED") +
+            ", leaving: " + std::to_string(result.loads_to_leaving) + " loads, " +
+            std::to_string(result.leaving_named) + " named\n";
+  }
+  return text;
+}
+
+}  // namespace
+
+// Guards against overcommitted memory, replicas beyond the bound and work at leaving endpoints
+// when owners are paused, the key-value service fails, orders are late or doubled, and engines
+// restart, leave and vanish.
+TEST_CASE("bounds hold under random faults", "[placement]") {
+  const std::uint64_t seeds = SeedCount();
+  WorldSet worlds;
+  for (const Fencing fencing : {Fencing::kHonoured, Fencing::kIgnored}) {
+    WorldOptions options;
+    options.fencing = fencing;
+    worlds.Add(options, seeds);
+  }
+  const std::vector<WorldResult> results = worlds.Run();
+  std::cout << "fences honoured, then ignored\n" << Summary(results);
+  std::uint64_t loads = 0;
+  for (const WorldResult& result : results) {
+    CAPTURE(result.seed, kFencingNames[result.fencing]);
+    CHECK(result.memory_bound_held);
+    CHECK(result.replica_bound_held);
+    CHECK(result.loads_to_leaving == 0);
+    CHECK(result.leaving_named == 0);
+    CHECK(result.settled);
+    // Enough take-overs and unloads for the bounds to be at stake.
+    CHECK(result.fence > 3);
+    loads += result.loads;
+  }
+  CHECK(loads > 5 * results.size());
+}
+
+// Guards against a test that would not notice a broken mechanism: with each one switched off the
+// bounds of "bounds hold under random faults" break for some seed.
+// Not run by default, since a seed does not fix the order of timers and a broken bound is only
+// likely: test_placement "bounds break without each mechanism"
+TEST_CASE("bounds break without each mechanism", "[.mechanisms]") {
+  constexpr std::uint64_t kSeeds = 40;
+  WorldSet worlds;
+  WorldOptions honoured;
+  honoured.late_orders = 0.2;
+  WorldOptions ignored = honoured;
+  ignored.fencing = Fencing::kIgnored;
+  WorldOptions no_fences = honoured;
+  no_fences.skip_fences = true;
+  const std::vector<std::string> names{
+      "fence raised before deciding", "charge of unconfirmed orders, fences honoured",
+      "charge of unconfirmed orders, fences ignored", "reservation for late orders"};
+  worlds.Add(no_fences, kSeeds);
+  worlds.Add<ForgetUnconfirmed>(honoured, kSeeds);
+  worlds.Add<ForgetUnconfirmed>(ignored, kSeeds);
+  worlds.Add<SkipReservations>(ignored, kSeeds);
+  const std::vector<WorldResult> results = worlds.Run();
+  REQUIRE(results.size() == names.size() * kSeeds);
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    const std::vector<WorldResult> runs(results.begin() + i * kSeeds,
+                                        results.begin() + (i + 1) * kSeeds);
+    const auto broken =
+        std::count_if(runs.begin(), runs.end(), [](const WorldResult& run) { return !run.held(); });
+    std::cout << "without " << names[i] << ": " << broken << " of " << kSeeds
+              << " seeds break a bound\n"
+              << Summary(runs);
+    CAPTURE(names[i]);
+    CHECK(broken > 0);
+  }
+}
+
+// Guards against an order that the next owner does not know of: the owner dies after the order, at
+// an engine that the next owner cannot ask. The bound breaks if orders do not wait for the write.
+TEST_CASE("a decision is stored before its order", "[placement]") {
+  const bool skip_comparison = GENERATE(false, true);
+  CAPTURE(skip_comparison);
+  WorldSet worlds;
+  WorldOptions options;
+  options.owner_dies = true;
+  options.late_orders = 0;
+  options.skip_comparison = skip_comparison;
+  worlds.Add(options, 8);
+  const std::vector<WorldResult> results = worlds.Run();
+  std::cout << (skip_comparison ? "without" : "with") << " compare-and-swap before the order\n"
+            << Summary(results);
+  for (const WorldResult& result : results) {
+    CAPTURE(result.seed);
+    CHECK(result.loads > 0);
+    CHECK(result.replica_bound_held != skip_comparison);
+  }
+}
+
+}  // namespace mimosabend::testing
