--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -11,8 +11,33 @@
 
 namespace {
 
-// Longest pause of a former owner for which a late order cannot overcommit memory.
-constexpr seconds kLateOrderReservation{60};
+constexpr char kUndecidedPrefix[] = "undecided-";
+
+// Raises the fence above that of all load orders of the replica, so that an engine that honours
+// fences can be made to refuse late ones before the replica is dropped.
+void MarkUnloading(PlacementRecord* record, PlacedReplica* replica) {
+  replica->state = ReplicaState::kUnloading;
+  replica->unload_fence = ++record->fence;
+}
+
+// A reservation counts while its time runs and no replica of the same order is charged.
+bool Counts(const PlacementRecord& record, const LateOrderReservation& reservation, WallTime now) {
+  if (reservation.until_ms <= ToUnixMillis(now)) return false;
+  return std::none_of(record.replicas.begin(), record.replicas.end(), [&](const auto& replica) {
+    return replica.order_id == reservation.order_id;
+  });
+}
+
+// Adds a reservation for the order of a replica, or prolongs the one that exists.
+void Reserve(const PlacedReplica& replica, WallTime until, PlacementRecord* record) {
+  for (LateOrderReservation& reservation : record->reservations) {
+    if (reservation.order_id != replica.order_id) continue;
+    reservation.until_ms = std::max(reservation.until_ms, ToUnixMillis(until));
+    return;
+  }
+  record->reservations.push_back(
+      {replica.endpoint, replica.model, replica.order_id, replica.memory_mib, ToUnixMillis(until)});
+}
 
 bool Holds(const PlacedReplica& replica, const std::string& model) {
   return replica.model == model && replica.state != ReplicaState::kUnloading;
@@ -27,7 +52,7 @@
 
 // The new state of a replica, or std::nullopt if it is known to be gone.
 std::optional<ReplicaState> ObservedState(const PlacedReplica& replica, const EndpointView& view) {
-  if (!view.listed && !view.reachable) return std::nullopt;
+  if (view.gone) return std::nullopt;
   if (!view.reachable || !view.fence_raised) return replica.state;
   const EngineReplica* reported = FindReported(view.state, replica);
   switch (replica.state) {
@@ -36,11 +61,15 @@
       return reported != nullptr && reported->state == ReplicaState::kReady ? ReplicaState::kReady
                                                                             : replica.state;
     case ReplicaState::kReady:
-      if (reported == nullptr) return std::nullopt;
-      return reported->state == ReplicaState::kLoading ? ReplicaState::kLoading : replica.state;
-    case ReplicaState::kUnloading:
-      if (reported == nullptr) return std::nullopt;
+      // A copy of the load order may still arrive, so the replica is dropped only by way of
+      // kUnloading.
+      if (reported == nullptr) return ReplicaState::kUnloading;
+      return reported->state;
+    case ReplicaState::kUnloading: {
+      const bool refuses_loads = !view.honours_fence || view.state.fence >= replica.unload_fence;
+      if (reported == nullptr && view.is_current && refuses_loads) return std::nullopt;
       return replica.state;
+    }
   }
   return replica.state;
 }
@@ -57,14 +86,16 @@
 class Planner {
  public:
   Planner(const Environment& environment, const GroupId& group, const EndpointViews& views,
-          const DemandTable& demand, const Now& now, PlacementRecord* record)
+          const DemandTable& demand, const Now& now, PlacementRecord* record,
+          milliseconds min_residence)
       : environment_(environment),
         pool_(*environment.FindPool(group.pool)),
         group_(group),
         views_(views),
         demand_(demand),
         now_(now),
-        record_(record) {}
+        record_(record),
+        min_residence_(min_residence) {}
 
   PlanResult Run() {
     UnloadWhatIsNotWanted();
@@ -76,9 +107,13 @@
  private:
   std::int64_t GroupBudget() const { return pool_.budget_mib / pool_.groups; }
 
+  // All that counts against the budget of the group, reservations included.
   std::int64_t GroupCharge() const {
     std::int64_t sum = 0;
     for (const PlacedReplica& replica : record_->replicas) sum += replica.memory_mib;
+    for (const LateOrderReservation& reservation : record_->reservations) {
+      if (Counts(*record_, reservation, now_.wall)) sum += reservation.memory_mib;
+    }
     return sum;
   }
 
@@ -87,10 +122,20 @@
     return std::min(pool_.endpoint_memory_mib, view.state.memory_total_mib);
   }
 
+  // What the engine uses beyond the charge of the replicas it reports, a KV cache import for
+  // example.
+  std::int64_t UnchargedMemory(const EndpointView& view) const {
+    std::int64_t reported = 0;
+    for (const PlacedReplica& replica : record_->replicas) {
+      const bool here = replica.endpoint == view.host.id;
+      if (here && FindReported(view.state, replica) != nullptr) reported += replica.memory_mib;
+    }
+    return std::max<std::int64_t>(0, view.state.memory_used_mib - reported);
+  }
+
   std::int64_t FreeMemory(const EndpointView& view) const {
     const std::int64_t charged = ChargedMemory(*record_, view.host.id, now_.wall);
-    // What the engine uses beyond the record, a KV cache import for example, is not free either.
-    return Capacity(view) - std::max(charged, view.state.memory_used_mib);
+    return Capacity(view) - charged - UnchargedMemory(view);
   }
 
   WaitingByRank WaitingFor(const std::string& model) const {
@@ -109,14 +154,14 @@
   }
 
   bool IsResident(const PlacedReplica& replica) const {
-    return ToUnixMillis(now_.wall) - replica.decided_at_ms < kMinResidence.count();
+    return ToUnixMillis(now_.wall) - replica.decided_at_ms < min_residence_.count();
   }
 
   // Marks a replica and, if it is a model, the adapters on top of it.
   void Unload(PlacedReplica* replica) {
     for (PlacedReplica& other : record_->replicas) {
       const bool on_top = other.base == replica->model && other.endpoint == replica->endpoint;
-      if (&other == replica || on_top) other.state = ReplicaState::kUnloading;
+      if (&other == replica || on_top) MarkUnloading(record_, &other);
     }
     result_.changed = true;
   }
@@ -130,8 +175,10 @@
   bool IsUnwanted(const PlacedReplica& replica) const {
     const Model* model = environment_.FindModel(replica.model);
     if (model == nullptr || model->version != replica.version) return true;
+    if (HomeGroup(environment_, *model, group_.region) != group_) return true;
     const auto view = views_.find(replica.endpoint);
-    return view != views_.end() && view->second.host.state == HostState::kLeaving;
+    if (view == views_.end()) return false;
+    return view->second.missing || view->second.host.state == HostState::kLeaving;
   }
 
   void UnloadWhatIsNotWanted() {
@@ -144,11 +191,18 @@
       const bool surplus = model != nullptr && Active(replica.model) > model->max_replicas;
       if (IsUnwanted(replica) || idle || surplus || HasStalled(replica)) Unload(&replica);
     }
-    while (GroupCharge() > GroupBudget()) {
+    while (GroupCharge() - UnloadingMemory("") > GroupBudget()) {
       PlacedReplica* victim = LeastRecentlyUsed("");
       if (victim == nullptr) break;
       Unload(victim);
     }
+    for (const auto& [id, view] : views_) {
+      while (view.reachable && FreeMemory(view) + UnloadingMemory(id) < 0) {
+        PlacedReplica* victim = LeastRecentlyUsed(id);
+        if (victim == nullptr) break;
+        Unload(victim);
+      }
+    }
   }
 
   bool HasStalled(const PlacedReplica& replica) const {
@@ -180,7 +234,7 @@
     const std::uint32_t target = std::max(1u, model.min_replicas);
     if (Active(model.name) >= target) return;
     // Unloading replicas still count against the bound.
-    if (CountReplicas(*record_, model.name) >= model.max_replicas) return;
+    if (CountReplicas(*record_, model.name, now_.wall) >= model.max_replicas) return;
     const Model* base = model.is_adapter() ? environment_.FindModel(model.base) : nullptr;
     if (base != nullptr && Active(base->name) == 0) {
       Place(*base);
@@ -284,7 +338,7 @@
     record_->replicas.push_back(std::move(replica));
     result_.changed = true;
     assert(ChargedMemory(*record_, view.host.id, now_.wall) <= Capacity(view));
-    assert(CountReplicas(*record_, model.name) <= model.max_replicas);
+    assert(CountReplicas(*record_, model.name, now_.wall) <= model.max_replicas);
   }
 
   // An order id names one order for ever.
@@ -303,6 +357,7 @@
   const DemandTable& demand_;
   const Now& now_;
   PlacementRecord* record_;
+  milliseconds min_residence_;
   PlanResult result_;
 };
 
@@ -348,21 +403,22 @@
   for (const PlacedReplica& replica : record.replicas) {
     if (replica.endpoint == endpoint) sum += replica.memory_mib;
   }
-  for (const MemoryReservation& reservation : record.reservations) {
-    const bool valid = reservation.until_ms > ToUnixMillis(now);
-    const bool held_by_replica =
-        std::any_of(record.replicas.begin(), record.replicas.end(),
-                    [&](const auto& replica) { return replica.order_id == reservation.order_id; });
-    if (valid && !held_by_replica && reservation.endpoint == endpoint) {
+  for (const LateOrderReservation& reservation : record.reservations) {
+    if (reservation.endpoint == endpoint && Counts(record, reservation, now)) {
       sum += reservation.memory_mib;
     }
   }
   return sum;
 }
 
-std::uint32_t CountReplicas(const PlacementRecord& record, const std::string& model) {
-  return std::count_if(record.replicas.begin(), record.replicas.end(),
-                       [&](const PlacedReplica& replica) { return replica.model == model; });
+std::uint32_t CountReplicas(const PlacementRecord& record, const std::string& model, WallTime now) {
+  const auto replicas =
+      std::count_if(record.replicas.begin(), record.replicas.end(),
+                    [&](const PlacedReplica& replica) { return replica.model == model; });
+  const auto reserved = std::count_if(
+      record.reservations.begin(), record.reservations.end(),
+      [&](const auto& item) { return item.model == model && Counts(record, item, now); });
+  return static_cast<std::uint32_t>(replicas + reserved);
 }
 
 ObservationResult ApplyObservations(const EndpointViews& views, const Now& now,
@@ -374,7 +430,15 @@
     const auto state =
         view == views.end() ? std::optional(replica.state) : ObservedState(replica, view->second);
     result.changed |= state != replica.state;
-    if (!state) continue;
+    if (!state) {
+      const auto late = view->second.late_loads.find(replica.order_id);
+      const bool may_load = !view->second.honours_fence && !view->second.gone;
+      if (may_load && late != view->second.late_loads.end()) Reserve(replica, late->second, record);
+      continue;
+    }
+    if (*state == ReplicaState::kUnloading && replica.state != *state) {
+      MarkUnloading(record, &replica);
+    }
     replica.state = *state;
     kept.push_back(std::move(replica));
   }
@@ -387,9 +451,9 @@
       replica.model = reported.model;
       replica.version = reported.version;
       replica.endpoint = id;
-      replica.state = ReplicaState::kUnloading;
+      MarkUnloading(record, &replica);
       replica.memory_mib = reported.memory_mib;
-      replica.order_id = "undecided-" + std::to_string(++record->last_order);
+      replica.order_id = kUndecidedPrefix + std::to_string(++record->last_order);
       replica.decided_at_ms = ToUnixMillis(now.wall);
       record->replicas.push_back(std::move(replica));
       result.changed = true;
@@ -397,28 +461,30 @@
     }
   }
   const std::size_t removed = std::erase_if(record->reservations, [&](const auto& reservation) {
-    return reservation.until_ms <= ToUnixMillis(now.wall);
+    const auto view = views.find(reservation.endpoint);
+    const bool gone = view != views.end() && view->second.gone;
+    return gone || reservation.until_ms <= ToUnixMillis(now.wall);
   });
   result.changed |= removed > 0;
   return result;
 }
 
-void ReserveForLateOrders(WallTime now, PlacementRecord* record) {
+void ReserveForLateOrders(WallTime now, milliseconds load_timeout, milliseconds hold,
+                          PlacementRecord* record) {
   for (const PlacedReplica& replica : record->replicas) {
-    if (replica.state == ReplicaState::kReady) continue;
-    MemoryReservation reservation;
-    reservation.endpoint = replica.endpoint;
-    reservation.order_id = replica.order_id;
-    reservation.memory_mib = replica.memory_mib;
-    reservation.until_ms = ToUnixMillis(now + kLateOrderReservation);
-    record->reservations.push_back(std::move(reservation));
+    // No load was ordered for a replica that nobody decided.
+    if (replica.order_id.starts_with(kUndecidedPrefix)) continue;
+    const WallTime decided_at{milliseconds(replica.decided_at_ms)};
+    const bool loading = replica.state == ReplicaState::kLoading;
+    const WallTime last_order = loading ? now : std::min(now, decided_at + load_timeout);
+    if (last_order + hold > now) Reserve(replica, last_order + hold, record);
   }
 }
 
 PlanResult PlanGroup(const Environment& environment, const GroupId& group,
                      const EndpointViews& views, const DemandTable& demand, const Now& now,
-                     PlacementRecord* record) {
-  return Planner(environment, group, views, demand, now, record).Run();
+                     PlacementRecord* record, milliseconds min_residence) {
+  return Planner(environment, group, views, demand, now, record, min_residence).Run();
 }
 
 }  // namespace mimosabend
--- a/src/placement_owner.h
+++ b/src/placement_owner.h
@@ -17,6 +17,7 @@
 #include "notifier.h"
 #include "peer_message.h"
 #include "placement.h"
+#include "placement_timings.h"
 #include "supervisor.h"
 
 namespace mimosabend {
@@ -31,15 +32,33 @@
   std::function<std::vector<Host>()> hosts;
 };
 
+// The deciding functions of an owner. Tests pass others, in which one mechanism is switched off.
+struct PlacementDecisions {
+  static ObservationResult ApplyObservations(const EndpointViews& views, const Now& now,
+                                             PlacementRecord* record) {
+    return mimosabend::ApplyObservations(views, now, record);
+  }
+  static PlanResult PlanGroup(const Environment& environment, const GroupId& group,
+                              const EndpointViews& views, const DemandTable& demand, const Now& now,
+                              PlacementRecord* record, milliseconds min_residence) {
+    return mimosabend::PlanGroup(environment, group, views, demand, now, record, min_residence);
+  }
+  static void ReserveForLateOrders(WallTime now, milliseconds load_timeout, milliseconds hold,
+                                   PlacementRecord* record) {
+    mimosabend::ReserveForLateOrders(now, load_timeout, hold, record);
+  }
+};
+
 // Owns one placement group: takes it over, decides its loads and unloads, writes each decision
 // before it is ordered, and carries the orders out with one coroutine for each endpoint. Not
 // thread-safe.
-template <KvStore Kv, EngineControl Engine>
-class PlacementOwner : public std::enable_shared_from_this<PlacementOwner<Kv, Engine>> {
+template <KvStore Kv, EngineControl Engine, class Decisions = PlacementDecisions>
+class PlacementOwner : public std::enable_shared_from_this<PlacementOwner<Kv, Engine, Decisions>> {
  public:
   // Precondition: all pointers outlive this object.
   PlacementOwner(boost::asio::any_io_executor executor, GroupId group, OwnerContext context, Kv* kv,
-                 LeaseKeeper<Kv>* lease, Engine* engine, Metrics* metrics)
+                 LeaseKeeper<Kv>* lease, Engine* engine, Metrics* metrics,
+                 PlacementTimings timings = {})
       : executor_(executor),
         group_(std::move(group)),
         context_(std::move(context)),
@@ -47,6 +66,7 @@
         lease_(lease),
         engine_(engine),
         metrics_(metrics),
+        timings_(timings),
         work_(executor),
         answers_(executor),
         orders_(executor) {}
@@ -67,7 +87,7 @@
         co_await Decide();
         co_await Release();
       } else {
-        co_await Sleep(kTakeOverRetry);
+        co_await Sleep(timings_.take_over_retry);
       }
     }
     finished_ = true;
@@ -86,6 +106,8 @@
     const MonotonicTime deadline = MonotonicNow() + milliseconds(request.wait_ms);
     const bool known = NoteDemand(daemon, request);
     for (;;) {
+      // The deciding coroutine may be held up by a write.
+      if (owning_) RefreshHosts();
       DemandAnswer answer = known || !owning_ ? AnswerNow(request.model) : DemandAnswer{};
       const bool final = answer.status != DemandStatus::kLoading;
       if (final || MonotonicNow() >= deadline || stopping_) co_return answer;
@@ -94,13 +116,6 @@
   }
 
  private:
-  static constexpr milliseconds kTakeOverRetry{500};
-  static constexpr milliseconds kDecidePeriod{500};
-  static constexpr milliseconds kEndpointPeriod{500};
-  static constexpr milliseconds kLoadingPeriod{50};
-  static constexpr milliseconds kOrderRepeat{1000};
-  // Demand that is not repeated within this time counts no more.
-  static constexpr milliseconds kDemandLifetime{3000};
   static constexpr std::uint32_t kLoadEstimateMs = 2000;
 
   std::string RecordKey() const {
@@ -116,7 +131,14 @@
     work_.NotifyAll();
   }
 
-  bool MayAct() const { return owning_ && lease_->SafeLease(MonotonicNow()) != nullptr; }
+  // True while the lease by which this daemon acquired the group is safe. A lease that was granted
+  // since then does not hold the group.
+  bool HoldsGroup() const {
+    const LeaseId* lease = lease_->SafeLease(MonotonicNow());
+    return lease != nullptr && *lease == owning_lease_;
+  }
+
+  bool MayAct() const { return owning_ && HoldsGroup(); }
 
   Fencing PoolFencing() const {
     const Pool* pool = context_.environment()->FindPool(group_.pool);
@@ -144,15 +166,19 @@
       record = std::move(*stored);
     }
     version_ = entry.value().version;
-    const bool new_owner = record.owner != OwnerTag(lease);
-    if (new_owner) {
-      ++record.fence;
-      record.owner = OwnerTag(lease);
-      if (PoolFencing() == Fencing::kIgnored) ReserveForLateOrders(WallNow(), &record);
+    // Also when this daemon was the last owner: it may have orders under way that it no longer
+    // knows of.
+    ++record.fence;
+    record.owner = OwnerTag(lease);
+    if (PoolFencing() == Fencing::kIgnored) {
+      Decisions::ReserveForLateOrders(WallNow(), context_.environment()->load_timeout,
+                                      timings_.late_order_hold, &record);
     }
     const WriteResult result = co_await Write(std::move(record));
-    if (result != WriteResult::kWritten) co_return false;
+    if (result != WriteResult::kWritten || !lease_->Holds(lease)) co_return false;
     owning_lease_ = lease;
+    owned_fence_ = record_.fence;
+    fence_refused_ = false;
     owning_ = true;
     demand_.clear();
     for (const PlacedReplica& replica : record_.replicas) NoteUsed(replica.model);
@@ -167,9 +193,11 @@
   Task<void> Release() {
     owning_ = false;
     views_.clear();
+    contacts_.clear();
+    hosts_read_at_ = {};
     answers_.NotifyAll();
     orders_.NotifyAll();
-    while (endpoint_tasks_ > 0) co_await Sleep(kLoadingPeriod);
+    while (endpoint_tasks_ > 0) co_await Sleep(timings_.loading_period);
     metrics_->ownership_changes_total->Increment();
     LOG4CPLUS_INFO(Log(), "gives up " << group_.ToString());
     if (!stopping_) co_return;
@@ -183,15 +211,15 @@
   // Decides until the group is lost. While the service can't be reached nothing is decided, but
   // the ready replicas are still named to daemons that ask.
   Task<void> Decide() {
-    while (!stopping_ && lease_->Holds(owning_lease_)) {
+    while (!stopping_ && !fence_refused_ && lease_->Holds(owning_lease_)) {
       work_pending_ = false;
       RefreshHosts();
-      if (lease_->SafeLease(MonotonicNow()) != nullptr) {
+      if (HoldsGroup()) {
         const bool kept = co_await DecideOnce();
         if (!kept) co_return;
       }
       answers_.NotifyAll();
-      if (!work_pending_) co_await work_.WaitUntil(MonotonicNow() + kDecidePeriod);
+      if (!work_pending_) co_await work_.WaitUntil(MonotonicNow() + timings_.decide_period);
     }
   }
 
@@ -199,11 +227,12 @@
   Task<bool> DecideOnce() {
     PlacementRecord next = record_;
     const Now now{MonotonicNow(), WallNow()};
-    const ObservationResult observed = ApplyObservations(views_, now, &next);
+    const ObservationResult observed = Decisions::ApplyObservations(views_, now, &next);
     const auto environment = context_.environment();
     PlanResult plan;
     if (environment->FindPool(group_.pool) != nullptr) {
-      plan = PlanGroup(*environment, group_, views_, demand_, now, &next);
+      plan = Decisions::PlanGroup(*environment, group_, views_, demand_, now, &next,
+                                  timings_.min_residence);
     }
     unplaced_ = std::set<std::string>(plan.unplaced.begin(), plan.unplaced.end());
     if (!observed.changed && !plan.changed) co_return true;
@@ -239,41 +268,77 @@
     co_return WriteResult::kWritten;
   }
 
-  // Starts a coroutine for each endpoint that is new on the host list.
+  // Brings the views in line with the host list and starts a coroutine for each new endpoint.
   void RefreshHosts() {
+    if (MonotonicNow() - hosts_read_at_ < timings_.loading_period) return;
+    hosts_read_at_ = MonotonicNow();
     const Pool* pool = context_.environment()->FindPool(group_.pool);
-    if (pool == nullptr) return;
+    const std::vector<Host> hosts = context_.hosts();
+    // An empty list was not read yet, and says nothing of any host.
+    if (pool == nullptr || hosts.empty()) return;
     for (auto& [id, view] : views_) view.listed = false;
-    for (const Host& host : context_.hosts()) {
+    for (const Host& host : hosts) {
       if (host.serves != group_.pool || GroupOfEndpoint(*pool, host) != group_) continue;
-      const auto [it, inserted] = views_.try_emplace(host.id);
-      it->second.host = host;
-      it->second.listed = true;
-      if (inserted) {
-        boost::asio::co_spawn(executor_, Attend(this->shared_from_this(), host.id),
-                              boost::asio::detached);
-      }
+      EndpointView& view = views_[host.id];
+      view.host = host;
+      view.listed = true;
+      view.honours_fence = pool->fencing == Fencing::kHonoured;
+      if (contacts_[host.id].attended) continue;
+      contacts_[host.id].attended = true;
+      boost::asio::co_spawn(executor_, Attend(this->shared_from_this(), host.id),
+                            boost::asio::detached);
     }
+    NoteUnlistedHosts();
+    NoteMissingHosts();
+  }
+
+  // Hosts of the record that were off the list before this owner took over.
+  void NoteUnlistedHosts() {
+    for (const PlacedReplica& replica : record_.replicas) {
+      const auto [it, inserted] = views_.try_emplace(replica.endpoint);
+      if (!inserted) continue;
+      it->second.host.id = replica.endpoint;
+      it->second.listed = false;
+      contacts_[replica.endpoint].answered_at = MonotonicNow();
+      contacts_[replica.endpoint].listed_at = MonotonicNow();
+    }
+  }
+
+  void NoteMissingHosts() {
+    const MonotonicTime now = MonotonicNow();
+    for (auto& [id, view] : views_) {
+      Contact& contact = contacts_[id];
+      if (view.listed) contact.listed_at = now;
+      if (view.reachable) contact.answered_at = now;
+      view.missing = now - contact.listed_at > timings_.vanish_grace;
+      view.gone = view.missing && now - contact.answered_at > timings_.vanish_grace;
+    }
+    std::erase_if(views_, [&](const auto& item) {
+      const bool attended = contacts_[item.first].attended;
+      return item.second.gone && !attended && !HasReplicas(item.first);
+    });
   }
 
   // Watches one endpoint and sends it its orders, one after another.
   static Task<void> Attend(std::shared_ptr<PlacementOwner> self, std::string endpoint) {
     ++self->endpoint_tasks_;
     std::map<std::string, MonotonicTime> sent;
-    while (self->owning_ && self->views_.contains(endpoint)) {
+    while (self->owning_) {
+      self->RefreshHosts();
+      if (!self->views_.contains(endpoint)) break;
       co_await self->Observe(endpoint);
       co_await self->SendOrders(endpoint, &sent);
       const auto view = self->views_.find(endpoint);
       if (view == self->views_.end()) break;
-      if (!view->second.listed && !view->second.reachable) {
-        if (!self->HasReplicas(endpoint)) {
-          self->views_.erase(view);
-          break;
-        }
+      if (view->second.gone && !self->HasReplicas(endpoint)) {
+        self->views_.erase(view);
+        break;
       }
-      const auto period = self->HasTransitions(endpoint) ? kLoadingPeriod : kEndpointPeriod;
+      const auto period = self->HasTransitions(endpoint) ? self->timings_.loading_period
+                                                         : self->timings_.endpoint_period;
       co_await self->orders_.WaitUntil(MonotonicNow() + period);
     }
+    self->contacts_.erase(endpoint);
     --self->endpoint_tasks_;
   }
 
@@ -291,13 +356,22 @@
     return false;
   }
 
+  // The fence that an engine must have before the owner may decide for it and drop what it has
+  // unloaded there.
+  std::uint64_t RequiredFence(const std::string& endpoint) const {
+    std::uint64_t fence = owned_fence_;
+    for (const PlacedReplica& replica : record_.replicas) {
+      if (replica.endpoint == endpoint) fence = std::max(fence, replica.unload_fence);
+    }
+    return fence;
+  }
+
   Task<void> Observe(std::string endpoint) {
-    const Address address = views_.at(endpoint).host.address;
-    if (PoolFencing() == Fencing::kHonoured && !views_.at(endpoint).fence_raised) {
+    const EndpointView& known = views_.at(endpoint);
+    const Address address = known.host.address;
+    if (known.honours_fence && known.state.fence < RequiredFence(endpoint)) {
       auto raised = co_await engine_->RaiseFence(address, record_.fence);
-      const auto view = views_.find(endpoint);
-      if (view == views_.end()) co_return;
-      view->second.fence_raised = static_cast<bool>(raised);
+      if (!raised) NoteEngineError(raised.error());
     }
     auto state = co_await engine_->State(address);
     const auto it = views_.find(endpoint);
@@ -306,11 +380,11 @@
     const bool was_reachable = view.reachable;
     view.reachable = static_cast<bool>(state);
     if (state) {
-      // A restarted engine has forgotten its fence.
-      if (view.state.incarnation != state.value().incarnation) view.fence_raised = false;
       view.state = std::move(state).value();
-      if (PoolFencing() == Fencing::kIgnored) view.fence_raised = true;
-      if (view.state.fence >= record_.fence) view.fence_raised = true;
+      view.is_current = true;
+      // An engine that restarts forgets its fence.
+      view.fence_raised = !view.honours_fence || view.state.fence >= owned_fence_;
+      std::erase_if(view.late_loads, [](const auto& load) { return load.second <= WallNow(); });
     } else {
       metrics_->engine_errors_total->Increment();
     }
@@ -323,33 +397,70 @@
 
   // Sends the orders that the record holds for an endpoint and the engine has not carried out.
   Task<void> SendOrders(std::string endpoint, std::map<std::string, MonotonicTime>* sent) {
-    std::vector<EngineOrder> orders;
+    for (;;) {
+      // The record may have changed while the last order was under way.
+      std::optional<EngineOrder> order = NextOrder(endpoint, sent);
+      if (!order) co_return;
+      const bool load = order->kind == OrderKind::kLoad;
+      (load ? metrics_->load_orders_total : metrics_->unload_orders_total)->Increment();
+      const Address address = views_.at(endpoint).host.address;
+      if (!load) {
+        auto result = co_await engine_->Order(address, std::move(*order));
+        if (!result) NoteEngineError(result.error());
+        continue;
+      }
+      views_.at(endpoint).is_current = false;
+      const std::string order_id = order->order_id;
+      auto result = co_await engine_->Order(address, std::move(*order));
+      if (result) continue;
+      NoteEngineError(result.error());
+      const auto view = views_.find(endpoint);
+      if (view == views_.end()) co_return;
+      if (MayArriveLate(result.error())) {
+        view->second.late_loads[order_id] = WallNow() + timings_.late_order_hold;
+      }
+    }
+  }
+
+  // A refused fence means that another daemon has written the record since, so the group is taken
+  // over anew.
+  void NoteEngineError(EngineError error) {
+    metrics_->engine_errors_total->Increment();
+    if (error != EngineError::kStaleFence) return;
+    fence_refused_ = true;
+    Wake();
+  }
+
+  static bool MayArriveLate(EngineError error) {
+    return error == EngineError::kTimedOut || error == EngineError::kBroken ||
+           error == EngineError::kBadAnswer;
+  }
+
+  // The next order for an endpoint that is due now.
+  std::optional<EngineOrder> NextOrder(const std::string& endpoint,
+                                       std::map<std::string, MonotonicTime>* sent) const {
+    const auto view = views_.find(endpoint);
+    if (view == views_.end() || !view->second.reachable || !view->second.fence_raised) return {};
+    if (!MayAct()) return {};
     for (const PlacedReplica& replica : record_.replicas) {
       if (replica.endpoint != endpoint || replica.state == ReplicaState::kReady) continue;
+      const bool load = replica.state == ReplicaState::kLoading;
+      if (load && !view->second.may_take_loads()) continue;
+      const OrderKind kind = load ? OrderKind::kLoad : OrderKind::kUnload;
+      MonotonicTime& last = (*sent)[replica.order_id + std::string(kOrderKindNames[kind])];
+      if (MonotonicNow() - last < timings_.order_repeat) continue;
+      last = MonotonicNow();
       EngineOrder order;
       order.order_id = replica.order_id;
       order.fence = record_.fence;
-      order.kind = replica.state == ReplicaState::kLoading ? OrderKind::kLoad : OrderKind::kUnload;
+      order.kind = kind;
       order.model = replica.model;
       order.base = replica.base;
       order.version = replica.version;
       order.memory_mib = replica.memory_mib;
-      orders.push_back(std::move(order));
-    }
-    for (EngineOrder& order : orders) {
-      const auto view = views_.find(endpoint);
-      if (view == views_.end() || !view->second.reachable || !view->second.fence_raised) co_return;
-      const std::string attempt = order.order_id + std::string(kOrderKindNames[order.kind]);
-      MonotonicTime& last = (*sent)[attempt];
-      if (MonotonicNow() - last < kOrderRepeat) continue;
-      if (!MayAct()) co_return;
-      last = MonotonicNow();
-      const bool load = order.kind == OrderKind::kLoad;
-      (load ? metrics_->load_orders_total : metrics_->unload_orders_total)->Increment();
-      const Address address = view->second.host.address;
-      auto result = co_await engine_->Order(address, std::move(order));
-      if (!result) metrics_->engine_errors_total->Increment();
+      return order;
     }
+    return {};
   }
 
   void NoteUsed(const std::string& model) {
@@ -365,7 +476,8 @@
     const Model* model = context_.environment()->FindModel(request.model);
     if (!owning_ || model == nullptr) return false;
     NoteUsed(request.model);
-    demand_[request.model].reports[daemon] = {request.waiting, MonotonicNow() + kDemandLifetime};
+    demand_[request.model].reports[daemon] = {request.waiting,
+                                              MonotonicNow() + timings_.demand_lifetime};
     if (request.waiting != WaitingByRank{}) Wake();
     return true;
   }
@@ -379,8 +491,9 @@
     for (const PlacedReplica& replica : record_.replicas) {
       const auto view = views_.find(replica.endpoint);
       if (replica.model != model || replica.state != ReplicaState::kReady) continue;
-      if (view == views_.end() || view->second.host.state != HostState::kLive) continue;
+      if (view == views_.end() || !view->second.listed) continue;
       const EndpointView& endpoint = view->second;
+      if (endpoint.host.state != HostState::kLive) continue;
       ReplicaLocation location;
       location.endpoint = replica.endpoint;
       location.address = endpoint.host.address;
@@ -411,6 +524,7 @@
   LeaseKeeper<Kv>* lease_;
   Engine* engine_;
   Metrics* metrics_;
+  PlacementTimings timings_;
   // Wakes the deciding coroutine, the waiting demands, and the endpoints' coroutines.
   Notifier work_;
   Notifier answers_;
@@ -419,7 +533,21 @@
   std::uint64_t version_ = 0;
   LeaseId owning_lease_;
   std::string holder_;
+  // The fence of the take-over.
+  std::uint64_t owned_fence_ = 0;
+  // An engine has a higher fence than the record that this daemon knows.
+  bool fence_refused_ = false;
+  // When an endpoint was last on the host list and last answered.
+  struct Contact {
+    MonotonicTime listed_at;
+    MonotonicTime answered_at;
+    // A coroutine watches the endpoint.
+    bool attended = false;
+  };
+
   EndpointViews views_;
+  std::map<std::string, Contact> contacts_;
+  MonotonicTime hosts_read_at_;
   DemandTable demand_;
   std::set<std::string> unplaced_;
   int endpoint_tasks_ = 0;
