Refuse full slots before the write and free keys of refused orders

Cause: a slot of request records grew until the key-value service refused the write at 1 MB, and then no request of the slot could end any more. A reservation whose write was acknowledged too late was refused as not run, but its key stayed reserved, so the order could never run. A writer that was paused beyond the record window could run an order a second time after the slot with its record was deleted. After 256 slots the memory of slots was full of old ones, and each request read its slot again.

Change: a reservation is refused (503 slot_full, not_run) unless the ends of all open reservations still fit. A refused reservation that may be stored is released in the background. The age of the key is checked again after the write. Of 32 slots the longest unused is dropped. No attempt to write starts later than 2 s after the first.

Behaviour: new refusal code slot_full; keys of refused orders work again.

--- a/src/request_ledger.h
+++ b/src/request_ledger.h
@@ -26,13 +26,15 @@
 template <KvStore Kv>
 class RequestLedger {
  public:
-  // Precondition: `kv` and `metrics` outlive this object and all of its calls.
+  // `clock` tells the time after a write. Precondition: `kv` and `metrics` outlive this object and
+  // all of its calls.
   RequestLedger(boost::asio::any_io_executor executor, std::string key_prefix, Kv* kv,
-                Metrics* metrics)
+                Metrics* metrics, std::function<WallTime()> clock = WallNow)
       : executor_(std::move(executor)),
         key_prefix_(std::move(key_prefix)),
         kv_(kv),
-        metrics_(metrics) {}
+        metrics_(metrics),
+        clock_(std::move(clock)) {}
 
   // Enters a request unless its key is known. Only kReserved allows the request to be sent, and
   // only to this caller of Reserve.
@@ -54,6 +56,15 @@
     reservation.status =
         pending->written ? pending->outcome.status : ReserveStatus::kServiceUnavailable;
     reservation.record = pending->outcome.record;
+    // A writer that was paused beyond the window may have created the slot again after it was
+    // deleted, together with the record of an earlier run. A key that is still within its window
+    // after the write proves that the slot had not been deleted before it.
+    if (reservation.status == ReserveStatus::kReserved) {
+      reservation.status = CheckKeyAge(service, key, clock_());
+    }
+    if (!pending->written && pending->maybe_stored) {
+      boost::asio::co_spawn(executor_, Release(reservation), boost::asio::detached);
+    }
     co_return reservation;
   }
 
@@ -77,14 +88,21 @@
  private:
   static constexpr int kMaxAttempts = 8;
   static constexpr milliseconds kRetryDelay{20};
-  // A slot that nobody writes is forgotten; the value is read again when needed.
-  static constexpr std::size_t kMaxCachedSlots = 256;
+  // No attempt starts later than this, so that a slow service leads to a refusal, not to a wait.
+  static constexpr milliseconds kAttemptsTime{2000};
+  static constexpr int kMaxReleaseAttempts = 4;
+  static constexpr milliseconds kReleaseDelay{250};
+  // Slots that are kept in memory, up to 1 MB each. The longest unused one is dropped and read
+  // again when needed.
+  static constexpr std::size_t kMaxCachedSlots = 32;
 
   // A change that waits to be written. `apply` may run several times.
   struct Pending {
     std::function<SlotChange(RecordSlot*)> apply;
     SlotChange outcome;
     bool written = false;
+    // A write whose answer was lost may have stored it.
+    bool maybe_stored = false;
     bool done = false;
   };
 
@@ -94,15 +112,30 @@
     Notifier finished;
     bool running = false;
     bool known = false;
+    std::uint64_t last_use = 0;
     std::uint64_t version = 0;
     RecordSlot slot;
   };
 
+  // Frees the key of a request that was refused while its reservation may be stored. Otherwise the
+  // caller could never run it, and would be told that its outcome is unknown.
+  Task<void> Release(Reservation reservation) {
+    reservation.status = ReserveStatus::kReserved;
+    milliseconds delay = kReleaseDelay;
+    for (int attempt = 0; attempt < kMaxReleaseAttempts; ++attempt) {
+      co_await Sleep(delay);
+      const bool written = co_await Finish(reservation, RecordState::kReleased, 0, "", "");
+      if (written) co_return;
+      delay *= 2;
+    }
+  }
+
   Task<void> Submit(std::string slot_key, std::shared_ptr<Pending> pending) {
     std::shared_ptr<SlotWriter>& found = writers_[slot_key];
     if (found == nullptr) found = std::make_shared<SlotWriter>(executor_);
     const std::shared_ptr<SlotWriter> writer = found;
     writer->waiting.push_back(pending);
+    writer->last_use = ++uses_;
     if (!writer->running) {
       writer->running = true;
       boost::asio::co_spawn(executor_, Write(slot_key, writer), boost::asio::detached);
@@ -120,12 +153,23 @@
       writer->finished.NotifyAll();
     }
     writer->running = false;
-    if (writers_.size() > kMaxCachedSlots) writers_.erase(slot_key);
+    if (writers_.size() > kMaxCachedSlots) DropLongestUnused();
+  }
+
+  void DropLongestUnused() {
+    auto oldest = writers_.end();
+    for (auto it = writers_.begin(); it != writers_.end(); ++it) {
+      if (it->second->running) continue;
+      if (oldest == writers_.end() || it->second->last_use < oldest->second->last_use) oldest = it;
+    }
+    if (oldest != writers_.end()) writers_.erase(oldest);
   }
 
   Task<void> WriteBatch(std::string slot_key, SlotWriter* writer,
                         const std::vector<std::shared_ptr<Pending>>& batch) {
+    const MonotonicTime start = MonotonicNow();
     for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+      if (MonotonicNow() - start > kAttemptsTime) co_return;
       const bool cached = writer->known;
       if (!cached) {
         const auto read = co_await ReadSlot(slot_key, writer);
@@ -161,6 +205,7 @@
       // Lost to another writer, or the answer was lost: the next attempt reads the value back.
       writer->known = false;
       if (!swap && swap.error() != KvError::kOutcomeUnknown) co_return;
+      for (const auto& pending : batch) pending->maybe_stored |= !swap;
       co_await Sleep(kRetryDelay * attempt);
     }
   }
@@ -184,7 +229,9 @@
   std::string key_prefix_;
   Kv* kv_;
   Metrics* metrics_;
+  std::function<WallTime()> clock_;
   std::map<std::string, std::shared_ptr<SlotWriter>> writers_;
+  std::uint64_t uses_ = 0;
 };
 
 }  // namespace mimosabend
--- a/src/request_record.cpp
+++ b/src/request_record.cpp
@@ -11,6 +11,16 @@
 
 // Clocks of callers may run ahead by this much.
 constexpr seconds kMaxKeyLead{300};
+// Encoded sizes: the byte order mark and the number of records, and a record without its texts.
+constexpr std::size_t kSlotHeaderBytes = 5;
+constexpr std::size_t kRecordHeaderBytes = 41;
+
+// Size of a record once it has ended without a body.
+std::size_t CommittedBytesOf(const RequestRecord& record) {
+  const bool open = record.state == RecordState::kReserved;
+  const std::size_t type = open ? kMaxRecordedContentType : record.content_type.size();
+  return kRecordHeaderBytes + record.key.size() + type + record.body.size();
+}
 
 ReserveStatus StatusOfRepeat(const RequestRecord& known, const RequestRecord& repeat,
                              WallTime now) {
@@ -47,15 +57,24 @@
   return service.name + "/" + std::to_string(range) + "/" + std::to_string(slot);
 }
 
+std::size_t CommittedBytes(const RecordSlot& slot) {
+  std::size_t bytes = kSlotHeaderBytes;
+  for (const RequestRecord& record : slot.records) bytes += CommittedBytesOf(record);
+  return bytes;
+}
+
 SlotChange ReserveInSlot(const RequestRecord& record, WallTime now, RecordSlot* slot) {
+  const bool full = CommittedBytes(*slot) + CommittedBytesOf(record) > kMaxKvValueBytes;
   for (RequestRecord& known : slot->records) {
     if (known.key != record.key) continue;
     if (known.nonce == record.nonce) return {false, ReserveStatus::kReserved, known};
     const ReserveStatus status = StatusOfRepeat(known, record, now);
     if (status != ReserveStatus::kReserved) return {false, status, known};
+    if (full) return {false, ReserveStatus::kSlotFull, known};
     known = record;
     return {true, status, known};
   }
+  if (full) return {false, ReserveStatus::kSlotFull, record};
   slot->records.push_back(record);
   return {true, ReserveStatus::kReserved, record};
 }
@@ -66,8 +85,10 @@
     if (known.state != RecordState::kReserved) return {false, ReserveStatus::kReserved, known};
     known.state = result.state;
     known.status = result.status;
-    known.content_type = result.content_type;
-    known.body = result.body;
+    if (result.content_type.size() <= kMaxRecordedContentType) {
+      known.content_type = result.content_type;
+    }
+    if (CommittedBytes(*slot) + result.body.size() <= kMaxKvValueBytes) known.body = result.body;
     return {true, ReserveStatus::kReserved, known};
   }
   return {false, ReserveStatus::kOutcomeUnknown, result};
--- a/src/request_record.h
+++ b/src/request_record.h
@@ -8,12 +8,15 @@
 #include "clock.h"
 #include "codec.h"
 #include "environment.h"
+#include "kv_store.h"
 #include "name_table.h"
 
 namespace mimosabend {
 
 // Longest answer body that is kept for repeats.
 inline constexpr std::size_t kMaxRecordedBody = 4096;
+// Longest content type that is kept for repeats.
+inline constexpr std::size_t kMaxRecordedContentType = 128;
 
 // A reserved request may have run: there is no state between the reservation and the end.
 enum class RecordState : std::uint8_t { kReserved, kDone, kReleased, kUnknown };
@@ -62,11 +65,12 @@
   kKeyReused,
   kKeyMalformed,
   kKeyExpired,
+  kSlotFull,
   kServiceUnavailable
 };
-inline constexpr NameTable<ReserveStatus, 8> kReserveStatusNames{
+inline constexpr NameTable<ReserveStatus, 9> kReserveStatusNames{
     {"reserved", "replay", "in_progress", "outcome_unknown", "key_reused", "key_malformed",
-     "key_expired", "service_unavailable"}};
+     "key_expired", "slot_full", "service_unavailable"}};
 
 struct SlotChange {
   bool changed = false;
@@ -89,11 +93,17 @@
 // "service/range/slot" of a key. Precondition: CheckKeyAge has accepted the key. Thread-safe.
 std::string SlotName(const Service& service, const std::string& key);
 
-// Adds a reservation unless the key is there. Applied again to a slot that already holds the
-// same reservation, by its nonce, it succeeds without a change. Thread-safe.
+// Size of a slot in the key-value service once every reservation in it has ended without a body.
+// Thread-safe.
+std::size_t CommittedBytes(const RecordSlot& slot);
+
+// Adds a reservation unless the key is there or its end might not fit the slot any more. Applied
+// again to a slot that already holds the same reservation, by its nonce, it succeeds without a
+// change. Thread-safe.
 SlotChange ReserveInSlot(const RequestRecord& record, WallTime now, RecordSlot* slot);
 
-// Ends the reservation that has the nonce of `result`. Thread-safe.
+// Ends the reservation that has the nonce of `result`. The body is left out if it does not fit.
+// Thread-safe.
 SlotChange FinishInSlot(const RequestRecord& result, RecordSlot* slot);
 
 }  // namespace mimosabend
--- a/src/service_handler.h
+++ b/src/service_handler.h
@@ -215,9 +215,14 @@
                          "the key's time lies outside the window in which repeats are "
                          "recognised; check whether the order exists before a new one",
                          Disposition::kNotRun);
+      case ReserveStatus::kSlotFull:
+        return MakeError(503, code,
+                         "too many requests of the key's time are recorded; this one was not run",
+                         Disposition::kNotRun);
       default:
         return MakeError(503, "records_unavailable",
-                         "request records can't be written, so nothing was run",
+                         "request records can't be written, so this request was not run; whether "
+                         "an earlier one with the same key was run can't be told now",
                          Disposition::kNotRun);
     }
   }
