Delete slots of request records an hour after their window

Cause: slots were never deleted, so the key-value service filled up.

One daemon of the first region is preferred; several at once only cost calls. A slot is deleted only in the version that was read.

Tests: slots within window and grace stay, due ones are deleted with 20% of the calls failing, a pass makes at most 100 calls, and an idle pass makes 1.

Behaviour: request records of expired keys are no longer kept.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -20,6 +20,7 @@
 #include "http_server.h"
 #include "log.h"
 #include "ownership.h"
+#include "request_sweeper.h"
 #include "service_handler.h"
 
 namespace mimosabend {
@@ -63,6 +64,7 @@
   Task<Result<Envelope, PeerError>> HandlePeer(Envelope request);
   Task<DemandAnswer> AskOwner(DemandRequest request);
   Task<void> UpdateMetrics();
+  bool IsPreferredSweeper() const;
   Task<void> WaitForSignals();
   Task<void> Drain();
   bool IsReady() const { return !stopping_ && document_.version() > 0 && hosts_.known(); }
@@ -87,6 +89,7 @@
   ReplicaDirectory directory_;
   Router router_;
   RequestLedger<Kv> ledger_;
+  RequestSweeper<Kv> sweeper_;
   CompletionHandler<Engine> completions_;
   ServiceHandler<Kv> services_;
   Gossip gossip_;
@@ -123,6 +126,10 @@
           [this](DemandRequest request) { return AskOwner(std::move(request)); }),
       router_(settings.region, RandomId()),
       ledger_(io->get_executor(), EnvironmentKeyPrefix(settings.environment), &kv_, &metrics_),
+      sweeper_(
+          EnvironmentKeyPrefix(settings.environment), &kv_,
+          [this] { return document_.environment(); }, [this] { return IsPreferredSweeper(); },
+          &metrics_),
       completions_(
           &engine_, &directory_, &router_,
           [this](const std::string& endpoint) { return hosts_.MayServe(endpoint); }, &metrics_),
@@ -160,6 +167,7 @@
   supervisor_.Start("gossip exchange", [this] { return gossip_.ExchangeMembers(&peer_client_); });
   supervisor_.Start("ownership", [this] { return ownership_.Run(); });
   supervisor_.Start("directory", [this] { return directory_.Refresh(); });
+  supervisor_.Start("request sweeper", [this] { return sweeper_.Run(); });
   supervisor_.Start("metrics", [this] { return UpdateMetrics(); });
   asio::co_spawn(*io_, WaitForSignals(), asio::detached);
   LOG4CPLUS_INFO(Log(), "serves callers at " << ToString(settings_.caller_address));
@@ -328,6 +336,15 @@
   co_return answer;
 }
 
+// One daemon of the environment's first region, as far as this one knows.
+bool Daemon::IsPreferredSweeper() const {
+  const auto environment = document_.environment();
+  if (stopping_ || environment->regions.empty()) return false;
+  const Member* preferred =
+      membership_.PreferredOwner("request sweeper", environment->regions.front());
+  return preferred->update.name == settings_.name;
+}
+
 Task<void> Daemon::UpdateMetrics() {
   std::uint64_t kv_calls = 0;
   for (;;) {
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -78,6 +78,8 @@
   record_writes_total = AddCounter("record_writes_total", "Request record values written.");
   record_replays_total =
       AddCounter("record_replays_total", "Repeated requests that were answered from their record.");
+  record_slots_deleted_total = AddCounter("record_slots_deleted_total",
+                                          "Slots of request records deleted after their window.");
   stale_documents_total =
       AddCounter("stale_documents_total", "Environment heads ignored because they were older.");
   task_restarts_total = AddCounter("task_restarts_total", "Tasks restarted by the supervisor.");
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -65,6 +65,7 @@
   prometheus::Counter* ownership_changes_total;
   prometheus::Counter* record_writes_total;
   prometheus::Counter* record_replays_total;
+  prometheus::Counter* record_slots_deleted_total;
   prometheus::Counter* stale_documents_total;
   prometheus::Counter* task_restarts_total;
   prometheus::Gauge* environment_version;
--- a/src/request_record.cpp
+++ b/src/request_record.cpp
@@ -49,12 +49,20 @@
   return expired || from_future ? ReserveStatus::kKeyExpired : ReserveStatus::kReserved;
 }
 
+std::string SlotName(const Service& service, std::uint64_t range, std::int64_t slot) {
+  return service.name + "/" + std::to_string(range) + "/" + std::to_string(slot);
+}
+
+std::int64_t FirstKeptSlot(const Service& service, WallTime now) {
+  return ToUnixMillis(now - service.record_window - kSlotGrace) /
+         milliseconds(service.slot_length).count();
+}
+
 std::string SlotName(const Service& service, const std::string& key) {
   const auto created = ParseUuid7Time(key);
   assert(created);
   const std::int64_t slot = ToUnixMillis(*created) / milliseconds(service.slot_length).count();
-  const std::uint64_t range = Hash64(key) % service.ranges;
-  return service.name + "/" + std::to_string(range) + "/" + std::to_string(slot);
+  return SlotName(service, Hash64(key) % service.ranges, slot);
 }
 
 std::size_t CommittedBytes(const RecordSlot& slot) {
--- a/src/request_record.h
+++ b/src/request_record.h
@@ -90,6 +90,16 @@
 // kReserved if the key is within its window at `now`, else why not. Thread-safe.
 ReserveStatus CheckKeyAge(const Service& service, const std::string& key, WallTime now);
 
+// Time that slots are kept beyond the record window. It covers the clocks of hosts, requests that
+// are still running, and writers that were paused.
+inline constexpr seconds kSlotGrace{3600};
+
+// "service/range/slot". Thread-safe.
+std::string SlotName(const Service& service, std::uint64_t range, std::int64_t slot);
+
+// Number of the oldest slot that must still be kept at `now`. Thread-safe.
+std::int64_t FirstKeptSlot(const Service& service, WallTime now);
+
 // "service/range/slot" of a key. Precondition: CheckKeyAge has accepted the key. Thread-safe.
 std::string SlotName(const Service& service, const std::string& key);
 
--- a/tests/test_ledger.cpp
+++ b/tests/test_ledger.cpp
@@ -5,6 +5,7 @@
 
 #include "fake_kv.h"
 #include "request_ledger.h"
+#include "request_sweeper.h"
 #include "uuid7.h"
 
 namespace mimosabend::testing {
@@ -538,4 +539,82 @@
   CHECK(repeated == ReserveStatus::kReserved);
 }
 
+// Guards against records that are never deleted, against one that is deleted while its key may
+// still be repeated, and against a sweep that floods the key-value service.
+TEST_CASE("slots are deleted an hour after their window", "[ledger]") {
+  boost::asio::io_context io(1);
+  FakeKvService service(1);
+  FakeKv kv(&service);
+  FakeKv other_kv(&service);
+  kv.faults() = {false, 0.05, 0.1, milliseconds(0), 0.05};
+  Metrics metrics;
+  const Service orders = OrderService();
+  const WallTime now = WallNow();
+  const auto no_environment = [] { return std::make_shared<const Environment>(); };
+  const auto preferred = [] { return true; };
+  RequestSweeper<FakeKv> sweeper("env/t/", &kv, no_environment, preferred, &metrics);
+  RequestSweeper<FakeKv> other("env/t/", &other_kv, no_environment, preferred, &metrics);
+  const auto slot_of = [&](seconds age) {
+    return "env/t/req/" + SlotName(orders, MakeUuid7(now - age));
+  };
+  // One slot a minute: the window is 3600 s, the grace 3600 s and the slot 60 s long.
+  std::vector<std::string> due;
+  std::vector<std::string> kept;
+  for (int age = 0; age <= 7200; age += 60) kept.push_back(slot_of(seconds(age)));
+  for (int age = 7261; age <= 7200 + 40 * 60; age += 60) due.push_back(slot_of(seconds(age)));
+  for (const std::string& slot : kept) service.Swap(slot, "records", 0);
+  for (const std::string& slot : due) service.Swap(slot, "records", 0);
+  std::uint64_t most_calls = 0;
+  RunTask(&io, [&]() -> Task<void> {
+    constexpr int kPasses = 120;
+    for (int pass = 0; pass < kPasses; ++pass) {
+      const std::uint64_t before = kv.calls();
+      co_await sweeper.Sweep(orders, now);
+      most_calls = std::max(most_calls, kv.calls() - before);
+      if (pass % 10 == 0) co_await other.Sweep(orders, now);
+    }
+  });
+  for (const std::string& slot : due) CHECK_FALSE(service.Get(slot).exists());
+  for (const std::string& slot : kept) CHECK(service.Get(slot).exists());
+  CHECK(most_calls <= RequestSweeper<FakeKv>::kMaxCallsPerPass);
+  // Nothing is left to do but to read the position.
+  const std::uint64_t before = other_kv.calls();
+  RunTask(&io, [&]() -> Task<void> { co_await other.Sweep(orders, now); });
+  CHECK(other_kv.calls() - before == 1);
+}
+
+// Guards against a sweeper that was paused between its read and its delete and deletes records
+// that were written meanwhile, and against an order that then runs a second time.
+TEST_CASE("a slot written again meanwhile is not deleted", "[ledger]") {
+  boost::asio::io_context io(1);
+  FakeKvService service(1);
+  FakeKv kv(&service);
+  Metrics metrics;
+  const Service orders = OrderService();
+  const WallTime now = WallNow();
+  const std::string key = MakeUuid7(now);
+  const std::string slot = "env/t/req/" + SlotName(orders, key);
+  service.Swap(slot, Encode(RecordSlot()), 0);
+  const std::uint64_t read_version = service.Get(slot).version;
+  service.Swap(slot, Encode(RecordSlot()), read_version);
+  bool deleted = true;
+  ReserveStatus late = ReserveStatus::kReserved;
+  RunTask(&io, [&]() -> Task<void> {
+    auto result = co_await kv.Delete(slot, read_version);
+    deleted = result.value();
+    // The slot is deleted two hours later; a writer that was paused since then sends nothing.
+    RequestSweeper<FakeKv> sweeper(
+        "env/t/", &kv, [] { return std::make_shared<const Environment>(); }, [] { return true; },
+        &metrics);
+    const WallTime later = now + seconds(2 * 3600 + 61);
+    while (service.Get(slot).exists()) co_await sweeper.Sweep(orders, later);
+    RequestLedger<FakeKv> ledger(io.get_executor(), "env/t/", &kv, &metrics,
+                                 [later] { return later; });
+    const Reservation reservation = co_await ledger.Reserve(orders, key, 1, seconds(5), now);
+    late = reservation.status;
+  });
+  CHECK_FALSE(deleted);
+  CHECK(late == ReserveStatus::kKeyExpired);
+}
+
 }  // namespace mimosabend::testing
