Serve half-closed, slow and queued callers to the end

Cause: a caller that closed its sending side after the request was taken for gone and lost its answer. A whole answer had 30 s to get through however long it was. Closing the listener reset the connections in its queue, and one above the limit was closed without an answer. A stream that was opened before a stop held the process for up to 30 s. An idle connection could be closed while the bytes of a request waited in it.

Change: only a broken connection counts as gone; the time-out of a write starts again with each piece; the listener's queue is accepted before it closes; up to 64 connections above the limit get a 503 with Retry-After; after the stop a connection may be idle for 1 s.

Before, the half-closed completions got no answer.

Behaviour: a caller that closes its connection without a reset while a whole answer is generated is noticed only when the answer is written.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -19,11 +19,12 @@
 
 namespace {
 
-// How long a slow caller may take to accept the bytes of one write.
-constexpr std::chrono::seconds kWriteTimeout{30};
 // After the listener is closed, idle connections may still bring a request for this long.
 constexpr std::chrono::seconds kDrainIdleTimeout{1};
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
+// Connections above the limit that are held just long enough to refuse their request.
+constexpr std::size_t kMaxRefusing = 64;
+constexpr char kRefusalRetryAfter[] = "2";
 
 HttpRequest ConvertRequest(http::request<http::string_body> message) {
   HttpRequest request;
@@ -49,6 +50,7 @@
 std::string ReadErrorBody(int status) {
   const char* message = status == 431   ? "the request header is too large"
                         : status == 413 ? "the request body is too large"
+                        : status == 503 ? "too many connections are open"
                                         : "not a valid HTTP request";
   return std::string(R"({"error":{"message":")") + message +
          R"(","type":"invalid_request_error","param":null,"code":"bad_request"},"outcome":"not_run"})";
@@ -58,21 +60,21 @@
 
 class ServerConnection {
  public:
-  ServerConnection(HttpServer* server, asio::ip::tcp::socket socket)
-      : server_(server), stream_(std::move(socket)) {}
+  // With `refuse`, the first request is refused since too many connections are open.
+  ServerConnection(HttpServer* server, asio::ip::tcp::socket socket, bool refuse)
+      : server_(server), stream_(std::move(socket)), refuse_(refuse) {}
 
   Task<void> Run();
 
   // Ends the wait for a next request unless a part of one has arrived.
   void CloseIfIdle() {
-    if (buffer_.size() == 0) stream_.cancel();
+    if (buffer_.size() == 0 && Peek() <= 0) stream_.cancel();
   }
 
+  // A closed sending side alone does not count: a peer may close it after its request and still
+  // wait for the answer.
   bool IsPeerGone() {
-    char byte;
-    const ssize_t count =
-        ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    return Peek() < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
   }
 
   Task<bool> WriteHeader(int status, const HttpHeaders& headers) {
@@ -81,7 +83,7 @@
     response.chunked(true);
     http::response_serializer<http::empty_body> serializer(response);
     boost::system::error_code error;
-    stream_.expires_after(kWriteTimeout);
+    stream_.expires_after(server_->limits_.write_timeout);
     co_await http::async_write_header(stream_, serializer,
                                       asio::redirect_error(asio::use_awaitable, error));
     chunked_open_ = !error;
@@ -93,15 +95,20 @@
     Prepare(&response, status, headers);
     response.body() = std::move(body);
     response.prepare_payload();
+    http::response_serializer<http::string_body> serializer(response);
     boost::system::error_code error;
-    stream_.expires_after(kWriteTimeout);
-    co_await http::async_write(stream_, response, asio::redirect_error(asio::use_awaitable, error));
+    // Each piece has its own time-out, so that a long answer gets through a slow link.
+    while (!error && !serializer.is_done()) {
+      stream_.expires_after(server_->limits_.write_timeout);
+      co_await http::async_write_some(stream_, serializer,
+                                      asio::redirect_error(asio::use_awaitable, error));
+    }
     co_return Note(error);
   }
 
   Task<bool> WriteChunk(const std::string& bytes) {
     boost::system::error_code error;
-    stream_.expires_after(kWriteTimeout);
+    stream_.expires_after(server_->limits_.write_timeout);
     co_await asio::async_write(stream_, http::make_chunk(asio::buffer(bytes)),
                                asio::redirect_error(asio::use_awaitable, error));
     co_return Note(error);
@@ -109,7 +116,7 @@
 
   Task<bool> WriteLastChunk() {
     boost::system::error_code error;
-    stream_.expires_after(kWriteTimeout);
+    stream_.expires_after(server_->limits_.write_timeout);
     co_await asio::async_write(stream_, http::make_chunk_last(),
                                asio::redirect_error(asio::use_awaitable, error));
     chunked_open_ = false;
@@ -117,6 +124,13 @@
   }
 
  private:
+  // Number of bytes that wait to be read, at most 1; 0 if the peer has closed its sending side,
+  // and -1 with errno if nothing waits or the connection is broken.
+  ssize_t Peek() {
+    char byte;
+    return ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  }
+
   template <class Response>
   void Prepare(Response* response, int status, const HttpHeaders& headers) {
     response->version(11);
@@ -136,6 +150,7 @@
   HttpServer* server_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
+  bool refuse_;
   bool keep_alive_ = true;
   bool chunked_open_ = false;
 };
@@ -146,7 +161,9 @@
   parser.header_limit(server_->limits_.header_bytes);
   parser.body_limit(server_->limits_.body_bytes);
   boost::system::error_code error;
-  stream_.expires_after(server_->limits_.idle_timeout);
+  // A stream that was opened before the server was told to stop ends without "close".
+  const bool hurry = server_->stopping() || refuse_;
+  stream_.expires_after(hurry ? kDrainIdleTimeout : server_->limits_.idle_timeout);
   server_->idle_.insert(this);
   co_await http::async_read_header(stream_, buffer_, parser,
                                    asio::redirect_error(asio::use_awaitable, error));
@@ -183,6 +200,13 @@
     std::optional<HttpRequest> request;
     const bool read = co_await ReadRequest(&request);
     if (!read) break;
+    if (refuse_) {
+      keep_alive_ = false;
+      HttpHeaders headers{{"Content-Type", "application/json"},
+                          {"Retry-After", kRefusalRetryAfter}};
+      co_await WriteWhole(503, headers, ReadErrorBody(503));
+      break;
+    }
     HttpExchange exchange(this, std::move(*request));
     co_await server_->handler_(exchange);
     // A handler leaves a request without an answer only if its caller is gone.
@@ -245,6 +269,7 @@
 
 void HttpServer::StopAccepting() {
   stopping_ = true;
+  AcceptWaiting();
   boost::system::error_code ignored;
   acceptor_.close(ignored);
   asio::co_spawn(executor_, CloseIdleConnections(), asio::detached);
@@ -258,6 +283,25 @@
   for (ServerConnection* connection : idle_) connection->CloseIfIdle();
 }
 
+// Accepts what waits in the listener's queue: closing the listener would reset it.
+void HttpServer::AcceptWaiting() {
+  boost::system::error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    asio::ip::tcp::socket socket(executor_);
+    acceptor_.accept(socket, error);
+    if (!error) Admit(std::move(socket));
+  }
+}
+
+void HttpServer::Admit(asio::ip::tcp::socket socket) {
+  const bool refuse = open_connections_ >= limits_.connections;
+  if (refuse) ++rejected_requests_;
+  if (open_connections_ >= limits_.connections + kMaxRefusing) return;
+  ++open_connections_;
+  asio::co_spawn(executor_, Serve(std::move(socket), refuse), asio::detached);
+}
+
 Task<void> HttpServer::Accept() {
   while (!stopping_) {
     boost::system::error_code error;
@@ -270,18 +314,13 @@
       co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
       continue;
     }
-    if (open_connections_ >= limits_.connections) {
-      ++rejected_requests_;
-      continue;
-    }
-    asio::co_spawn(executor_, Serve(std::move(socket)), asio::detached);
+    Admit(std::move(socket));
   }
 }
 
-Task<void> HttpServer::Serve(asio::ip::tcp::socket socket) {
-  ++open_connections_;
+Task<void> HttpServer::Serve(asio::ip::tcp::socket socket, bool refuse) {
   {
-    ServerConnection connection(this, std::move(socket));
+    ServerConnection connection(this, std::move(socket), refuse);
     co_await connection.Run();
   }
   --open_connections_;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -46,7 +46,8 @@
   // Ends the chunked answer. A stream that is not finished is cut, so that the caller can tell.
   Task<bool> FinishStream();
 
-  // True once the caller has closed its connection.
+  // True once the connection is broken. A caller that has only closed its sending side still
+  // waits for its answer; one that has closed both is noticed at the next write.
   bool IsCallerGone() const;
 
  private:
@@ -79,7 +80,9 @@
 
   Task<void> Accept();
   Task<void> CloseIdleConnections();
-  Task<void> Serve(boost::asio::ip::tcp::socket socket);
+  void AcceptWaiting();
+  void Admit(boost::asio::ip::tcp::socket socket);
+  Task<void> Serve(boost::asio::ip::tcp::socket socket, bool refuse);
 
   boost::asio::any_io_executor executor_;
   HttpLimits limits_;
--- a/src/settings.h
+++ b/src/settings.h
@@ -43,6 +43,8 @@
   std::uint32_t header_bytes = 16 * 1024;
   std::uint64_t body_bytes = 1024 * 1024;
   milliseconds idle_timeout{30000};
+  // How long a slow peer may go without accepting any byte of an answer.
+  milliseconds write_timeout{30000};
 };
 
 // How to reach the platform; daemons and operator commands need it.
