Report promotions truthfully and take the newest document at the start

Cause: an operator whose answer was lost was told that nothing was changed when another one had already replaced the accepted version. One lost answer ended a promotion as unknown. A watch whose connection went silent was noticed after 32 s, beyond the 9 s bound. A daemon that started while the key-value service answered with an old head was ready with that version before it had heard of its peers.

Change: a promotion enters the head that it replaces in the audit trail first, and looks its own version up there if the head is a later one. Calls whose answer is lost are tried up to 5 times; the swap keeps its expected version, so it takes effect once. A watch waits 4 s. A daemon is ready once its version is no older than what its peers had in the first 2 s.

Behaviour: a daemon without peers becomes ready 2 s after its start.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -67,7 +67,7 @@
   bool IsPreferredSweeper() const;
   Task<void> WaitForSignals();
   Task<void> Drain();
-  bool IsReady() const { return !stopping_ && document_.version() > 0 && hosts_.known(); }
+  bool IsReady() const { return !stopping_ && document_.settled(MonotonicNow()) && hosts_.known(); }
   std::string StatusJson() const;
   void GiveUp(const std::string& task);
 
@@ -139,7 +139,7 @@
       gossip_(io->get_executor(), &membership_, identity_, settings.seeds, &metrics_,
               Gossip::Hooks{[this] { return document_.version(); },
                             [this](const Address& peer, std::uint64_t version) {
-                              document_.NotePeerVersion(peer, version);
+                              document_.NotePeerVersion(peer, version, MonotonicNow());
                             }}),
       peer_server_(io->get_executor(), identity_, &metrics_,
                    [this](Envelope request) { return HandlePeer(std::move(request)); }),
--- a/src/document_keeper.h
+++ b/src/document_keeper.h
@@ -1,6 +1,7 @@
 #ifndef MIMOSABEND_DOCUMENT_KEEPER_H_
 #define MIMOSABEND_DOCUMENT_KEEPER_H_
 
+#include <algorithm>
 #include <cassert>
 #include <map>
 #include <memory>
@@ -31,15 +32,25 @@
         peers_(peers),
         metrics_(metrics),
         environment_(std::make_shared<Environment>()),
-        newer_at_peer_(executor) {}
+        newer_at_peer_(executor),
+        started_(MonotonicNow()) {}
 
   std::uint64_t version() const { return head_.version; }
   const DocumentHead& head() const { return head_; }
   // The document in force; an empty one before the first was adopted.
   std::shared_ptr<const Environment> environment() const { return environment_; }
 
+  // True once a document is in force that is no older than what the peers had at the start. A
+  // daemon without peers waits for them for kPeerWait.
+  bool settled(MonotonicTime now) const {
+    const bool asked = heard_from_peer_ || now - started_ >= kPeerWait;
+    return asked && head_.version > 0 && head_.version >= start_version_;
+  }
+
   // Notes the version that is in force at a peer.
-  void NotePeerVersion(const Address& peer, std::uint64_t version) {
+  void NotePeerVersion(const Address& peer, std::uint64_t version, MonotonicTime now) {
+    heard_from_peer_ = true;
+    if (now - started_ < kPeerWait) start_version_ = std::max(start_version_, version);
     if (version <= head_.version || version < peer_version_) return;
     peer_version_ = version;
     peer_ = peer;
@@ -97,7 +108,10 @@
   }
 
  private:
-  static constexpr milliseconds kWatchTime{30000};
+  // With the client's allowance of 2 s for a lost answer and one retry, a watch whose connection
+  // went silent still leaves 2 s of the 9 s until a version is in force everywhere.
+  static constexpr milliseconds kWatchTime{4000};
+  static constexpr milliseconds kPeerWait{2000};
   static constexpr milliseconds kRetryDelay{500};
   static constexpr milliseconds kPeerRetryDelay{200};
   static constexpr milliseconds kFetchTimeout{2000};
@@ -185,6 +199,10 @@
   std::map<std::string, std::string> parts_;
   std::shared_ptr<const Environment> environment_;
   Notifier newer_at_peer_;
+  MonotonicTime started_;
+  bool heard_from_peer_ = false;
+  // Highest version that a peer had soon after the start.
+  std::uint64_t start_version_ = 0;
   std::uint64_t peer_version_ = 0;
   Address peer_;
 };
--- a/src/document_store.h
+++ b/src/document_store.h
@@ -66,12 +66,21 @@
     if (trial.value().head.digest != digest) co_return outcome::failure(StoreError::kNotOnTrial);
     auto current = co_await ReadHead();
     if (!current) co_return outcome::failure(current.error());
+    // With the head that is replaced in the audit trail, an operator whose answer was lost can tell
+    // whether its version was accepted, even if a later one is in force by now.
+    if (current.value().head.version > 0) {
+      auto recorded = co_await RecordInHistory(current.value().head);
+      if (!recorded) co_return outcome::failure(recorded.error());
+    }
     DocumentHead head = trial.value().head;
     head.version = current.value().head.version + 1;
     head.author = std::move(author);
     head.time_ms = ToUnixMillis(now);
     head.previous_digest = current.value().head.digest;
     auto swapped = co_await Swap(head_key(), current.value().kv_version, head);
+    if (!swapped && swapped.error() == StoreError::kConflict) {
+      swapped = co_await FindInHistory(head);
+    }
     if (!swapped) co_return outcome::failure(swapped.error());
     auto recorded = co_await RecordInHistory(head);
     static_cast<void>(recorded);  // Daemons that adopt the head enter it, too.
@@ -82,6 +91,9 @@
   // it can be written after a promotion whose operator process died.
   Task<Result<void, StoreError>> RecordInHistory(DocumentHead head) {
     auto swap = co_await kv_->CompareAndSwap(HistoryKey(head.version), Encode(head), 0);
+    for (int i = 1; !swap && swap.error() == KvError::kOutcomeUnknown && i < kMaxAttempts; ++i) {
+      swap = co_await kv_->CompareAndSwap(HistoryKey(head.version), Encode(head), 0);
+    }
     if (!swap) co_return outcome::failure(StoreError::kUnavailable);
     if (head.version > kHistoryLength) {
       const std::string expired = HistoryKey(head.version - kHistoryLength);
@@ -111,7 +123,7 @@
 
   // The text of a part, checked against its digest.
   Task<Result<std::string, StoreError>> ReadPart(std::string digest) {
-    auto entry = co_await kv_->Read(prefix_ + "part/" + digest);
+    auto entry = co_await ReadKey(prefix_ + "part/" + digest);
     if (!entry) co_return outcome::failure(StoreError::kUnavailable);
     if (!entry.value().exists() || Sha256Hex(entry.value().value) != digest) {
       co_return outcome::failure(StoreError::kCorrupt);
@@ -120,6 +132,8 @@
   }
 
  private:
+  // Tries of a call whose answer is lost.
+  static constexpr int kMaxAttempts = 5;
   // Changes that the audit trail keeps.
   static constexpr std::uint64_t kHistoryLength = 2000;
 
@@ -130,7 +144,7 @@
   }
 
   Task<Result<StoredHead, StoreError>> ReadHeadAt(std::string key) {
-    auto entry = co_await kv_->Read(key);
+    auto entry = co_await ReadKey(key);
     if (!entry) co_return outcome::failure(StoreError::kUnavailable);
     StoredHead stored;
     stored.kv_version = entry.value().version;
@@ -144,31 +158,58 @@
 
   Task<Result<void, StoreError>> StorePart(std::string digest, std::string part) {
     const std::string key = prefix_ + "part/" + digest;
-    auto entry = co_await kv_->Read(key);
+    auto entry = co_await ReadKey(key);
     if (!entry) co_return outcome::failure(StoreError::kUnavailable);
     if (entry.value().value == part) co_return outcome::success();
     auto swap = co_await kv_->CompareAndSwap(key, part, entry.value().version);
     if (!swap && swap.error() == KvError::kTooLarge)
       co_return outcome::failure(StoreError::kCorrupt);
-    auto check = co_await kv_->Read(key);
+    auto check = co_await ReadKey(key);
     if (!check || check.value().value != part) co_return outcome::failure(StoreError::kUnavailable);
     co_return outcome::success();
   }
 
-  // Swaps a head; a lost answer is resolved by reading the key back.
-  Task<Result<void, StoreError>> Swap(std::string key, std::uint64_t expected, DocumentHead head) {
-    const std::string bytes = Encode(head);
-    auto swap = co_await kv_->CompareAndSwap(key, bytes, expected);
-    if (swap) {
-      if (swap.value().swapped) co_return outcome::success();
+  // A read can be repeated when its answer is lost.
+  Task<Result<KvEntry, KvError>> ReadKey(std::string key) {
+    auto entry = co_await kv_->Read(key);
+    for (int i = 1; !entry && entry.error() == KvError::kOutcomeUnknown && i < kMaxAttempts; ++i) {
+      entry = co_await kv_->Read(key);
+    }
+    co_return entry;
+  }
+
+  // Success if a head that is not in force any more, or never was, had been accepted.
+  // Precondition: a later head was read, or another one of the same version.
+  Task<Result<void, StoreError>> FindInHistory(DocumentHead head) {
+    auto current = co_await ReadHead();
+    if (!current) co_return outcome::failure(StoreError::kOutcomeUnknown);
+    if (current.value().head.version <= head.version) {
       co_return outcome::failure(StoreError::kConflict);
     }
-    if (swap.error() != KvError::kOutcomeUnknown)
-      co_return outcome::failure(StoreError::kUnavailable);
-    auto entry = co_await kv_->Read(key);
+    auto entry = co_await ReadKey(HistoryKey(head.version));
     if (!entry) co_return outcome::failure(StoreError::kOutcomeUnknown);
-    if (entry.value().value == bytes) co_return outcome::success();
-    if (entry.value().version != expected) co_return outcome::failure(StoreError::kConflict);
+    if (entry.value().value == Encode(head)) co_return outcome::success();
+    co_return outcome::failure(StoreError::kConflict);
+  }
+
+  // Swaps a head. When the answer is lost, the key is read back, and the same swap is tried again
+  // while the key has not changed.
+  Task<Result<void, StoreError>> Swap(std::string key, std::uint64_t expected, DocumentHead head) {
+    const std::string bytes = Encode(head);
+    for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+      auto swap = co_await kv_->CompareAndSwap(key, bytes, expected);
+      if (swap && swap.value().swapped) co_return outcome::success();
+      if (swap && attempt == 0) co_return outcome::failure(StoreError::kConflict);
+      if (!swap && swap.error() != KvError::kOutcomeUnknown) {
+        co_return outcome::failure(attempt == 0 ? StoreError::kUnavailable
+                                                : StoreError::kOutcomeUnknown);
+      }
+      // An earlier try may be what changed the key.
+      auto entry = co_await ReadKey(key);
+      if (!entry) co_return outcome::failure(StoreError::kOutcomeUnknown);
+      if (entry.value().value == bytes) co_return outcome::success();
+      if (entry.value().version != expected) co_return outcome::failure(StoreError::kConflict);
+    }
     co_return outcome::failure(StoreError::kOutcomeUnknown);
   }
 
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -51,6 +51,8 @@
   int services_per_region = 1;
   bool honour_fence = true;
   int host_list_lag_ms = 200;
+  // Key-value service of single daemons by their index; the others use the stand-in.
+  std::map<int, Address> kv_of_daemon;
   // Added to the command line of each stand-in.
   std::vector<std::string> engine_flags;
   std::vector<std::string> weight_store_flags{"--loads_per_s=4"};
