Refuse promotions that move the records of known orders

Cause: a document with another slot_s or ranges looked for the records of known keys in other slots, and one with a longer record_window_s accepted keys whose slots had been deleted. Either let a repeat run again.

Change: promote compares the services of the two documents and exits with 2 and the remedy (a new service name). It replaces only the version that it compared with; if another was promoted meanwhile it exits with 3.

Tests: the three changes are refused and leave the history as it was. A further test holds a silent watch to the 9 s bound.

Behaviour: such promotions are refused. Two promotions at once that used to follow each other now end with one conflict.

--- a/src/document_store.h
+++ b/src/document_store.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -58,14 +59,19 @@
     co_return head;
   }
 
-  // Puts the document on trial in force, if it is still the one with this digest.
-  Task<Result<DocumentHead, StoreError>> Promote(std::string digest, std::string author,
-                                                 WallTime now) {
+  // Puts the document on trial in force, if it is still the one with this digest and the version
+  // in force is still `replaces`; std::nullopt replaces any.
+  Task<Result<DocumentHead, StoreError>> Promote(
+      std::string digest, std::string author, WallTime now,
+      std::optional<std::uint64_t> replaces = std::nullopt) {
     auto trial = co_await ReadTrial();
     if (!trial) co_return outcome::failure(trial.error());
     if (trial.value().head.digest != digest) co_return outcome::failure(StoreError::kNotOnTrial);
     auto current = co_await ReadHead();
     if (!current) co_return outcome::failure(current.error());
+    if (replaces && current.value().head.version != *replaces) {
+      co_return outcome::failure(StoreError::kConflict);
+    }
     // With the head that is replaced in the audit trail, an operator whose answer was lost can tell
     // whether its version was accepted, even if a later one is in force by now.
     if (current.value().head.version > 0) {
@@ -121,6 +127,18 @@
     co_return heads;
   }
 
+  // The text of a whole document, checked against its digest.
+  Task<Result<std::string, StoreError>> ReadDocument(DocumentHead head) {
+    std::string document;
+    for (const std::string& digest : head.parts) {
+      auto part = co_await ReadPart(digest);
+      if (!part) co_return outcome::failure(part.error());
+      document += part.value();
+    }
+    if (Sha256Hex(document) != head.digest) co_return outcome::failure(StoreError::kCorrupt);
+    co_return document;
+  }
+
   // The text of a part, checked against its digest.
   Task<Result<std::string, StoreError>> ReadPart(std::string digest) {
     auto entry = co_await ReadKey(prefix_ + "part/" + digest);
--- a/src/operator_commands.cpp
+++ b/src/operator_commands.cpp
@@ -17,6 +17,7 @@
 #include "environment.h"
 #include "http_kv_store.h"
 #include "json.h"
+#include "request_record.h"
 #include "settings.h"
 #include "supervisor.h"
 
@@ -219,6 +220,23 @@
   }
 }
 
+// Why the document on trial must not replace the one in force; empty if it may.
+Task<Result<std::string, StoreError>> FindLayoutConflict(Session* session, DocumentHead in_force,
+                                                         std::string digest) {
+  if (in_force.version == 0) co_return std::string();
+  auto trial = co_await session->store.ReadTrial();
+  if (!trial) co_return outcome::failure(trial.error());
+  if (trial.value().head.digest != digest) co_return outcome::failure(StoreError::kNotOnTrial);
+  auto before_text = co_await session->store.ReadDocument(std::move(in_force));
+  if (!before_text) co_return outcome::failure(before_text.error());
+  auto after_text = co_await session->store.ReadDocument(trial.value().head);
+  if (!after_text) co_return outcome::failure(after_text.error());
+  const auto before = ParseEnvironment("in force", before_text.value());
+  const auto after = ParseEnvironment("on trial", after_text.value());
+  if (!before || !after) co_return std::string();
+  co_return RecordLayoutConflict(before.value(), after.value());
+}
+
 Task<ExitCode> Promote(Session* session, const CommandLine& line) {
   if (!line.arguments.empty()) co_return Fail(ExitCode::kUsage, "promote takes no file");
   std::string digest = FLAGS_digest;
@@ -230,7 +248,13 @@
     }
     digest = trial.value().head.digest;
   }
-  auto head = co_await session->store.Promote(digest, Author(), WallNow());
+  auto in_force = co_await session->store.ReadHead();
+  if (!in_force) co_return FailStore(in_force.error());
+  const std::uint64_t replaces = in_force.value().head.version;
+  auto conflict = co_await FindLayoutConflict(session, in_force.value().head, digest);
+  if (!conflict) co_return FailStore(conflict.error());
+  if (!conflict.value().empty()) co_return Fail(ExitCode::kUsage, conflict.value());
+  auto head = co_await session->store.Promote(digest, Author(), WallNow(), replaces);
   if (!head) co_return FailStore(head.error());
   std::cout << "accepted: version " << head.value().version << ", " << digest << "\n";
   co_return co_await WaitUntilInForce(session, head.value().version);
--- a/src/request_record.cpp
+++ b/src/request_record.cpp
@@ -41,6 +41,20 @@
 
 }  // namespace
 
+std::string RecordLayoutConflict(const Environment& before, const Environment& after) {
+  for (const auto& [name, service] : after.services) {
+    const Service* known = before.FindService(name);
+    if (service.repeatable || known == nullptr || known->repeatable) continue;
+    const bool same = service.slot_length == known->slot_length && service.ranges == known->ranges;
+    if (!same || service.record_window > known->record_window) {
+      return "[service " + name +
+             "] slot_s and ranges must not change and record_window_s must not grow, since known "
+             "orders could run again; use a new service name";
+    }
+  }
+  return "";
+}
+
 ReserveStatus CheckKeyAge(const Service& service, const std::string& key, WallTime now) {
   const auto created = ParseUuid7Time(key);
   if (!created) return ReserveStatus::kKeyMalformed;
--- a/src/request_record.h
+++ b/src/request_record.h
@@ -87,6 +87,11 @@
   RequestRecord record;
 };
 
+// Why `after` must not replace `before`; empty if it may. Another layout would look for the records
+// of known keys in other slots, and a longer window would accept keys whose slots were deleted:
+// both would let a repeat run a second time. Thread-safe.
+std::string RecordLayoutConflict(const Environment& before, const Environment& after);
+
 // kReserved if the key is within its window at `now`, else why not. Thread-safe.
 ReserveStatus CheckKeyAge(const Service& service, const std::string& key, WallTime now);
 
--- a/tests/test_faults_documents.cpp
+++ b/tests/test_faults_documents.cpp
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "base64.h"
+#include "document_keeper.h"
 #include "document_store.h"
 #include "fake_kv.h"
 #include "fleet.h"
@@ -165,6 +166,28 @@
   if (!answers_lost) CHECK(history.size() == before + won);
 }
 
+// Guards against a change that moves the records of known orders, so that a repeat runs again.
+void MovedRecords(Fleet* fleet) {
+  const std::size_t before = HistoryOf(fleet).size();
+  for (const char* change : {"slot_s = 30\n", "ranges = 8\n", "record_window_s = 7200\n"}) {
+    CAPTURE(change);
+    std::string document = TestDocument(fleet->options());
+    const std::string window = "record_window_s = 3600\n";
+    if (std::string(change).starts_with("record")) {
+      document.replace(document.find(window), window.size(), change);
+    } else {
+      document += change;
+    }
+    const std::string path = (fleet->directory() / "moved.ini").string();
+    std::ofstream(path) << document;
+    REQUIRE(fleet->Operate({"trial", path}).exit_code == 0);
+    const CommandResult promote = Promote(*fleet, Sha256Hex(document), "mover");
+    CHECK(promote.exit_code == 2);
+    CHECK(promote.output.find("use a new service name") != std::string::npos);
+  }
+  CHECK(HistoryOf(fleet).size() == before);
+}
+
 // Guards against a daemon that stays behind because it can't reach the key-value service.
 void NewVersionFromPeers(Fleet* fleet, std::int64_t* version) {
   const std::string digest = PutOnTrial(fleet, 1);
@@ -220,10 +243,47 @@
   NewVersionFromPeers(&fleet, &version);
   RestartInOutage(&fleet, version);
   OldHead(&fleet, old_head, version);
+  MovedRecords(&fleet);
   RacingOperators(&fleet, R"({"delay_ms":10})", false);
   RacingOperators(&fleet, R"({"delay_ms":5,"lost_answers_percent":25})", true);
 }
 
+// Keeps the wait that the last watch asked for.
+class WatchedKv : public FakeKv {
+ public:
+  using FakeKv::FakeKv;
+
+  milliseconds asked_wait() const { return asked_wait_; }
+
+  Task<Result<KvEntry, KvError>> Watch(std::string key, std::uint64_t known, milliseconds wait) {
+    asked_wait_ = wait;
+    co_return co_await FakeKv::Watch(std::move(key), known, wait);
+  }
+
+ private:
+  milliseconds asked_wait_{0};
+};
+
+static_assert(KvStore<WatchedKv>);
+
+// Guards against a watch whose connection goes silent and that is given up too late for a new
+// version to be in force within 9 s.
+TEST_CASE("a silent watch is given up in time") {
+  // What the client of the service adds to the wait, and what reading again may take.
+  constexpr milliseconds kClientAllowance{2000};
+  constexpr milliseconds kReadAgain{2000};
+  boost::asio::io_context io(1);
+  FakeKvService service(1);
+  WatchedKv kv(&service);
+  Metrics metrics;
+  PeerClient peers(io.get_executor(), {"self", "a-shared-key-of-the-daemons"}, &metrics);
+  DocumentKeeper<WatchedKv> keeper(io.get_executor(), "test", &kv, &peers, &metrics);
+  boost::asio::co_spawn(io, keeper.WatchService(), boost::asio::detached);
+  io.run_for(milliseconds(20));
+  CHECK(kv.asked_wait() > milliseconds(0));
+  CHECK(kv.asked_wait() + kClientAllowance + kReadAgain < kInForce);
+}
+
 // Guards against an operator who is told that nothing was changed although the version was in
 // force until the next operator replaced it.
 TEST_CASE("a promotion that was replaced before its lost answer is reported as accepted") {
