--- a/src/operator_commands.cpp
+++ b/src/operator_commands.cpp
@@ -17,6 +17,7 @@
 #include "environment_diff.h"
 #include "http_kv_store.h"
 #include "json.h"
+#include "request_record.h"
 #include "settings.h"
 #include "status_report.h"
 #include "supervisor.h"
@@ -183,7 +184,8 @@
   *summary = SummarizeDiff(lines);
   std::cout << "changes against version " << in_force.version << ":\n"
             << (lines.empty() ? "none" : *summary) << "\n";
-  return FindForbiddenChange(in_force.environment, environment);
+  const std::string forbidden = FindForbiddenChange(in_force.environment, environment);
+  return forbidden.empty() ? RecordLayoutConflict(in_force.environment, environment) : forbidden;
 }
 
 Task<ExitCode> Trial(Session* session, const CommandLine& line) {
--- a/src/request_record.cpp
+++ b/src/request_record.cpp
@@ -11,6 +11,16 @@
 
 // Clocks of callers may run ahead by this much.
 constexpr seconds kMaxKeyLead{300};
+// Encoded sizes: the byte order mark and the number of records, and a record without its texts.
+constexpr std::size_t kSlotHeaderBytes = 5;
+constexpr std::size_t kRecordHeaderBytes = 41;
+
+// Size of a record once it has ended without a body.
+std::size_t CommittedBytesOf(const RequestRecord& record) {
+  const bool open = record.state == RecordState::kReserved;
+  const std::size_t type = open ? kMaxRecordedContentType : record.content_type.size();
+  return kRecordHeaderBytes + record.key.size() + type + record.body.size();
+}
 
 ReserveStatus StatusOfRepeat(const RequestRecord& known, const RequestRecord& repeat,
                              WallTime now) {
@@ -31,6 +41,20 @@
 
 }  // namespace
 
+std::string RecordLayoutConflict(const Environment& before, const Environment& after) {
+  for (const auto& [name, service] : after.services) {
+    const Service* known = before.FindService(name);
+    if (service.repeatable || known == nullptr || known->repeatable) continue;
+    const bool same = service.slot_length == known->slot_length && service.ranges == known->ranges;
+    if (!same || service.record_window > known->record_window) {
+      return "[service " + name +
+             "] slot_s and ranges must not change and record_window_s must not grow, since known "
+             "orders could run again; use a new service name";
+    }
+  }
+  return "";
+}
+
 ReserveStatus CheckKeyAge(const Service& service, const std::string& key, WallTime now) {
   const auto created = ParseUuid7Time(key);
   if (!created) return ReserveStatus::kKeyMalformed;
@@ -39,23 +63,40 @@
   return expired || from_future ? ReserveStatus::kKeyExpired : ReserveStatus::kReserved;
 }
 
+std::string SlotName(const Service& service, std::uint64_t range, std::int64_t slot) {
+  return service.name + "/" + std::to_string(range) + "/" + std::to_string(slot);
+}
+
+std::int64_t FirstKeptSlot(const Service& service, WallTime now) {
+  return ToUnixMillis(now - service.record_window - kSlotGrace) /
+         milliseconds(service.slot_length).count();
+}
+
 std::string SlotName(const Service& service, const std::string& key) {
   const auto created = ParseUuid7Time(key);
   assert(created);
   const std::int64_t slot = ToUnixMillis(*created) / milliseconds(service.slot_length).count();
-  const std::uint64_t range = Hash64(key) % service.ranges;
-  return service.name + "/" + std::to_string(range) + "/" + std::to_string(slot);
+  return SlotName(service, Hash64(key) % service.ranges, slot);
+}
+
+std::size_t CommittedBytes(const RecordSlot& slot) {
+  std::size_t bytes = kSlotHeaderBytes;
+  for (const RequestRecord& record : slot.records) bytes += CommittedBytesOf(record);
+  return bytes;
 }
 
 SlotChange ReserveInSlot(const RequestRecord& record, WallTime now, RecordSlot* slot) {
+  const bool full = CommittedBytes(*slot) + CommittedBytesOf(record) > kMaxKvValueBytes;
   for (RequestRecord& known : slot->records) {
     if (known.key != record.key) continue;
     if (known.nonce == record.nonce) return {false, ReserveStatus::kReserved, known};
     const ReserveStatus status = StatusOfRepeat(known, record, now);
     if (status != ReserveStatus::kReserved) return {false, status, known};
+    if (full) return {false, ReserveStatus::kSlotFull, known};
     known = record;
     return {true, status, known};
   }
+  if (full) return {false, ReserveStatus::kSlotFull, record};
   slot->records.push_back(record);
   return {true, ReserveStatus::kReserved, record};
 }
@@ -66,8 +107,10 @@
     if (known.state != RecordState::kReserved) return {false, ReserveStatus::kReserved, known};
     known.state = result.state;
     known.status = result.status;
-    known.content_type = result.content_type;
-    known.body = result.body;
+    if (result.content_type.size() <= kMaxRecordedContentType) {
+      known.content_type = result.content_type;
+    }
+    if (CommittedBytes(*slot) + result.body.size() <= kMaxKvValueBytes) known.body = result.body;
     return {true, ReserveStatus::kReserved, known};
   }
   return {false, ReserveStatus::kOutcomeUnknown, result};
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -53,6 +53,8 @@
   int host_list_lag_ms = 200;
   // Links that are cut in one direction: the first daemon sends nothing to the second.
   std::vector<std::pair<int, int>> cut_links;
+  // Key-value service of single daemons by their index; the others use the stand-in.
+  std::map<int, Address> kv_of_daemon;
   // Added to the command line of each stand-in.
   std::vector<std::string> engine_flags;
   std::vector<std::string> weight_store_flags{"--loads_per_s=4"};
