--- a/tests/test_placement.cpp
+++ b/tests/test_placement.cpp
@@ -20,7 +20,7 @@
 
 // A tenth of the product's times. Late orders are held for less, so that a run of a few seconds
 // sees reservations end.
-PlacementTimings ShortTimings() {
+PlacementTimings ShortTimings(bool skip_grace = false) {
   PlacementTimings timings;
   timings.lease_time_to_live = milliseconds(600);
   timings.lease_renew_period = milliseconds(200);
@@ -33,7 +33,7 @@
   timings.order_repeat = milliseconds(100);
   timings.demand_lifetime = milliseconds(300);
   timings.min_residence = milliseconds(50);
-  timings.vanish_grace = milliseconds(500);
+  timings.vanish_grace = milliseconds(skip_grace ? 0 : 500);
   timings.late_order_hold = milliseconds(1500);
   return timings;
 }
@@ -146,6 +146,8 @@
   // without comparison; engines take every order though they report the fence that was raised.
   bool skip_comparison = false;
   bool skip_fences = false;
+  // Hosts that are off the list and silent are given up at once.
+  bool skip_grace = false;
 };
 
 // What one run showed, as the engines see it.
@@ -290,7 +292,7 @@
       const GroupId group{"assistant", "sul", 0};
       daemon->owner = std::make_shared<Owner>(io_->get_executor(), group, Context(daemon),
                                               &daemon->kv, &daemon->lease, &daemon->engine,
-                                              &daemon->metrics, ShortTimings());
+                                              &daemon->metrics, ShortTimings(options_.skip_grace));
       co_await daemon->owner->Run();
       const milliseconds wait = RandomTime(20, 300);
       co_await Sleep(wait);
@@ -566,6 +568,30 @@
   }
 };
 
+// Switches off the fence that a decision to unload raises.
+struct SkipUnloadFence : PlacementDecisions {
+  static void LowerFence(std::uint64_t fence, PlacementRecord* record) {
+    record->fence = fence;
+    for (PlacedReplica& replica : record->replicas) replica.unload_fence = 0;
+  }
+  static ObservationResult ApplyObservations(const EndpointViews& views, const Now& now,
+                                             PlacementRecord* record) {
+    const std::uint64_t fence = record->fence;
+    const ObservationResult result = PlacementDecisions::ApplyObservations(views, now, record);
+    LowerFence(fence, record);
+    return result;
+  }
+  static PlanResult PlanGroup(const Environment& environment, const GroupId& group,
+                              const EndpointViews& views, const DemandTable& demand, const Now& now,
+                              PlacementRecord* record, milliseconds min_residence) {
+    const std::uint64_t fence = record->fence;
+    PlanResult result = PlacementDecisions::PlanGroup(environment, group, views, demand, now,
+                                                      record, min_residence);
+    LowerFence(fence, record);
+    return result;
+  }
+};
+
 // Switches off the reservations for late orders.
 struct SkipReservations : PlacementDecisions {
   static ObservationResult ApplyObservations(const EndpointViews& views, const Now& now,
@@ -634,13 +660,20 @@
   ignored.fencing = Fencing::kIgnored;
   WorldOptions no_fences = honoured;
   no_fences.skip_fences = true;
-  const std::vector<std::string> names{
-      "fence raised before deciding", "charge of unconfirmed orders, fences honoured",
-      "charge of unconfirmed orders, fences ignored", "reservation for late orders"};
+  WorldOptions no_grace = honoured;
+  no_grace.skip_grace = true;
+  const std::vector<std::string> names{"fence raised before deciding",
+                                       "charge of unconfirmed orders, fences honoured",
+                                       "charge of unconfirmed orders, fences ignored",
+                                       "reservation for late orders",
+                                       "fence raised by unloads",
+                                       "grace time of hosts off the list"};
   worlds.Add(no_fences, kSeeds);
   worlds.Add<ForgetUnconfirmed>(honoured, kSeeds);
   worlds.Add<ForgetUnconfirmed>(ignored, kSeeds);
   worlds.Add<SkipReservations>(ignored, kSeeds);
+  worlds.Add<SkipUnloadFence>(honoured, kSeeds);
+  worlds.Add(no_grace, kSeeds);
   const std::vector<WorldResult> results = worlds.Run();
   REQUIRE(results.size() == names.size() * kSeeds);
   for (std::size_t i = 0; i < names.size(); ++i) {
