--- a/src/request_ledger.h
+++ b/src/request_ledger.h
@@ -90,7 +90,7 @@
   static constexpr milliseconds kRetryDelay{20};
   // No attempt starts later than this, so that a slow service leads to a refusal, not to a wait.
   static constexpr milliseconds kAttemptsTime{2000};
-  static constexpr int kMaxReleaseAttempts = 4;
+  static constexpr int kMaxReleaseAttempts = 3;
   static constexpr milliseconds kReleaseDelay{250};
   // Slots that are kept in memory, up to 1 MB each. The longest unused one is dropped and read
   // again when needed.
