--- a/tests/test_faults_requests.cpp
+++ b/tests/test_faults_requests.cpp
@@ -103,7 +103,12 @@
 // The text of an HTTP request that asks for the connection to be closed after the answer.
 std::string RequestText(const HttpCall& call) {
   std::string text = call.method + " " + call.target + " HTTP/1.1\r\nHost: test\r\n";
-  for (const auto& [name, value] : call.headers) text += name + ": " + value + "\r\n";
+  for (const auto& [name, value] : call.headers) {
+    text += name;
+    text += ": ";
+    text += value;
+    text += "\r\n";
+  }
   text += "Connection: close\r\nContent-Length: " + std::to_string(call.body.size()) + "\r\n\r\n";
   return text + call.body;
 }
--- a/tests/test_ledger.cpp
+++ b/tests/test_ledger.cpp
@@ -243,6 +243,7 @@
     }
     std::map<std::string, int> reserved;
     std::vector<std::string> keys;
+    keys.reserve(40);
     for (int i = 0; i < 40; ++i) keys.push_back(MakeUuid7(WallNow()));
     const auto reserve = [&](int ledger, std::string key) -> Task<void> {
       const Reservation reservation =
