Add the bench subcommand and record its signature

Cause: nothing told whether a commit changes what the deciding functions decide, or how fast they are.

Change: 'mimosabend bench' runs fixed-seed inputs through PlanGroup, ApplyObservations, Router::Choose, Membership::PreferredOwner, IdleTimeout, the envelope codec and ReserveInSlot.

Behaviour of the daemon is unchanged.

--- a/src/operator_commands.cpp
+++ b/src/operator_commands.cpp
@@ -12,6 +12,7 @@
 #include <iostream>
 #include <sstream>
 
+#include "bench.h"
 #include "daemon.h"
 #include "document_store.h"
 #include "environment.h"
@@ -25,6 +26,8 @@
 DEFINE_string(author, "", "who makes the change, for the audit trail; default: $USER");
 DEFINE_string(digest, "", "promote only if the document on trial has this SHA-256");
 DEFINE_bool(json, false, "print JSON for scripts");
+DEFINE_uint32(rounds, 20, "how often bench runs its inputs");
+DEFINE_bool(signature, false, "bench prints only the signatures of the decisions");
 DEFINE_int32(wait_s, 30, "how long promote waits until the document is in force everywhere");
 
 namespace mimosabend {
@@ -48,6 +51,7 @@
                                                         put the document on trial in force
   status  --config=FILE --environment=NAME [--json]     what is in force, and where
   history --config=FILE --environment=NAME [--json]     audit trail of changes
+  bench   [--rounds=20] [--signature]                   speed and signature of the decisions
 
 Further flags: --author=NAME for trial and promote.
 Exit codes: 0 done, 1 failed, 2 wrong usage or document, 3 another operator was faster,
@@ -316,6 +320,16 @@
   return static_cast<ExitCode>(RunDaemon(settings.value()));
 }
 
+ExitCode RunBenchCommand(const CommandLine& line) {
+  if (!line.arguments.empty() || FLAGS_rounds == 0) {
+    return Fail(ExitCode::kUsage, "usage: mimosabend bench [--rounds=N] [--signature]");
+  }
+  const BenchReport report = RunBench(FLAGS_rounds);
+  if (!FLAGS_signature) std::cout << FormatBench(report);
+  std::cout << FormatSignatures(report);
+  return ExitCode::kOk;
+}
+
 ExitCode Dispatch(const CommandLine& line) {
   if (line.command == "daemon") return RunDaemonCommand(line);
   if (line.command == "check") return RunCheck(line);
@@ -323,6 +337,7 @@
   if (line.command == "promote") return RunInSession(line, Promote);
   if (line.command == "status") return RunInSession(line, Status);
   if (line.command == "history") return RunInSession(line, History);
+  if (line.command == "bench") return RunBenchCommand(line);
   std::cerr << kUsage;
   return ExitCode::kUsage;
 }
