Add an experiment driver over real processes

Cause: cold starts and idle cost could not be measured end to end.

Streamed answers carry X-Mimosabend-Start (cold or warm) and daemons count load_decisions_total.

Behaviour: one more answer header; decisions are unchanged.

--- a/src/completion_handler.h
+++ b/src/completion_handler.h
@@ -231,6 +231,7 @@
       HttpHeaders headers;
       headers.emplace_back("Content-Type", "text/event-stream");
       headers.emplace_back("Cache-Control", "no-cache");
+      headers.emplace_back("X-Mimosabend-Start", progress->cold ? "cold" : "warm");
       headers.emplace_back("X-Request-Id", context.request_id);
       const bool started = co_await exchange->StartStream(200, std::move(headers));
       if (!started) co_return false;
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -66,6 +66,7 @@
   kv_errors_total = AddCounter("kv_errors_total", "Calls to the key-value service that failed.");
   engine_errors_total = AddCounter("engine_errors_total", "Calls to engines that failed.");
   stream_resumes_total = AddCounter("stream_resumes_total", "Streams resumed after a break.");
+  load_decisions_total = AddCounter("load_decisions_total", "Loads decided and recorded.");
   load_orders_total = AddCounter("load_orders_total", "Load orders sent, repeats included.");
   unload_orders_total = AddCounter("unload_orders_total", "Unload orders sent, repeats included.");
   undecided_replicas_total =
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -57,6 +57,7 @@
   prometheus::Counter* kv_errors_total;
   prometheus::Counter* engine_errors_total;
   prometheus::Counter* stream_resumes_total;
+  prometheus::Counter* load_decisions_total;
   prometheus::Counter* load_orders_total;
   prometheus::Counter* unload_orders_total;
   prometheus::Counter* undecided_replicas_total;
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -283,6 +283,7 @@
     replica.decided_at_ms = ToUnixMillis(now_.wall);
     record_->replicas.push_back(std::move(replica));
     result_.changed = true;
+    ++result_.loads;
     assert(ChargedMemory(*record_, view.host.id, now_.wall) <= Capacity(view));
     assert(CountReplicas(*record_, model.name) <= model.max_replicas);
   }
--- a/src/placement.h
+++ b/src/placement.h
@@ -165,6 +165,8 @@
 
 struct PlanResult {
   bool changed = false;
+  // Loads that were decided.
+  std::uint32_t loads = 0;
   // Models that have waiting requests and could not be placed.
   std::vector<std::string> unplaced;
 };
--- a/src/placement_owner.h
+++ b/src/placement_owner.h
@@ -203,6 +203,7 @@
     const WriteResult result = co_await Write(std::move(next));
     if (result == WriteResult::kWritten) {
       metrics_->undecided_replicas_total->Increment(observed.undecided);
+      metrics_->load_decisions_total->Increment(plan.loads);
       orders_.NotifyAll();
     }
     co_return result != WriteResult::kConflict;
--- /dev/null
+++ b/tests/experiment.cpp
@@ -0,0 +1,344 @@
+// Runs a workload file against daemons and stand-ins as processes on the loopback address, writes
+// one CSV row for each request and prints a summary.
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <csignal>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+#include "fleet.h"
+#include "http_client.h"
+#include "json.h"
+#include "supervisor.h"
+#include "workload.h"
+
+DEFINE_string(workload, "", "workload file");
+DEFINE_string(csv, "", "file for one row for each request");
+DEFINE_string(summary, "", "file to which one row for the whole run is added");
+DEFINE_string(label, "", "name of the run in the summary; default: 'owners' or 'baseline'");
+DEFINE_bool(baseline, false, "each daemon is a region of its own and loads for itself");
+DEFINE_int64(seed, -1, "overrides the seed of the workload");
+DEFINE_double(idle_weight, -1, "overrides the idle weight of the workload");
+
+namespace mimosabend::testing {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds kSamplePeriod{250};
+constexpr milliseconds kStateTimeout{1000};
+constexpr milliseconds kStartTimeout{20000};
+// Time for owners to look at their endpoints once before requests arrive.
+constexpr milliseconds kSettleTime{1500};
+constexpr double kEndpointMib = 80000;
+
+// One request as its caller saw it.
+struct Sample {
+  Arrival arrival;
+  std::string start;
+  int status = 0;
+  bool complete = false;
+  double first_token_ms = -1;
+  double gap_p95_ms = -1;
+  double total_ms = 0;
+};
+
+double Percentile(std::vector<double> values, double share) {
+  if (values.empty()) return -1;
+  std::sort(values.begin(), values.end());
+  const auto index = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1) + 0.5);
+  return values[index];
+}
+
+double Millis(std::chrono::steady_clock::duration duration) { return 1000 * ToSeconds(duration); }
+
+class Experiment {
+ public:
+  Experiment(Fleet* fleet, Workload workload)
+      : fleet_(fleet), workload_(std::move(workload)), client_(io_.get_executor()) {}
+
+  void Run() {
+    const std::vector<Arrival> arrivals = MakeArrivals(workload_);
+    samples_.resize(arrivals.size());
+    open_ = arrivals.size();
+    start_ = MonotonicNow();
+    for (std::size_t i = 0; i < arrivals.size(); ++i) {
+      samples_[i].arrival = arrivals[i];
+      asio::co_spawn(io_, Send(&samples_[i]), asio::detached);
+    }
+    for (const Fault& fault : workload_.faults) {
+      asio::co_spawn(io_, Inject(fault), asio::detached);
+    }
+    asio::co_spawn(io_, SampleEngines(), asio::detached);
+    io_.run();
+  }
+
+  void WriteCsv(const std::string& path) const {
+    std::ofstream file(path);
+    file << "time_ms,model,rank,daemon,burst,start,status,complete,first_token_ms,gap_p95_ms,"
+            "total_ms\n"
+         << std::fixed << std::setprecision(1);
+    for (const Sample& sample : samples_) {
+      file << sample.arrival.at.count() << "," << sample.arrival.model << ","
+           << kRankNames[sample.arrival.rank] << "," << sample.arrival.daemon << ","
+           << sample.arrival.burst << "," << sample.start << "," << sample.status << ","
+           << sample.complete << "," << sample.first_token_ms << "," << sample.gap_p95_ms << ","
+           << sample.total_ms << "\n";
+    }
+  }
+
+  void Print() const {
+    std::cout << std::fixed << std::setprecision(1);
+    for (const Rank rank : kAllRanks) {
+      for (const char* start : {"cold", "warm"}) {
+        const auto times = FirstTokens(
+            [&](const Sample& s) { return s.arrival.rank == rank && s.start == start; });
+        if (times.empty()) continue;
+        std::cout << kRankNames[rank] << " " << start << ": " << times.size()
+                  << " answered, first token median " << Percentile(times, 0.5) << " p95 "
+                  << Percentile(times, 0.95) << " p99 " << Percentile(times, 0.99) << " ms\n";
+      }
+    }
+    std::cout << "requests " << samples_.size() << ", complete " << Complete() << "; loads started "
+              << LoadsStarted() << ", decided " << LoadsDecided() << "; accelerator hours "
+              << std::setprecision(5) << accelerator_hours_ << "\n";
+  }
+
+  void AppendSummary(const std::string& path, const std::string& label) const {
+    const bool exists = std::ifstream(path).good();
+    std::ofstream file(path, std::ios::app);
+    if (!exists) {
+      file << "label,seed,idle_weight,requests,complete,cold,cold_p50_ms,cold_p99_ms,all_p99_ms,"
+              "urgent_cold_p99_ms,loads_started,loads_decided,accelerator_hours\n";
+    }
+    const auto cold = FirstTokens([](const Sample& s) { return s.start == "cold"; });
+    const auto urgent = FirstTokens(
+        [](const Sample& s) { return s.start == "cold" && s.arrival.rank == Rank::kUrgent; });
+    const auto all = FirstTokens([](const Sample&) { return true; });
+    file << std::fixed << std::setprecision(1) << label << "," << workload_.seed << ","
+         << workload_.idle_weight << "," << samples_.size() << "," << Complete() << ","
+         << cold.size() << "," << Percentile(cold, 0.5) << "," << Percentile(cold, 0.99) << ","
+         << Percentile(all, 0.99) << "," << Percentile(urgent, 0.99) << "," << LoadsStarted() << ","
+         << LoadsDecided() << "," << std::setprecision(5) << accelerator_hours_ << "\n";
+  }
+
+ private:
+  struct EngineSample {
+    std::string incarnation;
+    std::int64_t loads_before = 0;
+    std::int64_t loads = 0;
+  };
+
+  Task<void> Send(Sample* sample) {
+    co_await Sleep(start_ + sample->arrival.at - MonotonicNow());
+    const MonotonicTime sent = MonotonicNow();
+    const std::string key = std::string(kRankNames[sample->arrival.rank]) + "-key";
+    HttpCall call = PostAs(
+        key, fleet_->caller_address(sample->arrival.daemon), "/v1/completions",
+        CompletionBody(sample->arrival.model, sample->arrival.model, workload_.max_tokens, true));
+    call.headers.emplace_back("X-Mimosabend-Timeout-Ms", std::to_string(workload_.timeout.count()));
+    call.deadline = sent + workload_.timeout + seconds(1);
+    const MonotonicTime deadline = call.deadline;
+    auto stream = co_await client_.Open(std::move(call));
+    if (stream) {
+      sample->status = stream.value()->status();
+      sample->start = std::string(stream.value()->header("X-Mimosabend-Start"));
+      co_await ReadTokens(stream.value().get(), sent, deadline, sample);
+    }
+    sample->total_ms = Millis(MonotonicNow() - sent);
+    --open_;
+  }
+
+  static Task<void> ReadTokens(HttpStream* stream, MonotonicTime sent, MonotonicTime deadline,
+                               Sample* sample) {
+    std::vector<double> gaps;
+    MonotonicTime last = sent;
+    std::string tail;
+    for (;;) {
+      auto bytes = co_await stream->Read(deadline);
+      if (!bytes || bytes.value().empty()) break;
+      const MonotonicTime now = MonotonicNow();
+      if (sample->status == 200) {
+        if (sample->first_token_ms < 0) {
+          sample->first_token_ms = Millis(now - sent);
+        } else {
+          gaps.push_back(Millis(now - last));
+        }
+      }
+      last = now;
+      tail += bytes.value();
+      if (tail.size() > 64) tail.erase(0, tail.size() - 64);
+    }
+    sample->complete = tail.ends_with("data: [DONE]\n\n");
+    sample->gap_p95_ms = Percentile(gaps, 0.95);
+  }
+
+  Process* Target(const std::string& name) {
+    if (name == "kv") return &fleet_->kv();
+    if (name == "weight_store") return &fleet_->weight_store();
+    if (name.starts_with("daemon-")) return &fleet_->daemon(std::stoi(name.substr(7)));
+    return fleet_->endpoints().at(name).get();
+  }
+
+  Task<void> Inject(Fault fault) {
+    co_await Sleep(start_ + fault.at - MonotonicNow());
+    Process* target = Target(fault.target);
+    if (fault.kind == FaultKind::kKill) target->Signal(SIGKILL);
+    if (fault.kind == FaultKind::kPause) target->Signal(SIGSTOP);
+    if (fault.kind == FaultKind::kResume) target->Signal(SIGCONT);
+    if (fault.kind != FaultKind::kSet) co_return;
+    HttpCall call;
+    call.address = target->address();
+    call.method = "PUT";
+    call.target = "/fault";
+    call.body = fault.body;
+    call.deadline = MonotonicNow() + kStateTimeout;
+    auto ignored = co_await client_.Call(std::move(call));
+    static_cast<void>(ignored);
+  }
+
+  // Integrates the memory in use over time and follows the counts of loads.
+  Task<void> SampleEngines() {
+    MonotonicTime last = MonotonicNow();
+    for (;;) {
+      double used = 0;
+      for (const auto& [id, process] : fleet_->endpoints()) {
+        if (!id.starts_with("engine-")) continue;
+        HttpCall call;
+        call.address = process->address();
+        call.target = "/control/state";
+        call.deadline = MonotonicNow() + kStateTimeout;
+        auto reply = co_await client_.Call(std::move(call));
+        const auto state = reply ? ParseJson(reply.value().body) : std::nullopt;
+        if (!state) continue;
+        used += static_cast<double>(IntegerMember(*state, "memory_used_mib").value_or(0));
+        NoteLoads(&engines_[id], TextMember(*state, "incarnation"),
+                  IntegerMember(*state, "loads_started").value_or(0));
+      }
+      const MonotonicTime now = MonotonicNow();
+      accelerator_hours_ += used / kEndpointMib * ToSeconds(now - last) / 3600;
+      last = now;
+      if (open_ == 0 && now - start_ >= workload_.duration) co_return;
+      co_await Sleep(kSamplePeriod);
+    }
+  }
+
+  // A restarted engine counts from zero.
+  static void NoteLoads(EngineSample* engine, const std::string& incarnation, std::int64_t loads) {
+    if (engine->incarnation != incarnation) {
+      engine->loads_before += engine->loads;
+      engine->incarnation = incarnation;
+    }
+    engine->loads = loads;
+  }
+
+  template <class Condition>
+  std::vector<double> FirstTokens(Condition condition) const {
+    std::vector<double> times;
+    for (const Sample& sample : samples_) {
+      if (sample.first_token_ms >= 0 && condition(sample)) times.push_back(sample.first_token_ms);
+    }
+    return times;
+  }
+
+  std::size_t Complete() const {
+    return static_cast<std::size_t>(
+        std::count_if(samples_.begin(), samples_.end(), [](const auto& s) { return s.complete; }));
+  }
+
+  std::int64_t LoadsStarted() const {
+    std::int64_t sum = 0;
+    for (const auto& [id, engine] : engines_) sum += engine.loads_before + engine.loads;
+    return sum;
+  }
+
+  // Daemons that were killed are missing from the sum.
+  std::int64_t LoadsDecided() const {
+    double sum = 0;
+    for (int i = 0; i < workload_.daemons; ++i) {
+      sum += fleet_->Metric(i, "mimosabend_load_decisions_total");
+    }
+    return static_cast<std::int64_t>(sum);
+  }
+
+  asio::io_context io_{1};
+  Fleet* fleet_;
+  Workload workload_;
+  HttpClient client_;
+  std::vector<Sample> samples_;
+  std::map<std::string, EngineSample> engines_;
+  std::size_t open_ = 0;
+  MonotonicTime start_;
+  double accelerator_hours_ = 0;
+};
+
+// Each daemon becomes a region with an equal share of the engines. Nothing is shared between
+// daemons then, so that each loads what its own callers ask for.
+void MakeBaseline(Workload* workload) {
+  const int engines = workload->engines_per_region * static_cast<int>(workload->regions.size());
+  workload->regions.clear();
+  for (int i = 0; i < workload->daemons; ++i) {
+    workload->regions.push_back("daemon" + std::to_string(i));
+  }
+  workload->engines_per_region = std::max(1, engines / workload->daemons);
+}
+
+int RunExperiment() {
+  std::ifstream file(FLAGS_workload);
+  std::ostringstream text;
+  text << file.rdbuf();
+  auto parsed = ParseWorkload(FLAGS_workload, text.str());
+  if (!parsed) {
+    for (const IniIssue& issue : parsed.error()) std::cerr << issue.Format() << "\n";
+    return 2;
+  }
+  Workload workload = std::move(parsed).value();
+  if (FLAGS_seed >= 0) workload.seed = static_cast<std::uint64_t>(FLAGS_seed);
+  if (FLAGS_idle_weight >= 0) workload.idle_weight = FLAGS_idle_weight;
+  if (FLAGS_baseline) MakeBaseline(&workload);
+  FleetOptions options;
+  options.daemons = workload.daemons;
+  options.regions = workload.regions;
+  options.engines_per_region = workload.engines_per_region;
+  options.services_per_region = 0;
+  options.weight_store_flags = {"--loads_per_s=" + std::to_string(workload.loads_per_s)};
+  Fleet fleet(options);
+  fleet.StartDaemons();
+  fleet.PutInForce(WorkloadDocument(workload));
+  const bool owned = WaitFor(kStartTimeout, [&] {
+    double groups = 0;
+    for (int i = 0; i < workload.daemons; ++i) groups += fleet.Metric(i, "mimosabend_owned_groups");
+    return groups >= static_cast<double>(workload.regions.size());
+  });
+  if (!owned) {
+    std::cerr << "experiment: not all groups have an owner\n";
+    return 1;
+  }
+  std::this_thread::sleep_for(kSettleTime);
+  Experiment experiment(&fleet, workload);
+  experiment.Run();
+  experiment.Print();
+  if (!FLAGS_csv.empty()) experiment.WriteCsv(FLAGS_csv);
+  const std::string label = FLAGS_baseline ? "baseline" : "owners";
+  if (!FLAGS_summary.empty()) {
+    experiment.AppendSummary(FLAGS_summary, FLAGS_label.empty() ? label : FLAGS_label);
+  }
+  return 0;
+}
+
+}  // namespace
+
+}  // namespace mimosabend::testing
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return mimosabend::testing::RunExperiment();
+}
