Coordinate cold starts between regions and with the weight store

Cause: a first request at each region loaded a copy of its own, loads started whatever the weight store's queue, and an engine with the checkpoint on its disk was not preferred.

Change: - ChooseEndpoint prefers endpoints that report the checkpoint on their disk, then the most memory that can be freed. - PlanGroup puts off model loads beyond 4 and adapter loads beyond 30 over all groups, by the store's status; urgent requests go first. - A load that is stuck is joined by one elsewhere within the replica bound. - A cold request is served from a copy that is ready in another region. From an idle weight of 0.5 on, the regions load one copy for all. - [policy] coordinate_cold_starts = false in a daemon's settings is the baseline for measurements.

--- a/src/bench.cpp
+++ b/src/bench.cpp
@@ -121,6 +121,7 @@
       view.state.replicas.push_back({replica.model, replica.version,
                                      loaded ? ReplicaState::kReady : ReplicaState::kLoading,
                                      replica.memory_mib});
+      if (loaded) view.state.checkpoints_on_disk.insert(replica.model + "@" + replica.version);
       view.state.memory_used_mib += replica.memory_mib;
     }
   }
@@ -160,7 +161,11 @@
     if (numbers.Chance(2)) view.state.replicas.push_back({"stray", "1", ReplicaState::kReady, 100});
     if (numbers.Chance(1)) ReserveForLateOrders(now.wall, &record);
     const ObservationResult observed = ApplyObservations(views, now, &record);
-    const PlanResult plan = PlanGroup(environment, group, views, demand, now, &record);
+    StoreLoad store;
+    store.known = numbers.Chance(80);
+    store.model_loads = static_cast<std::uint32_t>(numbers.Below(6));
+    store.adapter_loads = static_cast<std::uint32_t>(numbers.Below(34));
+    const PlanResult plan = PlanGroup(environment, group, views, demand, now, &record, store);
     signature->Add(observed.undecided);
     for (const std::string& model : plan.unplaced) signature->Add(model);
     signature->Add(Encode(record));
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -18,9 +18,11 @@
 #include "http_host_list.h"
 #include "http_kv_store.h"
 #include "http_server.h"
+#include "http_weight_store.h"
 #include "log.h"
 #include "ownership.h"
 #include "service_handler.h"
+#include "store_watch.h"
 
 namespace mimosabend {
 
@@ -62,6 +64,7 @@
   Task<void> HandleAdmin(HttpExchange& exchange);
   Task<Result<Envelope, PeerError>> HandlePeer(Envelope request);
   Task<DemandAnswer> AskOwner(DemandRequest request);
+  StoreLoad StoreLoadOf(bool in_use);
   Task<void> UpdateMetrics();
   Task<void> WaitForSignals();
   Task<void> Drain();
@@ -78,6 +81,8 @@
   Engine engine_;
   HttpHostList host_list_;
   HostCache<HttpHostList> hosts_;
+  HttpWeightStore weight_store_;
+  StoreWatch<HttpWeightStore> store_watch_;
   Membership membership_;
   PeerIdentity identity_;
   PeerClient peer_client_;
@@ -108,6 +113,8 @@
       engine_(&client_),
       host_list_(&client_, settings.platform.host_list),
       hosts_(&host_list_, settings.region),
+      weight_store_(&client_, settings.platform.weight_store),
+      store_watch_(&weight_store_),
       membership_(SelfUpdate(settings), MonotonicNow(), RandomId()),
       identity_{settings.name, settings.shared_key},
       peer_client_(io->get_executor(), identity_, &metrics_),
@@ -116,10 +123,12 @@
       ownership_(io->get_executor(),
                  OwnerContext{settings.name, EnvironmentKeyPrefix(settings.environment),
                               [this] { return document_.environment(); },
-                              [this] { return hosts_.hosts(); }},
+                              [this] { return hosts_.hosts(); },
+                              [this](bool in_use) { return StoreLoadOf(in_use); }},
                  &membership_, &kv_, &lease_, &engine_, &supervisor_, &metrics_),
       directory_(
-          io->get_executor(), settings.region, [this] { return document_.environment(); },
+          io->get_executor(), settings.region, settings.coordinate_cold_starts,
+          [this] { return document_.environment(); },
           [this](DemandRequest request) { return AskOwner(std::move(request)); }),
       router_(settings.region, RandomId()),
       ledger_(io->get_executor(), EnvironmentKeyPrefix(settings.environment), &kv_, &metrics_),
@@ -152,6 +161,7 @@
   auto caller = caller_server_.Listen(settings_.caller_address);
   if (!caller) return outcome::failure(caller.error());
   supervisor_.Start("hosts", [this] { return hosts_.Run(); });
+  supervisor_.Start("weight store", [this] { return store_watch_.Run(); });
   supervisor_.Start("lease", [this] { return lease_.Run(); });
   supervisor_.Start("document watch", [this] { return document_.WatchService(); });
   supervisor_.Start("document peers", [this] { return document_.FollowPeers(); });
@@ -328,6 +338,13 @@
   co_return answer;
 }
 
+StoreLoad Daemon::StoreLoadOf(bool in_use) {
+  if (settings_.coordinate_cold_starts) return store_watch_.Load(in_use, MonotonicNow());
+  StoreLoad unlimited;
+  unlimited.limited = false;
+  return unlimited;
+}
+
 Task<void> Daemon::UpdateMetrics() {
   std::uint64_t kv_calls = 0;
   for (;;) {
--- a/src/engine.h
+++ b/src/engine.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,9 @@
   std::int64_t memory_total_mib = 0;
   std::int64_t memory_used_mib = 0;
   std::vector<EngineReplica> replicas;
+  // "MODEL@VERSION" of each checkpoint that loads without the weight store; empty if the engine
+  // does not tell.
+  std::set<std::string> checkpoints_on_disk;
   std::uint32_t slots = 0;
   std::uint32_t running = 0;
   std::uint32_t queued = 0;
--- a/src/http_engine.cpp
+++ b/src/http_engine.cpp
@@ -58,6 +58,19 @@
   return EngineReplica{TextMember(value, "model"), TextMember(value, "version"), *state, *memory};
 }
 
+// Checkpoints on the engine's disk. They only guide the choice of endpoints, so that a report
+// without them, or with malformed ones, is no error.
+std::set<std::string> ParseCheckpoints(const json::value& body) {
+  std::set<std::string> names;
+  const json::value* list = JsonMember(body, "checkpoints_on_disk");
+  if (list == nullptr || !list->is_array()) return names;
+  for (const json::value& item : list->get_array()) {
+    if (names.size() >= kMaxReplicas) break;
+    if (item.is_string()) names.insert(std::string(item.get_string()));
+  }
+  return names;
+}
+
 std::optional<EngineState> ParseState(std::string_view text) {
   const auto body = ParseJson(text);
   if (!body) return std::nullopt;
@@ -86,6 +99,7 @@
     if (!replica) return std::nullopt;
     state.replicas.push_back(std::move(*replica));
   }
+  state.checkpoints_on_disk = ParseCheckpoints(*body);
   return state;
 }
 
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -14,6 +14,20 @@
 // Longest pause of a former owner for which a late order cannot overcommit memory.
 constexpr seconds kLateOrderReservation{60};
 
+// Concurrent loads that the weight store serves at full speed, over all groups.
+constexpr std::uint32_t kMaxModelLoads = 4;
+constexpr std::uint32_t kMaxAdapterLoads = 30;
+// An owner decides at most one model load in this time. Owners that see the store free at the same
+// moment then exceed its limit by one load each, not by four. The store starts 2 to 4 loads a
+// second, so that a single owner still keeps it busy.
+constexpr milliseconds kModelLoadSpacing{100};
+// A load shows in the store's status within this time of its decision.
+constexpr milliseconds kLoadVisible{250};
+// A load counts as stuck after this part of its time-out.
+constexpr int kStuckDivisor = 4;
+// A load at an endpoint that is silent counts as stuck after this time.
+constexpr milliseconds kSilentLoad{2000};
+
 bool Holds(const PlacedReplica& replica, const std::string& model) {
   return replica.model == model && replica.state != ReplicaState::kUnloading;
 }
@@ -57,13 +71,15 @@
 class Planner {
  public:
   Planner(const Environment& environment, const GroupId& group, const EndpointViews& views,
-          const DemandTable& demand, const Now& now, PlacementRecord* record)
+          const DemandTable& demand, const Now& now, const StoreLoad& store,
+          PlacementRecord* record)
       : environment_(environment),
         pool_(*environment.FindPool(group.pool)),
         group_(group),
         views_(views),
         demand_(demand),
         now_(now),
+        store_(store),
         record_(record) {}
 
   PlanResult Run() {
@@ -177,7 +193,7 @@
   }
 
   void Place(const Model& model) {
-    const std::uint32_t target = std::max(1u, model.min_replicas);
+    const std::uint32_t target = std::max(1u, model.min_replicas) + StuckLoads(model.name);
     if (Active(model.name) >= target) return;
     // Unloading replicas still count against the bound.
     if (CountReplicas(*record_, model.name) >= model.max_replicas) return;
@@ -189,7 +205,7 @@
     const bool over_budget = GroupCharge() + model.memory_mib > GroupBudget();
     const EndpointView* view = over_budget ? nullptr : ChooseEndpoint(model);
     if (view != nullptr) {
-      Add(model, *view);
+      if (MayLoad(model, *view)) Add(model, *view);
     } else if (!MakeRoom(model, over_budget)) {
       result_.unplaced.push_back(model.name);
     }
@@ -210,14 +226,90 @@
                        });
   }
 
-  // The endpoint with the most free memory that can take the model now.
+  std::int64_t Age(const PlacedReplica& replica) const {
+    return ToUnixMillis(now_.wall) - replica.decided_at_ms;
+  }
+
+  bool IsStuck(const PlacedReplica& replica) const {
+    if (replica.state != ReplicaState::kLoading) return false;
+    if (Age(replica) > environment_.load_timeout.count() / kStuckDivisor) return true;
+    const auto view = views_.find(replica.endpoint);
+    return view != views_.end() && !view->second.reachable && Age(replica) > kSilentLoad.count();
+  }
+
+  // Loads that requests should no longer wait for alone.
+  std::uint32_t StuckLoads(const std::string& model) const {
+    if (Waiting(model) == 0) return 0;
+    return std::count_if(
+        record_->replicas.begin(), record_->replicas.end(),
+        [&](const PlacedReplica& replica) { return Holds(replica, model) && IsStuck(replica); });
+  }
+
+  static bool IsOnDisk(const EndpointView& view, const std::string& model,
+                       const std::string& version) {
+    return view.state.checkpoints_on_disk.contains(model + "@" + version);
+  }
+
+  // True if the replica is being read from the weight store, as far as this owner knows.
+  bool ReadsFromStore(const PlacedReplica& replica) const {
+    if (replica.state != ReplicaState::kLoading) return false;
+    const auto view = views_.find(replica.endpoint);
+    return view == views_.end() || !IsOnDisk(view->second, replica.model, replica.version);
+  }
+
+  // Loads of one kind that the store serves: what it reports, and those of this group that it does
+  // not report yet.
+  std::uint32_t LoadsInFlight(bool adapters) const {
+    const std::uint32_t own = std::count_if(
+        record_->replicas.begin(), record_->replicas.end(), [&](const PlacedReplica& replica) {
+          const bool visible = store_.known && Age(replica) > kLoadVisible.count();
+          return replica.base.empty() != adapters && !visible && ReadsFromStore(replica);
+        });
+    if (!store_.known) return own;
+    return own + (adapters ? store_.adapter_loads : store_.model_loads);
+  }
+
+  // True if the load needs no read from the weight store, or the store can serve it at full speed.
+  bool MayLoad(const Model& model, const EndpointView& view) const {
+    if (!store_.limited || IsOnDisk(view, model.name, model.version)) return true;
+    if (model.is_adapter()) return LoadsInFlight(true) < kMaxAdapterLoads;
+    const bool spaced = std::none_of(record_->replicas.begin(), record_->replicas.end(),
+                                     [&](const PlacedReplica& replica) {
+                                       return replica.base.empty() && ReadsFromStore(replica) &&
+                                              Age(replica) < kModelLoadSpacing.count();
+                                     });
+    return spaced && LoadsInFlight(false) < kMaxModelLoads;
+  }
+
+  // Memory that is free or could be freed without taking a model from its waiting requests.
+  std::int64_t ReclaimableMemory(const EndpointView& view) const {
+    std::int64_t sum = FreeMemory(view);
+    for (const PlacedReplica& replica : record_->replicas) {
+      const bool unused = replica.state == ReplicaState::kReady && Waiting(replica.model) == 0;
+      if (replica.endpoint == view.host.id && unused) sum += replica.memory_mib;
+    }
+    return sum;
+  }
+
+  // An endpoint that has the checkpoint on its disk goes first, then the one that can free the
+  // most memory.
+  bool IsBetter(const EndpointView& a, const EndpointView& b, const Model& model) const {
+    const bool a_on_disk = IsOnDisk(a, model.name, model.version);
+    const bool b_on_disk = IsOnDisk(b, model.name, model.version);
+    if (a_on_disk != b_on_disk) return a_on_disk;
+    const std::int64_t a_memory = ReclaimableMemory(a);
+    const std::int64_t b_memory = ReclaimableMemory(b);
+    return a_memory != b_memory ? a_memory > b_memory : FreeMemory(a) > FreeMemory(b);
+  }
+
+  // The best endpoint that can take the model now.
   const EndpointView* ChooseEndpoint(const Model& model) const {
     const EndpointView* best = nullptr;
     for (const auto& [id, view] : views_) {
       if (!view.may_take_loads() || HoldsModel(id, model.name)) continue;
       if (model.is_adapter() && !HasReadyBase(model, id)) continue;
       if (FreeMemory(view) < model.memory_mib) continue;
-      if (best == nullptr || FreeMemory(view) > FreeMemory(*best)) best = &view;
+      if (best == nullptr || IsBetter(view, *best, model)) best = &view;
     }
     return best;
   }
@@ -303,6 +395,7 @@
   const EndpointViews& views_;
   const DemandTable& demand_;
   const Now& now_;
+  const StoreLoad& store_;
   PlacementRecord* record_;
   PlanResult result_;
 };
@@ -418,8 +511,8 @@
 
 PlanResult PlanGroup(const Environment& environment, const GroupId& group,
                      const EndpointViews& views, const DemandTable& demand, const Now& now,
-                     PlacementRecord* record) {
-  return Planner(environment, group, views, demand, now, record).Run();
+                     PlacementRecord* record, const StoreLoad& store) {
+  return Planner(environment, group, views, demand, now, store, record).Run();
 }
 
 }  // namespace mimosabend
--- a/src/placement.h
+++ b/src/placement.h
@@ -163,6 +163,17 @@
 // where engines ignore fences.
 void ReserveForLateOrders(WallTime now, PlacementRecord* record);
 
+// Loads that the weight store serves to the whole fleet, as last read.
+struct StoreLoad {
+  // False lets loads start whatever the store does.
+  bool limited = true;
+  // False if the store did not answer lately.
+  bool known = false;
+  // Reads under way or queued.
+  std::uint32_t model_loads = 0;
+  std::uint32_t adapter_loads = 0;
+};
+
 struct PlanResult {
   bool changed = false;
   // Loads that were decided.
@@ -171,11 +182,12 @@
   std::vector<std::string> unplaced;
 };
 
-// Decides loads and unloads for a group and enters them in the record. Asserts that no endpoint's
+// Decides loads and unloads for a group and enters them in the record. Loads that the weight store
+// could not serve at full speed are put off, the least urgent first. Asserts that no endpoint's
 // memory is overcommitted and no model has more replicas than its bound.
 PlanResult PlanGroup(const Environment& environment, const GroupId& group,
                      const EndpointViews& views, const DemandTable& demand, const Now& now,
-                     PlacementRecord* record);
+                     PlacementRecord* record, const StoreLoad& store = {});
 
 }  // namespace mimosabend
 
--- a/src/placement_owner.h
+++ b/src/placement_owner.h
@@ -29,6 +29,8 @@
   std::function<std::shared_ptr<const Environment>()> environment;
   // Engine endpoints on the host list.
   std::function<std::vector<Host>()> hosts;
+  // Load of the weight store; `in_use` tells that the next answer should be fresh. May be empty.
+  std::function<StoreLoad(bool in_use)> store_load;
 };
 
 // Owns one placement group: takes it over, decides its loads and unloads, writes each decision
@@ -196,7 +198,7 @@
     const auto environment = context_.environment();
     PlanResult plan;
     if (environment->FindPool(group_.pool) != nullptr) {
-      plan = PlanGroup(*environment, group_, views_, demand_, now, &next);
+      plan = PlanGroup(*environment, group_, views_, demand_, now, &next, ReadStoreLoad(now));
     }
     unplaced_ = std::set<std::string>(plan.unplaced.begin(), plan.unplaced.end());
     if (!observed.changed && !plan.changed) co_return true;
@@ -209,6 +211,19 @@
     co_return result != WriteResult::kConflict;
   }
 
+  // The store is watched only while requests wait or replicas load.
+  StoreLoad ReadStoreLoad(const Now& now) const {
+    if (!context_.store_load) return {};
+    bool in_use = false;
+    for (const auto& [model, demand] : demand_) {
+      in_use |= demand.waiting(now.monotonic) != WaitingByRank{};
+    }
+    for (const PlacedReplica& replica : record_.replicas) {
+      in_use |= replica.state == ReplicaState::kLoading;
+    }
+    return context_.store_load(in_use);
+  }
+
   enum class WriteResult : std::uint8_t { kWritten, kConflict, kUnavailable };
 
   // Writes the record. After kUnavailable the write may have taken effect; the next one then
--- a/src/replica_directory.cpp
+++ b/src/replica_directory.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "digest.h"
 #include "supervisor.h"
 
 namespace mimosabend {
@@ -23,6 +24,12 @@
 constexpr milliseconds kRetryDelay{100};
 // The owner of a group may be moving; that takes no longer than a lease and a take-over.
 constexpr seconds kOwnerMoveTime{9};
+// From this idle weight on, all regions share one copy of a model that no document keeps loaded.
+constexpr double kSharedCopyIdleWeight = 0.5;
+
+bool SharesOneCopy(const Environment& environment, const Model& model) {
+  return environment.idle_weight >= kSharedCopyIdleWeight && model.min_replicas == 0;
+}
 
 }  // namespace
 
@@ -40,10 +47,12 @@
 };
 
 ReplicaDirectory::ReplicaDirectory(asio::any_io_executor executor, std::string region,
+                                   bool share_regions,
                                    std::function<std::shared_ptr<const Environment>()> environment,
                                    Ask ask)
     : executor_(std::move(executor)),
       region_(std::move(region)),
+      share_regions_(share_regions),
       environment_(std::move(environment)),
       ask_(std::move(ask)) {}
 
@@ -55,28 +64,68 @@
   return entry;
 }
 
-std::vector<std::string> ReplicaDirectory::RegionsByPreference(
-    const Environment& environment) const {
+// Regions in the order in which their owners are asked. One copy for all regions is loaded where
+// the model's hash says, so that all daemons agree.
+std::vector<std::string> ReplicaDirectory::RegionsByPreference(const Environment& environment,
+                                                               const Model& model) const {
   std::vector<std::string> regions = environment.regions;
   std::stable_partition(regions.begin(), regions.end(),
                         [&](const std::string& region) { return region == region_; });
+  if (!share_regions_ || !SharesOneCopy(environment, model)) return regions;
+  const std::string& name = model.is_adapter() ? model.base : model.name;
+  const std::string& chosen = environment.regions[Hash64(name) % environment.regions.size()];
+  std::stable_partition(regions.begin(), regions.end(),
+                        [&](const std::string& region) { return region == chosen; });
   return regions;
 }
 
-// Asks the owners of the model's groups, this region's first, until one has or loads a replica.
+// Asks the other regions for replicas that are ready, without asking for a load.
+Task<DemandAnswer> ReplicaDirectory::FindReadyElsewhere(
+    std::shared_ptr<const Environment> environment, std::string model) {
+  const Model* found = environment->FindModel(model);
+  DemandAnswer answer;
+  for (const std::string& region : environment->regions) {
+    if (region == region_) continue;
+    DemandRequest request;
+    request.group = HomeGroup(*environment, *found, region).ToString();
+    request.model = model;
+    answer = co_await ask_(std::move(request));
+    if (answer.status == DemandStatus::kReady) break;
+  }
+  co_return answer;
+}
+
+// Asks the owners of the model's groups until one has or loads a replica. While this region loads
+// its own copy, requests are served from a copy that is ready elsewhere.
 Task<DemandAnswer> ReplicaDirectory::AskRegions(std::string model, std::shared_ptr<Entry> entry,
                                                 std::uint32_t wait_ms) {
   const std::shared_ptr<const Environment> environment = environment_();
   const Model* found = environment->FindModel(model);
   DemandAnswer answer;
   if (found == nullptr) co_return answer;
-  for (const std::string& region : RegionsByPreference(*environment)) {
+  for (const std::string& region : RegionsByPreference(*environment, *found)) {
     DemandRequest request;
     request.group = HomeGroup(*environment, *found, region).ToString();
     request.model = model;
     request.waiting = entry->waiting;
-    request.wait_ms = wait_ms;
+    const bool own = region == region_;
+    const bool look_elsewhere =
+        share_regions_ && own && wait_ms > 0 && environment->regions.size() > 1;
+    request.wait_ms = look_elsewhere ? 0 : wait_ms;
+    const DemandRequest again = request;
     answer = co_await ask_(std::move(request));
+    if (look_elsewhere && answer.status == DemandStatus::kLoading) {
+      DemandAnswer elsewhere = co_await FindReadyElsewhere(environment, model);
+      if (elsewhere.status == DemandStatus::kReady) co_return elsewhere;
+      DemandRequest waiting = again;
+      waiting.waiting = entry->waiting;
+      waiting.wait_ms = wait_ms;
+      answer = co_await ask_(std::move(waiting));
+    }
+    const bool lost =
+        answer.status == DemandStatus::kNotOwner || answer.status == DemandStatus::kUnavailable;
+    // A region that can't be reached must not stop this one from serving the model.
+    if (lost && !own) continue;
     if (answer.status != DemandStatus::kNoCapacity) co_return answer;
   }
   co_return answer;
--- a/src/replica_directory.h
+++ b/src/replica_directory.h
@@ -34,8 +34,9 @@
   // Sends a demand to the daemon that owns its group.
   using Ask = std::function<Task<DemandAnswer>(DemandRequest)>;
 
-  // `region` is that of this daemon.
-  ReplicaDirectory(boost::asio::any_io_executor executor, std::string region,
+  // `region` is that of this daemon. Without `share_regions`, other regions are asked only when
+  // this one has no capacity.
+  ReplicaDirectory(boost::asio::any_io_executor executor, std::string region, bool share_regions,
                    std::function<std::shared_ptr<const Environment>()> environment, Ask ask);
   ~ReplicaDirectory();
 
@@ -58,10 +59,14 @@
   Task<void> Fetch(std::string model, std::shared_ptr<Entry> entry);
   Task<DemandAnswer> AskRegions(std::string model, std::shared_ptr<Entry> entry,
                                 std::uint32_t wait_ms);
-  std::vector<std::string> RegionsByPreference(const Environment& environment) const;
+  std::vector<std::string> RegionsByPreference(const Environment& environment,
+                                               const Model& model) const;
+  Task<DemandAnswer> FindReadyElsewhere(std::shared_ptr<const Environment> environment,
+                                        std::string model);
 
   boost::asio::any_io_executor executor_;
   std::string region_;
+  bool share_regions_;
   std::function<std::shared_ptr<const Environment>()> environment_;
   Ask ask_;
   std::map<std::string, std::shared_ptr<Entry>> entries_;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -154,6 +154,10 @@
           }
         }},
        {"limits", [&](IniSection* section) { ReadLimits(section, &settings); }},
+       {"policy",
+        [&](IniSection* section) {
+          settings.coordinate_cold_starts = section->Flag("coordinate_cold_starts", true);
+        }},
        {"log", [&](IniSection* section) {
           settings.log.level = section->Choice("level", kLogLevelNames, LogLevel::kInfo);
           settings.log.format = section->Choice("format", kLogFormatNames, LogFormat::kText);
--- a/src/settings.h
+++ b/src/settings.h
@@ -65,6 +65,9 @@
   std::string shared_key;
   HttpLimits limits;
   milliseconds drain_delay{2000};
+  // Regions serve each other's cold requests, and loads keep to what the weight store serves at
+  // full speed. False lets each region load for itself, as a baseline for measurements.
+  bool coordinate_cold_starts = true;
   LogSettings log;
 };
 
--- a/tests/experiment.cpp
+++ b/tests/experiment.cpp
@@ -310,6 +310,7 @@
   options.engines_per_region = workload.engines_per_region;
   options.services_per_region = 0;
   options.weight_store_flags = {"--loads_per_s=" + std::to_string(workload.loads_per_s)};
+  if (FLAGS_baseline) options.daemon_settings = "[policy]\ncoordinate_cold_starts = false\n";
   Fleet fleet(options);
   fleet.StartDaemons();
   fleet.PutInForce(WorkloadDocument(workload));
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -161,7 +161,7 @@
   for (std::size_t i = 0; i < daemon_addresses_.size(); ++i) {
     file << (i == 0 ? "" : ", ") << ToString(daemon_addresses_[i].peer);
   }
-  file << "\n[limits]\ndrain_delay_ms = 500\n";
+  file << "\n[limits]\ndrain_delay_ms = 500\n" << options_.daemon_settings;
 }
 
 void Fleet::WriteOperatorSettings() {
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -54,6 +54,8 @@
   // Added to the command line of each stand-in.
   std::vector<std::string> engine_flags;
   std::vector<std::string> weight_store_flags{"--loads_per_s=4"};
+  // Further sections of each daemon's settings.
+  std::string daemon_settings;
 };
 
 // The stand-ins of the platform and a number of daemons, as processes on free ports of the
--- /dev/null
+++ b/tests/test_cold_start.cpp
@@ -0,0 +1,153 @@
+#include <catch2/catch.hpp>
+
+#include "placement.h"
+
+namespace mimosabend {
+
+namespace {
+
+constexpr std::int64_t kEndpointMib = 80000;
+constexpr std::int64_t kModelMib = 16000;
+const GroupId kGroup{"pool", "north", 0};
+
+Now TimeAt(std::int64_t ms) {
+  return {MonotonicTime(milliseconds(1000000 + ms)), WallTime(milliseconds(1000000 + ms))};
+}
+
+// Six models, two adapters of the first, and one endpoint for each name.
+struct Group {
+  explicit Group(const std::vector<std::string>& endpoints) {
+    environment.regions = {"north"};
+    Pool pool;
+    pool.name = "pool";
+    pool.endpoint_memory_mib = kEndpointMib;
+    pool.budget_mib = 10 * kEndpointMib;
+    environment.pools["pool"] = pool;
+    for (const char* name : {"a", "b", "c", "d", "e", "f"}) {
+      environment.models[name] = Model{name, "", "pool", "1", kModelMib, 0, 2};
+    }
+    for (const std::string& id : endpoints) {
+      EndpointView view;
+      view.host.id = id;
+      view.host.region = "north";
+      view.reachable = true;
+      view.fence_raised = true;
+      view.state.memory_total_mib = kEndpointMib;
+      views[id] = view;
+    }
+  }
+
+  void Wait(const std::string& model, Rank rank, const Now& now) {
+    WaitingReport report;
+    report.waiting[Index(rank)] = 1;
+    report.until = now.monotonic + seconds(600);
+    demand[model].reports["daemon"] = report;
+    demand[model].last_used = now.monotonic;
+  }
+
+  PlanResult Plan(const Now& now, const StoreLoad& store = {}) {
+    return PlanGroup(environment, kGroup, views, demand, now, &record, store);
+  }
+
+  Environment environment;
+  EndpointViews views;
+  DemandTable demand;
+  PlacementRecord record;
+};
+
+}  // namespace
+
+// Guards against reading a checkpoint from the store that an engine has on its disk.
+TEST_CASE("a load goes to the endpoint that has the checkpoint on its disk") {
+  Group group({"x", "y", "z"});
+  group.views["y"].state.checkpoints_on_disk = {"a@1"};
+  group.views["y"].state.memory_used_mib = kModelMib;
+  group.views["z"].state.checkpoints_on_disk = {"a@0"};
+  group.Wait("a", Rank::kUrgent, TimeAt(0));
+  group.Plan(TimeAt(0));
+  REQUIRE(group.record.replicas.size() == 1);
+  CHECK(group.record.replicas[0].endpoint == "y");
+}
+
+// Guards against a disk copy that draws a load to an endpoint without room.
+TEST_CASE("a checkpoint on disk does not overcommit an endpoint") {
+  Group group({"x", "y"});
+  group.views["y"].state.checkpoints_on_disk = {"a@1"};
+  group.views["y"].state.memory_used_mib = kEndpointMib - kModelMib + 1;
+  group.Wait("a", Rank::kUrgent, TimeAt(0));
+  group.Plan(TimeAt(0));
+  REQUIRE(group.record.replicas.size() == 1);
+  CHECK(group.record.replicas[0].endpoint == "x");
+}
+
+// Guards against many loads at once that slow each other down, and against background work that
+// loads before urgent work.
+TEST_CASE("loads beyond the store's full speed wait, urgent requests first") {
+  Group group({"x", "y", "z"});
+  group.Wait("a", Rank::kBackground, TimeAt(0));
+  group.Wait("b", Rank::kStandard, TimeAt(0));
+  group.Wait("c", Rank::kUrgent, TimeAt(0));
+  StoreLoad store{true, true, 4, 0};
+  const PlanResult full = group.Plan(TimeAt(0), store);
+  CHECK(group.record.replicas.empty());
+  CHECK(full.loads == 0);
+  // A load that waits for the store is not refused.
+  CHECK(full.unplaced.empty());
+  store.model_loads = 3;
+  group.Plan(TimeAt(500), store);
+  REQUIRE(group.record.replicas.size() == 1);
+  CHECK(group.record.replicas[0].model == "c");
+  // Its own load does not show in the store's status yet.
+  group.Plan(TimeAt(650), store);
+  CHECK(group.record.replicas.size() == 1);
+}
+
+// Guards against loads without bound while the store's status can't be read.
+TEST_CASE("a group keeps to four model loads when the store is silent") {
+  Group group({"x", "y", "z"});
+  for (const char* name : {"a", "b", "c", "d", "e", "f"}) {
+    group.Wait(name, Rank::kUrgent, TimeAt(0));
+  }
+  for (int ms = 0; ms < 3000; ms += 50) group.Plan(TimeAt(ms));
+  CHECK(group.record.replicas.size() == 4);
+}
+
+// Guards against a disk load that waits for a store that it does not use.
+TEST_CASE("loads from disk don't wait for the store") {
+  Group group({"x"});
+  group.views["x"].state.checkpoints_on_disk = {"a@1"};
+  group.Wait("a", Rank::kBackground, TimeAt(0));
+  group.Plan(TimeAt(0), StoreLoad{true, true, 9, 9});
+  CHECK(group.record.replicas.size() == 1);
+}
+
+// Guards against requests that wait for a load that does not end, and against more replicas than
+// the bound.
+TEST_CASE("a stuck load is joined by one elsewhere within the bound") {
+  Group group({"x", "y", "z"});
+  group.environment.load_timeout = seconds(60);
+  group.Wait("a", Rank::kUrgent, TimeAt(0));
+  group.Plan(TimeAt(0));
+  group.Plan(TimeAt(14000));
+  CHECK(group.record.replicas.size() == 1);
+  group.Plan(TimeAt(16000));
+  REQUIRE(group.record.replicas.size() == 2);
+  CHECK(group.record.replicas[0].endpoint != group.record.replicas[1].endpoint);
+  group.Plan(TimeAt(40000));
+  CHECK(group.record.replicas.size() == 2);
+}
+
+// Guards against a wait for the whole time-out when the loading endpoint has died.
+TEST_CASE("a load at a silent endpoint is replaced after seconds") {
+  Group group({"x", "y"});
+  group.Wait("a", Rank::kUrgent, TimeAt(0));
+  group.Plan(TimeAt(0));
+  REQUIRE(group.record.replicas.size() == 1);
+  group.views[group.record.replicas[0].endpoint].reachable = false;
+  group.Plan(TimeAt(1000));
+  CHECK(group.record.replicas.size() == 1);
+  group.Plan(TimeAt(2500));
+  CHECK(group.record.replicas.size() == 2);
+}
+
+}  // namespace mimosabend
