Unload idle replicas by each model's history of use

Cause: one idle timeout for all models keeps rarely used models loaded for nothing and unloads others between two uses.

After a use it stays loaded for the time that costs least on average, where idle_weight sets how much idle time a load is worth.

Behaviour: replicas are unloaded at other times; the signatures of placement and idle_timeout change.

--- a/src/bench.cpp
+++ b/src/bench.cpp
@@ -134,7 +134,7 @@
         std::min(numbers->Below(kModels + kAdapters), numbers->Below(kModels + kAdapters)));
     const std::string name = rank < kModels ? ModelName(rank) : AdapterName(rank - kModels);
     ModelDemand& entry = (*demand)[name];
-    entry.last_used = now.monotonic;
+    entry.NoteUse(now.monotonic);
     WaitingReport report;
     report.waiting[numbers->Below(kRankCount)] = static_cast<std::uint32_t>(numbers->Below(4));
     report.until = now.monotonic + seconds(3);
@@ -238,7 +238,16 @@
   for (int i = 0; i <= kSteps; ++i) {
     signature->Add(IdleTimeout(static_cast<double>(i) / kSteps).count());
   }
-  return kSteps + 1;
+  Numbers numbers(kSeed);
+  UseHistory history;
+  std::int64_t ms = 0;
+  for (int i = 0; i < kSteps; ++i) {
+    // Mostly short gaps, some of hours.
+    ms += static_cast<std::int64_t>(numbers.Below(numbers.Chance(20) ? 20000000 : 100000));
+    history.NoteUse(TimeAt(ms).monotonic);
+    signature->Add(IdleTimeout(history, static_cast<double>(numbers.Below(101)) / 100).count());
+  }
+  return 2 * kSteps + 1;
 }
 
 std::uint64_t RunEnvelopes(Signature* signature) {
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -5,7 +5,6 @@
 #include <numeric>
 
 #include "digest.h"
-#include "idle_policy.h"
 
 namespace mimosabend {
 
@@ -139,7 +138,13 @@
 
   bool IsIdle(const PlacedReplica& replica) const {
     if (Waiting(replica.model) > 0 || IsResident(replica)) return false;
-    return now_.monotonic - LastUsed(replica.model) > IdleTimeout(environment_.idle_weight);
+    return now_.monotonic - LastUsed(replica.model) > AllowedIdle(replica.model);
+  }
+
+  milliseconds AllowedIdle(const std::string& model) const {
+    const auto it = demand_.find(model);
+    if (it == demand_.end()) return IdleTimeout(environment_.idle_weight);
+    return IdleTimeout(it->second.history, environment_.idle_weight);
   }
 
   // True if the document no longer wants a replica where it is.
@@ -427,6 +432,11 @@
   return groups;
 }
 
+void ModelDemand::NoteUse(MonotonicTime now) {
+  last_used = now;
+  history.NoteUse(now);
+}
+
 WaitingByRank ModelDemand::waiting(MonotonicTime now) const {
   WaitingByRank sum{};
   for (const auto& [daemon, report] : reports) {
--- a/src/placement.h
+++ b/src/placement.h
@@ -13,6 +13,7 @@
 #include "engine.h"
 #include "environment.h"
 #include "host_list.h"
+#include "idle_policy.h"
 
 namespace mimosabend {
 
@@ -136,6 +137,10 @@
 struct ModelDemand {
   std::map<std::string, WaitingReport> reports;
   MonotonicTime last_used;
+  UseHistory history;
+
+  // Notes that the model is in use.
+  void NoteUse(MonotonicTime now);
 
   WaitingByRank waiting(MonotonicTime now) const;
 };
--- a/src/placement_owner.h
+++ b/src/placement_owner.h
@@ -362,10 +362,10 @@
   }
 
   void NoteUsed(const std::string& model) {
-    demand_[model].last_used = MonotonicNow();
+    demand_[model].NoteUse(MonotonicNow());
     const Model* found = context_.environment()->FindModel(model);
     if (found != nullptr && found->is_adapter()) {
-      demand_[found->base].last_used = MonotonicNow();
+      demand_[found->base].NoteUse(MonotonicNow());
     }
   }
 
