Don't miss an owner's answer that comes at once

Cause: a request spawned the demand before it waited for the answer. An owner in the same daemon that names a ready replica answers without suspending, so that nobody was notified and the request waited until its deadline.

Change: the demand starts only after the request waits. While other regions are asked too, a demand is held for 250 ms instead of 1000 ms, so that a copy that becomes ready there is found sooner.

Behaviour: requests wait less; decisions are unchanged.

--- a/src/replica_directory.cpp
+++ b/src/replica_directory.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "digest.h"
 #include "supervisor.h"
@@ -20,6 +22,9 @@
 constexpr seconds kEntryRetention{600};
 // Longest time that one demand is held open at the owner.
 constexpr std::uint32_t kDemandWaitMs = 1000;
+// The same while other regions are asked in turn with the own one. With 1000 ms, requests waited
+// for up to a second beside a copy that was ready in another region.
+constexpr std::uint32_t kSharedDemandWaitMs = 250;
 // Pause after an answer that came at once and does not help.
 constexpr milliseconds kRetryDelay{100};
 // The owner of a group may be moving; that takes no longer than a lease and a take-over.
@@ -119,7 +124,7 @@
       if (elsewhere.status == DemandStatus::kReady) co_return elsewhere;
       DemandRequest waiting = again;
       waiting.waiting = entry->waiting;
-      waiting.wait_ms = wait_ms;
+      waiting.wait_ms = std::min(wait_ms, kSharedDemandWaitMs);
       answer = co_await ask_(std::move(waiting));
     }
     const bool lost =
@@ -133,6 +138,9 @@
 
 // Asks on behalf of all requests that wait for a model, until none waits any more.
 Task<void> ReplicaDirectory::Fetch(std::string model, std::shared_ptr<Entry> entry) {
+  // The request that starts this waits only once it suspends. Without this, an owner in this daemon
+  // that answers at once would notify nobody, and the request would wait until its deadline.
+  co_await asio::post(executor_, asio::use_awaitable);
   while (entry->waiting != WaitingByRank{} && entry->replicas.empty()) {
     const MonotonicTime start = MonotonicNow();
     const DemandAnswer answer = co_await AskRegions(model, entry, kDemandWaitMs);
--- a/tests/test_idle.cpp
+++ b/tests/test_idle.cpp
@@ -65,6 +65,7 @@
   std::mt19937_64 random(1);
   for (int i = 0; i < 200; ++i) {
     std::vector<std::int64_t> gaps;
+    gaps.reserve(10);
     for (int j = 0; j < 10; ++j) {
       gaps.push_back(static_cast<std::int64_t>(random() % (random() % 2 == 0 ? 100 : 20000)));
     }
