Replace replicas at endpoints that have fallen silent

Cause: a ready replica of an engine that had died kept its model from being loaded elsewhere until the host list dropped the host, although the owner named it to nobody: requests waited until their deadline.

Change: while requests wait, a replica at an endpoint that answered before and no longer does doesn't count towards the number wanted. It stays charged and counts against max_replicas. A load counts as silent by the same rule, so that a new owner doesn't take endpoints for silent that it has not asked yet.

--- a/src/bench.cpp
+++ b/src/bench.cpp
@@ -103,6 +103,7 @@
     view.host.region = "north";
     view.reachable = true;
     view.fence_raised = true;
+    view.state.incarnation = "1";
     view.state.memory_total_mib = kEndpointMib;
     view.state.slots = 8;
     views[view.host.id] = view;
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -27,6 +27,11 @@
 // A load at an endpoint that is silent counts as stuck after this time.
 constexpr milliseconds kSilentLoad{2000};
 
+// True if the endpoint has answered this owner before and does not now.
+bool HasFallenSilent(const EndpointView& view) {
+  return !view.reachable && !view.state.incarnation.empty();
+}
+
 bool Holds(const PlacedReplica& replica, const std::string& model) {
   return replica.model == model && replica.state != ReplicaState::kUnloading;
 }
@@ -236,13 +241,15 @@
   }
 
   bool IsStuck(const PlacedReplica& replica) const {
-    if (replica.state != ReplicaState::kLoading) return false;
-    if (Age(replica) > environment_.load_timeout.count() / kStuckDivisor) return true;
     const auto view = views_.find(replica.endpoint);
-    return view != views_.end() && !view->second.reachable && Age(replica) > kSilentLoad.count();
+    const bool silent = view != views_.end() && HasFallenSilent(view->second);
+    if (replica.state != ReplicaState::kLoading) return silent;
+    if (Age(replica) > environment_.load_timeout.count() / kStuckDivisor) return true;
+    return silent && Age(replica) > kSilentLoad.count();
   }
 
-  // Loads that requests should no longer wait for alone.
+  // Replicas that requests should no longer wait for alone. A ready one at a silent endpoint stays
+  // charged, but serves nobody.
   std::uint32_t StuckLoads(const std::string& model) const {
     if (Waiting(model) == 0) return 0;
     return std::count_if(
--- a/tests/test_cold_start.cpp
+++ b/tests/test_cold_start.cpp
@@ -33,6 +33,7 @@
       view.reachable = true;
       view.fence_raised = true;
       view.state.memory_total_mib = kEndpointMib;
+      view.state.incarnation = "1";
       views[id] = view;
     }
   }
@@ -150,4 +151,25 @@
   CHECK(group.record.replicas.size() == 2);
 }
 
+// Guards against requests that wait for the replica of an engine that has died until the host list
+// says so.
+TEST_CASE("a ready replica at a silent endpoint is replaced while requests wait") {
+  Group group({"x", "y"});
+  group.Wait("a", Rank::kUrgent, TimeAt(0));
+  group.Plan(TimeAt(0));
+  REQUIRE(group.record.replicas.size() == 1);
+  group.record.replicas[0].state = ReplicaState::kReady;
+  EndpointView& view = group.views[group.record.replicas[0].endpoint];
+  view.reachable = false;
+  // A new owner has not asked the endpoint yet.
+  view.state.incarnation.clear();
+  group.Plan(TimeAt(5000));
+  CHECK(group.record.replicas.size() == 1);
+  view.state.incarnation = "1";
+  group.Plan(TimeAt(5500));
+  CHECK(group.record.replicas.size() == 2);
+  group.Plan(TimeAt(9000));
+  CHECK(group.record.replicas.size() == 2);
+}
+
 }  // namespace mimosabend
