Load a model again for its adapters when its replica falls silent

Cause: an adapter whose model had its only replica at a dead engine was refused after its deadline, since the model counted as loaded.

Change: the replica of a model at a silent endpoint no longer counts while its adapters have waiting requests. New test case in 'cold_start'.

--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -208,7 +208,7 @@
     // Unloading replicas still count against the bound.
     if (CountReplicas(*record_, model.name) >= model.max_replicas) return;
     const Model* base = model.is_adapter() ? environment_.FindModel(model.base) : nullptr;
-    if (base != nullptr && Active(base->name) == 0) {
+    if (base != nullptr && Active(base->name) <= StuckLoads(base->name)) {
       Place(*base);
       return;
     }
@@ -251,7 +251,7 @@
   // Replicas that requests should no longer wait for alone. A ready one at a silent endpoint stays
   // charged, but serves nobody.
   std::uint32_t StuckLoads(const std::string& model) const {
-    if (Waiting(model) == 0) return 0;
+    if (Waiting(model) == 0 && !SupportsWaiting(model)) return 0;
     return std::count_if(
         record_->replicas.begin(), record_->replicas.end(),
         [&](const PlacedReplica& replica) { return Holds(replica, model) && IsStuck(replica); });
@@ -333,7 +333,7 @@
     for (PlacedReplica& replica : record_->replicas) {
       if (replica.state != ReplicaState::kReady || Waiting(replica.model) > 0) continue;
       if (!endpoint.empty() && replica.endpoint != endpoint) continue;
-      if (IsResident(replica) || SupportsWaiting(replica)) continue;
+      if (IsResident(replica) || SupportsWaiting(replica.model)) continue;
       if (victim == nullptr || LastUsed(replica.model) < LastUsed(victim->model)) {
         victim = &replica;
       }
@@ -342,10 +342,10 @@
   }
 
   // True if an adapter of this model has waiting requests.
-  bool SupportsWaiting(const PlacedReplica& replica) const {
+  bool SupportsWaiting(const std::string& base) const {
     for (const auto& [name, demand] : demand_) {
       const Model* model = environment_.FindModel(name);
-      if (model != nullptr && model->base == replica.model && Waiting(name) > 0) return true;
+      if (model != nullptr && model->base == base && Waiting(name) > 0) return true;
     }
     return false;
   }
--- a/tests/test_cold_start.cpp
+++ b/tests/test_cold_start.cpp
@@ -172,4 +172,24 @@
   CHECK(group.record.replicas.size() == 2);
 }
 
+// Guards against an adapter that waits for a model whose only replica has fallen silent.
+TEST_CASE("an adapter gets another replica of its model when the first falls silent") {
+  Group group({"x", "y"});
+  group.environment.models["adapter"] = Model{"adapter", "a", "pool", "1", 200, 0, 1};
+  group.Wait("adapter", Rank::kUrgent, TimeAt(0));
+  group.Plan(TimeAt(0));
+  REQUIRE(group.record.replicas.size() == 1);
+  CHECK(group.record.replicas[0].model == "a");
+  group.record.replicas[0].state = ReplicaState::kReady;
+  group.views[group.record.replicas[0].endpoint].reachable = false;
+  group.Plan(TimeAt(5000));
+  REQUIRE(group.record.replicas.size() == 2);
+  CHECK(group.record.replicas[1].model == "a");
+  group.record.replicas[1].state = ReplicaState::kReady;
+  group.Plan(TimeAt(7000));
+  REQUIRE(group.record.replicas.size() == 3);
+  CHECK(group.record.replicas[2].model == "adapter");
+  CHECK(group.record.replicas[2].endpoint == group.record.replicas[1].endpoint);
+}
+
 }  // namespace mimosabend
