Let other regions serve a model whose replicas are all silent

Cause: a model at its replica bound whose endpoints are silent counted as loading. Its requests, and those of its adapters, waited until their deadline although another region could serve them.

Change: such a model counts as not placed, and so does an adapter whose model can't be placed. The bound itself is unchanged.

--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -206,10 +206,16 @@
     const std::uint32_t target = std::max(1u, model.min_replicas) + StuckLoads(model.name);
     if (Active(model.name) >= target) return;
     // Unloading replicas still count against the bound.
-    if (CountReplicas(*record_, model.name) >= model.max_replicas) return;
+    if (CountReplicas(*record_, model.name) >= model.max_replicas) {
+      // Another region may serve the requests.
+      if (IsOnlyAtSilentEndpoints(model.name)) result_.unplaced.push_back(model.name);
+      return;
+    }
     const Model* base = model.is_adapter() ? environment_.FindModel(model.base) : nullptr;
     if (base != nullptr && Active(base->name) <= StuckLoads(base->name)) {
+      const std::size_t before = result_.unplaced.size();
       Place(*base);
+      if (result_.unplaced.size() > before) result_.unplaced.push_back(model.name);
       return;
     }
     const bool over_budget = GroupCharge() + model.memory_mib > GroupBudget();
@@ -257,6 +263,16 @@
         [&](const PlacedReplica& replica) { return Holds(replica, model) && IsStuck(replica); });
   }
 
+  bool IsOnlyAtSilentEndpoints(const std::string& model) const {
+    return std::all_of(record_->replicas.begin(), record_->replicas.end(),
+                       [&](const PlacedReplica& replica) {
+                         const auto view = views_.find(replica.endpoint);
+                         return !Holds(replica, model) ||
+                                (view != views_.end() && HasFallenSilent(view->second));
+                       }) &&
+           Active(model) > 0;
+  }
+
   static bool IsOnDisk(const EndpointView& view, const std::string& model,
                        const std::string& version) {
     return view.state.checkpoints_on_disk.contains(model + "@" + version);
--- a/tests/test_cold_start.cpp
+++ b/tests/test_cold_start.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "placement.h"
@@ -192,4 +193,24 @@
   CHECK(group.record.replicas[2].endpoint == group.record.replicas[1].endpoint);
 }
 
+// Guards against requests that wait until their deadline where another region could serve them.
+TEST_CASE("a model at its bound whose endpoints are silent counts as not placed") {
+  Group group({"x", "y"});
+  group.environment.models["a"].max_replicas = 1;
+  group.environment.models["adapter"] = Model{"adapter", "a", "pool", "1", 200, 0, 1};
+  group.Wait("a", Rank::kUrgent, TimeAt(0));
+  group.Plan(TimeAt(0));
+  REQUIRE(group.record.replicas.size() == 1);
+  group.record.replicas[0].state = ReplicaState::kReady;
+  CHECK(group.Plan(TimeAt(500)).unplaced.empty());
+  group.views[group.record.replicas[0].endpoint].reachable = false;
+  CHECK(group.Plan(TimeAt(1000)).unplaced == std::vector<std::string>{"a"});
+  // So does an adapter of it.
+  group.demand.erase("a");
+  group.Wait("adapter", Rank::kUrgent, TimeAt(1500));
+  const std::vector<std::string> unplaced = group.Plan(TimeAt(1500)).unplaced;
+  CHECK(std::find(unplaced.begin(), unplaced.end(), "adapter") != unplaced.end());
+  CHECK(group.record.replicas.size() == 1);
+}
+
 }  // namespace mimosabend
