--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -5,7 +5,6 @@
 #include <numeric>
 
 #include "digest.h"
-#include "idle_policy.h"
 
 namespace mimosabend {
 
@@ -39,6 +38,25 @@
       {replica.endpoint, replica.model, replica.order_id, replica.memory_mib, ToUnixMillis(until)});
 }
 
+// Concurrent loads that the weight store serves at full speed, over all groups.
+constexpr std::uint32_t kMaxModelLoads = 4;
+constexpr std::uint32_t kMaxAdapterLoads = 30;
+// An owner decides at most one model load in this time. Owners that see the store free at the same
+// moment then exceed its limit by one load each, not by four. The store starts 2 to 4 loads a
+// second, so that a single owner still keeps it busy.
+constexpr milliseconds kModelLoadSpacing{100};
+// A load shows in the store's status within this time of its decision.
+constexpr milliseconds kLoadVisible{250};
+// A load counts as stuck after this part of its time-out.
+constexpr int kStuckDivisor = 4;
+// A load at an endpoint that is silent counts as stuck after this time.
+constexpr milliseconds kSilentLoad{2000};
+
+// True if the endpoint has answered this owner before and does not now.
+bool HasFallenSilent(const EndpointView& view) {
+  return !view.reachable && !view.state.incarnation.empty();
+}
+
 bool Holds(const PlacedReplica& replica, const std::string& model) {
   return replica.model == model && replica.state != ReplicaState::kUnloading;
 }
@@ -86,14 +104,15 @@
 class Planner {
  public:
   Planner(const Environment& environment, const GroupId& group, const EndpointViews& views,
-          const DemandTable& demand, const Now& now, PlacementRecord* record,
-          milliseconds min_residence)
+          const DemandTable& demand, const Now& now, const StoreLoad& store,
+          milliseconds min_residence, PlacementRecord* record)
       : environment_(environment),
         pool_(*environment.FindPool(group.pool)),
         group_(group),
         views_(views),
         demand_(demand),
         now_(now),
+        store_(store),
         record_(record),
         min_residence_(min_residence) {}
 
@@ -168,7 +187,13 @@
 
   bool IsIdle(const PlacedReplica& replica) const {
     if (Waiting(replica.model) > 0 || IsResident(replica)) return false;
-    return now_.monotonic - LastUsed(replica.model) > IdleTimeout(environment_.idle_weight);
+    return now_.monotonic - LastUsed(replica.model) > AllowedIdle(replica.model);
+  }
+
+  milliseconds AllowedIdle(const std::string& model) const {
+    const auto it = demand_.find(model);
+    if (it == demand_.end()) return IdleTimeout(environment_.idle_weight);
+    return IdleTimeout(it->second.history, environment_.idle_weight);
   }
 
   // True if the document no longer wants a replica where it is.
@@ -231,19 +256,25 @@
   }
 
   void Place(const Model& model) {
-    const std::uint32_t target = std::max(1u, model.min_replicas);
+    const std::uint32_t target = std::max(1u, model.min_replicas) + StuckLoads(model.name);
     if (Active(model.name) >= target) return;
     // Unloading replicas still count against the bound.
-    if (CountReplicas(*record_, model.name, now_.wall) >= model.max_replicas) return;
+    if (CountReplicas(*record_, model.name, now_.wall) >= model.max_replicas) {
+      // Another region may serve the requests.
+      if (IsOnlyAtSilentEndpoints(model.name)) result_.unplaced.push_back(model.name);
+      return;
+    }
     const Model* base = model.is_adapter() ? environment_.FindModel(model.base) : nullptr;
-    if (base != nullptr && Active(base->name) == 0) {
+    if (base != nullptr && Active(base->name) <= StuckLoads(base->name)) {
+      const std::size_t before = result_.unplaced.size();
       Place(*base);
+      if (result_.unplaced.size() > before) result_.unplaced.push_back(model.name);
       return;
     }
     const bool over_budget = GroupCharge() + model.memory_mib > GroupBudget();
     const EndpointView* view = over_budget ? nullptr : ChooseEndpoint(model);
     if (view != nullptr) {
-      Add(model, *view);
+      if (MayLoad(model, *view)) Add(model, *view);
     } else if (!MakeRoom(model, over_budget)) {
       result_.unplaced.push_back(model.name);
     }
@@ -264,14 +295,102 @@
                        });
   }
 
-  // The endpoint with the most free memory that can take the model now.
+  std::int64_t Age(const PlacedReplica& replica) const {
+    return ToUnixMillis(now_.wall) - replica.decided_at_ms;
+  }
+
+  bool IsStuck(const PlacedReplica& replica) const {
+    const auto view = views_.find(replica.endpoint);
+    const bool silent = view != views_.end() && HasFallenSilent(view->second);
+    if (replica.state != ReplicaState::kLoading) return silent;
+    if (Age(replica) > environment_.load_timeout.count() / kStuckDivisor) return true;
+    return silent && Age(replica) > kSilentLoad.count();
+  }
+
+  // Replicas that requests should no longer wait for alone. A ready one at a silent endpoint stays
+  // charged, but serves nobody.
+  std::uint32_t StuckLoads(const std::string& model) const {
+    if (Waiting(model) == 0 && !SupportsWaiting(model)) return 0;
+    return std::count_if(
+        record_->replicas.begin(), record_->replicas.end(),
+        [&](const PlacedReplica& replica) { return Holds(replica, model) && IsStuck(replica); });
+  }
+
+  bool IsOnlyAtSilentEndpoints(const std::string& model) const {
+    return std::all_of(record_->replicas.begin(), record_->replicas.end(),
+                       [&](const PlacedReplica& replica) {
+                         const auto view = views_.find(replica.endpoint);
+                         return !Holds(replica, model) ||
+                                (view != views_.end() && HasFallenSilent(view->second));
+                       }) &&
+           Active(model) > 0;
+  }
+
+  static bool IsOnDisk(const EndpointView& view, const std::string& model,
+                       const std::string& version) {
+    return view.state.checkpoints_on_disk.contains(model + "@" + version);
+  }
+
+  // True if the replica is being read from the weight store, as far as this owner knows.
+  bool ReadsFromStore(const PlacedReplica& replica) const {
+    if (replica.state != ReplicaState::kLoading) return false;
+    const auto view = views_.find(replica.endpoint);
+    return view == views_.end() || !IsOnDisk(view->second, replica.model, replica.version);
+  }
+
+  // Loads of one kind that the store serves: what it reports, and those of this group that it does
+  // not report yet.
+  std::uint32_t LoadsInFlight(bool adapters) const {
+    const std::uint32_t own = std::count_if(
+        record_->replicas.begin(), record_->replicas.end(), [&](const PlacedReplica& replica) {
+          const bool visible = store_.known && Age(replica) > kLoadVisible.count();
+          return replica.base.empty() != adapters && !visible && ReadsFromStore(replica);
+        });
+    if (!store_.known) return own;
+    return own + (adapters ? store_.adapter_loads : store_.model_loads);
+  }
+
+  // True if the load needs no read from the weight store, or the store can serve it at full speed.
+  bool MayLoad(const Model& model, const EndpointView& view) const {
+    if (!store_.limited || IsOnDisk(view, model.name, model.version)) return true;
+    if (model.is_adapter()) return LoadsInFlight(true) < kMaxAdapterLoads;
+    const bool spaced = std::none_of(record_->replicas.begin(), record_->replicas.end(),
+                                     [&](const PlacedReplica& replica) {
+                                       return replica.base.empty() && ReadsFromStore(replica) &&
+                                              Age(replica) < kModelLoadSpacing.count();
+                                     });
+    return spaced && LoadsInFlight(false) < kMaxModelLoads;
+  }
+
+  // Memory that is free or could be freed without taking a model from its waiting requests.
+  std::int64_t ReclaimableMemory(const EndpointView& view) const {
+    std::int64_t sum = FreeMemory(view);
+    for (const PlacedReplica& replica : record_->replicas) {
+      const bool unused = replica.state == ReplicaState::kReady && Waiting(replica.model) == 0;
+      if (replica.endpoint == view.host.id && unused) sum += replica.memory_mib;
+    }
+    return sum;
+  }
+
+  // An endpoint that has the checkpoint on its disk goes first, then the one that can free the
+  // most memory.
+  bool IsBetter(const EndpointView& a, const EndpointView& b, const Model& model) const {
+    const bool a_on_disk = IsOnDisk(a, model.name, model.version);
+    const bool b_on_disk = IsOnDisk(b, model.name, model.version);
+    if (a_on_disk != b_on_disk) return a_on_disk;
+    const std::int64_t a_memory = ReclaimableMemory(a);
+    const std::int64_t b_memory = ReclaimableMemory(b);
+    return a_memory != b_memory ? a_memory > b_memory : FreeMemory(a) > FreeMemory(b);
+  }
+
+  // The best endpoint that can take the model now.
   const EndpointView* ChooseEndpoint(const Model& model) const {
     const EndpointView* best = nullptr;
     for (const auto& [id, view] : views_) {
       if (!view.may_take_loads() || HoldsModel(id, model.name)) continue;
       if (model.is_adapter() && !HasReadyBase(model, id)) continue;
       if (FreeMemory(view) < model.memory_mib) continue;
-      if (best == nullptr || FreeMemory(view) > FreeMemory(*best)) best = &view;
+      if (best == nullptr || IsBetter(view, *best, model)) best = &view;
     }
     return best;
   }
@@ -283,7 +402,7 @@
     for (PlacedReplica& replica : record_->replicas) {
       if (replica.state != ReplicaState::kReady || Waiting(replica.model) > 0) continue;
       if (!endpoint.empty() && replica.endpoint != endpoint) continue;
-      if (IsResident(replica) || SupportsWaiting(replica)) continue;
+      if (IsResident(replica) || SupportsWaiting(replica.model)) continue;
       if (victim == nullptr || LastUsed(replica.model) < LastUsed(victim->model)) {
         victim = &replica;
       }
@@ -292,10 +411,10 @@
   }
 
   // True if an adapter of this model has waiting requests.
-  bool SupportsWaiting(const PlacedReplica& replica) const {
+  bool SupportsWaiting(const std::string& base) const {
     for (const auto& [name, demand] : demand_) {
       const Model* model = environment_.FindModel(name);
-      if (model != nullptr && model->base == replica.model && Waiting(name) > 0) return true;
+      if (model != nullptr && model->base == base && Waiting(name) > 0) return true;
     }
     return false;
   }
@@ -337,6 +456,7 @@
     replica.decided_at_ms = ToUnixMillis(now_.wall);
     record_->replicas.push_back(std::move(replica));
     result_.changed = true;
+    ++result_.loads;
     assert(ChargedMemory(*record_, view.host.id, now_.wall) <= Capacity(view));
     assert(CountReplicas(*record_, model.name, now_.wall) <= model.max_replicas);
   }
@@ -356,6 +476,7 @@
   const EndpointViews& views_;
   const DemandTable& demand_;
   const Now& now_;
+  const StoreLoad& store_;
   PlacementRecord* record_;
   milliseconds min_residence_;
   PlanResult result_;
@@ -388,6 +509,11 @@
   return groups;
 }
 
+void ModelDemand::NoteUse(MonotonicTime now) {
+  last_used = now;
+  history.NoteUse(now);
+}
+
 WaitingByRank ModelDemand::waiting(MonotonicTime now) const {
   WaitingByRank sum{};
   for (const auto& [daemon, report] : reports) {
@@ -483,8 +609,8 @@
 
 PlanResult PlanGroup(const Environment& environment, const GroupId& group,
                      const EndpointViews& views, const DemandTable& demand, const Now& now,
-                     PlacementRecord* record, milliseconds min_residence) {
-  return Planner(environment, group, views, demand, now, record, min_residence).Run();
+                     PlacementRecord* record, const StoreLoad& store, milliseconds min_residence) {
+  return Planner(environment, group, views, demand, now, store, min_residence, record).Run();
 }
 
 }  // namespace mimosabend
--- a/src/placement.h
+++ b/src/placement.h
@@ -151,6 +151,10 @@
 struct ModelDemand {
   std::map<std::string, WaitingReport> reports;
   MonotonicTime last_used;
+  UseHistory history;
+
+  // Notes that the model is in use.
+  void NoteUse(MonotonicTime now);
 
   WaitingByRank waiting(MonotonicTime now) const;
 };
@@ -182,17 +186,32 @@
 void ReserveForLateOrders(WallTime now, milliseconds load_timeout, milliseconds hold,
                           PlacementRecord* record);
 
+// Loads that the weight store serves to the whole fleet, as last read.
+struct StoreLoad {
+  // False lets loads start whatever the store does.
+  bool limited = true;
+  // False if the store did not answer lately.
+  bool known = false;
+  // Reads under way or queued.
+  std::uint32_t model_loads = 0;
+  std::uint32_t adapter_loads = 0;
+};
+
 struct PlanResult {
   bool changed = false;
+  // Loads that were decided.
+  std::uint32_t loads = 0;
   // Models that have waiting requests and could not be placed.
   std::vector<std::string> unplaced;
 };
 
-// Decides loads and unloads for a group and enters them in the record. Asserts that no endpoint's
+// Decides loads and unloads for a group and enters them in the record. Loads that the weight store
+// could not serve at full speed are put off, the least urgent first. Asserts that no endpoint's
 // memory is overcommitted and no model has more replicas than its bound.
 PlanResult PlanGroup(const Environment& environment, const GroupId& group,
                      const EndpointViews& views, const DemandTable& demand, const Now& now,
-                     PlacementRecord* record, milliseconds min_residence = kMinResidence);
+                     PlacementRecord* record, const StoreLoad& store = {},
+                     milliseconds min_residence = kMinResidence);
 
 }  // namespace mimosabend
 
--- a/src/placement_owner.h
+++ b/src/placement_owner.h
@@ -30,6 +30,8 @@
   std::function<std::shared_ptr<const Environment>()> environment;
   // Engine endpoints on the host list.
   std::function<std::vector<Host>()> hosts;
+  // Load of the weight store; `in_use` tells that the next answer should be fresh. May be empty.
+  std::function<StoreLoad(bool in_use)> store_load;
 };
 
 // The deciding functions of an owner. Tests pass others, in which one mechanism is switched off.
@@ -40,8 +42,10 @@
   }
   static PlanResult PlanGroup(const Environment& environment, const GroupId& group,
                               const EndpointViews& views, const DemandTable& demand, const Now& now,
-                              PlacementRecord* record, milliseconds min_residence) {
-    return mimosabend::PlanGroup(environment, group, views, demand, now, record, min_residence);
+                              PlacementRecord* record, const StoreLoad& store,
+                              milliseconds min_residence) {
+    return mimosabend::PlanGroup(environment, group, views, demand, now, record, store,
+                                 min_residence);
   }
   static void ReserveForLateOrders(WallTime now, milliseconds load_timeout, milliseconds hold,
                                    PlacementRecord* record) {
@@ -232,18 +236,32 @@
     PlanResult plan;
     if (environment->FindPool(group_.pool) != nullptr) {
       plan = Decisions::PlanGroup(*environment, group_, views_, demand_, now, &next,
-                                  timings_.min_residence);
+                                  ReadStoreLoad(now), timings_.min_residence);
     }
     unplaced_ = std::set<std::string>(plan.unplaced.begin(), plan.unplaced.end());
     if (!observed.changed && !plan.changed) co_return true;
     const WriteResult result = co_await Write(std::move(next));
     if (result == WriteResult::kWritten) {
       metrics_->undecided_replicas_total->Increment(observed.undecided);
+      metrics_->load_decisions_total->Increment(plan.loads);
       orders_.NotifyAll();
     }
     co_return result != WriteResult::kConflict;
   }
 
+  // The store is watched only while requests wait or replicas load.
+  StoreLoad ReadStoreLoad(const Now& now) const {
+    if (!context_.store_load) return {};
+    bool in_use = false;
+    for (const auto& [model, demand] : demand_) {
+      in_use |= demand.waiting(now.monotonic) != WaitingByRank{};
+    }
+    for (const PlacedReplica& replica : record_.replicas) {
+      in_use |= replica.state == ReplicaState::kLoading;
+    }
+    return context_.store_load(in_use);
+  }
+
   enum class WriteResult : std::uint8_t { kWritten, kConflict, kUnavailable };
 
   // Writes the record. After kUnavailable the write may have taken effect; the next one then
@@ -464,10 +482,10 @@
   }
 
   void NoteUsed(const std::string& model) {
-    demand_[model].last_used = MonotonicNow();
+    demand_[model].NoteUse(MonotonicNow());
     const Model* found = context_.environment()->FindModel(model);
     if (found != nullptr && found->is_adapter()) {
-      demand_[found->base].last_used = MonotonicNow();
+      demand_[found->base].NoteUse(MonotonicNow());
     }
   }
 
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -169,7 +169,7 @@
     }
   }
   if (!blocked.empty()) file << "\nblocked = " << blocked;
-  file << "\n[limits]\ndrain_delay_ms = 500\n";
+  file << "\n[limits]\ndrain_delay_ms = 500\n" << options_.daemon_settings;
 }
 
 void Fleet::WriteOperatorSettings() {
--- a/tests/test_placement.cpp
+++ b/tests/test_placement.cpp
@@ -583,10 +583,11 @@
   }
   static PlanResult PlanGroup(const Environment& environment, const GroupId& group,
                               const EndpointViews& views, const DemandTable& demand, const Now& now,
-                              PlacementRecord* record, milliseconds min_residence) {
+                              PlacementRecord* record, const StoreLoad& store,
+                              milliseconds min_residence) {
     const std::uint64_t fence = record->fence;
     PlanResult result = PlacementDecisions::PlanGroup(environment, group, views, demand, now,
-                                                      record, min_residence);
+                                                      record, store, min_residence);
     LowerFence(fence, record);
     return result;
   }
