Add the decisions of admission and the retry budget

Cause: a flood of one rank took all slots, and nothing bounded the retries of a daemon. Change: Admission decides by rank, floor and caller weight which request starts next and refuses what can't be served in time; RetryBudget bounds retries. Both take the present time as an argument. A free slot kept for urgent work held up all other work while nothing ran; the test for it is in test_admission. Behaviour: unchanged, nothing uses the modules yet.

--- /dev/null
+++ b/src/admission.cpp
@@ -0,0 +1,370 @@
+#include "admission.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace mimosabend {
+
+namespace {
+
+// Weight of one new sample in the means of service and first-token times.
+constexpr double kSampleWeight = 0.1;
+// Horizon of the mean concurrency of a rank.
+constexpr double kConcurrencyHorizonS = 10;
+// Charged for a request while no service time has been measured.
+constexpr double kInitialServiceS = 0.1;
+// Most slot time that a rank may be owed, as time at its floor.
+constexpr double kMaxOwedS = 60;
+// Endpoints are named with each request; the directory refreshes every 2 s.
+constexpr seconds kEndpointMemory{10};
+constexpr std::size_t kMaxIdleQueues = 2048;
+// A mean urgent concurrency below this reserves no slot.
+constexpr double kLeastUrgentConcurrency = 0.02;
+
+std::chrono::steady_clock::duration FromSeconds(double value) {
+  // Bounded so that the conversion cannot overflow.
+  constexpr double kLongest = 86400;
+  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+      std::chrono::duration<double>(std::min(value, kLongest)));
+}
+
+void AddSample(double sample, double* mean) {
+  *mean = *mean == 0 ? sample : *mean + kSampleWeight * (sample - *mean);
+}
+
+}  // namespace
+
+std::size_t Admission::Queue::running() const {
+  std::size_t sum = 0;
+  for (const RankState& state : ranks) sum += state.running;
+  return sum;
+}
+
+std::size_t Admission::Queue::waiting() const {
+  std::size_t sum = 0;
+  for (const RankState& state : ranks) sum += state.waiting;
+  return sum;
+}
+
+// Brings what a queue accrues over time up to date.
+Admission::Queue* Admission::Update(const std::string& name, MonotonicTime now) {
+  const auto [it, created] = queues_.try_emplace(name);
+  Queue* queue = &it->second;
+  if (created) queue->updated = now;
+  const double elapsed = std::max(0.0, ToSeconds(now - queue->updated));
+  queue->updated = std::max(queue->updated, now);
+  const double decay = std::exp(-elapsed / kConcurrencyHorizonS);
+  for (Rank rank : kAllRanks) {
+    RankState& state = queue->ranks[Index(rank)];
+    const auto running = static_cast<double>(state.running);
+    state.concurrency = running + (state.concurrency - running) * decay;
+    const double floor_slots = floors_[Index(rank)] * static_cast<double>(queue->limit);
+    state.owed += (floor_slots - running) * elapsed;
+    // Slots used while nobody else needed them are no debt beyond one request.
+    const double service = state.service_s > 0 ? state.service_s : kInitialServiceS;
+    const double most = state.waiting > 0 ? floor_slots * kMaxOwedS : 0;
+    state.owed = std::clamp(state.owed, -service, std::max(most, 0.0));
+  }
+  return queue;
+}
+
+void Admission::NoteEndpoints(const std::string& name, const std::vector<EndpointShare>& endpoints,
+                              MonotonicTime now) {
+  Queue* queue = Update(name, now);
+  for (const EndpointShare& share : endpoints)
+    queue->endpoints[share.endpoint] = {share.slots, now};
+  std::erase_if(queue->endpoints,
+                [&](const auto& item) { return now - item.second.seen > kEndpointMemory; });
+  double slots = 0;
+  for (const auto& [endpoint, known] : queue->endpoints) slots += known.slots;
+  queue->limit = std::max<std::size_t>(1, static_cast<std::size_t>(std::llround(slots)));
+}
+
+AdmissionTicket Admission::Arrive(const AdmissionRequest& request, MonotonicTime now,
+                                  AdmissionDecisions* decisions) {
+  DropIdleQueues(now);
+  Queue* queue = Update(request.queue, now);
+  const AdmissionTicket id = ++last_ticket_;
+  Ticket& ticket = tickets_[id];
+  ticket.request = request;
+  ticket.entered = now;
+  RankState& rank = queue->ranks[Index(request.rank)];
+  CallerState& caller = rank.callers[request.caller];
+  caller.weight = request.weight;
+  if (caller.waiting.empty() && caller.running == 0) {
+    caller.used = std::max(caller.used, rank.virtual_time);
+  }
+  caller.waiting.push_back(id);
+  ++rank.waiting;
+  ++waiting_;
+  waiting_bytes_ += request.bytes;
+  Dispatch(queue, now, decisions);
+  if (!tickets_.contains(id) || tickets_.at(id).running) return id;
+  if (const auto refusal = CheckTimes(ticket, now)) {
+    Refuse(id, *refusal, decisions);
+    return id;
+  }
+  MakeRoom(id, decisions);
+  return id;
+}
+
+MonotonicTime Admission::Expiry(AdmissionTicket id) const {
+  const auto it = tickets_.find(id);
+  if (it == tickets_.end() || it->second.running) return MonotonicTime();
+  const AdmissionRequest& request = it->second.request;
+  const RankState& state = queues_.at(request.queue).ranks[Index(request.rank)];
+  return std::min(it->second.entered + request.first_token - FromSeconds(state.first_token_s),
+                  request.deadline - FromSeconds(state.service_s));
+}
+
+void Admission::Expire(AdmissionTicket id, MonotonicTime now, AdmissionDecisions* decisions) {
+  const auto it = tickets_.find(id);
+  if (it == tickets_.end() || it->second.running || now < Expiry(id)) return;
+  const AdmissionRequest& request = it->second.request;
+  const RankState& state = queues_.at(request.queue).ranks[Index(request.rank)];
+  const bool late = now + FromSeconds(state.service_s) >= request.deadline;
+  Refuse(id, late ? AdmissionRefusal::kDeadline : AdmissionRefusal::kFirstToken, decisions);
+}
+
+void Admission::NoteFirstToken(AdmissionTicket id, MonotonicTime now) {
+  const auto it = tickets_.find(id);
+  if (it == tickets_.end() || !it->second.running || it->second.first_token_seen) return;
+  it->second.first_token_seen = true;
+  const AdmissionRequest& request = it->second.request;
+  AddSample(ToSeconds(now - it->second.started),
+            &queues_.at(request.queue).ranks[Index(request.rank)].first_token_s);
+}
+
+void Admission::End(AdmissionTicket id, MonotonicTime now, AdmissionDecisions* decisions) {
+  const auto it = tickets_.find(id);
+  if (it == tickets_.end()) return;
+  const std::string name = it->second.request.queue;
+  Queue* queue = Update(name, now);
+  if (!it->second.running) {
+    RemoveWaiting(id);
+    return;
+  }
+  const Ticket& ticket = it->second;
+  RankState& rank = queue->ranks[Index(ticket.request.rank)];
+  const double service = std::max(0.0, ToSeconds(now - ticket.started));
+  AddSample(service, &rank.service_s);
+  CallerState& caller = rank.callers[ticket.request.caller];
+  caller.used += (service - ticket.charged) / caller.weight;
+  assert(rank.running > 0 && caller.running > 0);
+  --rank.running;
+  --caller.running;
+  tickets_.erase(it);
+  Dispatch(queue, now, decisions);
+  // A caller that is behind the others starts level with them when it comes back.
+  std::erase_if(rank.callers, [&](const auto& item) {
+    const CallerState& state = item.second;
+    return state.waiting.empty() && state.running == 0 && state.used <= rank.virtual_time;
+  });
+}
+
+void Admission::Dispatch(Queue* queue, MonotonicTime now, AdmissionDecisions* decisions) {
+  while (queue->running() < queue->limit) {
+    const std::optional<Rank> rank = NextRank(*queue);
+    if (!rank) return;
+    StartNext(queue, *rank, now, decisions);
+  }
+}
+
+// The rank that gets the next free slot.
+std::optional<Rank> Admission::NextRank(const Queue& queue) const {
+  std::optional<Rank> most_owed;
+  for (Rank rank : kAllRanks) {
+    const RankState& state = queue.ranks[Index(rank)];
+    if (rank == Rank::kUrgent || state.waiting == 0 || state.owed <= 0) continue;
+    if (!most_owed || state.owed > queue.ranks[Index(*most_owed)].owed) most_owed = rank;
+  }
+  if (most_owed) return most_owed;
+  if (queue.ranks[Index(Rank::kUrgent)].waiting > 0) return Rank::kUrgent;
+  if (queue.running() + Headroom(queue) >= queue.limit) return std::nullopt;
+  for (Rank rank : kAllRanks) {
+    if (queue.ranks[Index(rank)].waiting > 0) return rank;
+  }
+  return std::nullopt;
+}
+
+// Slots kept free for urgent requests, since requests that run are not interrupted. It follows
+// the recent urgent concurrency with an allowance of one standard deviation of a Poisson count.
+std::size_t Admission::Headroom(const Queue& queue) const {
+  const RankState& urgent = queue.ranks[Index(Rank::kUrgent)];
+  if (urgent.concurrency < kLeastUrgentConcurrency) return 0;
+  double floors = 0;
+  for (double floor : floors_) floors += floor;
+  const double wanted = std::ceil(urgent.concurrency + std::sqrt(urgent.concurrency));
+  // One slot stays for the other ranks, or they would wait with nothing running.
+  const auto limit = static_cast<double>(queue.limit);
+  const double most = std::min(std::floor((1 - floors) * limit), limit - 1);
+  const auto slots = static_cast<std::size_t>(std::max(0.0, std::min(wanted, most)));
+  return slots > urgent.running ? slots - urgent.running : 0;
+}
+
+// Starts the oldest request of the caller that has had the least weighted slot time.
+void Admission::StartNext(Queue* queue, Rank rank, MonotonicTime now,
+                          AdmissionDecisions* decisions) {
+  RankState& state = queue->ranks[Index(rank)];
+  CallerState* next = nullptr;
+  for (auto& [name, caller] : state.callers) {
+    if (caller.waiting.empty()) continue;
+    if (next == nullptr || caller.used < next->used) next = &caller;
+  }
+  assert(next != nullptr);
+  const AdmissionTicket id = next->waiting.front();
+  next->waiting.pop_front();
+  Ticket& ticket = tickets_.at(id);
+  ticket.running = true;
+  ticket.started = now;
+  ticket.charged = state.service_s > 0 ? state.service_s : kInitialServiceS;
+  state.virtual_time = std::max(state.virtual_time, next->used);
+  next->used += ticket.charged / next->weight;
+  ++next->running;
+  --state.waiting;
+  ++state.running;
+  --waiting_;
+  waiting_bytes_ -= ticket.request.bytes;
+  decisions->push_back({id, std::nullopt});
+}
+
+void Admission::Refuse(AdmissionTicket id, AdmissionRefusal reason, AdmissionDecisions* decisions) {
+  RemoveWaiting(id);
+  decisions->push_back({id, reason});
+}
+
+void Admission::RemoveWaiting(AdmissionTicket id) {
+  const auto it = tickets_.find(id);
+  assert(it != tickets_.end() && !it->second.running);
+  const AdmissionRequest& request = it->second.request;
+  RankState& rank = queues_.at(request.queue).ranks[Index(request.rank)];
+  CallerState& caller = rank.callers.at(request.caller);
+  std::erase(caller.waiting, id);
+  const bool idle = caller.waiting.empty() && caller.running == 0;
+  if (idle && caller.used <= rank.virtual_time) rank.callers.erase(request.caller);
+  --rank.waiting;
+  --waiting_;
+  waiting_bytes_ -= request.bytes;
+  tickets_.erase(it);
+}
+
+// Keeps the bounds: what exceeds them is refused, the least urgent first, and within a rank the
+// newest request of the caller with the longest backlog for its weight.
+void Admission::MakeRoom(AdmissionTicket arrival, AdmissionDecisions* decisions) {
+  const AdmissionRequest& request = tickets_.at(arrival).request;
+  const RankState& rank = queues_.at(request.queue).ranks[Index(request.rank)];
+  if (rank.waiting > limits_.waiting_per_rank) {
+    Refuse(*LongestBacklog(rank), AdmissionRefusal::kQueueFull, decisions);
+  }
+  while (waiting_ > limits_.waiting || waiting_bytes_ > limits_.waiting_bytes) {
+    Refuse(*LeastUrgentWaiting(), AdmissionRefusal::kQueueFull, decisions);
+  }
+}
+
+std::optional<AdmissionTicket> Admission::LongestBacklog(const RankState& state) const {
+  const CallerState* longest = nullptr;
+  const auto backlog = [](const CallerState& caller) {
+    return static_cast<double>(caller.waiting.size()) / caller.weight;
+  };
+  for (const auto& [name, caller] : state.callers) {
+    if (caller.waiting.empty()) continue;
+    if (longest == nullptr || backlog(caller) > backlog(*longest)) longest = &caller;
+  }
+  if (longest == nullptr) return std::nullopt;
+  return longest->waiting.back();
+}
+
+std::optional<AdmissionTicket> Admission::LeastUrgentWaiting() const {
+  for (auto rank = kAllRanks.rbegin(); rank != kAllRanks.rend(); ++rank) {
+    const RankState* largest = nullptr;
+    for (const auto& [name, queue] : queues_) {
+      const RankState& state = queue.ranks[Index(*rank)];
+      if (state.waiting == 0) continue;
+      if (largest == nullptr || state.waiting > largest->waiting) largest = &state;
+    }
+    if (largest != nullptr) return LongestBacklog(*largest);
+  }
+  return std::nullopt;
+}
+
+// Expected time until a request would start that enters behind those that wait now.
+double Admission::WaitSeconds(const Queue& queue, Rank rank, const std::string& caller,
+                              double weight) const {
+  const RankState& state = queue.ranks[Index(rank)];
+  const auto limit = static_cast<double>(queue.limit);
+  double weights = 0;
+  double own_backlog = 1;
+  for (const auto& [name, other] : state.callers) {
+    if (other.waiting.empty() && name != caller) continue;
+    weights += name == caller ? weight : other.weight;
+    if (name == caller)
+      own_backlog = static_cast<double>(std::max<std::size_t>(1, other.waiting.size()));
+  }
+  // A caller with a short backlog passes those with a long one.
+  const double position = std::min(static_cast<double>(std::max<std::size_t>(1, state.waiting)),
+                                   own_backlog * std::max(1.0, weights / weight));
+  double left = limit;
+  double more_urgent_s = 0;
+  for (Rank other : kAllRanks) {
+    const RankState& competing = queue.ranks[Index(other)];
+    if (other < rank) {
+      left -= competing.concurrency;
+      more_urgent_s += static_cast<double>(competing.waiting) * competing.service_s / limit;
+    } else if (other > rank && competing.waiting > 0) {
+      left -= floors_[Index(other)] * limit;
+    }
+  }
+  constexpr double kLeastSlots = 1e-3;
+  const double shared_s = position * state.service_s / std::max(left, kLeastSlots) + more_urgent_s;
+  const double floor_slots = floors_[Index(rank)] * limit;
+  if (floor_slots <= 0) return shared_s;
+  return std::min(shared_s, position * state.service_s / floor_slots);
+}
+
+// Why a waiting request can't be served in time, if so.
+std::optional<AdmissionRefusal> Admission::CheckTimes(const Ticket& ticket,
+                                                      MonotonicTime now) const {
+  const AdmissionRequest& request = ticket.request;
+  const Queue& queue = queues_.at(request.queue);
+  const RankState& state = queue.ranks[Index(request.rank)];
+  const double wait = WaitSeconds(queue, request.rank, request.caller, request.weight);
+  if (now + FromSeconds(wait + state.service_s) > request.deadline) {
+    return AdmissionRefusal::kDeadline;
+  }
+  if (FromSeconds(wait + state.first_token_s) > request.first_token) {
+    return AdmissionRefusal::kFirstToken;
+  }
+  return std::nullopt;
+}
+
+std::chrono::steady_clock::duration Admission::EstimatedWait(const std::string& name,
+                                                             Rank rank) const {
+  const auto it = queues_.find(name);
+  if (it == queues_.end() || it->second.running() < it->second.limit) return {};
+  return FromSeconds(WaitSeconds(it->second, rank, "", 1));
+}
+
+std::chrono::steady_clock::duration Admission::FirstTokenTime(const std::string& name,
+                                                              Rank rank) const {
+  const auto it = queues_.find(name);
+  if (it == queues_.end()) return {};
+  return FromSeconds(it->second.ranks[Index(rank)].first_token_s);
+}
+
+std::size_t Admission::Limit(const std::string& name) const {
+  const auto it = queues_.find(name);
+  return it == queues_.end() ? 1 : it->second.limit;
+}
+
+// Forgets queues without requests once there are many.
+void Admission::DropIdleQueues(MonotonicTime now) {
+  if (queues_.size() <= kMaxIdleQueues) return;
+  std::erase_if(queues_, [&](const auto& item) {
+    const Queue& queue = item.second;
+    const bool idle = queue.running() == 0 && queue.waiting() == 0;
+    return idle && now - queue.updated > kEndpointMemory;
+  });
+}
+
+}  // namespace mimosabend
--- /dev/null
+++ b/tests/test_admission.cpp
@@ -0,0 +1,295 @@
+#include <catch2/catch.hpp>
+#include <iostream>
+#include <random>
+#include <set>
+
+#include "admission.h"
+#include "admission_load.h"
+#include "retry_budget.h"
+
+namespace mimosabend::testing {
+
+namespace {
+
+constexpr MonotonicTime kStart{seconds(1000)};
+constexpr std::array<std::uint64_t, 5> kSeeds{11, 12, 13, 14, 15};
+
+AdmissionRequest Request(Rank rank, const std::string& caller) {
+  AdmissionRequest request;
+  request.queue = "model";
+  request.rank = rank;
+  request.caller = caller;
+  request.bytes = 10;
+  request.deadline = kStart + seconds(600);
+  request.first_token = seconds(300);
+  return request;
+}
+
+std::vector<AdmissionTicket> Started(const AdmissionDecisions& decisions) {
+  std::vector<AdmissionTicket> tickets;
+  for (const AdmissionDecision& decision : decisions) {
+    if (!decision.refusal) tickets.push_back(decision.ticket);
+  }
+  return tickets;
+}
+
+std::vector<LoadSource> ThreeRanks(Rank flooding, double flood) {
+  std::vector<LoadSource> sources{{"u", Rank::kUrgent, 1, 8, 1},
+                                  {"s", Rank::kStandard, 1, 8, 1},
+                                  {"b", Rank::kBackground, 1, 4, 1}};
+  sources[Index(flooding)].flood = flood;
+  return sources;
+}
+
+}  // namespace
+
+// Guards against less urgent work that is started while more urgent work waits.
+TEST_CASE("waiting requests start in the order of their ranks", "[admission]") {
+  Admission admission;
+  admission.SetFloors({0, 0, 0});
+  admission.NoteEndpoints("model", {{"e", 1}}, kStart);
+  AdmissionDecisions decisions;
+  const auto running = admission.Arrive(Request(Rank::kBackground, "a"), kStart, &decisions);
+  REQUIRE(Started(decisions) == std::vector{running});
+  const auto background = admission.Arrive(Request(Rank::kBackground, "a"), kStart, &decisions);
+  const auto standard = admission.Arrive(Request(Rank::kStandard, "a"), kStart, &decisions);
+  const auto urgent = admission.Arrive(Request(Rank::kUrgent, "a"), kStart, &decisions);
+  decisions.clear();
+  AdmissionTicket last = running;
+  std::vector<AdmissionTicket> order;
+  for (int i = 0; i < 3; ++i) {
+    AdmissionDecisions next;
+    admission.End(last, kStart + seconds(i + 1), &next);
+    REQUIRE(Started(next).size() == 1);
+    last = Started(next).front();
+    order.push_back(last);
+  }
+  CHECK(order == std::vector{urgent, standard, background});
+}
+
+// Guards against a slot kept free for urgent work while nothing runs, which would hold up all other
+// work until its expiry.
+TEST_CASE("a free daemon starts any request at once", "[admission]") {
+  for (double slots : {1.0, 2.0, 8.0}) {
+    CAPTURE(slots);
+    Admission admission;
+    admission.SetFloors({0, 0, 0});
+    admission.NoteEndpoints("model", {{"e", slots}}, kStart);
+    AdmissionDecisions decisions;
+    std::vector<AdmissionTicket> urgent;
+    for (int i = 0; i < 8; ++i) {
+      urgent.push_back(admission.Arrive(Request(Rank::kUrgent, "u"), kStart, &decisions));
+    }
+    for (const auto ticket : urgent) admission.End(ticket, kStart + seconds(5), &decisions);
+    decisions.clear();
+    admission.Arrive(Request(Rank::kBackground, "b"), kStart + seconds(5), &decisions);
+    CHECK(Started(decisions).size() == 1);
+  }
+}
+
+// Guards against requests that wait for an answer that can't come in time.
+TEST_CASE("a request that can't be served in time is refused at once", "[admission]") {
+  struct Case {
+    milliseconds timeout;
+    milliseconds first_token;
+    std::optional<AdmissionRefusal> refusal;
+  };
+  // One slot, a service time of 2 s, and one request ahead of each case.
+  const std::vector<Case> cases{
+      {seconds(60), seconds(30), std::nullopt},
+      {seconds(60), seconds(1), AdmissionRefusal::kFirstToken},
+      {seconds(3), seconds(30), AdmissionRefusal::kDeadline},
+  };
+  for (const Case& item : cases) {
+    CAPTURE(item.timeout.count(), item.first_token.count());
+    Admission admission;
+    admission.NoteEndpoints("model", {{"e", 1}}, kStart);
+    AdmissionDecisions decisions;
+    const auto measured = admission.Arrive(Request(Rank::kUrgent, "a"), kStart, &decisions);
+    admission.End(measured, kStart + seconds(2), &decisions);
+    const MonotonicTime now = kStart + seconds(2);
+    admission.Arrive(Request(Rank::kUrgent, "a"), now, &decisions);
+    decisions.clear();
+    AdmissionRequest request = Request(Rank::kUrgent, "a");
+    request.deadline = now + item.timeout;
+    request.first_token = item.first_token;
+    const auto ticket = admission.Arrive(request, now, &decisions);
+    if (!item.refusal) {
+      CHECK(decisions.empty());
+      // The estimate was right when it was made; a slot that stays busy shows otherwise later.
+      admission.Expire(ticket, now + item.first_token - seconds(1), &decisions);
+      CHECK(decisions.empty());
+      admission.Expire(ticket, now + item.first_token, &decisions);
+    }
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions.front().ticket == ticket);
+    CHECK(decisions.front().refusal == item.refusal.value_or(AdmissionRefusal::kFirstToken));
+    CHECK(admission.waiting() == 0);
+  }
+}
+
+// Guards against memory that grows with a flood, and against a flood that takes the places of
+// more urgent work or of other callers.
+TEST_CASE("the waiting requests are bounded and the least urgent go first", "[admission]") {
+  Admission admission({4, 6, 1000});
+  admission.NoteEndpoints("model", {{"e", 1}}, kStart);
+  AdmissionDecisions decisions;
+  admission.Arrive(Request(Rank::kUrgent, "running"), kStart, &decisions);
+  decisions.clear();
+  for (int i = 0; i < 50; ++i) {
+    admission.Arrive(Request(Rank::kBackground, "flood"), kStart, &decisions);
+    REQUIRE(admission.waiting() <= 4);
+  }
+  CHECK(decisions.size() == 46);
+  decisions.clear();
+  const auto other = admission.Arrive(Request(Rank::kBackground, "other"), kStart, &decisions);
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions.front().ticket != other);
+  decisions.clear();
+  for (int i = 0; i < 4; ++i) {
+    const auto urgent = admission.Arrive(Request(Rank::kUrgent, "u"), kStart, &decisions);
+    for (const AdmissionDecision& decision : decisions) CHECK(decision.ticket != urgent);
+  }
+  CHECK(admission.waiting() == 6);
+  decisions.clear();
+  AdmissionRequest large = Request(Rank::kUrgent, "u2");
+  large.bytes = 990;
+  admission.Arrive(large, kStart, &decisions);
+  CHECK(admission.waiting_bytes() <= 1000);
+}
+
+// Guards against the loss of a request, two ends for one, and counts that drift, under random
+// arrivals, ends, withdrawals and expiries.
+TEST_CASE("every ticket gets one decision at most and counts stay right", "[admission]") {
+  for (std::uint64_t seed : kSeeds) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    Admission admission({20, 50, 5000});
+    std::set<AdmissionTicket> waiting;
+    std::set<AdmissionTicket> running;
+    std::set<AdmissionTicket> ended;
+    MonotonicTime now = kStart;
+    const auto apply = [&](const AdmissionDecisions& decisions) {
+      for (const AdmissionDecision& decision : decisions) {
+        REQUIRE(waiting.erase(decision.ticket) == 1);
+        REQUIRE((decision.refusal ? ended : running).insert(decision.ticket).second);
+      }
+    };
+    const auto any = [&](const std::set<AdmissionTicket>& from) {
+      return *std::next(from.begin(), static_cast<std::ptrdiff_t>(random() % from.size()));
+    };
+    for (int step = 0; step < 4000; ++step) {
+      now += milliseconds(random() % 40);
+      AdmissionDecisions decisions;
+      const auto action = random() % 10;
+      if (action < 5) {
+        AdmissionRequest request =
+            Request(kAllRanks[random() % 3], "caller" + std::to_string(random() % 4));
+        request.queue = "model" + std::to_string(random() % 3);
+        request.first_token = milliseconds(random() % 3000);
+        request.deadline = now + milliseconds(random() % 6000);
+        request.weight = 1 + static_cast<double>(random() % 4);
+        admission.NoteEndpoints(request.queue, {{"e", 4}}, now);
+        waiting.insert(admission.Arrive(request, now, &decisions));
+      } else if (action < 8 && !running.empty()) {
+        const AdmissionTicket ticket = any(running);
+        running.erase(ticket);
+        ended.insert(ticket);
+        admission.NoteFirstToken(ticket, now);
+        admission.End(ticket, now, &decisions);
+      } else if (action < 9 && !waiting.empty()) {
+        admission.Expire(any(waiting), now, &decisions);
+      } else if (!waiting.empty()) {
+        const AdmissionTicket ticket = any(waiting);
+        waiting.erase(ticket);
+        ended.insert(ticket);
+        admission.End(ticket, now, &decisions);
+      }
+      apply(decisions);
+      REQUIRE(admission.waiting() == waiting.size());
+      REQUIRE(admission.waiting() <= 50);
+      REQUIRE(admission.waiting_bytes() == 10 * waiting.size());
+      REQUIRE(running.size() <= 12);
+    }
+  }
+}
+
+// Guards against a rank that loses its floor, and urgent work that loses its place, in a flood.
+TEST_CASE("ranks keep their floors and urgent work its goodput in a flood", "[admission]") {
+  const LoadOptions defaults;
+  const double capacity = defaults.slots / (defaults.service_mean_s + defaults.first_token_s);
+  for (std::uint64_t seed : kSeeds) {
+    LoadOptions calm;
+    calm.seed = seed;
+    calm.sources = ThreeRanks(Rank::kUrgent, 1);
+    const LoadResult without = RunLoad(calm);
+    for (Rank flooding : kAllRanks) {
+      CAPTURE(seed, std::string(kRankNames[flooding]));
+      LoadOptions options = calm;
+      options.sources = ThreeRanks(flooding, 10);
+      const LoadResult flood = RunLoad(options);
+      CHECK(flood.wrong_ends == 0);
+      CHECK(flood.most_waiting <= 3 * AdmissionLimits().waiting_per_rank);
+      CHECK(flood.GoodputPerSecond(Rank::kUrgent) >=
+            0.95 * without.GoodputPerSecond(Rank::kUrgent));
+      for (Rank rank : {Rank::kStandard, Rank::kBackground}) {
+        CAPTURE(std::string(kRankNames[rank]));
+        const double share = flood.ranks[Index(rank)].slot_seconds /
+                             (flood.measured_s * static_cast<double>(options.slots));
+        const double demand = without.GoodputPerSecond(rank) / capacity;
+        CHECK(share >= std::min(kFloors[Index(rank)], 0.95 * demand));
+      }
+    }
+  }
+}
+
+// Guards against a caller that takes more than its share of a rank by sending more.
+TEST_CASE("callers share a rank by their weights", "[admission]") {
+  for (std::uint64_t seed : kSeeds) {
+    CAPTURE(seed);
+    LoadOptions options;
+    options.seed = seed;
+    options.duration_s = 220;
+    options.sources = {{"w1", Rank::kStandard, 1, 60, 1},
+                       {"w2", Rank::kStandard, 2, 60, 1},
+                       {"w4", Rank::kStandard, 4, 600, 1}};
+    const LoadResult result = RunLoad(options);
+    const double all = result.ranks[Index(Rank::kStandard)].slot_seconds;
+    for (const LoadSource& source : options.sources) {
+      CAPTURE(source.caller);
+      const double share = result.callers.at(source.caller).slot_seconds / all;
+      CHECK(share == Approx(source.weight / 7).epsilon(0.1));
+    }
+  }
+}
+
+// Guards against retries that multiply the load of a fleet that fails.
+TEST_CASE("retries are bounded by the requests of the last ten seconds", "[retry]") {
+  struct Case {
+    int requests;
+    milliseconds wait;
+    int allowed;
+  };
+  const std::vector<Case> cases{
+      {0, seconds(0), 10},   {50, seconds(0), 10},   {100, seconds(0), 10},   {500, seconds(0), 50},
+      {500, seconds(9), 50}, {500, seconds(10), 10}, {5000, seconds(1), 500},
+  };
+  for (const Case& item : cases) {
+    CAPTURE(item.requests, item.wait.count());
+    RetryBudget budget;
+    for (int i = 0; i < item.requests; ++i) budget.NoteRequest(kStart);
+    const MonotonicTime now = kStart + item.wait;
+    int allowed = 0;
+    for (int i = 0; i < 1000; ++i) {
+      allowed += budget.TryRetry(now, now + seconds(60), milliseconds(0)) ? 1 : 0;
+    }
+    CHECK(allowed == item.allowed);
+    CHECK(budget.TryRetry(now + seconds(10), now + seconds(60), milliseconds(0)));
+  }
+  RetryBudget budget;
+  CHECK_FALSE(budget.TryRetry(kStart, kStart, milliseconds(0)));
+  CHECK_FALSE(budget.TryRetry(kStart, kStart + seconds(1), seconds(2)));
+  CHECK(budget.TryRetry(kStart, kStart + seconds(3), seconds(2)));
+}
+
+}  // namespace mimosabend::testing
