Admit completions by rank and bound their retries

Cause: completions went to engines in the order of arrival, without a bound on what waits or on retries. Change: CompletionHandler waits for a permit of AdmissionGate once a replica is known, and asks the retry budget before it tries again; repeatable service calls ask it, too. New metrics: queue_seconds, admission_refusals_total, retries_total, retries_denied_total and poison counters. Behaviour: requests that can't be served in time get 503 overloaded with Retry-After; a retry beyond the budget ends the request as failed.

--- /dev/null
+++ b/src/admission_gate.h
@@ -0,0 +1,80 @@
+#ifndef MIMOSABEND_ADMISSION_GATE_H_
+#define MIMOSABEND_ADMISSION_GATE_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "admission.h"
+#include "metrics.h"
+#include "result.h"
+
+namespace mimosabend {
+
+class AdmissionGate;
+
+// The right to run one request. Gives its slot back when it dies. Not thread-safe.
+class AdmissionPermit {
+ public:
+  AdmissionPermit(AdmissionGate* gate, AdmissionTicket ticket) : gate_(gate), ticket_(ticket) {}
+  AdmissionPermit(AdmissionPermit&& other) noexcept : gate_(other.gate_), ticket_(other.ticket_) {
+    other.gate_ = nullptr;
+  }
+  AdmissionPermit& operator=(AdmissionPermit&&) = delete;
+  ~AdmissionPermit();
+
+  void NoteFirstToken(MonotonicTime now);
+
+ private:
+  AdmissionGate* gate_;
+  AdmissionTicket ticket_;
+};
+
+// Why a request may not run. kCallerGone needs no answer.
+enum class AdmissionEnd : std::uint8_t { kRefused, kCallerGone };
+
+struct AdmissionFailure {
+  AdmissionEnd end = AdmissionEnd::kRefused;
+  AdmissionRefusal reason = AdmissionRefusal::kQueueFull;
+};
+
+// Lets coroutines wait for the decisions of Admission. Not thread-safe.
+class AdmissionGate {
+ public:
+  // Precondition: `metrics` outlives this object, and this object outlives its permits.
+  AdmissionGate(boost::asio::any_io_executor executor, Metrics* metrics,
+                AdmissionLimits limits = {})
+      : executor_(std::move(executor)), metrics_(metrics), admission_(limits) {}
+
+  // Waits until the request may run or is refused. `caller_gone` is asked while it waits.
+  Task<Result<AdmissionPermit, AdmissionFailure>> Enter(AdmissionRequest request,
+                                                        std::vector<EndpointShare> endpoints,
+                                                        std::function<bool()> caller_gone);
+
+  void SetFloors(const std::array<double, kRankCount>& floors) { admission_.SetFloors(floors); }
+  const Admission& admission() const { return admission_; }
+
+ private:
+  friend class AdmissionPermit;
+
+  struct Waiter {
+    boost::asio::steady_timer timer;
+    std::optional<AdmissionDecision> decision;
+  };
+
+  void Apply(const AdmissionDecisions& decisions);
+  void End(AdmissionTicket ticket);
+
+  boost::asio::any_io_executor executor_;
+  Metrics* metrics_;
+  Admission admission_;
+  std::map<AdmissionTicket, Waiter*> waiters_;
+};
+
+}  // namespace mimosabend
+
+#endif  // MIMOSABEND_ADMISSION_GATE_H_
--- a/src/completion_handler.h
+++ b/src/completion_handler.h
@@ -1,16 +1,21 @@
 #ifndef MIMOSABEND_COMPLETION_HANDLER_H_
 #define MIMOSABEND_COMPLETION_HANDLER_H_
 
+#include <algorithm>
+#include <array>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
+#include "admission_gate.h"
 #include "caller_api.h"
 #include "digest.h"
 #include "engine.h"
 #include "metrics.h"
 #include "openai.h"
 #include "replica_directory.h"
+#include "retry_budget.h"
 #include "router.h"
 #include "supervisor.h"
 
@@ -21,14 +26,20 @@
 template <EngineGenerator Engine>
 class CompletionHandler {
  public:
-  // `may_serve` says whether the host list still allows new work at an endpoint.
+  // `may_serve` says whether the host list still allows new work at an endpoint; `slot_share` is
+  // this daemon's share of a replica's slots.
   // Precondition: all pointers outlive this object.
   CompletionHandler(Engine* engine, ReplicaDirectory* directory, Router* router,
-                    std::function<bool(const std::string&)> may_serve, Metrics* metrics)
+                    AdmissionGate* admission, RetryBudget* retries,
+                    std::function<bool(const std::string&)> may_serve,
+                    std::function<double(const ReplicaLocation&)> slot_share, Metrics* metrics)
       : engine_(engine),
         directory_(directory),
         router_(router),
+        admission_(admission),
+        retries_(retries),
         may_serve_(std::move(may_serve)),
+        slot_share_(std::move(slot_share)),
         metrics_(metrics) {}
 
   // Answers one request.
@@ -48,7 +59,7 @@
     }
     AcceptedRequest accepted(metrics_, context.rank);
     Progress progress(parsed.value(), context);
-    const RequestOutcome outcome = co_await Serve(context, parsed.value(), &progress, exchange);
+    const RequestOutcome outcome = co_await Admit(context, parsed.value(), &progress, exchange);
     accepted.End(outcome);
   }
 
@@ -58,6 +69,8 @@
   static constexpr milliseconds kLeavingDelay{200};
   // An engine that sends no token for this long counts as broken.
   static constexpr milliseconds kTokenTimeout{10000};
+  static constexpr seconds kMinRetryAfter{1};
+  static constexpr seconds kMaxRetryAfter{30};
 
   // What the caller has of its answer.
   struct Progress {
@@ -71,6 +84,8 @@
     bool stream_started = false;
     bool cold = false;
     MonotonicTime last_token;
+    // Held from admission to the end of the request.
+    std::optional<AdmissionPermit> permit;
   };
 
   // How one try at one endpoint ended.
@@ -96,6 +111,18 @@
     return error;
   }
 
+  static ApiError Overloaded(AdmissionRefusal reason, std::chrono::steady_clock::duration wait) {
+    ApiError error;
+    error.status = 503;
+    error.type = "server_error";
+    error.code = "overloaded";
+    error.message =
+        "the request can't be served in time: " + std::string(kAdmissionRefusalNames[reason]);
+    const seconds expected = std::chrono::ceil<seconds>(wait);
+    error.retry_after = RetryAfter(std::clamp(expected, kMinRetryAfter, kMaxRetryAfter));
+    return error;
+  }
+
   static ApiError GaveUp(const CallContext& context) {
     const bool late = MonotonicNow() >= context.deadline;
     ApiError error;
@@ -109,6 +136,64 @@
     return error;
   }
 
+  // Requests for a model and its adapters compete for the same replicas.
+  static std::string QueueOf(const CallContext& context, const CompletionRequest& request) {
+    const Model* model = context.environment->FindModel(request.model);
+    return model->is_adapter() ? model->base : model->name;
+  }
+
+  AdmissionRequest MakeAdmissionRequest(const CallContext& context,
+                                        const CompletionRequest& request) const {
+    AdmissionRequest admission;
+    admission.queue = QueueOf(context, request);
+    admission.rank = context.rank;
+    admission.caller = context.caller->name;
+    admission.weight = context.caller->weight;
+    admission.bytes = request.body.size() + request.prompt.size();
+    admission.deadline = context.deadline;
+    admission.first_token = context.environment->ranks[Index(context.rank)].first_token;
+    return admission;
+  }
+
+  // Waits for a ready replica, since its slots bound what may run, and then for admission.
+  Task<RequestOutcome> Admit(const CallContext& context, const CompletionRequest& request,
+                             Progress* progress, HttpExchange* exchange) {
+    retries_->NoteRequest(MonotonicNow());
+    auto found = co_await directory_->Find(request.model, context.rank, context.deadline);
+    if (!found) co_return co_await GiveUp(context, Refusal(found.error()), progress, exchange);
+    progress->cold = found.value().cold;
+    std::vector<EndpointShare> shares;
+    for (const ReplicaLocation& replica : found.value().replicas) {
+      shares.push_back({replica.endpoint, slot_share_(replica)});
+    }
+    std::array<double, kRankCount> floors{};
+    for (Rank rank : kAllRanks) {
+      floors[Index(rank)] = context.environment->ranks[Index(rank)].floor;
+    }
+    admission_->SetFloors(floors);
+    AdmissionRequest admission = MakeAdmissionRequest(context, request);
+    const std::string queue = admission.queue;
+    std::function<bool()> gone = [exchange] { return exchange->IsCallerGone(); };
+    auto permit = co_await admission_->Enter(std::move(admission), std::move(shares), gone);
+    if (!permit) {
+      if (permit.error().end == AdmissionEnd::kCallerGone) co_return RequestOutcome::kCancelled;
+      const auto wait = admission_->admission().EstimatedWait(queue, context.rank);
+      co_return co_await GiveUp(context, Overloaded(permit.error().reason, wait), progress,
+                                exchange);
+    }
+    progress->permit.emplace(std::move(permit).value());
+    co_return co_await Serve(context, request, progress, exchange);
+  }
+
+  // True if the budget and the deadline allow another try.
+  bool MayRetry(const CallContext& context, const CompletionRequest& request) {
+    const auto expected =
+        admission_->admission().FirstTokenTime(QueueOf(context, request), context.rank);
+    const bool allowed = retries_->TryRetry(MonotonicNow(), context.deadline, expected);
+    (allowed ? metrics_->retries_total : metrics_->retries_denied_total)->Increment();
+    return allowed;
+  }
+
   Task<RequestOutcome> Serve(const CallContext& context, const CompletionRequest& request,
                              Progress* progress, HttpExchange* exchange) {
     std::set<std::string> excluded;
@@ -144,6 +229,7 @@
         static_cast<void>(ignored);
         co_return RequestOutcome::kCancelled;
       }
+      if (failed && !MayRetry(context, request)) break;
       if (MonotonicNow() >= context.deadline) break;
       excluded.insert(chosen.endpoint);
       if (failed) metrics_->stream_resumes_total->Increment();
@@ -214,6 +300,7 @@
                   const TokenChunk& token, Progress* progress, HttpExchange* exchange) {
     const MonotonicTime now = MonotonicNow();
     if (progress->tokens == 0) {
+      progress->permit->NoteFirstToken(now);
       metrics_->ObserveFirstToken(context.rank, progress->cold, now - context.arrival);
     } else {
       metrics_->ObserveTokenGap(context.rank, now - progress->last_token);
@@ -273,7 +360,10 @@
   Engine* engine_;
   ReplicaDirectory* directory_;
   Router* router_;
+  AdmissionGate* admission_;
+  RetryBudget* retries_;
   std::function<bool(const std::string&)> may_serve_;
+  std::function<double(const ReplicaLocation&)> slot_share_;
   Metrics* metrics_;
 };
 
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -9,6 +10,7 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "admission_gate.h"
 #include "completion_handler.h"
 #include "document_keeper.h"
 #include "gossip.h"
@@ -62,6 +64,7 @@
   Task<void> HandleAdmin(HttpExchange& exchange);
   Task<Result<Envelope, PeerError>> HandlePeer(Envelope request);
   Task<DemandAnswer> AskOwner(DemandRequest request);
+  double SlotShare(const ReplicaLocation& replica) const;
   Task<void> UpdateMetrics();
   Task<void> WaitForSignals();
   Task<void> Drain();
@@ -87,6 +90,8 @@
   ReplicaDirectory directory_;
   Router router_;
   RequestLedger<Kv> ledger_;
+  AdmissionGate admission_;
+  RetryBudget retries_;
   CompletionHandler<Engine> completions_;
   ServiceHandler<Kv> services_;
   Gossip gossip_;
@@ -123,12 +128,15 @@
           [this](DemandRequest request) { return AskOwner(std::move(request)); }),
       router_(settings.region, RandomId()),
       ledger_(io->get_executor(), EnvironmentKeyPrefix(settings.environment), &kv_, &metrics_),
+      admission_(io->get_executor(), &metrics_),
       completions_(
-          &engine_, &directory_, &router_,
-          [this](const std::string& endpoint) { return hosts_.MayServe(endpoint); }, &metrics_),
+          &engine_, &directory_, &router_, &admission_, &retries_,
+          [this](const std::string& endpoint) { return hosts_.MayServe(endpoint); },
+          [this](const ReplicaLocation& replica) { return SlotShare(replica); }, &metrics_),
       services_(
           &client_, &ledger_,
-          [this](const std::string& service) { return hosts_.ServiceHosts(service); }, &metrics_),
+          [this](const std::string& service) { return hosts_.ServiceHosts(service); }, &retries_,
+          &metrics_),
       gossip_(io->get_executor(), &membership_, identity_, settings.seeds, &metrics_,
               Gossip::Hooks{[this] { return document_.version(); },
                             [this](const Address& peer, std::uint64_t version) {
@@ -328,6 +336,19 @@
   co_return answer;
 }
 
+// This daemon's share of a replica's slots: daemons of its region share them, and all daemons share
+// those of another region.
+double Daemon::SlotShare(const ReplicaLocation& replica) const {
+  const bool local = replica.region == settings_.region;
+  std::size_t sharing = 0;
+  for (const auto& [name, member] : membership_.members()) {
+    const bool counts = !local || member.update.region == replica.region;
+    sharing += counts && member.can_own() ? 1 : 0;
+  }
+  return static_cast<double>(replica.slots) /
+         static_cast<double>(std::max<std::size_t>(1, sharing));
+}
+
 Task<void> Daemon::UpdateMetrics() {
   std::uint64_t kv_calls = 0;
   for (;;) {
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -15,6 +15,9 @@
 const prometheus::Histogram::BucketBoundaries kTokenGapBounds{0.001, 0.005, 0.01, 0.02, 0.03, 0.05,
                                                               0.071, 0.1,   0.2,  0.5,  1};
 
+const prometheus::Histogram::BucketBoundaries kQueueTimeBounds{0.001, 0.01, 0.05, 0.1, 0.2, 0.5,
+                                                               0.95,  2,    4,    8,   15,  30};
+
 }  // namespace
 
 Metrics::Metrics() : registry_(std::make_shared<prometheus::Registry>()) {
@@ -45,8 +48,21 @@
                         .Name(std::string(kPrefix) + "token_gap_seconds")
                         .Help("Time between two tokens of an answer.")
                         .Register(*registry_);
+  auto& queue_time = prometheus::BuildHistogram()
+                         .Name(std::string(kPrefix) + "queue_seconds")
+                         .Help("Time that a request waited for admission, refused ones included.")
+                         .Register(*registry_);
+  auto& refusals = prometheus::BuildCounter()
+                       .Name(std::string(kPrefix) + "admission_refusals_total")
+                       .Help("Requests that admission refused, by reason.")
+                       .Register(*registry_);
+  for (std::size_t i = 0; i < kAdmissionRefusalCount; ++i) {
+    admission_refusals_[i] =
+        &refusals.Add({{"reason", std::string(kAdmissionRefusalNames.names[i])}});
+  }
   for (Rank rank : kAllRanks) {
     const std::string name(kRankNames[rank]);
+    queue_time_[Index(rank)] = &queue_time.Add({{"rank", name}}, kQueueTimeBounds);
     for (int cold = 0; cold < 2; ++cold) {
       first_token_[Index(rank)][cold] = &first_token.Add(
           {{"rank", name}, {"start", cold == 1 ? "cold" : "warm"}}, kFirstTokenBounds);
@@ -66,6 +82,17 @@
   kv_errors_total = AddCounter("kv_errors_total", "Calls to the key-value service that failed.");
   engine_errors_total = AddCounter("engine_errors_total", "Calls to engines that failed.");
   stream_resumes_total = AddCounter("stream_resumes_total", "Streams resumed after a break.");
+  retries_total = AddCounter("retries_total", "Retries that the retry budget allowed.");
+  retries_denied_total =
+      AddCounter("retries_denied_total", "Retries refused by the retry budget or the deadline.");
+  poison_crashes_total =
+      AddCounter("poison_crashes_total", "Requests that were running when an endpoint crashed.");
+  poison_trials_total = AddCounter("poison_trials_total", "Suspect requests that were run alone.");
+  poison_refusals_total =
+      AddCounter("poison_refusals_total", "Requests refused because they crashed two endpoints.");
+  poison_unverified_total =
+      AddCounter("poison_unverified_total",
+                 "Suspect requests not run because their record could not be read or written.");
   load_orders_total = AddCounter("load_orders_total", "Load orders sent, repeats included.");
   unload_orders_total = AddCounter("unload_orders_total", "Unload orders sent, repeats included.");
   undecided_replicas_total =
@@ -99,6 +126,10 @@
   return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
 
+void Metrics::ObserveQueueTime(Rank rank, std::chrono::steady_clock::duration time) {
+  queue_time_[Index(rank)]->Observe(ToSeconds(time));
+}
+
 void Metrics::ObserveFirstToken(Rank rank, bool cold, std::chrono::steady_clock::duration time) {
   first_token_[Index(rank)][cold ? 1 : 0]->Observe(ToSeconds(time));
 }
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 
+#include "admission.h"
 #include "name_table.h"
 #include "peer_message.h"
 #include "rank.h"
@@ -39,6 +40,10 @@
   void CountPeerError(PeerError error) {
     peer_errors_[static_cast<std::size_t>(error)]->Increment();
   }
+  void CountAdmissionRefusal(AdmissionRefusal reason) {
+    admission_refusals_[static_cast<std::size_t>(reason)]->Increment();
+  }
+  void ObserveQueueTime(Rank rank, std::chrono::steady_clock::duration time);
   void ObserveFirstToken(Rank rank, bool cold, std::chrono::steady_clock::duration time);
   void ObserveTokenGap(Rank rank, std::chrono::steady_clock::duration time);
 
@@ -57,6 +62,12 @@
   prometheus::Counter* kv_errors_total;
   prometheus::Counter* engine_errors_total;
   prometheus::Counter* stream_resumes_total;
+  prometheus::Counter* retries_total;
+  prometheus::Counter* retries_denied_total;
+  prometheus::Counter* poison_crashes_total;
+  prometheus::Counter* poison_trials_total;
+  prometheus::Counter* poison_refusals_total;
+  prometheus::Counter* poison_unverified_total;
   prometheus::Counter* load_orders_total;
   prometheus::Counter* unload_orders_total;
   prometheus::Counter* undecided_replicas_total;
@@ -82,6 +93,8 @@
   std::array<prometheus::Counter*, kPeerErrorCount> peer_errors_;
   std::array<std::array<prometheus::Histogram*, 2>, kRankCount> first_token_;
   std::array<prometheus::Histogram*, kRankCount> token_gap_;
+  std::array<prometheus::Counter*, kAdmissionRefusalCount> admission_refusals_;
+  std::array<prometheus::Histogram*, kRankCount> queue_time_;
 };
 
 }  // namespace mimosabend
--- a/src/service_handler.h
+++ b/src/service_handler.h
@@ -11,6 +11,7 @@
 #include "http_client.h"
 #include "metrics.h"
 #include "request_ledger.h"
+#include "retry_budget.h"
 #include "uuid7.h"
 
 namespace mimosabend {
@@ -25,8 +26,13 @@
   // `hosts` names the hosts of a service that may take new work, the best first.
   // Precondition: all pointers outlive this object.
   ServiceHandler(HttpClient* client, RequestLedger<Kv>* ledger,
-                 std::function<std::vector<Host>(const std::string&)> hosts, Metrics* metrics)
-      : client_(client), ledger_(ledger), hosts_(std::move(hosts)), metrics_(metrics) {}
+                 std::function<std::vector<Host>(const std::string&)> hosts, RetryBudget* retries,
+                 Metrics* metrics)
+      : client_(client),
+        ledger_(ledger),
+        hosts_(std::move(hosts)),
+        retries_(retries),
+        metrics_(metrics) {}
 
   // Answers one request for /services/NAME/PATH.
   Task<void> Handle(CallContext context, HttpExchange* exchange) {
@@ -110,19 +116,26 @@
     co_return refused ? RequestOutcome::kRefused : RequestOutcome::kFailed;
   }
 
-  // Tries the hosts in turn until one answers.
+  bool MayRetry(const CallContext& context) {
+    const bool allowed = retries_->TryRetry(MonotonicNow(), context.deadline, milliseconds(0));
+    (allowed ? metrics_->retries_total : metrics_->retries_denied_total)->Increment();
+    return allowed;
+  }
+
+  // Tries the hosts in turn until one answers, within the retry budget.
   Task<RequestOutcome> ServeRepeatable(const CallContext& context, const Service& service,
                                        const std::string& path, HttpExchange* exchange) {
     constexpr std::size_t kMaxAttempts = 3;
     const std::vector<Host> hosts = hosts_(service.name);
+    retries_->NoteRequest(MonotonicNow());
     for (std::size_t i = 0; i < hosts.size() && i < kMaxAttempts; ++i) {
+      if (i > 0 && !MayRetry(context)) break;
       auto reply = co_await client_->Call(MakeCall(context, hosts[i], path, exchange->request()));
       if (reply) {
         std::string content_type(FindHeader(reply.value().headers, "Content-Type"));
         co_return co_await Deliver(context, exchange, reply.value().status, std::move(content_type),
                                    std::move(reply.value().body), false);
       }
-      if (MonotonicNow() >= context.deadline) break;
     }
     ApiError error = MakeError(503, "service_unavailable", "no host of the service answered",
                                hosts.empty() ? Disposition::kNotRun : Disposition::kFailed);
@@ -228,6 +241,7 @@
   HttpClient* client_;
   RequestLedger<Kv>* ledger_;
   std::function<std::vector<Host>(const std::string&)> hosts_;
+  RetryBudget* retries_;
   Metrics* metrics_;
 };
 
--- a/tests/admission_load.h
+++ b/tests/admission_load.h
@@ -41,6 +41,7 @@
   std::uint64_t in_target = 0;
   std::uint64_t late = 0;
   std::uint64_t refused = 0;
+  // Of the requests in target.
   double slot_seconds = 0;
 };
 
