Refuse requests that crash endpoints, and run their suspects alone

Cause: a request that crashes the engine that runs it was tried on one engine after the other, and its caller could send it again through each daemon. Change: requests that were running when an endpoint crashed are recorded in the key-value service and announced to all daemons (PoisonNotice) before they run again. A suspect runs alone: nothing else of its daemon at that endpoint, no other suspect of any daemon there, and one trial of a fingerprint in the fleet. Two crashes give 422 poisoned_request. ReplicaDirectory::Find missed the answer of an owner in its own daemon and waited for its deadline. Behaviour: as above; the peer protocol has two more message types.

--- a/src/completion_handler.h
+++ b/src/completion_handler.h
@@ -10,10 +10,13 @@
 
 #include "admission_gate.h"
 #include "caller_api.h"
+#include "crash_detector.h"
 #include "digest.h"
+#include "endpoint_occupancy.h"
 #include "engine.h"
 #include "metrics.h"
 #include "openai.h"
+#include "poison_guard.h"
 #include "replica_directory.h"
 #include "retry_budget.h"
 #include "router.h"
@@ -21,23 +24,28 @@
 
 namespace mimosabend {
 
-// Serves completions: finds a replica, generates, passes the tokens on, and resumes at the token
-// reached if the stream breaks. Not thread-safe.
-template <EngineGenerator Engine>
+// Serves completions: waits for admission, finds a replica, generates, passes the tokens on, and
+// resumes at the token reached if the stream breaks. Requests that were running when an endpoint
+// crashed are suspects: they run alone, or not at all. Not thread-safe.
+template <class Engine, KvStore Kv>
+requires EngineGenerator<Engine> && EngineControl<Engine>
 class CompletionHandler {
  public:
   // `may_serve` says whether the host list still allows new work at an endpoint; `slot_share` is
   // this daemon's share of a replica's slots.
   // Precondition: all pointers outlive this object.
   CompletionHandler(Engine* engine, ReplicaDirectory* directory, Router* router,
-                    AdmissionGate* admission, RetryBudget* retries,
-                    std::function<bool(const std::string&)> may_serve,
+                    AdmissionGate* admission, RetryBudget* retries, PoisonGuard<Kv>* poison,
+                    EndpointOccupancy* occupancy, std::function<bool(const std::string&)> may_serve,
                     std::function<double(const ReplicaLocation&)> slot_share, Metrics* metrics)
       : engine_(engine),
         directory_(directory),
         router_(router),
         admission_(admission),
         retries_(retries),
+        poison_(poison),
+        occupancy_(occupancy),
+        crashes_(engine),
         may_serve_(std::move(may_serve)),
         slot_share_(std::move(slot_share)),
         metrics_(metrics) {}
@@ -69,6 +77,11 @@
   static constexpr milliseconds kLeavingDelay{200};
   // An engine that sends no token for this long counts as broken.
   static constexpr milliseconds kTokenTimeout{10000};
+  // Pause before a suspect asks again for a trial or an endpoint that another one holds.
+  static constexpr milliseconds kClaimDelay{100};
+  // Beyond the deadline of a trial, for the end to be recorded and for clocks that differ.
+  static constexpr seconds kTrialAllowance{5};
+  static constexpr seconds kUnverifiedRetryAfter{5};
   static constexpr seconds kMinRetryAfter{1};
   static constexpr seconds kMaxRetryAfter{30};
 
@@ -86,10 +99,25 @@
     MonotonicTime last_token;
     // Held from admission to the end of the request.
     std::optional<AdmissionPermit> permit;
+    // Set when it is first needed.
+    std::string fingerprint;
+    // True once an engine may have run the request.
+    bool ran = false;
+    // True if the last try failed where nothing can have run.
+    bool last_not_sent = false;
   };
 
-  // How one try at one endpoint ended.
-  enum class TryResult : std::uint8_t { kComplete, kRetryElsewhere, kBroken, kCallerGone };
+  // How one try ended. kWaited: no endpoint could be tried yet, and it does not count.
+  enum class TryResult : std::uint8_t {
+    kComplete,
+    kRetryElsewhere,
+    kBroken,
+    kCallerGone,
+    kNoReplica,
+    kWaited,
+    kPoisoned,
+    kUnverified
+  };
 
   static ApiError UnknownModel(const std::string& model) {
     ApiError error;
@@ -123,6 +151,28 @@
     return error;
   }
 
+  static ApiError Poisoned(const Progress& progress) {
+    ApiError error;
+    error.status = 422;
+    error.type = "invalid_request_error";
+    error.code = "poisoned_request";
+    error.message = "endpoints that ran this request crashed; it is not run again";
+    error.disposition = progress.ran ? Disposition::kFailed : Disposition::kNotRun;
+    return error;
+  }
+
+  static ApiError Unverified(const Progress& progress) {
+    ApiError error;
+    error.status = 503;
+    error.type = "server_error";
+    error.code = "suspect_unverified";
+    error.message =
+        "an endpoint that ran this request crashed, and whether it may run again can't be checked";
+    error.disposition = progress.ran ? Disposition::kFailed : Disposition::kNotRun;
+    error.retry_after = RetryAfter(kUnverifiedRetryAfter);
+    return error;
+  }
+
   static ApiError GaveUp(const CallContext& context) {
     const bool late = MonotonicNow() >= context.deadline;
     ApiError error;
@@ -159,6 +209,12 @@
   Task<RequestOutcome> Admit(const CallContext& context, const CompletionRequest& request,
                              Progress* progress, HttpExchange* exchange) {
     retries_->NoteRequest(MonotonicNow());
+    if (IsSuspect(request, progress)) {
+      const PoisonVerdict verdict = co_await poison_->Check(progress->fingerprint);
+      if (verdict == PoisonVerdict::kPoisoned || verdict == PoisonVerdict::kUnverified) {
+        co_return co_await RefuseSuspect(context, verdict, progress, exchange);
+      }
+    }
     auto found = co_await directory_->Find(request.model, context.rank, context.deadline);
     if (!found) co_return co_await GiveUp(context, Refusal(found.error()), progress, exchange);
     progress->cold = found.value().cold;
@@ -174,7 +230,8 @@
     AdmissionRequest admission = MakeAdmissionRequest(context, request);
     const std::string queue = admission.queue;
     std::function<bool()> gone = [exchange] { return exchange->IsCallerGone(); };
-    auto permit = co_await admission_->Enter(std::move(admission), std::move(shares), gone);
+    auto permit =
+        co_await admission_->Enter(std::move(admission), std::move(shares), std::move(gone));
     if (!permit) {
       if (permit.error().end == AdmissionEnd::kCallerGone) co_return RequestOutcome::kCancelled;
       const auto wait = admission_->admission().EstimatedWait(queue, context.rank);
@@ -200,50 +257,195 @@
     for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
       auto found = co_await directory_->Find(request.model, context.rank, context.deadline);
       if (!found) {
-        const bool ran = progress->tokens > 0 || attempt > 0;
-        ApiError error = ran ? GaveUp(context) : Refusal(found.error());
+        ApiError error = progress->ran ? GaveUp(context) : Refusal(found.error());
         co_return co_await GiveUp(context, std::move(error), progress, exchange);
       }
       progress->cold |= found.value().cold;
       if (exchange->IsCallerGone()) co_return RequestOutcome::kCancelled;
-      const ReplicaLocation* replica = Choose(request, found.value().replicas, excluded);
-      if (replica == nullptr) {
-        // All have failed once; the best of them is tried again.
-        excluded.clear();
-        replica = Choose(request, found.value().replicas, excluded);
+      const std::uint32_t tokens_before = progress->tokens;
+      const bool suspect = IsSuspect(request, progress);
+      TryResult result = TryResult::kWaited;
+      if (suspect) {
+        result = co_await TryAlone(context, request, found.value().replicas, &excluded, progress,
+                                   exchange);
+      } else {
+        result = co_await TryBeside(context, request, found.value().replicas, &excluded, progress,
+                                    exchange);
       }
-      if (replica == nullptr) {
-        co_await Sleep(kLeavingDelay);
-        continue;
+      switch (result) {
+        case TryResult::kComplete:
+          co_return co_await Finish(context, progress, exchange);
+        case TryResult::kCallerGone:
+          co_return RequestOutcome::kCancelled;
+        case TryResult::kPoisoned:
+          co_return co_await RefuseSuspect(context, PoisonVerdict::kPoisoned, progress, exchange);
+        case TryResult::kUnverified:
+          co_return co_await RefuseSuspect(context, PoisonVerdict::kUnverified, progress, exchange);
+        default:
+          break;
       }
-      const std::uint32_t tokens_before = progress->tokens;
-      const ReplicaLocation chosen = *replica;
-      const std::uint64_t prefix = PrefixHash(request);
-      router_->Start(chosen.endpoint, prefix);
-      const TryResult result = co_await Generate(context, request, chosen, progress, exchange);
       const bool failed = result == TryResult::kBroken;
-      router_->End(chosen.endpoint, failed, MonotonicNow());
-      if (result == TryResult::kComplete) co_return co_await Finish(context, progress, exchange);
-      if (result == TryResult::kCallerGone) {
-        auto ignored = co_await engine_->Cancel(chosen.address, context.request_id);
-        static_cast<void>(ignored);
-        co_return RequestOutcome::kCancelled;
-      }
+      if (failed) metrics_->stream_resumes_total->Increment();
       if (failed && !MayRetry(context, request)) break;
       if (MonotonicNow() >= context.deadline) break;
-      excluded.insert(chosen.endpoint);
-      if (failed) metrics_->stream_resumes_total->Increment();
-      // A try that moved the answer on does not count.
+      // Neither a wait nor a try that moved the answer on counts.
+      if (result == TryResult::kWaited) --attempt;
       if (progress->tokens > tokens_before) attempt = -1;
     }
     co_return co_await GiveUp(context, GaveUp(context), progress, exchange);
   }
 
+  // Precondition: the verdict is kPoisoned or kUnverified.
+  Task<RequestOutcome> RefuseSuspect(const CallContext& context, PoisonVerdict verdict,
+                                     Progress* progress, HttpExchange* exchange) {
+    const bool poisoned = verdict == PoisonVerdict::kPoisoned;
+    (poisoned ? metrics_->poison_refusals_total : metrics_->poison_unverified_total)->Increment();
+    ApiError error = poisoned ? Poisoned(*progress) : Unverified(*progress);
+    co_return co_await GiveUp(context, std::move(error), progress, exchange);
+  }
+
+  bool IsSuspect(const CompletionRequest& request, Progress* progress) {
+    if (!poison_->HasHints()) return false;
+    return poison_->IsHinted(Fingerprint(request, progress));
+  }
+
+  static const std::string& Fingerprint(const CompletionRequest& request, Progress* progress) {
+    if (progress->fingerprint.empty()) {
+      progress->fingerprint = PoisonFingerprint(request.model, request.prompt);
+    }
+    return progress->fingerprint;
+  }
+
+  // The replica to try, or nullptr. If all have failed once, the best of them is tried again.
+  const ReplicaLocation* ChooseAgain(const CompletionRequest& request,
+                                     const std::vector<ReplicaLocation>& replicas,
+                                     std::set<std::string>* excluded) {
+    const ReplicaLocation* replica = Choose(request, replicas, *excluded);
+    if (replica != nullptr) return replica;
+    excluded->clear();
+    return Choose(request, replicas, *excluded);
+  }
+
+  // Tries an endpoint that may run other requests, too.
+  Task<TryResult> TryBeside(const CallContext& context, const CompletionRequest& request,
+                            const std::vector<ReplicaLocation>& replicas,
+                            std::set<std::string>* excluded, Progress* progress,
+                            HttpExchange* exchange) {
+    const ReplicaLocation* replica = ChooseAgain(request, replicas, excluded);
+    if (replica == nullptr) {
+      const MonotonicTime until = std::min(context.deadline, MonotonicNow() + kLeavingDelay);
+      const bool isolated = !occupancy_->isolated().empty();
+      co_await occupancy_->changed().WaitUntil(until);
+      co_return isolated ? TryResult::kWaited : TryResult::kNoReplica;
+    }
+    const ReplicaLocation chosen = *replica;
+    const TryResult result = co_await RunAt(context, request, chosen, 0, progress, exchange);
+    if (result != TryResult::kComplete) excluded->insert(chosen.endpoint);
+    co_return result;
+  }
+
+  // Tries a suspect where this daemon runs nothing else, and while no daemon tries it.
+  Task<TryResult> TryAlone(const CallContext& context, const CompletionRequest& request,
+                           const std::vector<ReplicaLocation>& replicas,
+                           std::set<std::string>* excluded, Progress* progress,
+                           HttpExchange* exchange) {
+    if (!SuspectLane::IsFree(*occupancy_)) co_return co_await WaitForChange(context);
+    SuspectLane lane(occupancy_);
+    const ReplicaLocation* replica = ChooseAgain(request, replicas, excluded);
+    if (replica == nullptr) {
+      co_await Sleep(kLeavingDelay);
+      co_return TryResult::kNoReplica;
+    }
+    const ReplicaLocation chosen = *replica;
+    lane.Isolate(chosen.endpoint);
+    while (!occupancy_->IsIdle(chosen.endpoint)) {
+      if (MonotonicNow() >= context.deadline) co_return TryResult::kWaited;
+      if (exchange->IsCallerGone()) co_return TryResult::kCallerGone;
+      const TryResult waited = co_await WaitForChange(context);
+      static_cast<void>(waited);
+    }
+    const WallTime until =
+        WallNow() + std::chrono::duration_cast<milliseconds>(context.deadline - MonotonicNow()) +
+        kTrialAllowance;
+    const std::uint64_t claim = co_await poison_->ClaimEndpoint(chosen.endpoint, until);
+    if (claim == 0) {
+      // Another daemon runs a suspect there, or the service is down, which the next try finds.
+      excluded->insert(chosen.endpoint);
+      const PoisonVerdict verdict = co_await poison_->Check(Fingerprint(request, progress));
+      if (verdict == PoisonVerdict::kPoisoned) co_return TryResult::kPoisoned;
+      if (verdict == PoisonVerdict::kUnverified) co_return TryResult::kUnverified;
+      co_await Sleep(kClaimDelay);
+      co_return TryResult::kWaited;
+    }
+    const TryResult result = co_await RunTrial(context, request, chosen, until, progress, exchange);
+    co_await poison_->ReleaseEndpoint(chosen.endpoint, claim);
+    if (result != TryResult::kComplete) excluded->insert(chosen.endpoint);
+    co_return result;
+  }
+
+  // Runs a suspect unless another daemon does so.
+  // Precondition: no other suspect runs at the endpoint.
+  Task<TryResult> RunTrial(const CallContext& context, const CompletionRequest& request,
+                           const ReplicaLocation& chosen, WallTime until, Progress* progress,
+                           HttpExchange* exchange) {
+    const std::string fingerprint = Fingerprint(request, progress);
+    const PoisonTrial trial = co_await poison_->BeginTrial(fingerprint, until);
+    if (trial.verdict == PoisonVerdict::kPoisoned) co_return TryResult::kPoisoned;
+    if (trial.verdict == PoisonVerdict::kUnverified) co_return TryResult::kUnverified;
+    if (trial.verdict == PoisonVerdict::kOnTrial) {
+      co_await Sleep(kClaimDelay);
+      co_return TryResult::kWaited;
+    }
+    const TryResult result =
+        co_await RunAt(context, request, chosen, trial.nonce, progress, exchange);
+    // After a crash, RecordCrash has ended the trial, and this finds nothing to end.
+    if (trial.nonce != 0) {
+      co_await poison_->EndTrial(fingerprint, trial.nonce, result == TryResult::kComplete);
+    }
+    co_return result;
+  }
+
+  Task<TryResult> WaitForChange(const CallContext& context) {
+    const MonotonicTime until = std::min(context.deadline, MonotonicNow() + kLeavingDelay);
+    co_await occupancy_->changed().WaitUntil(until);
+    co_return TryResult::kWaited;
+  }
+
+  // Runs a request at an endpoint. If the endpoint crashes, that is recorded before this returns.
+  Task<TryResult> RunAt(const CallContext& context, const CompletionRequest& request,
+                        const ReplicaLocation& chosen, std::uint64_t trial, Progress* progress,
+                        HttpExchange* exchange) {
+    router_->Start(chosen.endpoint, PrefixHash(request));
+    occupancy_->Start(chosen.endpoint);
+    const std::string incarnation = co_await crashes_.Incarnation(chosen.endpoint, chosen.address);
+    progress->last_not_sent = false;
+    TryResult result = co_await Generate(context, request, chosen, progress, exchange);
+    bool broken = result == TryResult::kBroken && !progress->last_not_sent;
+    progress->ran |= broken || progress->tokens > 0;
+    if (result == TryResult::kCallerGone) {
+      // A cancel that fails may mean that the engine has crashed in the meantime.
+      auto cancelled = co_await engine_->Cancel(chosen.address, context.request_id);
+      broken = !cancelled && cancelled.error() != EngineError::kRejected;
+    }
+    occupancy_->End(chosen.endpoint);
+    router_->End(chosen.endpoint, result == TryResult::kBroken, MonotonicNow());
+    if (!broken) co_return result;
+    const bool crashed = co_await crashes_.HasCrashed(chosen.endpoint, chosen.address, incarnation);
+    if (!crashed) co_return result;
+    const PoisonVerdict verdict = co_await poison_->RecordCrash(
+        Fingerprint(request, progress), CrashId(chosen.endpoint, incarnation), trial);
+    if (result == TryResult::kCallerGone) co_return result;
+    if (verdict == PoisonVerdict::kPoisoned) co_return TryResult::kPoisoned;
+    if (verdict == PoisonVerdict::kUnverified) co_return TryResult::kUnverified;
+    co_return result;
+  }
+
   const ReplicaLocation* Choose(const CompletionRequest& request,
                                 const std::vector<ReplicaLocation>& replicas,
                                 std::set<std::string> excluded) {
     for (const ReplicaLocation& replica : replicas) {
-      if (!may_serve_(replica.endpoint)) excluded.insert(replica.endpoint);
+      const bool isolated = replica.endpoint == occupancy_->isolated();
+      if (isolated || !may_serve_(replica.endpoint)) excluded.insert(replica.endpoint);
     }
     return router_->Choose(replicas, PrefixHash(request), excluded, MonotonicNow());
   }
@@ -266,7 +468,10 @@
     call.resume_from = progress->tokens;
     call.deadline = context.deadline;
     auto opened = co_await engine_->Open(replica.address, std::move(call));
-    if (!opened) co_return NoteFailure(request, replica, opened.error());
+    if (!opened) {
+      progress->last_not_sent = opened.error() == EngineError::kNotSent;
+      co_return NoteFailure(request, replica, opened.error());
+    }
     const std::unique_ptr<TokenStream> stream = std::move(opened).value();
     for (;;) {
       const MonotonicTime limit = std::min(context.deadline, MonotonicNow() + kTokenTimeout);
@@ -362,6 +567,9 @@
   Router* router_;
   AdmissionGate* admission_;
   RetryBudget* retries_;
+  PoisonGuard<Kv>* poison_;
+  EndpointOccupancy* occupancy_;
+  CrashDetector<Engine> crashes_;
   std::function<bool(const std::string&)> may_serve_;
   std::function<double(const ReplicaLocation&)> slot_share_;
   Metrics* metrics_;
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -22,6 +22,7 @@
 #include "http_server.h"
 #include "log.h"
 #include "ownership.h"
+#include "poison_guard.h"
 #include "service_handler.h"
 
 namespace mimosabend {
@@ -34,6 +35,8 @@
 // Beyond the time that the owner may hold an answer back.
 constexpr milliseconds kDemandAllowance{500};
 constexpr milliseconds kMetricsPeriod{1000};
+// The suspects of a crash wait this long at most for the other daemons to know of them.
+constexpr milliseconds kAnnounceTimeout{500};
 constexpr HttpLimits kAdminLimits{64, 8192, 8192, milliseconds(10000)};
 
 MemberUpdate SelfUpdate(const DaemonSettings& settings) {
@@ -64,6 +67,7 @@
   Task<void> HandleAdmin(HttpExchange& exchange);
   Task<Result<Envelope, PeerError>> HandlePeer(Envelope request);
   Task<DemandAnswer> AskOwner(DemandRequest request);
+  Task<void> AnnounceCrash(std::string fingerprint, std::string crash, bool recorded);
   double SlotShare(const ReplicaLocation& replica) const;
   Task<void> UpdateMetrics();
   Task<void> WaitForSignals();
@@ -92,7 +96,9 @@
   RequestLedger<Kv> ledger_;
   AdmissionGate admission_;
   RetryBudget retries_;
-  CompletionHandler<Engine> completions_;
+  PoisonGuard<Kv> poison_;
+  EndpointOccupancy occupancy_;
+  CompletionHandler<Engine, Kv> completions_;
   ServiceHandler<Kv> services_;
   Gossip gossip_;
   PeerServer peer_server_;
@@ -129,8 +135,15 @@
       router_(settings.region, RandomId()),
       ledger_(io->get_executor(), EnvironmentKeyPrefix(settings.environment), &kv_, &metrics_),
       admission_(io->get_executor(), &metrics_),
+      poison_(
+          EnvironmentKeyPrefix(settings.environment), &kv_,
+          [this](std::string fingerprint, std::string crash, bool recorded) {
+            return AnnounceCrash(std::move(fingerprint), std::move(crash), recorded);
+          },
+          &metrics_),
+      occupancy_(io->get_executor()),
       completions_(
-          &engine_, &directory_, &router_, &admission_, &retries_,
+          &engine_, &directory_, &router_, &admission_, &retries_, &poison_, &occupancy_,
           [this](const std::string& endpoint) { return hosts_.MayServe(endpoint); },
           [this](const ReplicaLocation& replica) { return SlotShare(replica); }, &metrics_),
       services_(
@@ -168,6 +181,7 @@
   supervisor_.Start("gossip exchange", [this] { return gossip_.ExchangeMembers(&peer_client_); });
   supervisor_.Start("ownership", [this] { return ownership_.Run(); });
   supervisor_.Start("directory", [this] { return directory_.Refresh(); });
+  supervisor_.Start("poison", [this] { return poison_.Refresh(); });
   supervisor_.Start("metrics", [this] { return UpdateMetrics(); });
   asio::co_spawn(*io_, WaitForSignals(), asio::detached);
   LOG4CPLUS_INFO(Log(), "serves callers at " << ToString(settings_.caller_address));
@@ -308,6 +322,15 @@
     }
     co_return Wrap(answer, identity_.name, 0, WallNow());
   }
+  if (request.type == PeerMessageType::kPoisonNotice) {
+    auto message = Unwrap<PoisonNotice>(request);
+    if (!message) co_return outcome::failure(message.error());
+    const PoisonNotice& notice = message.value();
+    poison_.NoteAnnouncement(notice.fingerprint, notice.crash, notice.recorded, WallNow());
+    PoisonAck ack;
+    ack.noted = true;
+    co_return Wrap(ack, identity_.name, 0, WallNow());
+  }
   if (request.type == PeerMessageType::kDocumentRequest) {
     auto message = Unwrap<DocumentRequest>(request);
     if (!message) co_return outcome::failure(message.error());
@@ -336,6 +359,37 @@
   co_return answer;
 }
 
+// Tells all live daemons of a crash. Returns once each has answered or the time is over.
+Task<void> Daemon::AnnounceCrash(std::string fingerprint, std::string crash, bool recorded) {
+  PoisonNotice notice;
+  notice.fingerprint = std::move(fingerprint);
+  notice.crash = std::move(crash);
+  notice.recorded = recorded;
+  struct Pending {
+    explicit Pending(const asio::any_io_executor& executor) : changed(executor) {}
+    std::size_t open = 0;
+    Notifier changed;
+  };
+  const auto pending = std::make_shared<Pending>(io_->get_executor());
+  const auto tell = [](Daemon* daemon, Address peer, PoisonNotice message,
+                       std::shared_ptr<Pending> shared) -> Task<void> {
+    auto ignored =
+        co_await daemon->peer_client_.Call<PoisonAck>(peer, std::move(message), kAnnounceTimeout);
+    static_cast<void>(ignored);
+    --shared->open;
+    shared->changed.NotifyAll();
+  };
+  for (const auto& [name, member] : membership_.members()) {
+    if (name == settings_.name || member.update.state == MemberState::kDead) continue;
+    ++pending->open;
+    asio::co_spawn(*io_, tell(this, member.update.address, notice, pending), asio::detached);
+  }
+  const MonotonicTime deadline = MonotonicNow() + kAnnounceTimeout;
+  while (pending->open > 0 && MonotonicNow() < deadline) {
+    co_await pending->changed.WaitUntil(deadline);
+  }
+}
+
 // This daemon's share of a replica's slots: daemons of its region share them, and all daemons share
 // those of another region.
 double Daemon::SlotShare(const ReplicaLocation& replica) const {
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -44,9 +44,11 @@
   kDemandRequest,
   kDemandAnswer,
   kDocumentRequest,
-  kDocumentAnswer
+  kDocumentAnswer,
+  kPoisonNotice,
+  kPoisonAck
 };
-inline constexpr std::uint8_t kPeerMessageTypeCount = 9;
+inline constexpr std::uint8_t kPeerMessageTypeCount = 11;
 
 // Asks whether a daemon is alive. UDP.
 struct Ping {
@@ -197,6 +199,32 @@
   }
 };
 
+// Tells that a request was running when an endpoint crashed, before it runs again. TCP.
+struct PoisonNotice {
+  static constexpr PeerMessageType kType = PeerMessageType::kPoisonNotice;
+  std::string fingerprint;
+  std::string crash;
+  // Whether the crash is in the key-value service.
+  bool recorded = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SerializeText(archive, fingerprint);
+    SerializeText(archive, crash);
+    archive(recorded);
+  }
+};
+
+struct PoisonAck {
+  static constexpr PeerMessageType kType = PeerMessageType::kPoisonAck;
+  bool noted = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(noted);
+  }
+};
+
 // What every message between daemons is wrapped in.
 struct Envelope {
   PeerMessageType type = PeerMessageType::kPing;
--- a/src/replica_directory.cpp
+++ b/src/replica_directory.cpp
@@ -110,11 +110,13 @@
       co_return outcome::failure(FindError::kUnknownModel);
     }
     ++entry->waiting[Index(rank)];
+    const std::uint64_t answers_seen = entry->answers;
     if (!entry->fetching) {
       entry->fetching = true;
       asio::co_spawn(executor_, Fetch(model, entry), asio::detached);
     }
-    co_await entry->changed.WaitUntil(deadline);
+    // An owner in this daemon may answer before co_spawn returns, and its notification is lost.
+    if (entry->answers == answers_seen) co_await entry->changed.WaitUntil(deadline);
     --entry->waiting[Index(rank)];
     if (!entry->replicas.empty() || entry->answers == answers_before) continue;
     if (entry->last_status == DemandStatus::kNoCapacity) {
--- a/tests/test_admission.cpp
+++ b/tests/test_admission.cpp
@@ -77,6 +77,7 @@
     admission.NoteEndpoints("model", {{"e", slots}}, kStart);
     AdmissionDecisions decisions;
     std::vector<AdmissionTicket> urgent;
+    urgent.reserve(8);
     for (int i = 0; i < 8; ++i) {
       urgent.push_back(admission.Arrive(Request(Rank::kUrgent, "u"), kStart, &decisions));
     }
