Let ranks with intermittent work keep the credit for their floor

Cause: a rank lost what it was owed whenever its queue ran empty, so that its goodput ended below its floor with 8 slots and a service time of 1 s. Change: it keeps the credit of two requests. Behaviour: as above.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -16,6 +16,8 @@
 constexpr double kInitialServiceS = 0.1;
 // Most slot time that a rank may be owed, as time at its floor.
 constexpr double kMaxOwedS = 60;
+// Requests that a rank may be owed while none of it waits.
+constexpr double kIdleOwedRequests = 2;
 // Endpoints are named with each request; the directory refreshes every 2 s.
 constexpr seconds kEndpointMemory{10};
 constexpr std::size_t kMaxIdleQueues = 2048;
@@ -63,8 +65,10 @@
     state.owed += (floor_slots - running) * elapsed;
     // Slots used while nobody else needed them are no debt beyond one request.
     const double service = state.service_s > 0 ? state.service_s : kInitialServiceS;
-    const double most = state.waiting > 0 ? floor_slots * kMaxOwedS : 0;
-    state.owed = std::clamp(state.owed, -service, std::max(most, 0.0));
+    // A rank whose queue runs empty at times keeps what a few requests need, or it would end below
+    // its floor.
+    const double most = state.waiting > 0 ? floor_slots * kMaxOwedS : kIdleOwedRequests * service;
+    state.owed = std::clamp(state.owed, -service, std::max(most, service));
   }
   return queue;
 }
