--- a/tests/test_admission.cpp
+++ b/tests/test_admission.cpp
@@ -1,10 +1,13 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
-#include <iostream>
 #include <random>
 #include <set>
 
 #include "admission.h"
 #include "admission_load.h"
+#include "fleet.h"
 #include "retry_budget.h"
 
 namespace mimosabend::testing {
@@ -293,4 +296,56 @@
   CHECK(budget.TryRetry(kStart, kStart + seconds(3), seconds(2)));
 }
 
+// Guards against requests that wait for an answer that comes too late, and against refusals that
+// say nothing of when to come back.
+TEST_CASE("a flood of urgent work is answered or refused in time", "[admission][process]") {
+  FleetOptions options;
+  options.daemons = 1;
+  options.regions = {"nordeste"};
+  options.engines_per_region = 1;
+  options.engine_flags = {"--token_ms=40"};
+  Fleet fleet(options);
+  fleet.StartDaemons();
+  fleet.PutInForce(TestDocument(options));
+  const auto call = [&](int number) {
+    HttpCall http = PostAs("urgent-key", fleet.caller_address(0), "/v1/completions",
+                           CompletionBody("recipes", "flood " + std::to_string(number), 20, false));
+    http.deadline = MonotonicNow() + seconds(20);
+    return http;
+  };
+  REQUIRE(fleet.Call(call(0)));
+  constexpr int kRequests = 60;
+  // A refusal comes within the target of the first token; the rest is for a busy machine.
+  constexpr seconds kRefusalTime{2};
+  int answered = 0;
+  int refused = 0;
+  boost::asio::io_context io(1);
+  HttpClient client(io.get_executor());
+  const auto send = [&](int number) -> Task<void> {
+    const MonotonicTime start = MonotonicNow();
+    auto reply = co_await client.Call(call(number));
+    REQUIRE(reply);
+    if (reply.value().status == 200) {
+      ++answered;
+      co_return;
+    }
+    ++refused;
+    CHECK(reply.value().status == 503);
+    CHECK(MonotonicNow() - start < kRefusalTime);
+    CHECK(reply.value().body.find("\"code\":\"overloaded\"") != std::string::npos);
+    CHECK(reply.value().body.find("\"outcome\":\"not_run\"") != std::string::npos);
+    CHECK(!FindHeader(reply.value().headers, "Retry-After").empty());
+  };
+  for (int i = 1; i <= kRequests; ++i) {
+    boost::asio::co_spawn(io, send(i), boost::asio::detached);
+  }
+  io.run();
+  CHECK(answered + refused == kRequests);
+  CHECK(answered >= 8);
+  CHECK(refused > 0);
+  const double accepted = fleet.Metric(0, "mimosabend_requests_accepted_total");
+  CHECK(accepted == 1 + kRequests);
+  CHECK(fleet.Metric(0, "mimosabend_requests_in_flight") == 0);
+}
+
 }  // namespace mimosabend::testing
