Look at a suspect's hint again right before it starts

Cause: a request that an announcement named while it learnt the endpoint's incarnation still ran beside others, and a wait for a replica on a leaving host ended at any other request's end, which used up its tries. Change: the hint is read once more before the request goes out; the wait is a fixed pause again. Behaviour: as above.

--- a/src/completion_handler.h
+++ b/src/completion_handler.h
@@ -333,10 +333,9 @@
                             HttpExchange* exchange) {
     const ReplicaLocation* replica = ChooseAgain(request, replicas, excluded);
     if (replica == nullptr) {
-      const MonotonicTime until = std::min(context.deadline, MonotonicNow() + kLeavingDelay);
-      const bool isolated = !occupancy_->isolated().empty();
-      co_await occupancy_->changed().WaitUntil(until);
-      co_return isolated ? TryResult::kWaited : TryResult::kNoReplica;
+      if (!occupancy_->isolated().empty()) co_return co_await WaitForChange(context);
+      co_await Sleep(kLeavingDelay);
+      co_return TryResult::kNoReplica;
     }
     const ReplicaLocation chosen = *replica;
     const TryResult result = co_await RunAt(context, request, chosen, 0, progress, exchange);
@@ -419,6 +418,12 @@
     occupancy_->Start(chosen.endpoint);
     const std::string incarnation = co_await crashes_.Incarnation(chosen.endpoint, chosen.address);
     progress->last_not_sent = false;
+    if (trial == 0 && IsSuspect(request, progress)) {
+      // It crashed an endpoint elsewhere in the meantime.
+      occupancy_->End(chosen.endpoint);
+      router_->End(chosen.endpoint, false, MonotonicNow());
+      co_return TryResult::kWaited;
+    }
     TryResult result = co_await Generate(context, request, chosen, progress, exchange);
     bool broken = result == TryResult::kBroken && !progress->last_not_sent;
     progress->ran |= broken || progress->tokens > 0;
