--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -9,6 +10,7 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "admission_gate.h"
 #include "completion_handler.h"
 #include "document_keeper.h"
 #include "gossip.h"
@@ -21,6 +23,7 @@
 #include "http_weight_store.h"
 #include "log.h"
 #include "ownership.h"
+#include "poison_guard.h"
 #include "request_sweeper.h"
 #include "service_handler.h"
 #include "store_watch.h"
@@ -35,6 +38,8 @@
 // Beyond the time that the owner may hold an answer back.
 constexpr milliseconds kDemandAllowance{500};
 constexpr milliseconds kMetricsPeriod{1000};
+// The suspects of a crash wait this long at most for the other daemons to know of them.
+constexpr milliseconds kAnnounceTimeout{500};
 constexpr HttpLimits kAdminLimits{64, 8192, 8192, milliseconds(10000)};
 
 MemberUpdate SelfUpdate(const DaemonSettings& settings) {
@@ -67,6 +72,8 @@
   Task<DemandAnswer> AskOwner(DemandRequest request);
   Task<DemandAnswer> AskThroughRelay(DemandRequest request, std::string owner);
   StoreLoad StoreLoadOf(bool in_use);
+  Task<void> AnnounceCrash(std::string fingerprint, std::string crash, bool recorded);
+  double SlotShare(const ReplicaLocation& replica) const;
   Task<void> UpdateMetrics();
   bool IsPreferredSweeper() const;
   Task<void> WaitForSignals();
@@ -96,7 +103,11 @@
   Router router_;
   RequestLedger<Kv> ledger_;
   RequestSweeper<Kv> sweeper_;
-  CompletionHandler<Engine> completions_;
+  AdmissionGate admission_;
+  RetryBudget retries_;
+  PoisonGuard<Kv> poison_;
+  EndpointOccupancy occupancy_;
+  CompletionHandler<Engine, Kv> completions_;
   ServiceHandler<Kv> services_;
   Gossip gossip_;
   PeerServer peer_server_;
@@ -140,12 +151,22 @@
           EnvironmentKeyPrefix(settings.environment), &kv_,
           [this] { return document_.environment(); }, [this] { return IsPreferredSweeper(); },
           &metrics_),
+      admission_(io->get_executor(), &metrics_),
+      poison_(
+          EnvironmentKeyPrefix(settings.environment), &kv_,
+          [this](std::string fingerprint, std::string crash, bool recorded) {
+            return AnnounceCrash(std::move(fingerprint), std::move(crash), recorded);
+          },
+          &metrics_),
+      occupancy_(io->get_executor()),
       completions_(
-          &engine_, &directory_, &router_,
-          [this](const std::string& endpoint) { return hosts_.MayServe(endpoint); }, &metrics_),
+          &engine_, &directory_, &router_, &admission_, &retries_, &poison_, &occupancy_,
+          [this](const std::string& endpoint) { return hosts_.MayServe(endpoint); },
+          [this](const ReplicaLocation& replica) { return SlotShare(replica); }, &metrics_),
       services_(
           &client_, &ledger_,
-          [this](const std::string& service) { return hosts_.ServiceHosts(service); }, &metrics_),
+          [this](const std::string& service) { return hosts_.ServiceHosts(service); }, &retries_,
+          &metrics_),
       gossip_(io->get_executor(), &membership_, identity_, settings.seeds, &metrics_,
               Gossip::Hooks{[this] { return document_.version(); },
                             [this](const Address& peer, std::uint64_t version) {
@@ -179,6 +200,7 @@
   supervisor_.Start("ownership", [this] { return ownership_.Run(); });
   supervisor_.Start("directory", [this] { return directory_.Refresh(); });
   supervisor_.Start("request sweeper", [this] { return sweeper_.Run(); });
+  supervisor_.Start("poison", [this] { return poison_.Refresh(); });
   supervisor_.Start("metrics", [this] { return UpdateMetrics(); });
   asio::co_spawn(*io_, WaitForSignals(), asio::detached);
   LOG4CPLUS_INFO(Log(), "serves callers at " << ToString(settings_.caller_address));
@@ -332,6 +354,15 @@
     }
     co_return Wrap(answer, identity_.name, 0, WallNow());
   }
+  if (request.type == PeerMessageType::kPoisonNotice) {
+    auto message = Unwrap<PoisonNotice>(request);
+    if (!message) co_return outcome::failure(message.error());
+    const PoisonNotice& notice = message.value();
+    poison_.NoteAnnouncement(notice.fingerprint, notice.crash, notice.recorded, WallNow());
+    PoisonAck ack;
+    ack.noted = true;
+    co_return Wrap(ack, identity_.name, 0, WallNow());
+  }
   if (request.type == PeerMessageType::kDocumentRequest) {
     auto message = Unwrap<DocumentRequest>(request);
     if (!message) co_return outcome::failure(message.error());
@@ -396,6 +427,50 @@
   return unlimited;
 }
 
+// Tells all live daemons of a crash. Returns once each has answered or the time is over.
+Task<void> Daemon::AnnounceCrash(std::string fingerprint, std::string crash, bool recorded) {
+  PoisonNotice notice;
+  notice.fingerprint = std::move(fingerprint);
+  notice.crash = std::move(crash);
+  notice.recorded = recorded;
+  struct Pending {
+    explicit Pending(const asio::any_io_executor& executor) : changed(executor) {}
+    std::size_t open = 0;
+    Notifier changed;
+  };
+  const auto pending = std::make_shared<Pending>(io_->get_executor());
+  const auto tell = [](Daemon* daemon, Address peer, PoisonNotice message,
+                       std::shared_ptr<Pending> shared) -> Task<void> {
+    auto ignored =
+        co_await daemon->peer_client_.Call<PoisonAck>(peer, std::move(message), kAnnounceTimeout);
+    static_cast<void>(ignored);
+    --shared->open;
+    shared->changed.NotifyAll();
+  };
+  for (const auto& [name, member] : membership_.members()) {
+    if (name == settings_.name || member.update.state == MemberState::kDead) continue;
+    ++pending->open;
+    asio::co_spawn(*io_, tell(this, member.update.address, notice, pending), asio::detached);
+  }
+  const MonotonicTime deadline = MonotonicNow() + kAnnounceTimeout;
+  while (pending->open > 0 && MonotonicNow() < deadline) {
+    co_await pending->changed.WaitUntil(deadline);
+  }
+}
+
+// This daemon's share of a replica's slots: daemons of its region share them, and all daemons share
+// those of another region.
+double Daemon::SlotShare(const ReplicaLocation& replica) const {
+  const bool local = replica.region == settings_.region;
+  std::size_t sharing = 0;
+  for (const auto& [name, member] : membership_.members()) {
+    const bool counts = !local || member.update.region == replica.region;
+    sharing += counts && member.can_own() ? 1 : 0;
+  }
+  return static_cast<double>(replica.slots) /
+         static_cast<double>(std::max<std::size_t>(1, sharing));
+}
+
 Task<void> Daemon::UpdateMetrics() {
   std::uint64_t kv_calls = 0;
   for (;;) {
