--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -278,13 +278,16 @@
   if (!Call(std::move(call))) throw std::runtime_error("the stand-in does not answer");
 }
 
-double Fleet::Metric(int daemon, const std::string& name) {
+std::string Fleet::MetricsText(int daemon) {
   HttpCall call;
   call.address = admin_address(daemon);
   call.target = "/metrics";
   auto reply = Call(std::move(call));
-  if (!reply) return 0;
-  std::istringstream lines(reply.value().body);
+  return reply ? std::move(reply).value().body : "";
+}
+
+double Fleet::Metric(int daemon, const std::string& name) {
+  std::istringstream lines(MetricsText(daemon));
   for (std::string line; std::getline(lines, line);) {
     if (line.starts_with(name + " ")) return std::stod(line.substr(name.size() + 1));
   }
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -25,6 +25,7 @@
   ~Process();
 
   Address address() const { return {"127.0.0.1", port_}; }
+  int pid() const { return child_.id(); }
   void Signal(int signal_number);
   bool running();
   // Waits for the end and returns the exit code; -1 if it still runs after the time.
@@ -97,6 +98,8 @@
   Result<HttpReply, HttpError> Call(HttpCall call, std::chrono::milliseconds timeout = seconds(20));
   // Sets faults of a stand-in.
   void SetFault(const Process& standin, const std::string& json_body);
+  // The text of /metrics of a daemon; empty if it does not answer.
+  std::string MetricsText(int daemon);
   // Value of a metric line of a daemon, by its name and labels as exposed; 0 if absent.
   double Metric(int daemon, const std::string& name);
 
