Count failed calls to the key-value service

Cause: mimosabend_kv_errors_total was exposed and never raised, so an outage did not show in it. Change: HttpKvStore counts calls without an answer or with a 5xx status; the daemon exports it. Behaviour: unchanged but for the metric.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -330,12 +330,15 @@
 
 Task<void> Daemon::UpdateMetrics() {
   std::uint64_t kv_calls = 0;
+  std::uint64_t kv_errors = 0;
   for (;;) {
     std::size_t live = 0;
     for (const auto& [name, member] : membership_.members()) live += member.can_own() ? 1 : 0;
     metrics_.live_members->Set(static_cast<double>(live));
     metrics_.kv_calls_total->Increment(static_cast<double>(kv_.calls() - kv_calls));
     kv_calls = kv_.calls();
+    metrics_.kv_errors_total->Increment(static_cast<double>(kv_.errors() - kv_errors));
+    kv_errors = kv_.errors();
     co_await Sleep(kMetricsPeriod);
   }
 }
--- a/src/http_kv_store.cpp
+++ b/src/http_kv_store.cpp
@@ -78,6 +78,7 @@
   call.body = std::move(body);
   call.deadline = MonotonicNow() + timeout;
   auto reply = co_await client_->Call(std::move(call));
+  if (!reply || reply.value().status >= 500) ++errors_;
   if (!reply) co_return outcome::failure(TranslateHttpError(reply.error()));
   if (reply.value().status == 413) co_return outcome::failure(KvError::kTooLarge);
   if (reply.value().status == 503) co_return outcome::failure(KvError::kUnavailable);
--- a/src/http_kv_store.h
+++ b/src/http_kv_store.h
@@ -31,6 +31,8 @@
 
   // Calls made so far; the platform charges for each.
   std::uint64_t calls() const { return calls_; }
+  // Calls that failed or whose outcome is unknown.
+  std::uint64_t errors() const { return errors_; }
 
  private:
   Task<Result<HttpReply, KvError>> Call(std::string method, std::string target, std::string body,
@@ -39,6 +41,7 @@
   HttpClient* client_;
   Address address_;
   std::uint64_t calls_ = 0;
+  std::uint64_t errors_ = 0;
 };
 
 static_assert(KvStore<HttpKvStore>);
