Let three daemons of each region watch the document head

Cause: all daemons watched the head. Each change then costs a part read, a history write and a new watch per daemon, and 340 watches wait at the key-value service. Change: the daemons with the three highest rendezvous scores of their region watch. The others follow the versions in heartbeats and read the head once a minute as a backstop. Before: 340 of 340 members chosen as watchers; after: 12 (unit test). With the dead counted as watchers, both tests fail. Behaviour: daemons that do not watch adopt a version from a peer. The wire format is unchanged.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -32,6 +32,9 @@
 // Beyond the time that the owner may hold an answer back.
 constexpr milliseconds kDemandAllowance{500};
 constexpr milliseconds kMetricsPeriod{1000};
+constexpr std::string_view kDocumentWatchKey = "document head";
+// Daemons of each region that watch the document head, so that two may fail at once.
+constexpr std::size_t kWatchersPerRegion = 3;
 constexpr HttpLimits kAdminLimits{64, 8192, 8192, milliseconds(10000)};
 
 MemberUpdate SelfUpdate(const DaemonSettings& settings) {
@@ -111,7 +114,10 @@
       membership_(SelfUpdate(settings), MonotonicNow(), RandomId()),
       identity_{settings.name, settings.shared_key},
       peer_client_(io->get_executor(), identity_, &metrics_),
-      document_(io->get_executor(), settings.environment, &kv_, &peer_client_, &metrics_),
+      document_(io->get_executor(), settings.environment, &kv_, &peer_client_, &metrics_,
+                [this] {
+                  return membership_.IsPreferredInRegion(kDocumentWatchKey, kWatchersPerRegion);
+                }),
       lease_(&kv_),
       ownership_(io->get_executor(),
                  OwnerContext{settings.name, EnvironmentKeyPrefix(settings.environment),
--- a/src/document_keeper.h
+++ b/src/document_keeper.h
@@ -2,6 +2,7 @@
 #define MIMOSABEND_DOCUMENT_KEEPER_H_
 
 #include <cassert>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,14 +23,16 @@
 template <KvStore Kv>
 class DocumentKeeper {
  public:
-  // Precondition: all pointers outlive this object.
+  // `watches` tells whether this daemon is one of those that watch the head in the service.
+  // Precondition: all pointers and what `watches` refers to outlive this object.
   DocumentKeeper(boost::asio::any_io_executor executor, std::string environment, Kv* kv,
-                 PeerClient* peers, Metrics* metrics)
+                 PeerClient* peers, Metrics* metrics, std::function<bool()> watches)
       : name_(std::move(environment)),
         kv_(kv),
         store_(kv, name_),
         peers_(peers),
         metrics_(metrics),
+        watches_(std::move(watches)),
         environment_(std::make_shared<Environment>()),
         newer_at_peer_(executor) {}
 
@@ -46,18 +49,27 @@
     newer_at_peer_.NotifyAll();
   }
 
-  // Watches the head in the service.
+  // Watches the head in the service, or reads it from time to time if others watch it.
   Task<void> WatchService() {
     std::uint64_t known = 0;
+    MonotonicTime next_read = MonotonicNow();
     for (;;) {
-      auto entry = co_await kv_->Watch(store_.head_key(), known, kWatchTime);
+      const bool watches = watches_();
+      metrics_->document_watchers->Set(watches ? 1 : 0);
+      if (!watches && head_.version > 0 && MonotonicNow() < next_read) {
+        co_await Sleep(kRetryDelay);
+        continue;
+      }
+      next_read = MonotonicNow() + kReadPeriod;
+      // The service answers a watch for version 0 at once.
+      auto entry = co_await kv_->Watch(store_.head_key(), watches ? known : 0, kWatchTime);
       if (!entry) {
         co_await Sleep(kRetryDelay);
         continue;
       }
       if (entry.value().version == known) {
         // No document yet: the service answers at once for a key that does not exist.
-        if (known == 0) co_await Sleep(kRetryDelay);
+        if (known == 0 || !watches) co_await Sleep(kRetryDelay);
         continue;
       }
       std::optional<DocumentHead> head = Decode<DocumentHead>(entry.value().value);
@@ -98,6 +110,9 @@
 
  private:
   static constexpr milliseconds kWatchTime{30000};
+  // A daemon that does not watch learns versions from its peers. It reads the head at this period
+  // in case no watcher reaches the service; 340 daemons make 6 reads a second.
+  static constexpr seconds kReadPeriod{60};
   static constexpr milliseconds kRetryDelay{500};
   static constexpr milliseconds kPeerRetryDelay{200};
   static constexpr milliseconds kFetchTimeout{2000};
@@ -181,6 +196,7 @@
   DocumentStore<Kv> store_;
   PeerClient* peers_;
   Metrics* metrics_;
+  std::function<bool()> watches_;
   DocumentHead head_;
   std::map<std::string, std::string> parts_;
   std::shared_ptr<const Environment> environment_;
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -168,4 +168,16 @@
   return best != nullptr ? best : &members_.at(self_name_);
 }
 
+bool Membership::IsPreferredInRegion(std::string_view key, std::size_t count) const {
+  const Member& self = members_.at(self_name_);
+  if (!self.can_own()) return false;
+  const std::uint64_t own_score = Hash64(key, Hash64(self_name_));
+  std::size_t higher = 0;
+  for (const auto& [name, member] : members_) {
+    const bool counts = member.can_own() && member.update.region == self.update.region;
+    if (counts && Hash64(key, Hash64(name)) > own_score) ++higher;
+  }
+  return higher < count;
+}
+
 }  // namespace mimosabend
--- a/src/membership.h
+++ b/src/membership.h
@@ -92,6 +92,10 @@
   // Never nullptr, since this daemon counts unless it is leaving and others are there.
   const Member* PreferredOwner(std::string_view key, std::string_view region) const;
 
+  // Whether this daemon has one of the `count` highest rendezvous scores for a key among the
+  // members of its region. False if it is leaving.
+  bool IsPreferredInRegion(std::string_view key, std::size_t count) const;
+
  private:
   void SetState(Member* member, MemberState state, MonotonicTime now);
   void QueueTransmission(Member* member);
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -82,6 +82,8 @@
       AddCounter("stale_documents_total", "Environment heads ignored because they were older.");
   task_restarts_total = AddCounter("task_restarts_total", "Tasks restarted by the supervisor.");
   environment_version = AddGauge("environment_version", "Version of the document in force.");
+  document_watchers =
+      AddGauge("document_watchers", "1 if this daemon watches the document head, else 0.");
   live_members = AddGauge("live_members", "Daemons seen alive, this one included.");
   owned_groups = AddGauge("owned_groups", "Placement groups that this daemon owns.");
   requests_in_flight = AddGauge("requests_in_flight", "Accepted requests that have not ended.");
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -68,6 +68,7 @@
   prometheus::Counter* stale_documents_total;
   prometheus::Counter* task_restarts_total;
   prometheus::Gauge* environment_version;
+  prometheus::Gauge* document_watchers;
   prometheus::Gauge* live_members;
   prometheus::Gauge* owned_groups;
   prometheus::Gauge* requests_in_flight;
--- a/tests/capacity.cpp
+++ b/tests/capacity.cpp
@@ -120,6 +120,7 @@
   double bytes_received = 0;
   double record_writes = 0;
   double kv_attempts = 0;
+  double kv_errors = 0;
   double kv_reads = 0;
   double kv_writes = 0;
   double kv_watches = 0;
@@ -145,6 +146,7 @@
     totals.bytes_received += MetricIn(text, "peer_bytes_received_total");
     totals.record_writes += MetricIn(text, "record_writes_total");
     totals.kv_attempts += MetricIn(text, "kv_calls_total");
+    totals.kv_errors += MetricIn(text, "kv_errors_total");
   }
   HttpCall call;
   call.address = fleet->kv().address();
@@ -463,6 +465,7 @@
   const double time = Between(before, after) * daemons;
   row.emplace_back("cpu_percent_per_daemon", kPercent * (after.cpu_s - before.cpu_s) / time);
   row.emplace_back("kv_attempts_per_daemon_s", (after.kv_attempts - before.kv_attempts) / time);
+  row.emplace_back("kv_errors_per_daemon_s", (after.kv_errors - before.kv_errors) / time);
   row.emplace_back("kv_calls_in_8s_of_recovery_per_daemon",
                    (recovered.kv_calls() - after.kv_calls()) / daemons);
   return row;
--- /dev/null
+++ b/tests/test_watchers.cpp
@@ -0,0 +1,101 @@
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "fleet.h"
+#include "membership.h"
+
+namespace mimosabend::testing {
+
+namespace {
+
+// An accepted document is in force everywhere within this time (guarantee 9).
+constexpr seconds kInForceTime{9};
+constexpr std::size_t kWatchersPerRegion = 3;
+
+MemberUpdate MakeMember(int index) {
+  MemberUpdate update;
+  update.name = "daemon-" + std::to_string(index);
+  update.region = "region-" + std::to_string(index % 4);
+  update.address = {"127.0.0.1", 1};
+  update.incarnation = 1;
+  return update;
+}
+
+std::set<int> Watchers(Fleet* fleet) {
+  std::set<int> watchers;
+  for (int i = 0; i < fleet->options().daemons; ++i) {
+    if (fleet->Metric(i, "mimosabend_document_watchers") == 1) watchers.insert(i);
+  }
+  return watchers;
+}
+
+bool AllSeeMembers(Fleet* fleet, int count) {
+  for (int i = 0; i < fleet->options().daemons; ++i) {
+    if (fleet->Metric(i, "mimosabend_live_members") != count) return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+// Guards against a fleet in which all daemons watch, or in which the members of a region choose
+// different watchers.
+TEST_CASE("three daemons of each region watch, and others follow when they die") {
+  constexpr int kDaemons = 340;
+  const MonotonicTime now = MonotonicNow();
+  std::set<int> chosen;
+  for (int i = 0; i < kDaemons; ++i) {
+    Membership membership(MakeMember(i), now, 1);
+    for (int other = 0; other < kDaemons; ++other) membership.Apply(MakeMember(other), now);
+    if (membership.IsPreferredInRegion("head", kWatchersPerRegion)) chosen.insert(i);
+  }
+  REQUIRE(chosen.size() == 4 * kWatchersPerRegion);
+
+  std::size_t successors = 0;
+  for (int i = 0; i < kDaemons; ++i) {
+    if (chosen.contains(i)) continue;
+    Membership membership(MakeMember(i), now, 1);
+    for (int other = 0; other < kDaemons; ++other) {
+      MemberUpdate update = MakeMember(other);
+      membership.Apply(update, now);
+      update.state = MemberState::kDead;
+      if (chosen.contains(other)) membership.Apply(update, now);
+    }
+    if (membership.IsPreferredInRegion("head", kWatchersPerRegion)) ++successors;
+  }
+  CHECK(successors == 4 * kWatchersPerRegion);
+}
+
+// Guards against a version that stays unknown because the daemons that watched for it are gone.
+TEST_CASE("a version reaches all daemons in time when all watchers die") {
+  FleetOptions options;
+  options.daemons = 8;
+  options.regions = {"nordeste"};
+  options.engines_per_region = 1;
+  options.services_per_region = 0;
+  Fleet fleet(options);
+  fleet.StartDaemons();
+  fleet.PutInForce(TestDocument(options));
+  REQUIRE(WaitFor(seconds(10), [&] {
+    return AllSeeMembers(&fleet, options.daemons) && Watchers(&fleet).size() == kWatchersPerRegion;
+  }));
+  const std::set<int> watchers = Watchers(&fleet);
+  REQUIRE(watchers.size() == kWatchersPerRegion);
+  for (int watcher : watchers) fleet.daemon(watcher).Signal(SIGKILL);
+
+  // The command does not wait, since it would ask the dead, too.
+  const MonotonicTime accepted = MonotonicNow();
+  const CommandResult promoted = fleet.Operate({"promote", "--wait_s=0"});
+  REQUIRE_THAT(promoted.output, Catch::Matchers::Contains("accepted: version 2"));
+  const bool in_force = WaitFor(kInForceTime, [&] {
+    for (int i = 0; i < options.daemons; ++i) {
+      const bool dead = watchers.contains(i);
+      if (!dead && fleet.Metric(i, "mimosabend_environment_version") != 2) return false;
+    }
+    return true;
+  });
+  INFO("waited " << ToSeconds(MonotonicNow() - accepted) << " s");
+  CHECK(in_force);
+}
+
+}  // namespace mimosabend::testing
