Give daemons of test fleets ports outside the range of outgoing connections

Cause: a fleet of 12 daemons failed with 'daemon-0 did not start' while other fleets ran: between the search for free ports and the bind, an outgoing connection can take the port. Change: ports are drawn at random from 10000 to 32000. Behaviour: unchanged; tests only. Not proved to be the cause of that one failure.

--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -11,6 +11,7 @@
 #include <boost/process/exe.hpp>
 #include <boost/process/io.hpp>
 #include <fstream>
+#include <random>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -32,15 +33,25 @@
   return std::string(MIMOSABEND_BUILD_DIRECTORY) + "/" + name;
 }
 
-// Ports that are free now. All sockets are held until the last was found, so that none is named
-// twice.
+// Ports that are free now, at random below the range that the system gives to outgoing connections:
+// a port of that range may be taken before the daemon binds it. All sockets are held until the last
+// was found, so that none is named twice.
 std::vector<std::uint16_t> FreePorts(std::size_t count) {
+  constexpr std::uint16_t kFirstPort = 10000;
+  constexpr std::uint16_t kLastPort = 32000;
   asio::io_context io;
   std::vector<asio::ip::tcp::acceptor> sockets;
   std::vector<std::uint16_t> ports;
-  for (std::size_t i = 0; i < count; ++i) {
-    sockets.emplace_back(io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    ports.push_back(sockets.back().local_endpoint().port());
+  std::mt19937 random{std::random_device{}()};
+  std::uniform_int_distribution<std::uint16_t> any_port(kFirstPort, kLastPort);
+  while (ports.size() < count) {
+    const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(), any_port(random));
+    asio::ip::tcp::acceptor socket(io, endpoint.protocol());
+    boost::system::error_code error;
+    socket.bind(endpoint, error);
+    if (error) continue;
+    ports.push_back(endpoint.port());
+    sockets.push_back(std::move(socket));
   }
   return ports;
 }
