Bound the exchange of members and find lost daemons by their seeds

Cause: each daemon exchanges its whole view every 30 s. With 340 members, 4 times the encoded view a period is 3 KB/s, all that control may take. And members that are dead are forgotten after 60 s, so the sides of a cut that lasted longer never met again: seeds were only used to join. Change: the period is 30 s up to 40 members and grows with their number; every 10 s a daemon exchanges with one seed that is not a live member. The exchange stays under 1 KB/s at 340 members (computed from the encoded size). Behaviour: a daemon with a dead address among its seeds counts one peer error not_sent every 10 s. A lost update is mended after up to 255 s rather than 30 s at 340 members.

--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -1,5 +1,6 @@
 #include "gossip.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -21,7 +22,11 @@
 constexpr std::size_t kMaxDatagramBytes = 8192;
 constexpr milliseconds kExchangeTimeout{1000};
 constexpr milliseconds kJoinRetry{500};
-constexpr seconds kExchangePeriod{30};
+constexpr milliseconds kExchangePeriod{30000};
+// An update takes 67 bytes in the test fleets and each exchange sends all of them both ways. Up to
+// this many members, that is 0.4 KB/s for each daemon, of the 3 KB/s that control may take.
+constexpr std::size_t kMembersForExchangePeriod = 40;
+constexpr milliseconds kLostSeedPeriod{10000};
 
 udp::endpoint ToEndpoint(const Address& address) {
   boost::system::error_code ignored;
@@ -30,6 +35,10 @@
 
 }  // namespace
 
+milliseconds MembersExchangePeriod(std::size_t members) {
+  return kExchangePeriod * std::max(members, kMembersForExchangePeriod) / kMembersForExchangePeriod;
+}
+
 Gossip::Gossip(asio::any_io_executor executor, Membership* membership, PeerIdentity identity,
                std::vector<Address> seeds, Metrics* metrics, Hooks hooks)
     : executor_(std::move(executor)),
@@ -173,27 +182,40 @@
   }
 }
 
+Task<bool> Gossip::ExchangeWith(PeerClient* client, Address peer) {
+  MembersRequest request;
+  request.updates = membership_->AllUpdates();
+  auto answer =
+      co_await client->Call<MembersAnswer>(std::move(peer), std::move(request), kExchangeTimeout);
+  if (answer) ApplyUpdates(answer.value().updates);
+  co_return static_cast<bool>(answer);
+}
+
+std::optional<Address> Gossip::NextLostSeed() {
+  const std::vector<Address> live = membership_->LiveAddresses();
+  for (std::size_t i = 0; i < seeds_.size(); ++i) {
+    const Address& seed = seeds_[next_seed_++ % seeds_.size()];
+    if (std::find(live.begin(), live.end(), seed) == live.end()) return seed;
+  }
+  return std::nullopt;
+}
+
 Task<void> Gossip::ExchangeMembers(PeerClient* client) {
   bool joined = false;
-  std::size_t next_seed = 0;
+  MonotonicTime next_exchange = MonotonicNow();
   while (socket_.is_open()) {
-    std::vector<Address> peers = membership_->RandomPeers(1, "");
-    if (!joined && !seeds_.empty()) peers = {seeds_[next_seed++ % seeds_.size()]};
-    if (!peers.empty() && peers.front() != membership_->self().address) {
-      MembersRequest request;
-      request.updates = membership_->AllUpdates();
-      auto answer =
-          co_await client->Call<MembersAnswer>(peers.front(), std::move(request), kExchangeTimeout);
-      if (answer) {
-        ApplyUpdates(answer.value().updates);
-        joined = true;
-      }
+    if (const std::optional<Address> seed = NextLostSeed()) {
+      const bool answered = co_await ExchangeWith(client, *seed);
+      joined = joined || answered;
     }
-    if (joined) {
-      co_await Sleep(kExchangePeriod);
-    } else {
-      co_await Sleep(kJoinRetry);
+    if (!joined || MonotonicNow() >= next_exchange) {
+      next_exchange = MonotonicNow() + MembersExchangePeriod(membership_->members().size());
+      for (Address& peer : membership_->RandomPeers(1, "")) {
+        const bool answered = co_await ExchangeWith(client, std::move(peer));
+        joined = joined || answered;
+      }
     }
+    co_await Sleep(joined ? kLostSeedPeriod : kJoinRetry);
   }
 }
 
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -4,6 +4,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -15,6 +16,10 @@
 
 namespace mimosabend {
 
+// Time between two exchanges of the whole membership. It grows with the number of members beyond a
+// small fleet, so that the bytes a second do not. Thread-safe.
+milliseconds MembersExchangePeriod(std::size_t members);
+
 // Runs SWIM over UDP: pings members in turn, answers pings, relays pings for others, and passes
 // membership updates and the version of the environment document along. Not thread-safe.
 class Gossip {
@@ -37,8 +42,10 @@
   Task<void> Receive();
   // Pings one member in each period until the socket is closed. Precondition: bound.
   Task<void> Probe();
-  // Exchanges the whole membership with a seed at the start and with a random member from time
-  // to time, which mends what lost messages have left out. Precondition: bound.
+  // Exchanges the whole membership with a seed at the start, with a random member from time to
+  // time, which mends what lost messages have left out, and with seeds that are not live members,
+  // which joins the sides of a cut that lasted until each had forgotten the other.
+  // Precondition: bound.
   Task<void> ExchangeMembers(PeerClient* client);
 
   void Close();
@@ -48,6 +55,9 @@
   Task<void> Send(Address peer, Message message);
   Task<void> Handle(Address peer, Envelope envelope);
   Task<void> Relay(Address requester, PingRequest request);
+  Task<bool> ExchangeWith(PeerClient* client, Address peer);
+  // The next seed that is not a live member, if there is one.
+  std::optional<Address> NextLostSeed();
   Task<bool> PingAndWait(Address target, milliseconds timeout);
   Task<void> SendPing(Address target, std::uint64_t sequence);
   void ApplyUpdates(const std::vector<MemberUpdate>& updates);
@@ -59,6 +69,7 @@
   Metrics* metrics_;
   Hooks hooks_;
   boost::asio::ip::udp::socket socket_;
+  std::size_t next_seed_ = 0;
   std::uint64_t last_sequence_ = 0;
   std::set<std::uint64_t> acknowledged_;
 };
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -138,6 +138,14 @@
   return nullptr;
 }
 
+std::vector<Address> Membership::LiveAddresses() const {
+  std::vector<Address> addresses;
+  for (const auto& [name, member] : members_) {
+    if (member.can_own()) addresses.push_back(member.update.address);
+  }
+  return addresses;
+}
+
 std::vector<Address> Membership::RandomPeers(std::size_t count, const std::string& excluded) {
   std::vector<Address> peers;
   for (const auto& [name, member] : members_) {
--- a/src/membership.h
+++ b/src/membership.h
@@ -85,6 +85,9 @@
   // The next member to ping, in a shuffled round; nullptr if there is no other.
   const Member* NextPingTarget();
 
+  // Addresses of all members that are alive or suspected, this one included.
+  std::vector<Address> LiveAddresses() const;
+
   // Up to `count` random live members other than this one and `excluded`.
   std::vector<Address> RandomPeers(std::size_t count, const std::string& excluded);
 
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -28,6 +28,8 @@
 
 constexpr char kSharedKey[] = "test-shared-key-0123456789";
 constexpr std::chrono::seconds kStartTimeout{20};
+// The settings reader refuses a line with the addresses of 12 daemons as too long.
+constexpr std::size_t kMaxListedDaemons = 8;
 
 std::string ProgramPath(const std::string& name) {
   return std::string(MIMOSABEND_BUILD_DIRECTORY) + "/" + name;
@@ -169,9 +171,12 @@
        << "\nhost_list = " << ToString(host_list_->address())
        << "\nweight_store = " << ToString(weight_store_->address()) << "\n"
        << "[peers]\nshared_key = " << kSharedKey << "\nseeds = ";
-  for (std::size_t i = 0; i < daemon_addresses_.size(); ++i) {
+  const std::size_t seeds = std::min(kMaxListedDaemons, daemon_addresses_.size());
+  for (std::size_t i = 0; i < seeds; ++i) {
+    if (options_.without_seeds.contains(index)) continue;
     file << (i == 0 ? "" : ", ") << ToString(daemon_addresses_[i].peer);
   }
+  if (options_.without_seeds.contains(index)) file << ToString(own.peer);
   file << "\n[limits]\ndrain_delay_ms = 500\n";
 }
 
@@ -180,7 +185,7 @@
   file << "[platform]\nkv = " << ToString(kv_->address())
        << "\nhost_list = " << ToString(host_list_->address())
        << "\nweight_store = " << ToString(weight_store_->address()) << "\n[daemons]\nadmin = ";
-  for (std::size_t i = 0; i < daemon_addresses_.size(); ++i) {
+  for (std::size_t i = 0; i < std::min(kMaxListedDaemons, daemon_addresses_.size()); ++i) {
     file << (i == 0 ? "" : ", ") << ToString(daemon_addresses_[i].admin);
   }
   file << "\n";
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,8 @@
   int services_per_region = 1;
   bool honour_fence = true;
   int host_list_lag_ms = 200;
+  // Daemons that have only themselves as seed.
+  std::set<int> without_seeds;
   // Added to the command line of each stand-in.
   std::vector<std::string> engine_flags;
   std::vector<std::string> weight_store_flags{"--loads_per_s=4"};
--- a/tests/test_watchers.cpp
+++ b/tests/test_watchers.cpp
@@ -1,7 +1,9 @@
 #include <catch2/catch.hpp>
 #include <set>
+#include <thread>
 
 #include "fleet.h"
+#include "gossip.h"
 #include "membership.h"
 
 namespace mimosabend::testing {
@@ -76,9 +78,10 @@
   Fleet fleet(options);
   fleet.StartDaemons();
   fleet.PutInForce(TestDocument(options));
-  REQUIRE(WaitFor(seconds(10), [&] {
-    return AllSeeMembers(&fleet, options.daemons) && Watchers(&fleet).size() == kWatchersPerRegion;
-  }));
+  REQUIRE(WaitFor(seconds(10), [&] { return AllSeeMembers(&fleet, options.daemons); }));
+  // A new version ends the open watches of daemons that watched before they knew the others.
+  REQUIRE(fleet.Operate({"promote"}).exit_code == 0);
+  REQUIRE(WaitFor(seconds(5), [&] { return Watchers(&fleet).size() == kWatchersPerRegion; }));
   const std::set<int> watchers = Watchers(&fleet);
   REQUIRE(watchers.size() == kWatchersPerRegion);
   for (int watcher : watchers) fleet.daemon(watcher).Signal(SIGKILL);
@@ -86,11 +89,11 @@
   // The command does not wait, since it would ask the dead, too.
   const MonotonicTime accepted = MonotonicNow();
   const CommandResult promoted = fleet.Operate({"promote", "--wait_s=0"});
-  REQUIRE_THAT(promoted.output, Catch::Matchers::Contains("accepted: version 2"));
+  REQUIRE_THAT(promoted.output, Catch::Matchers::Contains("accepted: version 3"));
   const bool in_force = WaitFor(kInForceTime, [&] {
     for (int i = 0; i < options.daemons; ++i) {
       const bool dead = watchers.contains(i);
-      if (!dead && fleet.Metric(i, "mimosabend_environment_version") != 2) return false;
+      if (!dead && fleet.Metric(i, "mimosabend_environment_version") != 3) return false;
     }
     return true;
   });
@@ -98,4 +101,37 @@
   CHECK(in_force);
 }
 
+// Guards against a fleet that stays split after a cut that lasted until each side had forgotten the
+// other: the side that knows nobody else is found by the seeds of the others.
+TEST_CASE("a daemon that nobody knows is found by its address among the seeds") {
+  FleetOptions options;
+  options.daemons = 3;
+  options.engines_per_region = 0;
+  options.services_per_region = 0;
+  options.without_seeds = {2};
+  Fleet fleet(options);
+  fleet.StartDaemon(0);
+  fleet.StartDaemon(1);
+  // All seeds but the last are live when it starts, so no daemon is joining any more.
+  REQUIRE(WaitFor(seconds(10), [&] {
+    return fleet.Metric(0, "mimosabend_live_members") == 2 &&
+           fleet.Metric(1, "mimosabend_live_members") == 2;
+  }));
+  std::this_thread::sleep_for(seconds(2));
+  fleet.StartDaemon(2);
+  CHECK(WaitFor(seconds(15), [&] { return AllSeeMembers(&fleet, 3); }));
+}
+
+// Guards against an exchange of members that takes the bytes a second that control may take.
+TEST_CASE("the exchange of members stays within a third of the control bytes") {
+  constexpr double kControlBytesPerSecond = 3 * 1024;
+  constexpr int kDaemons = 340;
+  MembersRequest request;
+  for (int i = 0; i < kDaemons; ++i) request.updates.push_back(MakeMember(i));
+  // Each daemon asks once and is asked once in a period, and each time all members go both ways.
+  const double bytes = 4.0 * static_cast<double>(Encode(request).size());
+  CHECK(bytes / ToSeconds(MembersExchangePeriod(kDaemons)) < kControlBytesPerSecond / 3);
+  CHECK(MembersExchangePeriod(6) == seconds(30));
+}
+
 }  // namespace mimosabend::testing
