--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -40,6 +40,9 @@
 constexpr milliseconds kMetricsPeriod{1000};
 // The suspects of a crash wait this long at most for the other daemons to know of them.
 constexpr milliseconds kAnnounceTimeout{500};
+constexpr std::string_view kDocumentWatchKey = "document head";
+// Daemons of each region that watch the document head, so that two may fail at once.
+constexpr std::size_t kWatchersPerRegion = 3;
 constexpr HttpLimits kAdminLimits{64, 8192, 8192, milliseconds(10000)};
 
 MemberUpdate SelfUpdate(const DaemonSettings& settings) {
@@ -133,7 +136,10 @@
       membership_(SelfUpdate(settings), MonotonicNow(), RandomId()),
       identity_{settings.name, settings.shared_key, settings.blocked_peers},
       peer_client_(io->get_executor(), identity_, &metrics_),
-      document_(io->get_executor(), settings.environment, &kv_, &peer_client_, &metrics_),
+      document_(io->get_executor(), settings.environment, &kv_, &peer_client_, &metrics_,
+                [this] {
+                  return membership_.IsPreferredInRegion(kDocumentWatchKey, kWatchersPerRegion);
+                }),
       lease_(&kv_),
       ownership_(io->get_executor(),
                  OwnerContext{settings.name, EnvironmentKeyPrefix(settings.environment),
@@ -405,7 +411,7 @@
   if (peers.empty() || request.relay) co_return answer;
   request.relay = true;
   const milliseconds timeout = milliseconds(request.wait_ms) + 2 * kDemandAllowance;
-  const Address relay = peers.front();
+  const Address& relay = peers.front();
   auto reply = co_await peer_client_.Call<DemandAnswer>(relay, std::move(request), timeout);
   if (reply) answer = std::move(reply).value();
   co_return answer;
@@ -473,12 +479,15 @@
 
 Task<void> Daemon::UpdateMetrics() {
   std::uint64_t kv_calls = 0;
+  std::uint64_t kv_errors = 0;
   for (;;) {
     std::size_t live = 0;
     for (const auto& [name, member] : membership_.members()) live += member.can_own() ? 1 : 0;
     metrics_.live_members->Set(static_cast<double>(live));
     metrics_.kv_calls_total->Increment(static_cast<double>(kv_.calls() - kv_calls));
     kv_calls = kv_.calls();
+    metrics_.kv_errors_total->Increment(static_cast<double>(kv_.errors() - kv_errors));
+    kv_errors = kv_.errors();
     co_await Sleep(kMetricsPeriod);
   }
 }
--- a/src/ini_file.cpp
+++ b/src/ini_file.cpp
@@ -62,8 +62,10 @@
 
 Result<std::vector<IniEntry>, IniIssues> ParseIni(const std::string& file, std::string_view text) {
   ini_allow_multiline = false;
+  // The buffer does not grow, and inih takes the smaller of the two lengths.
   ini_use_stack = false;
   ini_max_line = kMaxLineLength;
+  ini_initial_alloc = kMaxLineLength;
   if (text.find('\0') != std::string_view::npos) {
     return outcome::failure(
         IniIssues{{file, 0, "", "", "the file holds a zero byte", "write it as plain text"}});
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -138,6 +138,14 @@
   return nullptr;
 }
 
+std::vector<Address> Membership::LiveAddresses() const {
+  std::vector<Address> addresses;
+  for (const auto& [name, member] : members_) {
+    if (member.can_own()) addresses.push_back(member.update.address);
+  }
+  return addresses;
+}
+
 std::vector<Address> Membership::RandomPeers(std::size_t count, const std::string& excluded) {
   std::vector<Address> peers;
   for (const auto& [name, member] : members_) {
@@ -173,4 +181,16 @@
   return best != nullptr ? best : &members_.at(self_name_);
 }
 
+bool Membership::IsPreferredInRegion(std::string_view key, std::size_t count) const {
+  const Member& self = members_.at(self_name_);
+  if (!self.can_own()) return false;
+  const std::uint64_t own_score = Hash64(key, Hash64(self_name_));
+  std::size_t higher = 0;
+  for (const auto& [name, member] : members_) {
+    const bool counts = member.can_own() && member.update.region == self.update.region;
+    if (counts && Hash64(key, Hash64(name)) > own_score) ++higher;
+  }
+  return higher < count;
+}
+
 }  // namespace mimosabend
--- a/src/membership.h
+++ b/src/membership.h
@@ -85,6 +85,9 @@
   // The next member to ping, in a shuffled round; nullptr if there is no other.
   const Member* NextPingTarget();
 
+  // Addresses of all members that are alive or suspected, this one included.
+  std::vector<Address> LiveAddresses() const;
+
   // Up to `count` random live members other than this one and `excluded`.
   std::vector<Address> RandomPeers(std::size_t count, const std::string& excluded);
 
@@ -92,6 +95,10 @@
   // Never nullptr, since this daemon counts unless it is leaving and others are there.
   const Member* PreferredOwner(std::string_view key, std::string_view region) const;
 
+  // Whether this daemon has one of the `count` highest rendezvous scores for a key among the
+  // members of its region. False if it is leaving.
+  bool IsPreferredInRegion(std::string_view key, std::size_t count) const;
+
  private:
   void SetState(Member* member, MemberState state, MonotonicTime now);
   void QueueTransmission(Member* member);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,7 @@
   ~Process();
 
   Address address() const { return {"127.0.0.1", port_}; }
+  int pid() const { return child_.id(); }
   void Signal(int signal_number);
   bool running();
   // Waits for the end and returns the exit code; -1 if it still runs after the time.
@@ -55,6 +57,8 @@
   std::vector<std::pair<int, int>> cut_links;
   // Key-value service of single daemons by their index; the others use the stand-in.
   std::map<int, Address> kv_of_daemon;
+  // Daemons that have only themselves as seed.
+  std::set<int> without_seeds;
   // Added to the command line of each stand-in.
   std::vector<std::string> engine_flags;
   std::vector<std::string> weight_store_flags{"--loads_per_s=4"};
@@ -103,6 +107,8 @@
   Result<HttpReply, HttpError> Call(HttpCall call, std::chrono::milliseconds timeout = seconds(20));
   // Sets faults of a stand-in.
   void SetFault(const Process& standin, const std::string& json_body);
+  // The text of /metrics of a daemon; empty if it does not answer.
+  std::string MetricsText(int daemon);
   // Value of a metric line of a daemon, by its name and labels as exposed; 0 if absent.
   double Metric(int daemon, const std::string& name);
 
--- a/tests/test_documents.cpp
+++ b/tests/test_documents.cpp
@@ -74,6 +74,25 @@
   }
 }
 
+// Guards against the short line buffer that inih has unless it is told otherwise; 340 daemons are
+// listed on one line.
+TEST_CASE("long lists fit one line and longer ones are refused") {
+  const std::string text = ReadExample("operator.ini");
+  std::string addresses = "127.0.0.1:9000";
+  for (int port = 9001; port < 9340; ++port) addresses += ", 127.0.0.1:" + std::to_string(port);
+  auto settings = ParseOperatorSettings("operator.ini", text, {});
+  REQUIRE(settings);
+  const std::string start = "admin = ";
+  std::string longer = text.substr(0, text.find(start) + start.size()) + addresses + "\n";
+  settings = ParseOperatorSettings("operator.ini", longer, {});
+  REQUIRE(settings);
+  CHECK(settings.value().daemons.size() == 340);
+  longer.insert(longer.size() - 1, std::string(8192, ' ') + ", 127.0.0.1:9999");
+  settings = ParseOperatorSettings("operator.ini", longer, {});
+  REQUIRE_FALSE(settings);
+  CHECK_THAT(settings.error().front().message, Catch::Matchers::Contains("the line is too long"));
+}
+
 // Guards against settings that are silently ignored.
 TEST_CASE("overrides replace settings and are checked the same way") {
   const std::string text = ReadExample("daemon.ini");
