--- a/src/lease_keeper.h
+++ b/src/lease_keeper.h
@@ -27,9 +27,18 @@
   // False once the service has said that the lease lapsed.
   bool Holds(const LeaseId& lease) const { return lease_ == lease; }
 
-  // Grants and renews the lease until Stop is called.
+  // Whether the daemon runs an owner that needs the lease. Without one it is given up, since each
+  // renewal is a write of the service and most daemons of a large fleet own nothing.
+  void SetWanted(bool wanted) { wanted_ = wanted; }
+
+  // Grants and renews the lease while it is wanted, until Stop is called.
   Task<void> Run() {
     while (!stopping_) {
+      if (!wanted_) {
+        co_await GiveUp();
+        co_await Sleep(kWantedPoll);
+        continue;
+      }
       const MonotonicTime sent_at = MonotonicNow();
       if (lease_) {
         co_await Renew(sent_at);
@@ -43,6 +52,13 @@
   // Gives the lease up, so that others need not wait until it lapses.
   Task<void> Stop() {
     stopping_ = true;
+    co_await GiveUp();
+  }
+
+ private:
+  static constexpr milliseconds kWantedPoll{100};
+
+  Task<void> GiveUp() {
     if (!lease_) co_return;
     const LeaseId lease = *lease_;
     lease_.reset();
@@ -50,7 +66,6 @@
     static_cast<void>(ignored);
   }
 
- private:
   Task<void> Grant(MonotonicTime sent_at) {
     auto granted = co_await kv_->GrantLease(timings_.lease_time_to_live);
     if (!granted || stopping_) co_return;
@@ -73,6 +88,7 @@
   PlacementTimings timings_;
   std::optional<LeaseId> lease_;
   MonotonicTime renewed_at_;
+  bool wanted_ = true;
   bool stopping_ = false;
 };
 
--- a/src/ownership.h
+++ b/src/ownership.h
@@ -85,6 +85,7 @@
     std::size_t owned = 0;
     for (const auto& [key, owner] : owners_) owned += owner->is_owner() ? 1 : 0;
     metrics_->owned_groups->Set(static_cast<double>(owned));
+    lease_->SetWanted(!owners_.empty());
   }
 
   boost::asio::any_io_executor executor_;
