--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -115,6 +115,7 @@
     json::object state;
     state["incarnation"] = incarnation_;
     state["fence"] = fence_;
+    state["role"] = role_;
     state["memory_total_mib"] = FLAGS_memory_mib;
     state["memory_used_mib"] = UsedMemory();
     state["peak_memory_mib"] = peak_memory_;
@@ -159,6 +160,11 @@
     }
     fence_ = std::max(fence_, IntegerMember(body, "fence").value_or(0));
     const std::string model = TextMember(body, "model");
+    if (TextMember(body, "kind") == "role") {
+      role_ = TextMember(body, "role");
+      co_await ReplyJson(&exchange, 202, "ok");
+      co_return;
+    }
     if (TextMember(body, "kind") == "unload") {
       const auto it = replicas_.find(model);
       if (it != replicas_.end() && it->second.state != ReplicaState::kUnloading) {
@@ -355,6 +361,7 @@
   std::string incarnation_;
   std::mt19937_64 random_;
   std::int64_t fence_ = 0;
+  std::string role_ = "mixed";
   std::map<std::string, Replica> replicas_;
   std::set<std::string> on_disk_;
   std::set<std::pair<std::int64_t, std::uint64_t>> queue_;
