--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -11,6 +11,8 @@
 #include <boost/beast/http.hpp>
 #include <cassert>
 
+#include "tcp_listener.h"
+
 namespace mimosabend {
 
 namespace asio = boost::asio;
@@ -255,16 +257,9 @@
 HttpServer::~HttpServer() = default;
 
 Result<std::uint16_t, std::string> HttpServer::Listen(const Address& address) {
-  boost::system::error_code error;
-  const auto ip = asio::ip::make_address(address.ip, error);
-  const asio::ip::tcp::endpoint endpoint(ip, address.port);
-  if (!error) acceptor_.open(endpoint.protocol(), error);
-  if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-  if (!error) acceptor_.bind(endpoint, error);
-  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (error) return outcome::failure(ToString(address) + ": " + error.message());
-  asio::co_spawn(executor_, Accept(), asio::detached);
-  return acceptor_.local_endpoint().port();
+  auto port = OpenListener(address, &acceptor_);
+  if (port) asio::co_spawn(executor_, Accept(), asio::detached);
+  return port;
 }
 
 void HttpServer::StopAccepting() {
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -12,6 +12,7 @@
 
 #include "log.h"
 #include "supervisor.h"
+#include "tcp_listener.h"
 
 namespace mimosabend {
 
@@ -153,14 +154,8 @@
       acceptor_(executor_) {}
 
 Result<void, std::string> PeerServer::Listen(const Address& address) {
-  boost::system::error_code error;
-  const auto ip = asio::ip::make_address(address.ip, error);
-  const asio::ip::tcp::endpoint endpoint(ip, address.port);
-  if (!error) acceptor_.open(endpoint.protocol(), error);
-  if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-  if (!error) acceptor_.bind(endpoint, error);
-  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (error) return outcome::failure(ToString(address) + ": " + error.message());
+  auto port = OpenListener(address, &acceptor_);
+  if (!port) return outcome::failure(port.error());
   asio::co_spawn(executor_, Accept(), asio::detached);
   return outcome::success();
 }
--- /dev/null
+++ b/src/tcp_listener.h
@@ -0,0 +1,20 @@
+#ifndef MIMOSABEND_TCP_LISTENER_H_
+#define MIMOSABEND_TCP_LISTENER_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <string>
+
+#include "result.h"
+#include "settings.h"
+
+namespace mimosabend {
+
+// Binds an acceptor and starts to listen; port 0 takes a free port. Returns the port, or the
+// system's error text. Not thread-safe. Precondition: `acceptor` is closed.
+Result<std::uint16_t, std::string> OpenListener(const Address& address,
+                                                boost::asio::ip::tcp::acceptor* acceptor);
+
+}  // namespace mimosabend
+
+#endif  // MIMOSABEND_TCP_LISTENER_H_
