Plan loads by need, and read the store anew after a cut watch

Cause: each planning tick emptied another engine for the same missing model, since an unload and the load after it were two decisions; models with loose targets were kept while busy ones queued; adapter orders were sent while an unload of another one waited for runs. Ruled out: a silent connection (the store logged nothing lost), slow loads (all at nominal speed).

--- a/src/fleet_follower.h
+++ b/src/fleet_follower.h
@@ -31,8 +31,12 @@
 class FleetFollower {
  public:
   // Precondition: `store` outlives this object.
-  FleetFollower(Store* store, std::string prefix, ItemHandlers handlers)
-      : store_(store), prefix_(std::move(prefix)), handlers_(std::move(handlers)) {}
+  // Changes within `batch_delay` share one call to the store, since each call is charged.
+  FleetFollower(Store* store, std::string prefix, milliseconds batch_delay, ItemHandlers handlers)
+      : store_(store),
+        prefix_(std::move(prefix)),
+        batch_delay_(batch_delay),
+        handlers_(std::move(handlers)) {}
 
   // Runs until Stop is called.
   Task<void> Run() {
@@ -57,8 +61,6 @@
   static constexpr milliseconds kWatchWait{4000};
   static constexpr milliseconds kFirstRetryDelay{50};
   static constexpr milliseconds kLongestRetryDelay{400};
-  // Changes within this time share one call, since each call is charged.
-  static constexpr milliseconds kBatchDelay{60};
 
   Task<void> TakeSnapshot() {
     auto snapshot = co_await store_->Snapshot(prefix_);
@@ -97,15 +99,16 @@
     revision_ = std::max(revision_, changes.value().revision);
     if (changes.value().items.empty()) co_return;
     handlers_.done(now);
-    co_await Sleep(kBatchDelay);
+    co_await Sleep(batch_delay_);
   }
 
   Task<void> Fail(KvError error) {
     if (failures_++ == 0) {
       LOG4CPLUS_WARN(Log(), "lost the store for " << prefix_ << ": " << kKvErrorNames[error]);
     }
-    // The watch may have missed what a new snapshot shows.
-    if (failures_ > 1) synced_ = false;
+    // A watch that was cut may be asked for anew while the history that it needs is being dropped,
+    // and then hears of nothing until its wait is over: only a snapshot shows what is there.
+    synced_ = false;
     const int doublings = std::min(failures_ - 1, 4);
     co_await Sleep(std::min(kFirstRetryDelay * (1 << doublings), kLongestRetryDelay));
   }
@@ -117,6 +120,7 @@
 
   Store* store_;
   std::string prefix_;
+  milliseconds batch_delay_;
   ItemHandlers handlers_;
   std::uint64_t revision_ = 0;
   int failures_ = 0;
--- a/src/fleet_usage.h
+++ b/src/fleet_usage.h
@@ -23,12 +23,14 @@
   std::uint32_t waiting = 0;
   // The most urgent route priority among the waiting requests.
   std::uint32_t waiting_priority = 0;
+  // The tightest latency target of the requests.
+  std::uint32_t target_ms = UINT32_MAX;
 
   template <class Archive>
   void serialize(Archive& archive) {
     SerializeText(archive, service);
     SerializeText(archive, model);
-    archive(requests, reading_ms, waiting, waiting_priority);
+    archive(requests, reading_ms, waiting, waiting_priority, target_ms);
   }
 };
 
@@ -36,11 +38,14 @@
 struct EndpointUsage {
   std::string endpoint;
   EndpointWork work;
+  // Adapters that running requests use, as "MODEL/ADAPTER".
+  std::vector<std::string> adapters;
 
   template <class Archive>
   void serialize(Archive& archive) {
     SerializeText(archive, endpoint);
     archive(work.requests, work.unread_tokens, work.memory_tokens);
+    SerializeList(archive, adapters);
   }
 };
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -32,6 +32,10 @@
 
 // Where the daemons keep the key with which they sign their messages.
 constexpr char kPeerKeyKey[] = "mimosabend/peer-key";
+constexpr milliseconds kConfigBatch{20};
+// Entries of endpoints may be read this many times within the time in which a leaving endpoint has
+// to be noticed.
+constexpr int kBatchesPerDrain = 8;
 constexpr milliseconds kPeerKeyRetry{200};
 constexpr milliseconds kTickPeriod{250};
 constexpr milliseconds kMetricsPeriod{1000};
@@ -153,8 +157,9 @@
       relay_({&endpoint_client_, &directory_, &stats_, &prefixes_, &selector_, &board_,
               &relay_metrics_, MakeHooks()},
              RandomId()),
-      config_follower_(&store_, PlatformStore::config_key(), ConfigHandlers()),
-      endpoint_follower_(&store_, PlatformStore::endpoint_prefix(), EndpointHandlers()),
+      config_follower_(&store_, PlatformStore::config_key(), kConfigBatch, ConfigHandlers()),
+      endpoint_follower_(&store_, PlatformStore::endpoint_prefix(),
+                         settings.bounds.endpoint_drain / kBatchesPerDrain, EndpointHandlers()),
       caller_server_(io->get_executor(), HttpLimits(),
                      [this](HttpExchange& exchange) { return relay_.Handle(exchange); }),
       readiness_server_(io->get_executor(), kInternalLimits,
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -106,7 +106,7 @@
     report.fence = known_fence_;
     report.news_version = known_news_;
     for (const auto& [id, work] : stats_->own()) {
-      if (work.requests > 0) report.endpoints.push_back({id, work});
+      if (work.requests > 0) report.endpoints.push_back({id, work, board_->AdaptersInUse(id)});
     }
     if (leader_->IsLeader(MonotonicNow())) {
       report.models = board_->Take();
--- a/src/model_planner.cpp
+++ b/src/model_planner.cpp
@@ -15,21 +15,51 @@
 constexpr milliseconds kWaitingLifetime{1500};
 // Share of an engine's time that reading prompts may take, so that a prompt seldom finds others.
 constexpr double kTargetShare = 0.25;
+// An engine is surplus only when the others would stay below this share without it.
+constexpr double kSurplusShare = 0.15;
 // Requests per second from which a model has a second engine, in case one fails.
 constexpr double kSecondEngineRate = 0.8;
-// A model that was used this recently keeps one engine if another can make room.
+// A model that was not used for this long has no claim to an engine.
 constexpr seconds kKeepTime{20};
-// A replica is worth its model's rate times its reload time; a surplus one is worth this share.
-constexpr double kSurplusShare = 0.05;
+// A model whose requests may wait this many times longer than a load from disk takes can make
+// room for others while it is idle, and be loaded again.
+constexpr int kSwapFactor = 3;
+
+// Why a model should have another engine, the most pressing first.
+enum class Need : std::uint8_t {
+  // Requests wait, and no engine holds or loads the model.
+  kWaiting,
+  // Its engines are too few for the load, or it has none although it is in use.
+  kLoad,
+  // No engine has a copy of its weights.
+  kCopy
+};
 
-// One model that should have another engine.
 struct Deficit {
   std::string model;
-  // Larger goes first.
+  Need need = Need::kCopy;
+  // Among those of the same need, larger goes first.
   double urgency = 0;
-  // Requests wait and no engine holds or loads the model.
-  bool cold = false;
-  bool waiting = false;
+};
+
+// How much an engine's replica of a model is needed, the least first.
+enum class Hold : std::uint8_t {
+  // Others hold the model, and it is not in use or they are enough.
+  kSurplus,
+  // The only one of a model that is not in use.
+  kUnused,
+  // In use, but its requests can wait for another load.
+  kSwappable,
+  // In use with a tight target; others hold the model, too.
+  kTightShared,
+  kNeeded
+};
+
+struct Victim {
+  std::string model;
+  Hold hold = Hold::kNeeded;
+  // Requests per second.
+  double rate = 0;
 };
 
 bool Contains(const std::vector<std::string>& list, const std::string& item) {
@@ -46,7 +76,7 @@
         demand_(demand),
         store_loads_allowed_(store_loads_allowed),
         now_(now),
-        ordered_(engines.size(), false) {
+        used_(engines.size(), false) {
     for (const PlannerEngine& engine : engines_) {
       for (const HeldModel& held : engine.holdings.models) ++replicas_[held.name];
       if (!engine.loading.empty() && engine.holdings.Find(engine.loading) == nullptr) {
@@ -55,9 +85,9 @@
     }
   }
 
-  std::vector<PlannedOrder> Plan() {
+  std::vector<PlannedLoad> Plan() {
     for (const Deficit& deficit : Deficits()) PlaceOne(deficit);
-    return std::move(orders_);
+    return std::move(loads_);
   }
 
  private:
@@ -73,115 +103,148 @@
 
   bool HasCopy(const std::string& model) const {
     return std::any_of(engines_.begin(), engines_.end(), [&](const PlannerEngine& engine) {
-      return SourceOf(engine.holdings, model) != WeightSource::kStore;
+      return SourceOf(engine.holdings, model) != WeightSource::kStore || engine.loading == model;
     });
   }
 
+  bool IsInUse(const ModelDemandRate* demand) const {
+    return demand != nullptr && demand->last_used() && now_ - *demand->last_used() < kKeepTime;
+  }
+
+  // Whether requests for a model can wait for a load from disk without being late.
+  bool IsSwappable(const ModelDemandRate& demand, const std::string& model) const {
+    const auto profile = profile_.models.find(model);
+    return profile != profile_.models.end() &&
+           demand.target() > profile->second.load_from_disk * kSwapFactor;
+  }
+
   std::vector<Deficit> Deficits() const {
     std::vector<Deficit> deficits;
     for (const auto& [model, unused] : profile_.models) {
       const ModelDemandRate* demand = DemandOf(model);
       const std::uint32_t wanted = WantedReplicas(demand, engines_.size(), now_);
       const std::uint32_t replicas = ReplicasOf(model);
-      Deficit deficit{model, 0, replicas == 0, false};
       if (demand != nullptr && demand->Waiting(now_) > 0 && replicas == 0) {
-        deficit.waiting = true;
-        deficit.urgency = 1000.0 - demand->waiting_priority();
-      } else if (replicas < wanted) {
-        deficit.urgency = 1.0 + demand->EngineShare(now_) / (replicas + 0.5);
+        deficits.push_back({model, Need::kWaiting, -static_cast<double>(demand->waiting_priority())});
+      } else if (replicas < wanted && (replicas > 0 || !IsSwappable(*demand, model))) {
+        const double urgency = (demand->EngineShare(now_) + demand->RecentRate(now_) * 0.01) /
+                               (replicas + 0.1);
+        deficits.push_back({model, Need::kLoad, urgency});
       } else if (replicas == 0 && !HasCopy(model)) {
-        deficit.urgency = 0.1;
-      } else {
-        continue;
+        deficits.push_back({model, Need::kCopy, demand == nullptr ? 0 : demand->LongRate(now_)});
       }
-      deficits.push_back(std::move(deficit));
     }
-    std::stable_sort(deficits.begin(), deficits.end(),
-                     [](const Deficit& a, const Deficit& b) { return a.urgency > b.urgency; });
+    std::stable_sort(deficits.begin(), deficits.end(), [](const Deficit& a, const Deficit& b) {
+      return a.need != b.need ? a.need < b.need : a.urgency > b.urgency;
+    });
     return deficits;
   }
 
-  // What is lost if an engine drops a model, in seconds of waiting per second.
-  double ReplicaValue(const PlannerEngine& engine, const std::string& model) const {
+  Hold HoldOf(const std::string& model) const {
     const ModelDemandRate* demand = DemandOf(model);
-    if (demand == nullptr) return 0;
-    if (demand->Waiting(now_) > 0) return std::numeric_limits<double>::infinity();
-    const auto profile = profile_.models.find(model);
-    if (profile == profile_.models.end()) return 0;
+    const std::uint32_t replicas = ReplicasOf(model);
+    if (demand != nullptr && demand->Waiting(now_) > 0) return Hold::kNeeded;
+    if (!IsInUse(demand)) return replicas > 1 ? Hold::kSurplus : Hold::kUnused;
     const std::uint32_t wanted = WantedReplicas(demand, engines_.size(), now_);
-    const double reload = ToSeconds(LoadTime(profile->second, WeightSource::kDisk));
-    const double rate = std::max(demand->LongRate(now_), demand->RecentRate(now_));
-    static_cast<void>(engine);
-    const double value = rate * reload;
-    return ReplicasOf(model) > wanted ? value * kSurplusShare : value;
+    const double share_without = demand->EngineShare(now_) / std::max(1.0, replicas - 1.0);
+    if (replicas > std::max(1U, wanted) && share_without < kSurplusShare) return Hold::kSurplus;
+    if (IsSwappable(*demand, model)) return Hold::kSwappable;
+    return replicas > 1 ? Hold::kTightShared : Hold::kNeeded;
   }
 
-  // The model that an engine would drop to make room, and what that costs.
-  std::optional<std::pair<std::string, double>> Victim(const PlannerEngine& engine) const {
-    std::optional<std::pair<std::string, double>> victim;
+  static bool MayTake(Need need, Hold hold) {
+    switch (need) {
+      case Need::kWaiting:
+        return hold != Hold::kNeeded;
+      case Need::kLoad:
+        return hold <= Hold::kSwappable;
+      case Need::kCopy:
+        return hold == Hold::kSurplus;
+    }
+    return false;
+  }
+
+  // The models that an engine would drop to make room for another; std::nullopt if it can't.
+  std::optional<std::vector<Victim>> Victims(const PlannerEngine& engine, Need need,
+                                             double needed_mb) const {
+    std::vector<Victim> candidates;
     for (const HeldModel& held : engine.holdings.models) {
-      const double value = ReplicaValue(engine, held.name);
-      if (std::isinf(value)) continue;
-      if (!victim || value < victim->second) victim = {held.name, value};
+      const Hold hold = HoldOf(held.name);
+      if (!MayTake(need, hold)) continue;
+      const ModelDemandRate* demand = DemandOf(held.name);
+      const double rate =
+          demand == nullptr ? 0 : demand->LongRate(now_) + demand->RecentRate(now_);
+      candidates.push_back({held.name, hold, rate});
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const Victim& a, const Victim& b) {
+      return a.hold != b.hold ? a.hold < b.hold : a.rate < b.rate;
+    });
+    double free = profile_.weights_mb - UsedMb(profile_, engine.holdings);
+    std::vector<Victim> victims;
+    for (const Victim& candidate : candidates) {
+      if (free >= needed_mb) break;
+      EngineHoldings dropped;
+      dropped.models.push_back(*engine.holdings.Find(candidate.model));
+      free += UsedMb(profile_, dropped);
+      victims.push_back(candidate);
+    }
+    if (free < needed_mb) return std::nullopt;
+    return victims;
+  }
+
+  // Seconds that a choice costs: the load, and what the victims are worth.
+  double CostOf(const PlannerEngine& engine, const ModelProfile& model, WeightSource source,
+                const std::vector<Victim>& victims) const {
+    constexpr double kCostOfHold[] = {0, 0.1, 0.3, 10, 100};
+    double cost = ToSeconds(LoadTime(model, source)) + 0.001 * engine.requests;
+    for (const Victim& victim : victims) {
+      cost += kCostOfHold[static_cast<std::size_t>(victim.hold)] + victim.rate;
     }
-    return victim;
+    return cost;
   }
 
-  // Orders one engine to load the model, or to make room for it.
+  // A blocked engine with a copy will soon be free, which beats a load from the store.
+  bool CopyIsBlocked(const std::string& model) const {
+    return std::any_of(engines_.begin(), engines_.end(), [&](const PlannerEngine& engine) {
+      return engine.blocked && SourceOf(engine.holdings, model) != WeightSource::kStore;
+    });
+  }
+
+  // Has one engine load the model, if there is one that can.
   void PlaceOne(const Deficit& deficit) {
     const ModelProfile& model = profile_.models.at(deficit.model);
+    const bool store_allowed = store_loads_allowed_ > 0 && !CopyIsBlocked(deficit.model);
     std::size_t best = engines_.size();
     double best_cost = std::numeric_limits<double>::max();
-    std::optional<std::string> best_victim;
+    std::vector<Victim> best_victims;
     for (std::size_t i = 0; i < engines_.size(); ++i) {
       const PlannerEngine& engine = engines_[i];
-      if (engine.blocked || ordered_[i]) continue;
-      if (engine.holdings.Find(deficit.model) != nullptr) continue;
+      if (engine.blocked || used_[i] || engine.holdings.Find(deficit.model) != nullptr) continue;
       const WeightSource source = SourceOf(engine.holdings, deficit.model);
-      if (source == WeightSource::kStore && store_loads_allowed_ == 0) continue;
-      // A copy elsewhere is read instead of the store, unless all engines that have it are blocked.
-      double cost = ToSeconds(LoadTime(model, source)) + 0.001 * engine.requests;
-      std::optional<std::string> victim;
-      if (UsedMb(profile_, engine.holdings) + model.weights_mb > profile_.weights_mb) {
-        const auto candidate = Victim(engine);
-        if (!candidate) continue;
-        // Requests that wait outweigh what others might lose; more engines for a busy model do not.
-        if (!deficit.waiting && candidate->second >= Benefit(deficit)) continue;
-        victim = candidate->first;
-        cost += candidate->second;
-      }
+      if (source == WeightSource::kStore && !store_allowed) continue;
+      const auto victims = Victims(engine, deficit.need, model.weights_mb);
+      if (!victims) continue;
+      const double cost = CostOf(engine, model, source, *victims);
       if (cost >= best_cost) continue;
       best_cost = cost;
       best = i;
-      best_victim = victim;
+      best_victims = *victims;
     }
-    if (best == engines_.size()) return;
-    Order(best, deficit.model, best_victim);
-  }
-
-  // What another engine for the model gains, in seconds of waiting per second.
-  double Benefit(const Deficit& deficit) const {
-    const ModelDemandRate* demand = DemandOf(deficit.model);
-    if (demand == nullptr) return 1e-6;
-    const auto& profile = profile_.models.at(deficit.model);
-    const double reload = ToSeconds(LoadTime(profile, WeightSource::kDisk));
-    return std::max(demand->LongRate(now_), demand->RecentRate(now_)) * reload *
-           (deficit.cold ? 1.0 : 0.5);
+    if (best < engines_.size()) Take(best, deficit.model, best_victims);
   }
 
-  void Order(std::size_t index, const std::string& model,
-             const std::optional<std::string>& victim) {
+  void Take(std::size_t index, const std::string& model, const std::vector<Victim>& victims) {
     const PlannerEngine& engine = engines_[index];
-    ordered_[index] = true;
-    if (victim) {
-      orders_.push_back({engine.id, OrderKind::kUnload, *victim, false});
-      --replicas_[*victim];
-      return;
+    used_[index] = true;
+    PlannedLoad load{engine.id, {}, model, false};
+    for (const Victim& victim : victims) {
+      load.victims.push_back(victim.model);
+      --replicas_[victim.model];
     }
-    const bool from_store = SourceOf(engine.holdings, model) == WeightSource::kStore;
-    if (from_store) --store_loads_allowed_;
-    orders_.push_back({engine.id, OrderKind::kLoad, model, from_store});
+    load.from_store = SourceOf(engine.holdings, model) == WeightSource::kStore;
+    if (load.from_store) --store_loads_allowed_;
     ++replicas_[model];
+    loads_.push_back(std::move(load));
   }
 
   const EngineProfile& profile_;
@@ -189,9 +252,10 @@
   const DemandRates& demand_;
   std::uint32_t store_loads_allowed_;
   MonotonicTime now_;
-  std::vector<bool> ordered_;
+  // Engines that this round has given a load.
+  std::vector<bool> used_;
   std::map<std::string, std::uint32_t> replicas_;
-  std::vector<PlannedOrder> orders_;
+  std::vector<PlannedLoad> loads_;
 };
 
 }  // namespace
@@ -213,6 +277,7 @@
   reading_ms_ += usage.reading_ms;
   if (usage.requests > 0 || usage.waiting > 0) last_used_ = now;
   waiting_[daemon] = {usage.waiting, now};
+  if (usage.target_ms != UINT32_MAX) target_ = milliseconds(usage.target_ms);
   if (usage.waiting > 0) waiting_priority_ = usage.waiting_priority;
 }
 
@@ -276,10 +341,10 @@
   return std::min<std::uint32_t>(wanted, static_cast<std::uint32_t>(engines));
 }
 
-std::vector<PlannedOrder> PlanOrders(const EngineProfile& profile,
-                                     const std::vector<PlannerEngine>& engines,
-                                     const DemandRates& demand, std::uint32_t store_loads_allowed,
-                                     MonotonicTime now) {
+std::vector<PlannedLoad> PlanLoads(const EngineProfile& profile,
+                                   const std::vector<PlannerEngine>& engines,
+                                   const DemandRates& demand, std::uint32_t store_loads_allowed,
+                                   MonotonicTime now) {
   return Round(profile, engines, demand, store_loads_allowed, now).Plan();
 }
 
--- a/src/model_planner.h
+++ b/src/model_planner.h
@@ -29,6 +29,8 @@
   // Requests that wait now, and the most urgent priority among them.
   std::uint32_t Waiting(MonotonicTime now) const;
   std::uint32_t waiting_priority() const { return waiting_priority_; }
+  // The tightest latency target of the recent requests.
+  milliseconds target() const { return target_; }
   std::optional<MonotonicTime> last_used() const { return last_used_; }
 
  private:
@@ -46,6 +48,7 @@
   std::optional<MonotonicTime> last_used_;
   std::map<std::string, WaitingNote> waiting_;
   std::uint32_t waiting_priority_ = 0;
+  milliseconds target_ = milliseconds::max();
 };
 
 using DemandRates = std::map<std::string, ModelDemandRate>;
@@ -53,9 +56,8 @@
 
 struct PlannerEngine {
   std::string id;
-  std::string region;
   EngineHoldings holdings;
-  // Takes no order now: it is leaving, unknown, or one is in progress.
+  // Takes no order now: what it holds is not known, or an order is in progress.
   bool blocked = false;
   // The model that an order in progress loads; empty for none.
   std::string loading;
@@ -63,9 +65,10 @@
   std::uint32_t requests = 0;
 };
 
-struct PlannedOrder {
+// One engine is to drop some models, in this order, and then to load another.
+struct PlannedLoad {
   std::string engine;
-  OrderKind kind = OrderKind::kLoad;
+  std::vector<std::string> victims;
   std::string model;
   // The load reads the weight store.
   bool from_store = false;
@@ -86,14 +89,13 @@
 // Engines that a model should have. Thread-safe.
 std::uint32_t WantedReplicas(const ModelDemandRate* demand, std::size_t engines, MonotonicTime now);
 
-// Decides the next orders, at most one for each engine: models with waiting requests first, then
-// models in use with too few engines, then models that no engine has a copy of. Models that are
-// needed least make room. Loads from the weight store are planned only where `may_read_store`.
-// Thread-safe.
-std::vector<PlannedOrder> PlanOrders(const EngineProfile& profile,
-                                     const std::vector<PlannerEngine>& engines,
-                                     const DemandRates& demand, std::uint32_t store_loads_allowed,
-                                     MonotonicTime now);
+// Decides the next loads, at most one for each engine: models with waiting requests first, then
+// models whose engines are too few, then models that no engine has a copy of. Models that are
+// needed least make room. Up to `store_loads_allowed` loads read the weight store. Thread-safe.
+std::vector<PlannedLoad> PlanLoads(const EngineProfile& profile,
+                                   const std::vector<PlannerEngine>& engines,
+                                   const DemandRates& demand, std::uint32_t store_loads_allowed,
+                                   MonotonicTime now);
 
 }  // namespace mimosabend
 
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -4,7 +4,6 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -129,6 +128,7 @@
     UsageAnswer answer;
     if (!IsLeader(now)) return answer;
     daemons_[sender] = {report.endpoints, now};
+    for (const EndpointUsage& usage : report.endpoints) NoteAdapters(usage, now);
     bool waiting = false;
     for (const ModelUsage& usage : report.models) {
       demand_[usage.service][usage.model].Add(usage, sender, now);
@@ -162,11 +162,11 @@
       const bool ready = engine != nullptr && engine->known && MayOrder(MonotonicNow());
       if (!ready || engine->holdings.Find(request.model) == nullptr) co_return answer;
       if (HasAdapter(engine->holdings, request.model, request.adapter)) {
-        TouchAdapter(engine, request.model, request.adapter);
+        engine->adapter_use[request.model + "/" + request.adapter] = MonotonicNow();
         answer.placed = true;
         co_return answer;
       }
-      if (engine->busy) {
+      if (engine->busy || MonotonicNow() < engine->retry_at) {
         co_await wake_.WaitUntil(std::min(deadline, MonotonicNow() + kAdapterPoll));
         continue;
       }
@@ -237,8 +237,8 @@
     MonotonicTime retry_at;
     MonotonicTime ordered_at;
     std::uint64_t news_version = 0;
-    // Adapters as "MODEL/ADAPTER", the most recently used last.
-    std::list<std::string> adapter_use;
+    // When adapters ("MODEL/ADAPTER") were last in use.
+    std::map<std::string, MonotonicTime> adapter_use;
   };
 
   struct DaemonNote {
@@ -300,7 +300,7 @@
       }
     }
     std::vector<EndpointUsage> others;
-    for (const auto& [id, work] : sums) others.push_back({id, work});
+    for (const auto& [id, work] : sums) others.push_back({id, work, {}});
     return others;
   }
 
@@ -323,6 +323,12 @@
     engine->ordered_at = MonotonicNow();
   }
 
+  void NoteAdapters(const EndpointUsage& usage, MonotonicTime now) {
+    EngineControlState* engine = Find(usage.endpoint);
+    if (engine == nullptr) return;
+    for (const std::string& name : usage.adapters) engine->adapter_use[name] = now;
+  }
+
   // Brings the states in line with the directory, and reads engines whose state is not known.
   void FollowDirectory(MonotonicTime now) {
     const auto config = directory_->config();
@@ -338,10 +344,11 @@
       engine.service = entry.endpoint.service;
       engine.address = entry.endpoint.address;
       engine.started_ms = entry.endpoint.started_ms;
-      const bool changed = !SameModels(engine.registered, entry.endpoint.holdings);
+      const bool changed = !SameModels(engine.registered, entry.endpoint.holdings) &&
+                           !SameModels(engine.holdings, entry.endpoint.holdings);
       engine.registered = entry.endpoint.holdings;
       const bool stale = !engine.known || changed || now - engine.read_at > kRefreshPeriod;
-      if (stale && !engine.busy && now >= engine.retry_at) Spawn(Refresh(id));
+      if (stale && !engine.busy && engine.loading.empty() && now >= engine.retry_at) Spawn(Refresh(id));
     }
   }
 
@@ -416,13 +423,6 @@
     }
   }
 
-  static void TouchAdapter(EngineControlState* engine, const std::string& model,
-                           const std::string& adapter) {
-    const std::string name = model + "/" + adapter;
-    engine->adapter_use.remove(name);
-    engine->adapter_use.push_back(name);
-  }
-
   FleetOrder MakeOrder(const std::string& id, const EngineControlState& engine, OrderKind kind,
                        const std::string& model, const std::string& adapter) const {
     return FleetOrder{id,    engine.address, kind,           model,       adapter,
@@ -455,96 +455,142 @@
       PlannerEngine view;
       view.id = id;
       view.holdings = engine.holdings;
-      view.blocked = engine.busy || !engine.known || now < engine.retry_at;
+      view.blocked =
+          engine.busy || !engine.loading.empty() || !engine.known || now < engine.retry_at;
       view.loading = engine.loading;
       engines.push_back(std::move(view));
     }
     LoadAllowance& allowance = AllowanceOf(service, profile, now);
     const std::uint32_t store_loads = allowance.MayStart(now) ? 1 : 0;
-    for (const PlannedOrder& order :
-         PlanOrders(profile, engines, demand_[service], store_loads, now)) {
-      if (order.from_store) allowance.Start(now);
-      states_.at(order.engine).busy = true;
-      const auto model = profile.models.find(order.model);
-      const ModelProfile figures = model == profile.models.end() ? ModelProfile() : model->second;
-      Spawn(Execute(service, order, figures));
+    for (const PlannedLoad& load :
+         PlanLoads(profile, engines, demand_[service], store_loads, now)) {
+      if (load.from_store) allowance.Start(now);
+      EngineControlState& engine = states_.at(load.engine);
+      engine.loading = load.model;
+      engine.ready_at = now + profile.models.at(load.model).load_from_store;
+      Spawn(Execute(service, load, profile.models.at(load.model)));
     }
   }
 
-  // Sends an order and follows it to its end.
-  Task<void> Execute(std::string service, PlannedOrder order, ModelProfile figures) {
-    EngineControlState* engine = Find(order.engine);
-    const std::int64_t started_ms = engine->started_ms;
+  // Has an engine drop the victims and load the model.
+  Task<void> Execute(std::string service, PlannedLoad load, ModelProfile figures) {
+    const std::int64_t started_ms = Find(load.engine)->started_ms;
     const std::uint64_t fence = term_->fence;
     const MonotonicTime began = MonotonicNow();
-    const WeightSource source = SourceOf(engine->holdings, order.model);
-    FleetOrder message = MakeOrder(order.engine, *engine, order.kind, order.model, "");
-    const OrderOutcome outcome = co_await engines_->Send(message, kOrderTimeout);
-    LOG4CPLUS_INFO(Log(), "order " << kOrderKindNames[order.kind] << " model=" << order.model
-                                   << " endpoint=" << order.engine << " fence=" << fence
-                                   << " sequence=" << message.expected_sequence << " outcome="
-                                   << kOrderOutcomeNames[outcome]);
-    if (outcome == OrderOutcome::kStaleFence) EndTerm("an engine has seen a higher fence");
-    engine = FindSame(order.engine, started_ms, fence);
-    if (engine != nullptr) {
-      if (outcome == OrderOutcome::kAccepted) {
-        co_await Follow(order, figures, source, started_ms, fence);
-      } else if (outcome != OrderOutcome::kAlreadyHolds) {
-        engine->retry_at = MonotonicNow() + kOrderRetryDelay;
-      }
+    bool done = true;
+    for (const std::string& victim : load.victims) {
+      if (!done) break;
+      const Step step{load.engine, OrderKind::kUnload, victim, started_ms, fence};
+      done = co_await Carry(step, milliseconds(0));
     }
-    if (order.from_store) EndStoreLoad(service, fence, began, figures);
-    engine = FindSame(order.engine, started_ms, fence);
-    if (engine == nullptr) co_return;
-    engine->loading.clear();
-    if (outcome == OrderOutcome::kAccepted) {
-      engine->busy = false;
-    } else {
-      co_await Refresh(order.engine);
+    EngineControlState* engine = FindSame(load.engine, started_ms, fence);
+    if (done && engine != nullptr) {
+      const milliseconds expected = LoadTime(figures, SourceOf(engine->holdings, load.model));
+      engine->ready_at = MonotonicNow() + expected;
+      const Step step{load.engine, OrderKind::kLoad, load.model, started_ms, fence};
+      co_await Carry(step, expected);
     }
+    if (load.from_store) EndStoreLoad(service, fence, began, figures);
+    engine = FindSame(load.engine, started_ms, fence);
+    if (engine != nullptr) engine->loading.clear();
     wake_.NotifyAll();
   }
 
-  void EndStoreLoad(const std::string& service, std::uint64_t fence, MonotonicTime began,
-                    const ModelProfile& figures) {
-    const auto allowance = allowances_.find(service);
-    if (!term_ || term_->fence != fence || allowance == allowances_.end()) return;
-    allowance->second.End(std::chrono::duration_cast<milliseconds>(MonotonicNow() - began),
-                          figures.load_from_store);
-  }
+  // One order to one incarnation of an engine in one term.
+  struct Step {
+    std::string engine;
+    OrderKind kind = OrderKind::kLoad;
+    std::string model;
+    std::int64_t started_ms = 0;
+    std::uint64_t fence = 0;
+  };
 
-  // Waits until an accepted order has been carried out.
-  Task<void> Follow(const PlannedOrder& order, const ModelProfile& figures, WeightSource source,
-                    std::int64_t started_ms, std::uint64_t fence) {
-    EngineControlState* engine = FindSame(order.engine, started_ms, fence);
+  // Sends an order and waits until it has been carried out. False if it was not.
+  Task<bool> Carry(Step step, milliseconds expected) {
+    while (MayOrder(MonotonicNow())) {
+      EngineControlState* engine = FindSame(step.engine, step.started_ms, step.fence);
+      if (engine == nullptr) co_return false;
+      if (engine->busy || MonotonicNow() < engine->retry_at) {
+        co_await wake_.WaitUntil(MonotonicNow() + kAdapterPoll);
+        continue;
+      }
+      break;
+    }
+    EngineControlState* engine = FindSame(step.engine, step.started_ms, step.fence);
+    if (engine == nullptr || !MayOrder(MonotonicNow())) co_return false;
+    const FleetOrder order = MakeOrder(step.engine, *engine, step.kind, step.model, "");
+    engine->busy = true;
+    const OrderOutcome outcome = co_await engines_->Send(order, kOrderTimeout);
+    LogOrder(order, outcome);
+    engine = FindSame(step.engine, step.started_ms, step.fence);
+    if (engine == nullptr) co_return false;
+    engine->busy = false;
+    if (outcome != OrderOutcome::kAccepted) {
+      co_await HandleRefusal(step.engine, outcome);
+      co_return outcome == OrderOutcome::kAlreadyHolds;
+    }
     NoteAcceptance(engine);
-    const MonotonicTime now = MonotonicNow();
-    milliseconds expected{0};
-    if (order.kind == OrderKind::kUnload) {
+    if (step.kind == OrderKind::kUnload) {
       std::erase_if(engine->holdings.models,
-                    [&](const HeldModel& held) { return held.name == order.model; });
+                    [&](const HeldModel& held) { return held.name == step.model; });
       Publish(engine);
-    } else {
-      expected = LoadTime(figures, source);
-      engine->loading = order.model;
-      engine->ready_at = now + expected;
     }
-    const MonotonicTime give_up = now + std::max(expected, milliseconds(500)) * kLoadPatience;
-    const std::uint64_t sequence = engine->holdings.sequence;
+    co_return co_await Follow(step, expected);
+  }
+
+  // Waits until an accepted order has been carried out. False if that takes too long.
+  Task<bool> Follow(Step step, milliseconds expected) {
+    const MonotonicTime give_up =
+        MonotonicNow() + std::max(expected, milliseconds(500)) * kLoadPatience;
     co_await Sleep(expected);
     while (MonotonicNow() < give_up) {
-      engine = FindSame(order.engine, started_ms, fence);
-      if (engine == nullptr) co_return;
+      EngineControlState* engine = FindSame(step.engine, step.started_ms, step.fence);
+      if (engine == nullptr) co_return false;
       auto report = co_await engines_->Report(engine->address, kReportTimeout);
-      engine = FindSame(order.engine, started_ms, fence);
-      if (engine == nullptr) co_return;
-      // A report is some hundred milliseconds old: one from before the order says nothing.
-      if (report && report.value().holdings.sequence >= sequence && !report.value().busy) {
+      engine = FindSame(step.engine, step.started_ms, step.fence);
+      if (engine == nullptr) co_return false;
+      // A report is some hundred milliseconds old: one from before the last order says nothing.
+      const bool current =
+          report && report.value().holdings.sequence >= engine->holdings.sequence && !engine->busy;
+      if (current && !report.value().busy) {
         NoteReport(engine, report.value(), MonotonicNow());
-        co_return;
+        co_return true;
       }
       co_await Sleep(kProgressPoll);
     }
+    co_return false;
+  }
+
+  void LogOrder(const FleetOrder& order, OrderOutcome outcome) const {
+    LOG4CPLUS_INFO(Log(), "order kind=" << kOrderKindNames[order.kind] << " model=" << order.model
+                                        << (order.adapter.empty() ? "" : "/" + order.adapter)
+                                        << " endpoint=" << order.endpoint_id
+                                        << " fence=" << order.fence
+                                        << " sequence=" << order.expected_sequence << " outcome=\""
+                                        << kOrderOutcomeNames[outcome] << "\"");
+  }
+
+  // After an order that was not accepted: reads what the engine holds, or ends the term.
+  Task<void> HandleRefusal(std::string id, OrderOutcome outcome) {
+    if (outcome == OrderOutcome::kStaleFence) {
+      EndTerm("an engine has seen a higher fence");
+      co_return;
+    }
+    EngineControlState* engine = Find(id);
+    if (engine == nullptr) co_return;
+    if (outcome == OrderOutcome::kAlreadyHolds) co_return co_await Refresh(id);
+    // The engine's figures differ from the leader's, or it is not sound: a report takes some time
+    // to show what it did last.
+    engine->known = false;
+    engine->retry_at = MonotonicNow() + kOrderRetryDelay;
+  }
+
+  void EndStoreLoad(const std::string& service, std::uint64_t fence, MonotonicTime began,
+                    const ModelProfile& figures) {
+    const auto allowance = allowances_.find(service);
+    if (!term_ || term_->fence != fence || allowance == allowances_.end()) return;
+    allowance->second.End(std::chrono::duration_cast<milliseconds>(MonotonicNow() - began),
+                          figures.load_from_store);
   }
 
   // Sends one order that brings an adapter closer to an engine.
@@ -574,28 +620,25 @@
     engine->busy = true;
     const FleetOrder order = MakeOrder(request.endpoint, *engine, kind, target, adapter);
     const OrderOutcome outcome = co_await engines_->Send(order, kOrderTimeout);
-    LOG4CPLUS_INFO(Log(), "order " << kOrderKindNames[kind] << " model=" << target << "/" << adapter
-                                   << " endpoint=" << request.endpoint << " fence=" << fence
-                                   << " sequence=" << order.expected_sequence
-                                   << " outcome=" << kOrderOutcomeNames[outcome]);
-    if (outcome == OrderOutcome::kStaleFence) EndTerm("an engine has seen a higher fence");
+    LogOrder(order, outcome);
     engine = FindSame(request.endpoint, started_ms, fence);
     if (engine == nullptr) co_return;
     engine->busy = false;
-    const bool accepted =
-        outcome == OrderOutcome::kAccepted ||
-        (kind == OrderKind::kUnload && outcome == OrderOutcome::kAlreadyHolds);
-    if (!accepted) {
-      co_await Refresh(request.endpoint);
+    const bool accepted = outcome == OrderOutcome::kAccepted;
+    const bool unloaded = kind == OrderKind::kUnload && outcome == OrderOutcome::kAlreadyHolds;
+    if (!accepted && !unloaded) {
+      co_await HandleRefusal(request.endpoint, outcome);
       co_return;
     }
     NoteAcceptance(engine);
     if (kind == OrderKind::kUnload) {
       DropAdapter(&engine->holdings, target, adapter);
-      engine->adapter_use.remove(target + "/" + adapter);
+      engine->adapter_use.erase(target + "/" + adapter);
+      // The engine waits for runs that use the adapter, and takes no other order meanwhile.
+      if (accepted) engine->retry_at = MonotonicNow() + kOrderRetryDelay;
     } else {
       AddAdapter(&engine->holdings, target, adapter);
-      TouchAdapter(engine, target, adapter);
+      engine->adapter_use[target + "/" + adapter] = MonotonicNow();
       co_await Sleep(kAdapterFetch);
       engine = FindSame(request.endpoint, started_ms, fence);
       if (engine == nullptr) co_return;
@@ -609,23 +652,21 @@
     return count;
   }
 
-  // The adapter that was asked for least recently.
+  // The adapter that was in use least recently.
   static std::optional<std::pair<std::string, std::string>> OldestAdapter(
       const EngineControlState& engine) {
+    std::optional<std::pair<std::string, std::string>> oldest;
+    MonotonicTime oldest_use = MonotonicTime::max();
     for (const HeldModel& held : engine.holdings.models) {
       for (const std::string& adapter : held.adapters) {
-        const std::string name = held.name + "/" + adapter;
-        const auto& use = engine.adapter_use;
-        if (std::find(use.begin(), use.end(), name) == use.end()) return {{held.name, adapter}};
+        const auto use = engine.adapter_use.find(held.name + "/" + adapter);
+        const MonotonicTime used = use == engine.adapter_use.end() ? MonotonicTime() : use->second;
+        if (used >= oldest_use) continue;
+        oldest_use = used;
+        oldest = {held.name, adapter};
       }
     }
-    for (const std::string& name : engine.adapter_use) {
-      const std::size_t slash = name.find('/');
-      const std::string model = name.substr(0, slash);
-      const std::string adapter = name.substr(slash + 1);
-      if (HasAdapter(engine.holdings, model, adapter)) return {{model, adapter}};
-    }
-    return std::nullopt;
+    return oldest;
   }
 
   boost::asio::any_io_executor executor_;
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -79,7 +79,8 @@
     co_return false;
   }
   parts_.metrics->model_waits_total->Increment();
-  parts_.board->BeginWaiting(context->service_name, model, priority);
+  parts_.board->BeginWaiting(context->service_name, model, context->route->target_latency,
+                             priority);
   bool found = false;
   while (!context->caller_gone) {
     const MonotonicTime now = MonotonicNow();
@@ -133,7 +134,9 @@
                           static_cast<std::uint64_t>(relay.prompt_tokens) +
                               relay.max_output_tokens};
   parts_.stats->Start(id, work);
-  parts_.board->NoteRequest(context->service_name, relay.model,
+  const std::string adapter_name = relay.model + "/" + relay.adapter;
+  if (!relay.adapter.empty()) parts_.board->BeginAdapter(id, adapter_name);
+  parts_.board->NoteRequest(context->service_name, relay.model, context->route->target_latency,
                             parts_.stats->MillisPerToken(id, relay.model) * choice.unread_tokens);
   const MonotonicTime sent_at = MonotonicNow();
   HttpCall call = MakeCall(context.get(), choice, context->deadline);
@@ -186,6 +189,7 @@
   EndpointWork left = work;
   if (context->events > events_before) left.unread_tokens = 0;
   parts_.stats->End(id, left, verdict, MonotonicNow());
+  if (!relay.adapter.empty()) parts_.board->EndAdapter(id, adapter_name);
   co_return next;
 }
 
--- a/src/usage_board.h
+++ b/src/usage_board.h
@@ -21,14 +21,19 @@
       : waiting_began_(executor), changed_(std::move(executor)) {}
 
   // Notes a request that starts at an engine.
-  void NoteRequest(const std::string& service, const std::string& model, double reading_ms) {
+  void NoteRequest(const std::string& service, const std::string& model, milliseconds target,
+                   double reading_ms) {
     ModelUsage& usage = UsageOf(service, model);
+    usage.target_ms = std::min(usage.target_ms, static_cast<std::uint32_t>(target.count()));
     ++usage.requests;
     usage.reading_ms += static_cast<std::uint32_t>(reading_ms);
   }
 
   // A request waits because no engine holds its model.
-  void BeginWaiting(const std::string& service, const std::string& model, std::uint32_t priority) {
+  void BeginWaiting(const std::string& service, const std::string& model, milliseconds target,
+                    std::uint32_t priority) {
+    ModelUsage& usage = UsageOf(service, model);
+    usage.target_ms = std::min(usage.target_ms, static_cast<std::uint32_t>(target.count()));
     waiting_[{service, model}].insert(priority);
     waiting_began_.NotifyAll();
   }
@@ -55,12 +60,33 @@
     return taken;
   }
 
+  // A request with an adapter runs at an engine until EndAdapter.
+  void BeginAdapter(const std::string& endpoint, const std::string& name) {
+    adapters_[endpoint].insert(name);
+  }
+  void EndAdapter(const std::string& endpoint, const std::string& name) {
+    const auto it = adapters_.find(endpoint);
+    if (it == adapters_.end()) return;
+    const auto one = it->second.find(name);
+    if (one != it->second.end()) it->second.erase(one);
+    if (it->second.empty()) adapters_.erase(it);
+  }
+
+  // Adapters in use at an engine, as "MODEL/ADAPTER".
+  std::vector<std::string> AdaptersInUse(const std::string& endpoint) const {
+    const auto it = adapters_.find(endpoint);
+    if (it == adapters_.end()) return {};
+    const std::set<std::string> names(it->second.begin(), it->second.end());
+    return {names.begin(), names.end()};
+  }
+
   // Puts back what could not be reported.
   void Return(const std::vector<ModelUsage>& usages) {
     for (const ModelUsage& usage : usages) {
       ModelUsage& mine = UsageOf(usage.service, usage.model);
       mine.requests += usage.requests;
       mine.reading_ms += usage.reading_ms;
+      mine.target_ms = std::min(mine.target_ms, usage.target_ms);
     }
   }
 
@@ -81,6 +107,7 @@
 
   std::map<Key, ModelUsage> usage_;
   std::map<Key, std::multiset<std::uint32_t>> waiting_;
+  std::map<std::string, std::multiset<std::string>> adapters_;
   Notifier waiting_began_;
   Notifier changed_;
 };
