--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -44,6 +44,8 @@
 constexpr milliseconds kBalancerDelay{2300};
 // Left of the grace time for ending what is still open.
 constexpr milliseconds kExitMargin{300};
+// Before the end, for refusing what still waits.
+constexpr milliseconds kRefusalMargin{500};
 constexpr HttpLimits kInternalLimits{256, 8192, 8192, milliseconds(15000)};
 // A peer that vanished with its host or a link is noticed after these times.
 constexpr HttpClientOptions kEndpointOptions{milliseconds(1500), seconds(2)};
@@ -386,6 +388,7 @@
   const MonotonicTime end = MonotonicNow() + settings_.bounds.shutdown_grace - kExitMargin;
   LOG4CPLUS_INFO(Log(), "drains, in_flight=" << relay_.in_flight());
   stopping_ = true;
+  relay_.SetEnd(end - kRefusalMargin);
   caller_server_.AnnounceClose();
   if (link_ != nullptr) link_->Stop();
   leader_.Stop();
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -108,7 +108,7 @@
 }
 
 bool RelayHandler::HasTimeLeft(const Context& context, MonotonicTime now) const {
-  return now + kLeastTime < context.deadline;
+  return now + kLeastTime < std::min(context.deadline, end_);
 }
 
 // Whether the next try may start. The first is free; each further one takes from the budget.
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -56,6 +56,9 @@
   // Bounds the repeats that this daemon may send to each service.
   void SetRetryLimits(const RetryLimits& limits);
 
+  // The process ends soon: nothing new is tried, and nothing waits, after `end`.
+  void SetEnd(MonotonicTime end) { end_ = end; }
+
   // Requests that have not ended.
   std::size_t in_flight() const { return in_flight_; }
 
@@ -94,6 +97,7 @@
   RetryLimits retry_limits_;
   std::map<std::string, RetryBudget> budgets_;
   std::size_t in_flight_ = 0;
+  MonotonicTime end_ = MonotonicTime::max();
 };
 
 }  // namespace mimosabend
