--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -101,8 +101,8 @@
       context->reason = "nobody decides on loads now";
       break;
     }
-    co_await parts_.board->changed().WaitUntil(
-        std::min({context->deadline, end_, now + kWaitStep}));
+    const MonotonicTime limit = std::min(context->deadline, end_);
+    co_await parts_.board->changed().WaitUntil(std::min(limit, now + kWaitStep));
   }
   parts_.board->EndWaiting(context->service_name, model, priority);
   context->waited += ToMillis(MonotonicNow() - began);
