Let the leader pass on its view of the store where the bounds allow

Ruled out: longer batches alone, since drains and configurations have bounds of seconds. Change: reports to the placement leader are answered with changes of the directory and the version of the configuration, while the store answered the leader within 1.5 s; daemons read the store themselves when such an answer is older than what the bounds leave. The leader's record holds the key of its messages; a daemon looks twice before it claims the lead.

--- a/src/endpoint_selector.cpp
+++ b/src/endpoint_selector.cpp
@@ -81,8 +81,7 @@
   const auto candidates = Candidates(service, excluded, request.model, now);
   // The last part belongs to the request itself; the one before is the longest shared prefix.
   const std::size_t shared_parts = hashes.empty() ? 0 : hashes.size() - 1;
-  const std::uint64_t key =
-      shared_parts == 0 ? Hash64(request.adapter) : hashes[shared_parts - 1];
+  const std::uint64_t key = shared_parts == 0 ? Hash64(request.adapter) : hashes[shared_parts - 1];
   std::uint32_t shared_tokens = 0;
   for (std::size_t i = 0; i < shared_parts; ++i) shared_tokens += request.prompt[i].tokens;
   const DirectoryEntry* preferred = nullptr;
@@ -104,8 +103,7 @@
     choice.has_adapter =
         request.adapter.empty() || entry->HoldsAdapter(request.model, request.adapter);
     const double batch = 1 + static_cast<double>(work.requests) / profile.slots;
-    choice.expected_ms = WayMillis(endpoint) + kStepMillis +
-                         kStepMillisPerRequest * work.requests +
+    choice.expected_ms = WayMillis(endpoint) + kStepMillis + kStepMillisPerRequest * work.requests +
                          pace * batch * static_cast<double>(work.unread_tokens + unread) +
                          (choice.has_adapter ? 0 : kAdapterMillis);
     double millis = choice.expected_ms + Jitter(kJitterMillis);
--- a/src/fleet_directory.cpp
+++ b/src/fleet_directory.cpp
@@ -7,8 +7,8 @@
 bool DirectoryEntry::HoldsAdapter(const std::string& model, const std::string& adapter) const {
   if (refused.contains(model + "/" + adapter)) return false;
   const HeldModel* held = holdings().Find(model);
-  return held != nullptr && std::find(held->adapters.begin(), held->adapters.end(), adapter) !=
-                                held->adapters.end();
+  return held != nullptr &&
+         std::find(held->adapters.begin(), held->adapters.end(), adapter) != held->adapters.end();
 }
 
 bool FleetDirectory::Adopt(FleetConfig config) {
@@ -19,9 +19,9 @@
 
 bool FleetDirectory::Put(FleetEndpoint endpoint, MonotonicTime now) {
   const auto it = entries_.find(endpoint.id);
-  const bool restarted = it != entries_.end() &&
-                         (it->second.endpoint.started_ms != endpoint.started_ms ||
-                          it->second.endpoint.address != endpoint.address);
+  const bool restarted =
+      it != entries_.end() && (it->second.endpoint.started_ms != endpoint.started_ms ||
+                               it->second.endpoint.address != endpoint.address);
   if (it == entries_.end() || restarted) {
     DirectoryEntry entry;
     entry.endpoint = std::move(endpoint);
--- a/src/fleet_follower.h
+++ b/src/fleet_follower.h
@@ -8,8 +8,8 @@
 #include "fleet_directory.h"
 #include "fleet_store.h"
 #include "log.h"
+#include "notifier.h"
 #include "supervisor.h"
-#include "usage_board.h"
 
 namespace mimosabend {
 
@@ -32,15 +32,23 @@
  public:
   // Precondition: `store` outlives this object.
   // Changes within `batch_delay` share one call to the store, since each call is charged.
-  FleetFollower(Store* store, std::string prefix, milliseconds batch_delay, ItemHandlers handlers)
+  FleetFollower(boost::asio::any_io_executor executor, Store* store, std::string prefix,
+                milliseconds batch_delay, ItemHandlers handlers)
       : store_(store),
         prefix_(std::move(prefix)),
         batch_delay_(batch_delay),
-        handlers_(std::move(handlers)) {}
+        handlers_(std::move(handlers)),
+        wake_(std::move(executor)) {}
 
   // Runs until Stop is called.
   Task<void> Run() {
     while (!stopping_) {
+      if (MonotonicNow() < suspended_until_ && !read_now_) {
+        synced_ = false;
+        co_await wake_.WaitUntil(suspended_until_);
+        continue;
+      }
+      read_now_ = false;
       if (!synced_) {
         co_await TakeSnapshot();
       } else {
@@ -51,10 +59,20 @@
 
   void Stop() { stopping_ = true; }
 
+  // Does not read the store until then, since another daemon passes on what it reads.
+  void Suspend(MonotonicTime until) { suspended_until_ = until; }
+
+  // Reads all items once, also while suspended.
+  void ReadNow() {
+    read_now_ = true;
+    synced_ = false;
+    wake_.NotifyAll();
+  }
+
   // Whether the items were read at least once.
   bool has_read() const { return has_read_; }
-  // Whether the last call to the store succeeded.
-  bool in_touch() const { return failures_ == 0; }
+  // Whether the items are followed and the last call to the store succeeded.
+  bool in_touch() const { return synced_ && failures_ == 0; }
 
  private:
   // A watch is asked for anew after this time, so that a silent connection is noticed.
@@ -124,6 +142,9 @@
   ItemHandlers handlers_;
   std::uint64_t revision_ = 0;
   int failures_ = 0;
+  Notifier wake_;
+  MonotonicTime suspended_until_;
+  bool read_now_ = false;
   bool synced_ = false;
   bool has_read_ = false;
   bool stopping_ = false;
--- a/src/fleet_store.h
+++ b/src/fleet_store.h
@@ -33,14 +33,12 @@
 
 // A KvStore whose changes can be watched under a prefix, and that writes several keys at once.
 template <class T>
-concept FleetStore = KvStore<T> && requires(T& store, std::string text, std::uint64_t revision,
-                                            milliseconds wait, std::vector<KvItem> expected,
-                                            std::vector<KvPut> puts) {
+concept FleetStore = KvStore<T> &&
+    requires(T& store, std::string text, std::uint64_t revision, milliseconds wait,
+             std::vector<KvItem> expected, std::vector<KvPut> puts) {
   { store.Snapshot(text) } -> std::same_as<Task<Result<KvSnapshot, KvError>>>;
   // Waits for changes after a revision.
-  {
-    store.WatchPrefix(text, revision, wait)
-    } -> std::same_as<Task<Result<KvChanges, KvError>>>;
+  { store.WatchPrefix(text, revision, wait) } -> std::same_as<Task<Result<KvChanges, KvError>>>;
   // Writes all of `puts` if each key of `expected` still has its version; 0 expects none. The
   // version of the result is the one revision of all written keys.
   { store.Claim(expected, puts) } -> std::same_as<Task<Result<KvSwap, KvError>>>;
--- a/src/fleet_usage.h
+++ b/src/fleet_usage.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "codec.h"
+#include "directory_feed.h"
 #include "endpoint_stats.h"
 #include "fleet_endpoint.h"
 #include "peer_message.h"
@@ -52,15 +53,16 @@
 // Tells the placement leader what a daemon does. TCP.
 struct UsageReport {
   static constexpr PeerMessageType kType = PeerMessageType::kUsageReport;
-  // The leader's term and news that the daemon knows.
+  // The leader's term, and the news and directory of it that the daemon knows.
   std::uint64_t fence = 0;
   std::uint64_t news_version = 0;
+  std::uint64_t directory_version = 0;
   std::vector<ModelUsage> models;
   std::vector<EndpointUsage> endpoints;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(fence, news_version);
+    archive(fence, news_version, directory_version);
     SerializeList(archive, models);
     SerializeList(archive, endpoints);
   }
@@ -115,6 +117,12 @@
   // Daemons that report to the leader.
   std::uint32_t daemons = 0;
   std::uint32_t next_report_ms = 0;
+  // The leader has lately read the store, so that the next three members are what it holds.
+  bool store_is_fresh = false;
+  std::uint64_t config_version = 0;
+  std::uint64_t directory_version = 0;
+  // Changes after the version of the report, or the whole directory if the term is another one.
+  std::vector<EndpointChange> directory;
   std::vector<EndpointNews> news;
   std::vector<EndpointUsage> others;
   std::vector<PendingLoad> loads;
@@ -122,6 +130,8 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(is_leader, fence, news_version, daemons, next_report_ms);
+    archive(store_is_fresh, config_version, directory_version);
+    SerializeList(archive, directory);
     SerializeList(archive, news);
     SerializeList(archive, others);
     SerializeList(archive, loads);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -30,13 +30,10 @@
 using platform::EngineOrders;
 using platform::PlatformStore;
 
-// Where the daemons keep the key with which they sign their messages.
-constexpr char kPeerKeyKey[] = "mimosabend/peer-key";
 constexpr milliseconds kConfigBatch{20};
 // Entries of endpoints may be read this many times within the time in which a leaving endpoint has
 // to be noticed.
 constexpr int kBatchesPerDrain = 8;
-constexpr milliseconds kPeerKeyRetry{200};
 constexpr milliseconds kTickPeriod{250};
 constexpr milliseconds kMetricsPeriod{1000};
 constexpr milliseconds kDrainPoll{20};
@@ -44,6 +41,14 @@
 constexpr milliseconds kBalancerDelay{2300};
 // Left of the grace time for ending what is still open.
 constexpr milliseconds kExitMargin{300};
+// The leader's view counts as fresh if the store has answered a call that was sent within this
+// time. The lease is renewed more often.
+constexpr milliseconds kFreshness{1500};
+// For a late report and for reading the store afterwards.
+constexpr milliseconds kRelayMargin{500};
+// Less would lapse between two reports of a large fleet.
+constexpr milliseconds kLeastRelayedLifetime{1000};
+constexpr milliseconds kLargestRelayedLifetime{2000};
 // Before the end, for refusing what still waits.
 constexpr milliseconds kRefusalMargin{500};
 constexpr HttpLimits kInternalLimits{256, 8192, 8192, milliseconds(15000)};
@@ -64,6 +69,14 @@
   return timings;
 }
 
+// What a daemon takes from the leader may be as old as kFreshness and the lifetime of an answer
+// together. Only where that leaves time to the bounds, the leader's view stands in for the store.
+milliseconds RelayedLifetime(const GatewayBounds& bounds) {
+  const milliseconds bound = std::min(bounds.endpoint_drain, bounds.config_apply);
+  const milliseconds left = bound - kFreshness - kRelayMargin;
+  return left < kLeastRelayedLifetime ? milliseconds(0) : std::min(left, kLargestRelayedLifetime);
+}
+
 // All parts of a gateway, built in the order of their dependencies.
 class Gateway {
  public:
@@ -86,9 +99,10 @@
   ItemHandlers EndpointHandlers();
   PlacementHooks MakeHooks();
   void AdoptConfig(const KvItem& item);
-  void PutEndpoint(const KvItem& item, MonotonicTime now);
-  Task<void> JoinPeers();
-  Task<Result<std::string, KvError>> ReadPeerKey();
+  void PutItem(const KvItem& item, MonotonicTime now);
+  void PutEndpoint(FleetEndpoint endpoint, MonotonicTime now);
+  bool IsStoreFresh(MonotonicTime now) const;
+  RelayedView MakeView();
   Task<void> Tick();
   void ApplyRetryLimits();
   Task<void> UpdateMetrics();
@@ -100,6 +114,8 @@
   asio::io_context* io_;
   GatewaySettings settings_;
   SettingsReader reread_;
+  // With this key others sign their messages to this process.
+  std::string message_key_;
   Metrics metrics_;
   RelayMetrics relay_metrics_;
   Supervisor supervisor_;
@@ -115,10 +131,9 @@
   UsageBoard board_;
   LeaseKeeper<PlatformStore> lease_;
   Leader leader_;
-  // Set once the key of the peers is known.
-  std::unique_ptr<PeerClient> peer_client_;
-  std::unique_ptr<PeerServer> peer_server_;
-  std::unique_ptr<Link> link_;
+  PeerClient peer_client_;
+  PeerServer peer_server_;
+  Link link_;
   RelayHandler relay_;
   FleetFollower<PlatformStore> config_follower_;
   FleetFollower<PlatformStore> endpoint_follower_;
@@ -135,6 +150,7 @@
     : io_(io),
       settings_(settings),
       reread_(std::move(reread)),
+      message_key_(Hex64(RandomId()) + Hex64(RandomId())),
       supervisor_(io->get_executor(), &metrics_, "gateway",
                   [this](const std::string& task) {
                     LOG4CPLUS_ERROR(Log(), "task " << task << " failed for good, ends");
@@ -152,15 +168,21 @@
       lease_(&store_, LeaseTimings(settings.bounds.holder_gap)),
       leader_(io->get_executor(), &store_, &orders_, &lease_, &directory_,
               PlacementLeaderSettings{settings.name + " " + settings.caller_address.ip,
-                                      settings.peer_address, settings.bounds.holder_gap,
-                                      settings.bounds.fencing_required,
-                                      settings.bounds.ceiling_window,
-                                      settings.bounds.ceiling_over}),
+                                      settings.peer_address, message_key_,
+                                      settings.bounds.holder_gap, settings.bounds.fencing_required,
+                                      settings.bounds.ceiling_window, settings.bounds.ceiling_over,
+                                      [this](MonotonicTime now) { return IsStoreFresh(now); }}),
+      peer_client_(io->get_executor(), {settings.name, "", {}}, &metrics_),
+      peer_server_(io->get_executor(), {settings.name, message_key_, {}}, &metrics_,
+                   [this](Envelope request) { return HandlePeer(std::move(request)); }),
+      link_(settings.name, &store_, &lease_, &peer_client_, &leader_, &directory_, &stats_, &board_,
+            MakeView(), RandomId()),
       relay_({&endpoint_client_, &directory_, &stats_, &prefixes_, &selector_, &board_,
               &relay_metrics_, MakeHooks()},
              RandomId()),
-      config_follower_(&store_, PlatformStore::config_key(), kConfigBatch, ConfigHandlers()),
-      endpoint_follower_(&store_, PlatformStore::endpoint_prefix(),
+      config_follower_(io->get_executor(), &store_, PlatformStore::config_key(), kConfigBatch,
+                       ConfigHandlers()),
+      endpoint_follower_(io->get_executor(), &store_, PlatformStore::endpoint_prefix(),
                          settings.bounds.endpoint_drain / kBatchesPerDrain, EndpointHandlers()),
       caller_server_(io->get_executor(), HttpLimits(),
                      [this](HttpExchange& exchange) { return relay_.Handle(exchange); }),
@@ -174,16 +196,13 @@
 PlacementHooks Gateway::MakeHooks() {
   PlacementHooks hooks;
   hooks.place_adapter = [this](AdapterRequest request) -> Task<bool> {
-    if (link_ == nullptr) co_return false;
-    const bool placed = co_await link_->PlaceAdapter(std::move(request));
+    const bool placed = co_await link_.PlaceAdapter(std::move(request));
     co_return placed;
   };
   hooks.load_end = [this](const std::string& model) -> std::optional<MonotonicTime> {
-    return link_ == nullptr ? std::nullopt : link_->LoadEnd(model);
-  };
-  hooks.has_leader = [this](MonotonicTime now) {
-    return link_ != nullptr && link_->has_leader(now);
+    return link_.LoadEnd(model);
   };
+  hooks.has_leader = [this](MonotonicTime now) { return link_.has_leader(now); };
   return hooks;
 }
 
@@ -199,7 +218,7 @@
 ItemHandlers Gateway::EndpointHandlers() {
   const std::size_t prefix = PlatformStore::endpoint_prefix().size();
   ItemHandlers handlers;
-  handlers.put = [this](const KvItem& item, MonotonicTime now) { PutEndpoint(item, now); };
+  handlers.put = [this](const KvItem& item, MonotonicTime now) { PutItem(item, now); };
   handlers.remove = [this, prefix](const std::string& key, MonotonicTime now) {
     LOG4CPLUS_INFO(Log(), "endpoint " << key.substr(prefix) << " is gone from the store");
     directory_.Remove(key.substr(prefix), now);
@@ -217,8 +236,8 @@
   if (item.key != PlatformStore::config_key()) return;
   auto config = platform::DecodeConfig(item.entry.value);
   if (!config) {
-    LOG4CPLUS_ERROR(Log(), "configuration at revision " << item.entry.version << " is not used: "
-                                                        << config.error());
+    LOG4CPLUS_ERROR(Log(), "configuration at revision " << item.entry.version
+                                                        << " is not used: " << config.error());
     return;
   }
   const std::uint64_t version = config.value().version;
@@ -229,11 +248,11 @@
   }
   caller_server_.set_limits(limits);
   relay_metrics_.config_version->Set(static_cast<double>(version));
-  LOG4CPLUS_INFO(Log(), "configuration " << version << " is in force, revision "
-                                         << item.entry.version);
+  LOG4CPLUS_INFO(Log(),
+                 "configuration " << version << " is in force, revision " << item.entry.version);
 }
 
-void Gateway::PutEndpoint(const KvItem& item, MonotonicTime now) {
+void Gateway::PutItem(const KvItem& item, MonotonicTime now) {
   const std::string id = item.key.substr(PlatformStore::endpoint_prefix().size());
   auto endpoint = platform::DecodeEndpoint(id, item.entry.value);
   if (!endpoint) {
@@ -241,18 +260,46 @@
     directory_.Remove(id, now);
     return;
   }
-  const bool draining = endpoint->state == EndpointState::kDraining;
-  const bool created = directory_.Put(std::move(*endpoint), now);
+  PutEndpoint(std::move(*endpoint), now);
+}
+
+void Gateway::PutEndpoint(FleetEndpoint endpoint, MonotonicTime now) {
+  const std::string id = endpoint.id;
+  const DirectoryEntry* known = directory_.Find(id);
+  const bool draining = endpoint.state == EndpointState::kDraining;
+  const bool drains_now =
+      draining && (known == nullptr || known->endpoint.state != EndpointState::kDraining);
+  const bool created = directory_.Put(std::move(endpoint), now);
   if (created) {
     stats_.Forget(id);
     prefixes_.Forget(id);
   }
-  if (created || draining) {
-    LOG4CPLUS_INFO(Log(), "endpoint " << id << (draining ? " drains" : " is registered")
-                                      << ", revision " << item.entry.version);
+  if (created || drains_now) {
+    LOG4CPLUS_INFO(Log(), "endpoint " << id << (draining ? " drains" : " is registered"));
   }
 }
 
+// Whether the followers show what the store holds now.
+bool Gateway::IsStoreFresh(MonotonicTime now) const {
+  return config_follower_.in_touch() && endpoint_follower_.in_touch() &&
+         now - store_.last_answered() < kFreshness;
+}
+
+RelayedView Gateway::MakeView() {
+  RelayedView view;
+  view.lifetime = RelayedLifetime(settings_.bounds);
+  view.put = [this](FleetEndpoint endpoint, MonotonicTime now) {
+    PutEndpoint(std::move(endpoint), now);
+  };
+  view.suspend_reading = [this](MonotonicTime until) {
+    // Each follower reads the store once before it relies on others.
+    if (config_follower_.has_read()) config_follower_.Suspend(until);
+    if (endpoint_follower_.has_read()) endpoint_follower_.Suspend(until);
+  };
+  view.read_config = [this] { config_follower_.ReadNow(); };
+  return view;
+}
+
 bool Gateway::IsReady() const {
   return !stopping_ && directory_.config() != nullptr && endpoint_follower_.has_read();
 }
@@ -274,8 +321,7 @@
   if (request.type == PeerMessageType::kUsageReport) {
     auto report = Unwrap<UsageReport>(request);
     if (!report) co_return outcome::failure(report.error());
-    const UsageAnswer answer =
-        leader_.HandleReport(request.sender, report.value(), MonotonicNow());
+    const UsageAnswer answer = leader_.HandleReport(request.sender, report.value(), MonotonicNow());
     co_return Wrap(answer, settings_.name, 0, WallNow());
   }
   if (request.type == PeerMessageType::kAdapterRequest) {
@@ -287,41 +333,6 @@
   co_return outcome::failure(PeerError::kUnknownType);
 }
 
-// The key with which daemons sign their messages; the first daemon makes it.
-Task<Result<std::string, KvError>> Gateway::ReadPeerKey() {
-  auto entry = co_await store_.Read(kPeerKeyKey);
-  if (!entry) co_return outcome::failure(entry.error());
-  if (entry.value().exists()) co_return entry.value().value;
-  const std::string key = Hex64(RandomId()) + Hex64(RandomId());
-  auto swapped = co_await store_.CompareAndSwap(kPeerKeyKey, key, 0);
-  if (swapped && swapped.value().swapped) co_return key;
-  co_return outcome::failure(KvError::kOutcomeUnknown);
-}
-
-// Starts what needs the other daemons, once the key is known.
-Task<void> Gateway::JoinPeers() {
-  std::string key;
-  while (key.empty()) {
-    auto read = co_await ReadPeerKey();
-    if (read) {
-      key = read.value();
-    } else {
-      co_await Sleep(kPeerKeyRetry);
-    }
-  }
-  const PeerIdentity identity{settings_.name, key, {}};
-  peer_client_ = std::make_unique<PeerClient>(io_->get_executor(), identity, &metrics_);
-  peer_server_ = std::make_unique<PeerServer>(
-      io_->get_executor(), identity, &metrics_,
-      [this](Envelope request) { return HandlePeer(std::move(request)); });
-  const auto listening = peer_server_->Listen(settings_.peer_address);
-  if (!listening) throw std::runtime_error("cannot listen for peers: " + listening.error());
-  link_ = std::make_unique<Link>(settings_.name, &store_, &lease_, peer_client_.get(), &leader_,
-                                 &directory_, &stats_, &board_, RandomId());
-  supervisor_.Start("leader link", [this] { return link_->Run(); });
-  supervisor_.Start("placement leader", [this] { return leader_.Run(); });
-}
-
 Task<void> Gateway::Tick() {
   for (;;) {
     directory_.Tick(MonotonicNow());
@@ -332,7 +343,7 @@
 
 // This daemon's share of the repeats of all daemons.
 void Gateway::ApplyRetryLimits() {
-  const double daemons = link_ == nullptr ? 1 : link_->daemons();
+  const double daemons = link_.daemons();
   RetryLimits limits;
   limits.share = settings_.bounds.retry_ratio * kRetryMargin;
   limits.extra = settings_.bounds.retry_extra * kRetryMargin / std::max(daemons, 2.0);
@@ -390,7 +401,7 @@
   stopping_ = true;
   relay_.SetEnd(end - kRefusalMargin);
   caller_server_.AnnounceClose();
-  if (link_ != nullptr) link_->Stop();
+  link_.Stop();
   leader_.Stop();
   co_await lease_.Stop();
   co_await Sleep(kBalancerDelay);
@@ -410,13 +421,16 @@
     const auto port = server->Listen(*address);
     if (!port) return outcome::failure(ToString(*address) + ": " + port.error());
   }
+  const auto listening = peer_server_.Listen(settings_.peer_address);
+  if (!listening) return outcome::failure("peers: " + listening.error());
   lease_.SetWanted(false);
   supervisor_.Start("termination", [this] { return WaitForTermination(); });
   supervisor_.Start("reload", [this] { return WaitForReload(); });
   supervisor_.Start("configuration", [this] { return config_follower_.Run(); });
   supervisor_.Start("endpoints", [this] { return endpoint_follower_.Run(); });
   supervisor_.Start("lease", [this] { return lease_.Run(); });
-  supervisor_.Start("peers", [this] { return JoinPeers(); });
+  supervisor_.Start("leader link", [this] { return link_.Run(); });
+  supervisor_.Start("placement leader", [this] { return leader_.Run(); });
   supervisor_.Start("tick", [this] { return Tick(); });
   supervisor_.Start("metrics", [this] { return UpdateMetrics(); });
   LOG4CPLUS_INFO(Log(), "started, callers at " << ToString(settings_.caller_address));
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -15,6 +15,7 @@
 
 void ReadBounds(IniSection* section, GatewayBounds* bounds) {
   bounds->endpoint_drain = ReadMillis(section, "endpoint_drain_ms", bounds->endpoint_drain);
+  bounds->config_apply = ReadMillis(section, "config_apply_ms", bounds->config_apply);
   const double grace = section->Number("shutdown_grace_s", 0, 3600, 8.0);
   bounds->shutdown_grace = milliseconds(static_cast<std::int64_t>(grace * kMillisPerSecond));
   bounds->retry_ratio = section->Number("retry_ratio", 0, 100, bounds->retry_ratio);
@@ -63,8 +64,7 @@
           settings.peer_address = ReadAddress(section, "peer");
           settings.metrics_address = ReadAddress(section, "metrics");
         }},
-       {"platform",
-        [&](IniSection* section) { settings.store = ReadAddress(section, "store"); }},
+       {"platform", [&](IniSection* section) { settings.store = ReadAddress(section, "store"); }},
        {"bounds", [&](IniSection* section) { ReadBounds(section, &settings.bounds); }},
        {"log", [&](IniSection* section) {
           settings.log = ReadLog(section);
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -16,6 +16,8 @@
 struct GatewayBounds {
   // Time after which an endpoint that leaves gets no more requests.
   milliseconds endpoint_drain{2500};
+  // Time after which a configuration has to be in force.
+  milliseconds config_apply{2500};
   // Time from SIGTERM to SIGKILL.
   milliseconds shutdown_grace{8000};
   // Repeats of all daemons together, as a share of the requests, and beyond it, in a window.
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -2,9 +2,11 @@
 #define MIMOSABEND_LEADER_LINK_H_
 
 #include <boost/asio/any_io_executor.hpp>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 #include "endpoint_stats.h"
@@ -18,6 +20,17 @@
 
 namespace mimosabend {
 
+// What a daemon does with the leader's view of the store.
+struct RelayedView {
+  // How long an answer of the leader stands in for reading the store; zero for never.
+  milliseconds lifetime{0};
+  std::function<void(FleetEndpoint, MonotonicTime)> put;
+  // The store need not be read until then.
+  std::function<void(MonotonicTime)> suspend_reading;
+  // The leader has a newer configuration.
+  std::function<void()> read_config;
+};
+
 // A daemon's link to the placement leader: finds it in the store, or takes the lead if there is
 // none, reports what this daemon does, and takes in the leader's news. Not thread-safe.
 template <FleetStore Store, FleetEngines Engines>
@@ -28,7 +41,7 @@
   // Precondition: all pointers outlive this object.
   LeaderLink(std::string name, Store* store, LeaseKeeper<Store>* lease, PeerClient* peers,
              Leader* leader, FleetDirectory* directory, EndpointStats* stats, UsageBoard* board,
-             std::uint64_t seed)
+             RelayedView view, std::uint64_t seed)
       : name_(std::move(name)),
         store_(store),
         lease_(lease),
@@ -37,6 +50,7 @@
         directory_(directory),
         stats_(stats),
         board_(board),
+        view_(std::move(view)),
         random_(seed) {}
 
   // Reports until Stop is called.
@@ -63,9 +77,9 @@
     }
     if (!leader_address_) co_return false;
     const Address address = *leader_address_;
-    auto answer = co_await peers_->template Call<AdapterAnswer>(address, std::move(request),
-                                                                kAdapterTimeout);
-    co_return answer && answer.value().placed;
+    auto answer =
+        co_await peers_->template Call<AdapterAnswer>(address, std::move(request), kAdapterTimeout);
+    co_return answer&& answer.value().placed;
   }
 
   // Daemons that report to the leader, as far as this one knows.
@@ -85,7 +99,13 @@
   static constexpr milliseconds kAdapterTimeout{600};
   static constexpr milliseconds kSearchPeriod{250};
   // Spreads the daemons that find no leader, so that few of them write to the store.
-  static constexpr milliseconds kLargestClaimDelay{150};
+  static constexpr milliseconds kLargestClaimDelay{400};
+  static constexpr milliseconds kLeaseWait{300};
+  static constexpr milliseconds kLeasePoll{20};
+  // While the leader's view of the store is old, all daemons together look this often whether
+  // another one leads.
+  static constexpr std::int64_t kLookMillisPerDaemon = 25;
+  static constexpr milliseconds kLeastLookPeriod{500};
   // Pause between reports while requests wait for a model.
   static constexpr milliseconds kUrgentPeriod{60};
   static constexpr milliseconds kFirstPeriod{250};
@@ -105,6 +125,7 @@
     UsageReport report;
     report.fence = known_fence_;
     report.news_version = known_news_;
+    report.directory_version = known_directory_;
     for (const auto& [id, work] : stats_->own()) {
       if (work.requests > 0) report.endpoints.push_back({id, work, board_->AdaptersInUse(id)});
     }
@@ -116,18 +137,47 @@
     if (!leader_address_) co_return false;
     report.models = board_->Take();
     const Address address = *leader_address_;
+    const MonotonicTime sent_at = MonotonicNow();
     auto answer = co_await peers_->template Call<UsageAnswer>(address, report, kReportTimeout);
-    if (!answer || !answer.value().is_leader) {
+    const bool former = answer && answer.value().fence < known_fence_;
+    if (!answer || !answer.value().is_leader || former) {
       board_->Return(report.models);
       if (!answer && ++failures_ < 2) co_return false;
       leader_address_.reset();
       co_return false;
     }
     failures_ = 0;
+    ApplyView(answer.value(), sent_at);
     Apply(answer.value());
+    co_await LookForOtherLeader(answer.value().store_is_fresh);
     co_return true;
   }
 
+  // Takes the leader's view of the store for this daemon's own.
+  void ApplyView(const UsageAnswer& answer, MonotonicTime sent_at) {
+    if (view_.lifetime.count() == 0 || !answer.store_is_fresh) return;
+    const MonotonicTime now = MonotonicNow();
+    const bool whole = answer.fence != known_fence_ || known_directory_ == 0;
+    std::set<std::string> ids;
+    for (const EndpointChange& change : answer.directory) {
+      if (change.gone) {
+        directory_->Remove(change.id, now);
+        continue;
+      }
+      ids.insert(change.id);
+      FleetEndpoint endpoint = ToEndpoint(change);
+      const DirectoryEntry* known = directory_->Find(change.id);
+      if (known != nullptr) endpoint.holdings = known->endpoint.holdings;
+      view_.put(std::move(endpoint), now);
+    }
+    if (whole) directory_->KeepOnly(ids, now);
+    known_directory_ = answer.directory_version;
+    if (!answer.directory.empty()) board_->changed().NotifyAll();
+    const auto config = directory_->config();
+    if (config == nullptr || answer.config_version > config->version) view_.read_config();
+    view_.suspend_reading(sent_at + view_.lifetime);
+  }
+
   void Apply(const UsageAnswer& answer) {
     const MonotonicTime now = MonotonicNow();
     answered_at_ = now;
@@ -163,18 +213,46 @@
       // with its lease.
       if (leader_->AdoptClaim(*record, entry.value().version)) co_return;
       if (record->address == leader_->peer_address()) co_return;
+      claiming_ = false;
       leader_->NoteOtherLeader();
       leader_address_ = record->address;
+      peers_->set_shared_key(record->message_key);
       // Only a daemon that leads, or is about to, needs a lease.
       lease_->SetWanted(false);
       co_return;
     }
+    co_await Claim();
+  }
+
+  // Takes the lead. Most daemons see another one's claim when they read the key a second time.
+  Task<void> Claim() {
+    if (!claiming_) {
+      claiming_ = true;
+      last_search_ = MonotonicTime();
+      co_await Sleep(milliseconds(
+          std::uniform_int_distribution<std::int64_t>(0, kLargestClaimDelay.count())(random_)));
+      co_return;
+    }
+    claiming_ = false;
     lease_->SetWanted(true);
-    co_await Sleep(milliseconds(
-        std::uniform_int_distribution<std::int64_t>(0, kLargestClaimDelay.count())(random_)));
+    const MonotonicTime give_up = MonotonicNow() + kLeaseWait;
+    while (lease_->SafeLease(MonotonicNow()) == nullptr && MonotonicNow() < give_up) {
+      co_await Sleep(kLeasePoll);
+    }
     co_await leader_->TryTakeLead();
   }
 
+  // Looks for another leader if the present one can't reach the store.
+  Task<void> LookForOtherLeader(bool store_is_fresh) {
+    const MonotonicTime now = MonotonicNow();
+    if (store_is_fresh) fresh_at_ = now;
+    const milliseconds period =
+        std::max(kLeastLookPeriod, milliseconds(daemons_ * kLookMillisPerDaemon));
+    if (now - std::max(fresh_at_, last_search_) < period) co_return;
+    last_search_ = now;
+    co_await FindLeader();
+  }
+
   std::string name_;
   Store* store_;
   LeaseKeeper<Store>* lease_;
@@ -183,16 +261,21 @@
   FleetDirectory* directory_;
   EndpointStats* stats_;
   UsageBoard* board_;
+  RelayedView view_;
   std::mt19937_64 random_;
   std::optional<Address> leader_address_;
   std::uint64_t known_fence_ = 0;
   std::uint64_t known_news_ = 0;
+  std::uint64_t known_directory_ = 0;
   std::uint32_t daemons_ = 1;
   milliseconds period_ = kFirstPeriod;
   int failures_ = 0;
   std::map<std::string, MonotonicTime> loads_;
   MonotonicTime answered_at_;
   MonotonicTime last_search_;
+  MonotonicTime fresh_at_;
+  // The key of the leader was missing when it was last read.
+  bool claiming_ = false;
   bool stopping_ = false;
 };
 
--- a/src/log.h
+++ b/src/log.h
@@ -10,8 +10,8 @@
 
 namespace mimosabend {
 
-// Sends log lines to standard error or output in the format asked for. Call it once, before other threads
-// start.
+// Sends log lines to standard error or output in the format asked for. Call it once, before other
+// threads start.
 void SetUpLog(const LogSettings& settings, const std::string& process_name);
 
 // The logger of the program. Thread-safe.
--- a/src/model_planner.cpp
+++ b/src/model_planner.cpp
@@ -125,10 +125,11 @@
       const std::uint32_t wanted = WantedReplicas(demand, engines_.size(), now_);
       const std::uint32_t replicas = ReplicasOf(model);
       if (demand != nullptr && demand->Waiting(now_) > 0 && replicas == 0) {
-        deficits.push_back({model, Need::kWaiting, -static_cast<double>(demand->waiting_priority())});
+        deficits.push_back(
+            {model, Need::kWaiting, -static_cast<double>(demand->waiting_priority())});
       } else if (replicas < wanted && (replicas > 0 || !IsSwappable(*demand, model))) {
-        const double urgency = (demand->EngineShare(now_) + demand->RecentRate(now_) * 0.01) /
-                               (replicas + 0.1);
+        const double urgency =
+            (demand->EngineShare(now_) + demand->RecentRate(now_) * 0.01) / (replicas + 0.1);
         deficits.push_back({model, Need::kLoad, urgency});
       } else if (replicas == 0 && !HasCopy(model)) {
         deficits.push_back({model, Need::kCopy, demand == nullptr ? 0 : demand->LongRate(now_)});
@@ -172,8 +173,7 @@
       const Hold hold = HoldOf(held.name);
       if (!MayTake(need, hold)) continue;
       const ModelDemandRate* demand = DemandOf(held.name);
-      const double rate =
-          demand == nullptr ? 0 : demand->LongRate(now_) + demand->RecentRate(now_);
+      const double rate = demand == nullptr ? 0 : demand->LongRate(now_) + demand->RecentRate(now_);
       candidates.push_back({held.name, hold, rate});
     }
     std::sort(candidates.begin(), candidates.end(), [](const Victim& a, const Victim& b) {
--- a/src/model_planner.h
+++ b/src/model_planner.h
@@ -53,7 +53,6 @@
 
 using DemandRates = std::map<std::string, ModelDemandRate>;
 
-
 struct PlannerEngine {
   std::string id;
   EngineHoldings holdings;
--- a/src/peer_transport.h
+++ b/src/peer_transport.h
@@ -30,6 +30,9 @@
   PeerClient(boost::asio::any_io_executor executor, PeerIdentity identity, Metrics* metrics);
   ~PeerClient();
 
+  // Takes effect with the next call.
+  void set_shared_key(const std::string& key) { identity_.shared_key = key; }
+
   // Sends a request and returns the answer. Counts errors.
   template <class Answer, class Request>
   Task<Result<Answer, PeerError>> Call(Address peer, Request request, milliseconds timeout) {
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -4,12 +4,15 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
+#include "directory_feed.h"
 #include "fleet_directory.h"
 #include "fleet_order.h"
 #include "fleet_store.h"
@@ -26,36 +29,45 @@
 inline constexpr char kLeaderKey[] = "mimosabend/leader";
 inline constexpr char kLastHolderKey[] = "mimosabend/holder";
 
-// What the leader's key holds: where the leader is, and the lease that it claimed the key with.
+// What the leader's key holds: where the leader is, the lease that it claimed the key with, and the
+// key with which messages to it are signed.
 struct LeaderRecord {
   Address address;
   LeaseId lease;
+  std::string message_key;
 };
 
-// "IP:PORT LEASE". Thread-safe.
+// "IP:PORT LEASE KEY". Thread-safe.
 inline std::string ToString(const LeaderRecord& record) {
-  return ToString(record.address) + " " + record.lease;
+  return ToString(record.address) + " " + record.lease + " " + record.message_key;
 }
 
 // Parses what ToString writes. Thread-safe.
 inline std::optional<LeaderRecord> ParseLeaderRecord(const std::string& text) {
-  const std::size_t space = text.find(' ');
-  const auto address = ParseAddress(text.substr(0, space));
-  if (!address || space == std::string::npos) return std::nullopt;
-  return LeaderRecord{*address, text.substr(space + 1)};
+  std::istringstream words(text);
+  std::string address_text;
+  LeaderRecord record;
+  words >> address_text >> record.lease >> record.message_key;
+  const auto address = ParseAddress(address_text);
+  if (!address || record.message_key.empty()) return std::nullopt;
+  record.address = *address;
+  return record;
 }
 
 struct PlacementLeaderSettings {
   // Identifies the host: a restarted process of it need not wait for its former orders.
   std::string host;
-  // Where other daemons reach this one.
+  // Where other daemons reach this one, and the key with which they sign their messages.
   Address peer_address;
+  std::string message_key;
   // Time between the last order of one holder and the first of another.
   milliseconds holder_gap{3000};
   // Engines refuse orders with a lower fencing token than one they have seen.
   bool fencing_required = true;
   seconds ceiling_window{5};
   double ceiling_over = 1.1;
+  // Whether this daemon's directory is what the store holds now.
+  std::function<bool(MonotonicTime)> store_is_fresh = [](MonotonicTime) { return false; };
 };
 
 // The one daemon that orders loads and unloads. It is elected by a key in the store that is bound
@@ -93,9 +105,10 @@
     const LeaseId held = *lease;
     auto holder = co_await store_->Read(kLastHolderKey);
     if (!holder) co_return false;
+    const LeaderRecord record{settings_.peer_address, held, settings_.message_key};
     std::vector<KvItem> expected{{kLeaderKey, {"", 0}},
                                  {kLastHolderKey, {"", holder.value().version}}};
-    std::vector<KvPut> puts{{kLeaderKey, ToString(LeaderRecord{settings_.peer_address, held}), held},
+    std::vector<KvPut> puts{{kLeaderKey, ToString(record), held},
                             {kLastHolderKey, settings_.host, {}}};
     auto claimed = co_await store_->Claim(std::move(expected), std::move(puts));
     if (!claimed || !claimed.value().swapped || !lease_->Holds(held)) co_return false;
@@ -146,10 +159,11 @@
       if (engine.known && engine.news_version > known) answer.news.push_back(NewsOf(id, engine));
       if (engine.loading.empty()) continue;
       const auto left = std::chrono::duration_cast<milliseconds>(engine.ready_at - now);
-      answer.loads.push_back({id, engine.loading, static_cast<std::uint32_t>(std::max<std::int64_t>(
-                                                      0, left.count()))});
+      answer.loads.push_back({id, engine.loading,
+                              static_cast<std::uint32_t>(std::max<std::int64_t>(0, left.count()))});
     }
     answer.others = OthersOf(sender, now);
+    AddDirectory(report, now, &answer);
     return answer;
   }
 
@@ -254,6 +268,7 @@
     term_ = Term{lease, fence, now + (other ? settings_.holder_gap : milliseconds(0))};
     states_.clear();
     allowances_.clear();
+    feed_ = DirectoryFeed();
     first_term_ = !last_holder.exists();
     LOG4CPLUS_INFO(Log(), "leads placement with fence " << fence << ", last holder '"
                                                         << last_holder.value << "'");
@@ -262,8 +277,8 @@
 
   void EndTerm(const std::string& reason) {
     if (!term_) return;
-    LOG4CPLUS_INFO(Log(), "no longer leads placement with fence " << term_->fence << ": "
-                                                                  << reason);
+    LOG4CPLUS_INFO(Log(),
+                   "no longer leads placement with fence " << term_->fence << ": " << reason);
     term_.reset();
     states_.clear();
   }
@@ -277,8 +292,8 @@
   EngineControlState* FindSame(const std::string& id, std::int64_t started_ms,
                                std::uint64_t fence) {
     EngineControlState* engine = Find(id);
-    const bool same = engine != nullptr && engine->started_ms == started_ms && term_ &&
-                      term_->fence == fence;
+    const bool same =
+        engine != nullptr && engine->started_ms == started_ms && term_ && term_->fence == fence;
     return same ? engine : nullptr;
   }
 
@@ -304,6 +319,17 @@
     return others;
   }
 
+  void AddDirectory(const UsageReport& report, MonotonicTime now, UsageAnswer* answer) {
+    const auto config = directory_->config();
+    answer->store_is_fresh = config != nullptr && settings_.store_is_fresh(now);
+    if (!answer->store_is_fresh) return;
+    answer->config_version = config->version;
+    feed_.Update(*directory_);
+    answer->directory_version = feed_.version();
+    const bool same_term = report.fence == term_->fence;
+    answer->directory = feed_.Since(same_term ? report.directory_version : 0);
+  }
+
   static EndpointNews NewsOf(const std::string& id, const EngineControlState& engine) {
     EndpointNews news{id, engine.started_ms, {}};
     for (const HeldModel& held : engine.holdings.models) {
@@ -348,7 +374,8 @@
                            !SameModels(engine.holdings, entry.endpoint.holdings);
       engine.registered = entry.endpoint.holdings;
       const bool stale = !engine.known || changed || now - engine.read_at > kRefreshPeriod;
-      if (stale && !engine.busy && engine.loading.empty() && now >= engine.retry_at) Spawn(Refresh(id));
+      if (stale && !engine.busy && engine.loading.empty() && now >= engine.retry_at)
+        Spawn(Refresh(id));
     }
   }
 
@@ -380,7 +407,8 @@
       co_return;
     }
     // A report is some hundred milliseconds old and may be from before the last order.
-    const bool old = engine->known && report.value().holdings.sequence < engine->holdings.sequence &&
+    const bool old = engine->known &&
+                     report.value().holdings.sequence < engine->holdings.sequence &&
                      now - engine->ordered_at < kReportLag;
     if (report.value().busy || old) engine->retry_at = now + kProgressPoll;
     if (old) co_return;
@@ -403,8 +431,8 @@
   static bool HasAdapter(const EngineHoldings& holdings, const std::string& model,
                          const std::string& adapter) {
     const HeldModel* held = holdings.Find(model);
-    return held != nullptr && std::find(held->adapters.begin(), held->adapters.end(), adapter) !=
-                                  held->adapters.end();
+    return held != nullptr &&
+           std::find(held->adapters.begin(), held->adapters.end(), adapter) != held->adapters.end();
   }
 
   static void AddAdapter(EngineHoldings* holdings, const std::string& model,
@@ -425,8 +453,8 @@
 
   FleetOrder MakeOrder(const std::string& id, const EngineControlState& engine, OrderKind kind,
                        const std::string& model, const std::string& adapter) const {
-    return FleetOrder{id,    engine.address, kind,           model,       adapter,
-                      engine.holdings.sequence, settings_.host, term_->fence};
+    return FleetOrder{id,      engine.address,           kind,           model,
+                      adapter, engine.holdings.sequence, settings_.host, term_->fence};
   }
 
   void PlanAll(MonotonicTime now) {
@@ -439,9 +467,9 @@
 
   LoadAllowance& AllowanceOf(const std::string& service, const EngineProfile& profile,
                              MonotonicTime now) {
-    auto [it, created] = allowances_.try_emplace(
-        service, profile.loads_per_second, settings_.ceiling_window, settings_.ceiling_over,
-        kCeilingExtra, !first_term_, now);
+    auto [it, created] =
+        allowances_.try_emplace(service, profile.loads_per_second, settings_.ceiling_window,
+                                settings_.ceiling_over, kCeilingExtra, !first_term_, now);
     it->second.SetRate(profile.loads_per_second);
     return it->second;
   }
@@ -564,10 +592,9 @@
   void LogOrder(const FleetOrder& order, OrderOutcome outcome) const {
     LOG4CPLUS_INFO(Log(), "order kind=" << kOrderKindNames[order.kind] << " model=" << order.model
                                         << (order.adapter.empty() ? "" : "/" + order.adapter)
-                                        << " endpoint=" << order.endpoint_id
-                                        << " fence=" << order.fence
-                                        << " sequence=" << order.expected_sequence << " outcome=\""
-                                        << kOrderOutcomeNames[outcome] << "\"");
+                                        << " endpoint=" << order.endpoint_id << " fence="
+                                        << order.fence << " sequence=" << order.expected_sequence
+                                        << " outcome=\"" << kOrderOutcomeNames[outcome] << "\"");
   }
 
   // After an order that was not accepted: reads what the engine holds, or ends the term.
@@ -598,7 +625,8 @@
   Task<void> OrderAdapter(AdapterRequest request) {
     EngineControlState* engine = Find(request.endpoint);
     const auto config = directory_->config();
-    const RoutedService* service = config == nullptr ? nullptr : config->FindService(engine->service);
+    const RoutedService* service =
+        config == nullptr ? nullptr : config->FindService(engine->service);
     if (service == nullptr || !service->engine) co_return;
     const auto model = service->engine->models.find(request.model);
     if (model == service->engine->models.end()) co_return;
@@ -680,6 +708,7 @@
   bool first_term_ = false;
   bool stopping_ = false;
   std::uint64_t news_version_ = 0;
+  DirectoryFeed feed_;
   std::map<std::string, EngineControlState> states_;
   std::map<std::string, LoadAllowance> allowances_;
   // By service and model.
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -219,8 +219,7 @@
     context->failure = std::move(reply);
     co_return Next::kTryAgain;
   }
-  context->outcome =
-      reply.status < 500 ? RelayOutcome::kAnswered : RelayOutcome::kEndpointFailed;
+  context->outcome = reply.status < 500 ? RelayOutcome::kAnswered : RelayOutcome::kEndpointFailed;
   co_await Deliver(context, reply.status, platform::ReturnedHeaders(reply.headers),
                    std::move(reply.body));
   co_return Next::kDone;
@@ -296,19 +295,18 @@
   const auto first = context.first_byte ? ToMillis(*context.first_byte - context.arrival).count()
                                         : std::int64_t{-1};
   LOG4CPLUS_INFO(
-      Log(), "request id=" << context.relay.id << " outcome=" << kRelayOutcomeNames[context.outcome]
-                           << " status=" << context.status << " route="
-                           << (context.route == nullptr ? "-" : context.route->name)
-                           << " config="
-                           << (context.config == nullptr ? 0 : context.config->version)
-                           << " model=" << context.relay.model << "/" << context.relay.adapter
-                           << " endpoint=" << context.endpoint << " tries=" << context.tries
-                           << " runs=" << context.runs << " expected_ms="
-                           << std::lround(context.expected_ms) << " first_ms=" << first
-                           << " total_ms=" << ToMillis(now - context.arrival).count()
-                           << " waited_ms=" << context.waited.count()
-                           << " events=" << context.events << " reason=\"" << context.reason
-                           << "\"");
+      Log(),
+      "request id=" << context.relay.id << " outcome=" << kRelayOutcomeNames[context.outcome]
+                    << " status=" << context.status
+                    << " route=" << (context.route == nullptr ? "-" : context.route->name)
+                    << " config=" << (context.config == nullptr ? 0 : context.config->version)
+                    << " model=" << context.relay.model << "/" << context.relay.adapter
+                    << " endpoint=" << context.endpoint << " tries=" << context.tries
+                    << " runs=" << context.runs
+                    << " expected_ms=" << std::lround(context.expected_ms) << " first_ms=" << first
+                    << " total_ms=" << ToMillis(now - context.arrival).count()
+                    << " waited_ms=" << context.waited.count() << " events=" << context.events
+                    << " reason=\"" << context.reason << "\"");
 }
 
 }  // namespace mimosabend
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -20,10 +20,11 @@
                    .Name(std::string(kPrefix) + "requests_ended_total")
                    .Help("Requests by final outcome and kind of route.")
                    .Register(*registry_);
-  auto& first_byte = prometheus::BuildHistogram()
-                         .Name(std::string(kPrefix) + "first_byte_seconds")
-                         .Help("Time from the arrival of a request to the first byte of its answer.")
-                         .Register(*registry_);
+  auto& first_byte =
+      prometheus::BuildHistogram()
+          .Name(std::string(kPrefix) + "first_byte_seconds")
+          .Help("Time from the arrival of a request to the first byte of its answer.")
+          .Register(*registry_);
   for (std::size_t kind = 0; kind < kKinds; ++kind) {
     const std::string name(kRouteKindNames.names[kind]);
     for (std::size_t i = 0; i < kRelayOutcomeCount; ++i) {
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -131,9 +131,9 @@
   parts_.metrics->tries_total->Increment();
   context->endpoint = id;
   context->expected_ms = choice.expected_ms;
-  const EndpointWork work{1, choice.unread_tokens,
-                          static_cast<std::uint64_t>(relay.prompt_tokens) +
-                              relay.max_output_tokens};
+  const EndpointWork work{
+      1, choice.unread_tokens,
+      static_cast<std::uint64_t>(relay.prompt_tokens) + relay.max_output_tokens};
   parts_.stats->Start(id, work);
   const std::string adapter_name = relay.model + "/" + relay.adapter;
   if (!relay.adapter.empty()) parts_.board->BeginAdapter(id, adapter_name);
@@ -156,7 +156,8 @@
     const bool success = status >= 200 && status < 300;
     if (kind == AnswerKind::kMisdirected) {
       context->reason = "engine does not hold the model or adapter";
-      const std::string held = relay.adapter.empty() ? relay.model : relay.model + "/" + relay.adapter;
+      const std::string held =
+          relay.adapter.empty() ? relay.model : relay.model + "/" + relay.adapter;
       parts_.directory->NoteRefused(id, held);
       verdict = TryVerdict::kNeutral;
     } else if (kind == AnswerKind::kNotRun) {
