--- a/src/model_planner.cpp
+++ b/src/model_planner.cpp
@@ -130,7 +130,9 @@
       } else if (replicas < wanted && (replicas > 0 || !IsSwappable(*demand, model))) {
         const double urgency =
             (demand->EngineShare(now_) + demand->RecentRate(now_) * 0.01) / (replicas + 0.1);
-        deficits.push_back({model, Need::kLoad, urgency});
+        for (std::uint32_t i = replicas; i < wanted; ++i) {
+          deficits.push_back({model, Need::kLoad, urgency / (i - replicas + 1)});
+        }
       } else if (replicas == 0 && !HasCopy(model)) {
         deficits.push_back({model, Need::kCopy, demand == nullptr ? 0 : demand->LongRate(now_)});
       }
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -21,6 +21,7 @@
 #include "load_allowance.h"
 #include "log.h"
 #include "model_planner.h"
+#include "notifier.h"
 #include "supervisor.h"
 
 namespace mimosabend {
--- /dev/null
+++ b/tests/fake_fleet_engines.h
@@ -0,0 +1,120 @@
+#ifndef MIMOSABEND_TESTS_FAKE_FLEET_ENGINES_H_
+#define MIMOSABEND_TESTS_FAKE_FLEET_ENGINES_H_
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fleet_order.h"
+#include "supervisor.h"
+
+namespace mimosabend::testing {
+
+// An order as an engine saw it.
+struct SeenOrder {
+  FleetOrder order;
+  OrderOutcome outcome = OrderOutcome::kUnknown;
+  MonotonicTime at;
+};
+
+// Model engines in memory, shared by the leaders of a test. They check fences and sequence numbers,
+// and note orders that would overfill them. Not thread-safe. Models FleetEngines.
+class FakeFleetEngines {
+ public:
+  // Loads take this long; reports are as old as that.
+  static constexpr milliseconds kLoadTime{30};
+
+  struct Engine {
+    EngineHoldings holdings;
+    std::uint64_t fence = 0;
+    MonotonicTime busy_until;
+    std::set<std::string> adapters_in_use;
+  };
+
+  Engine& engine(const Address& address) { return engines_[address.port]; }
+  const std::vector<SeenOrder>& orders() const { return orders_; }
+
+  // The next order is not answered, and is carried out after this time if its number still fits.
+  void CarryOutNextLate(milliseconds delay) { late_ = delay; }
+
+  Task<Result<EngineReport, HttpError>> Report(Address address, milliseconds) {
+    co_await Sleep(milliseconds(1));
+    const Engine& state = engine(address);
+    EngineReport report;
+    report.holdings = state.holdings;
+    report.busy = MonotonicNow() < state.busy_until;
+    co_return report;
+  }
+
+  Task<OrderOutcome> Send(FleetOrder order, milliseconds timeout) {
+    co_await Sleep(milliseconds(1));
+    if (late_.count() > 0) {
+      const milliseconds delay = late_;
+      late_ = milliseconds(0);
+      boost::asio::co_spawn(co_await boost::asio::this_coro::executor, CarryOutLate(order, delay),
+                            boost::asio::detached);
+      co_await Sleep(timeout);
+      co_return OrderOutcome::kUnknown;
+    }
+    const OrderOutcome outcome = CarryOut(order);
+    orders_.push_back({order, outcome, MonotonicNow()});
+    co_return outcome;
+  }
+
+ private:
+  Task<void> CarryOutLate(FleetOrder order, milliseconds delay) {
+    co_await Sleep(delay);
+    const OrderOutcome outcome = CarryOut(order);
+    orders_.push_back({order, outcome, MonotonicNow()});
+  }
+
+  OrderOutcome CarryOut(const FleetOrder& order) {
+    Engine& state = engine(order.address);
+    if (order.fence < state.fence) return OrderOutcome::kStaleFence;
+    state.fence = order.fence;
+    const bool busy = MonotonicNow() < state.busy_until;
+    if (busy || order.expected_sequence != state.holdings.sequence) return OrderOutcome::kConflict;
+    const auto held = std::find_if(state.holdings.models.begin(), state.holdings.models.end(),
+                                   [&](const HeldModel& item) { return item.name == order.model; });
+    if (!order.adapter.empty()) return CarryOutAdapter(order, &state);
+    if (order.kind == OrderKind::kLoad) {
+      if (held != state.holdings.models.end()) return OrderOutcome::kAlreadyHolds;
+      state.holdings.models.push_back({order.model, {}});
+      state.busy_until = MonotonicNow() + kLoadTime;
+    } else if (held != state.holdings.models.end()) {
+      state.holdings.models.erase(held);
+    }
+    ++state.holdings.sequence;
+    return OrderOutcome::kAccepted;
+  }
+
+  static OrderOutcome CarryOutAdapter(const FleetOrder& order, Engine* state) {
+    for (HeldModel& held : state->holdings.models) {
+      if (held.name != order.model) continue;
+      ++state->holdings.sequence;
+      if (order.kind == OrderKind::kLoad) {
+        held.adapters.push_back(order.adapter);
+        return OrderOutcome::kAccepted;
+      }
+      std::erase(held.adapters, order.adapter);
+      const bool in_use = state->adapters_in_use.contains(order.model + "/" + order.adapter);
+      return in_use ? OrderOutcome::kAccepted : OrderOutcome::kAlreadyHolds;
+    }
+    return OrderOutcome::kRejected;
+  }
+
+  std::map<std::uint16_t, Engine> engines_;
+  std::vector<SeenOrder> orders_;
+  milliseconds late_{0};
+};
+
+static_assert(FleetEngines<FakeFleetEngines>);
+
+}  // namespace mimosabend::testing
+
+#endif  // MIMOSABEND_TESTS_FAKE_FLEET_ENGINES_H_
--- /dev/null
+++ b/tests/test_model_planner.cpp
@@ -0,0 +1,179 @@
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "model_planner.h"
+
+namespace mimosabend::testing {
+
+namespace {
+
+constexpr MonotonicTime kStart{seconds(1000)};
+constexpr double kWeightsMb = 70000;
+constexpr milliseconds kTight{800};
+constexpr milliseconds kLoose{5000};
+
+std::string Model(int i) { return "m" + std::to_string(i); }
+
+// Engines that hold two models each.
+EngineProfile Profile(int models) {
+  EngineProfile profile;
+  profile.weights_mb = 2 * kWeightsMb + 5000;
+  for (int i = 0; i < models; ++i) {
+    profile.models[Model(i)] = {kWeightsMb, 50, 4, seconds(6), milliseconds(800), milliseconds(400)};
+  }
+  return profile;
+}
+
+PlannerEngine Engine(const std::string& id, const std::vector<std::string>& models,
+                     const std::vector<std::string>& disk = {}) {
+  PlannerEngine engine;
+  engine.id = id;
+  for (const std::string& model : models) engine.holdings.models.push_back({model, {}});
+  engine.holdings.on_disk = disk;
+  for (const std::string& model : models) engine.holdings.on_disk.push_back(model);
+  return engine;
+}
+
+ModelUsage Usage(const std::string& model, std::uint32_t requests, std::uint32_t reading_ms,
+                 std::uint32_t waiting, milliseconds target) {
+  ModelUsage usage;
+  usage.model = model;
+  usage.requests = requests;
+  usage.reading_ms = reading_ms;
+  usage.waiting = waiting;
+  usage.target_ms = static_cast<std::uint32_t>(target.count());
+  return usage;
+}
+
+// Demand as after one second of reports.
+void Use(DemandRates* demand, const std::string& model, std::uint32_t requests,
+         std::uint32_t reading_ms, std::uint32_t waiting, milliseconds target) {
+  (*demand)[model].Add(Usage(model, requests, reading_ms, waiting, target), "d", kStart);
+}
+
+}  // namespace
+
+// Guards against a cold model that is read from the store for 6 s while an engine's disk has it.
+TEST_CASE("a waiting model goes where its weights are at hand", "[planner]") {
+  const EngineProfile profile = Profile(6);
+  const std::vector<PlannerEngine> engines{Engine("e1", {"m0"}), Engine("e2", {"m1", "m2"}, {"m3"})};
+  DemandRates demand;
+  Use(&demand, "m2", 1, 100, 0, kLoose);
+  Use(&demand, "m3", 0, 0, 1, kLoose);
+  const auto loads = PlanLoads(profile, engines, demand, 1, kStart);
+  REQUIRE_FALSE(loads.empty());
+  CHECK(loads[0].engine == "e2");
+  CHECK(loads[0].model == "m3");
+  CHECK(loads[0].victims == std::vector<std::string>{"m1"});
+  CHECK_FALSE(loads[0].from_store);
+}
+
+// Guards against many engines that are emptied for the one load that the store allows.
+TEST_CASE("one missing model empties one engine at most", "[planner]") {
+  const EngineProfile profile = Profile(6);
+  std::vector<PlannerEngine> engines;
+  for (int i = 0; i < 4; ++i) engines.push_back(Engine("e" + std::to_string(i), {"m0", "m1"}));
+  DemandRates demand;
+  Use(&demand, "m4", 0, 0, 3, kTight);
+  CHECK(PlanLoads(profile, engines, demand, 0, kStart).empty());
+  const auto loads = PlanLoads(profile, engines, demand, 1, kStart);
+  REQUIRE(loads.size() == 1);
+  engines[0].loading = "m4";
+  engines[0].blocked = true;
+  CHECK(PlanLoads(profile, engines, demand, 0, kStart).empty());
+}
+
+// Guards against busy models that queue on one engine while models whose requests can wait hold
+// the places.
+TEST_CASE("a busy model takes places of models that can be loaded again in time", "[planner]") {
+  const EngineProfile profile = Profile(8);
+  const std::vector<PlannerEngine> engines{Engine("e1", {"m0", "m1"}, {"m0"}),
+                                           Engine("e2", {"m2", "m3"}, {"m0"}),
+                                           Engine("e3", {"m4", "m5"}, {"m0"})};
+  DemandRates demand;
+  Use(&demand, "m0", 30, 2400, 0, kTight);
+  for (int i = 1; i < 5; ++i) Use(&demand, Model(i), 1, 200, 0, kLoose);
+  Use(&demand, "m5", 1, 100, 0, kTight);
+  const auto loads = PlanLoads(profile, engines, demand, 0, kStart);
+  REQUIRE(loads.size() == 2);
+  for (const PlannedLoad& load : loads) {
+    CHECK(load.model == "m0");
+    REQUIRE(load.victims.size() == 1);
+    CHECK(load.victims[0] != "m5");
+  }
+}
+
+// Guards against the only replica of a model that is given up for a copy that nobody waits for.
+TEST_CASE("a copy ahead of demand takes surplus replicas only", "[planner]") {
+  const EngineProfile profile = Profile(4);
+  std::vector<PlannerEngine> engines{Engine("e1", {"m0", "m1"}), Engine("e2", {"m2"})};
+  engines[1].holdings.models.push_back({"m1", {}});
+  const auto loads = PlanLoads(profile, engines, {}, 4, kStart);
+  REQUIRE(loads.size() == 1);
+  CHECK(loads[0].model == "m3");
+  CHECK(loads[0].victims == std::vector<std::string>{"m1"});
+}
+
+// Guards against a model that is loaded from the store while an engine that has it is busy for a
+// moment.
+TEST_CASE("a busy engine with a copy is waited for", "[planner]") {
+  const EngineProfile profile = Profile(4);
+  std::vector<PlannerEngine> engines{Engine("e1", {"m0"}, {"m3"}), Engine("e2", {"m1"})};
+  engines[0].blocked = true;
+  DemandRates demand;
+  Use(&demand, "m3", 0, 0, 1, kTight);
+  for (const PlannedLoad& load : PlanLoads(profile, engines, demand, 1, kStart)) {
+    CHECK(load.model != "m3");
+  }
+}
+
+// Guards against replicas that come and go with each swing of the demand.
+TEST_CASE("replicas are surplus only well below the load that adds one", "[planner]") {
+  DemandRates demand;
+  Use(&demand, "m0", 3, 700, 0, kTight);
+  const ModelDemandRate& rate = demand["m0"];
+  const std::uint32_t wanted = WantedReplicas(&rate, 18, kStart);
+  CHECK(wanted >= 1);
+  CHECK(WantedReplicas(nullptr, 18, kStart) == 0);
+  CHECK(WantedReplicas(&rate, 18, kStart + seconds(60)) == 0);
+}
+
+// Guards against engines that are ordered to hold more than their memory.
+TEST_CASE("no plan overcommits an engine's memory", "[planner]") {
+  constexpr int kModels = 12;
+  const EngineProfile profile = Profile(kModels);
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    std::mt19937_64 random(seed);
+    std::vector<PlannerEngine> engines;
+    for (int e = 0; e < 5; ++e) {
+      std::vector<std::string> models;
+      for (std::uint64_t held = random() % 3; held > 0; --held) {
+        const std::string model = Model(static_cast<int>(random() % kModels));
+        if (models.empty() || models[0] != model) models.push_back(model);
+      }
+      engines.push_back(Engine("e" + std::to_string(e), models, {Model(random() % kModels)}));
+      engines.back().blocked = random() % 4 == 0;
+    }
+    DemandRates demand;
+    for (int i = 0; i < kModels; ++i) {
+      Use(&demand, Model(i), random() % 5, random() % 3000, random() % 3,
+          random() % 2 == 0 ? kTight : kLoose);
+    }
+    std::map<std::string, int> orders;
+    for (const PlannedLoad& load : PlanLoads(profile, engines, demand, random() % 3, kStart)) {
+      CHECK(++orders[load.engine] == 1);
+      const auto engine = std::find_if(engines.begin(), engines.end(),
+                                       [&](const auto& item) { return item.id == load.engine; });
+      CHECK_FALSE(engine->blocked);
+      EngineHoldings after = engine->holdings;
+      for (const std::string& victim : load.victims) {
+        CHECK(std::erase_if(after.models, [&](const auto& held) { return held.name == victim; }) == 1);
+      }
+      CHECK(after.Find(load.model) == nullptr);
+      after.models.push_back({load.model, {}});
+      CHECK(UsedMb(profile, after) <= profile.weights_mb);
+    }
+  }
+}
+
+}  // namespace mimosabend::testing
--- /dev/null
+++ b/tests/test_placement_leader.cpp
@@ -0,0 +1,279 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "fake_fleet_engines.h"
+#include "fake_fleet_store.h"
+#include "placement_leader.h"
+
+namespace mimosabend::testing {
+
+namespace {
+
+constexpr milliseconds kHolderGap{200};
+constexpr double kWeightsMb = 100;
+
+PlacementTimings ShortLease() {
+  PlacementTimings timings;
+  timings.lease_time_to_live = milliseconds(300);
+  timings.lease_renew_period = milliseconds(60);
+  timings.lease_safe_time = milliseconds(200);
+  timings.lease_retry_delay = milliseconds(20);
+  return timings;
+}
+
+FleetConfig Config() {
+  FleetConfig config;
+  config.version = 1;
+  RoutedService service;
+  service.engine = EngineProfile{64, 1000, 2 * kWeightsMb + 20, 2, 100, {}};
+  for (int i = 0; i < 6; ++i) {
+    service.engine->models["m" + std::to_string(i)] = {
+        kWeightsMb, 5, 8, milliseconds(60), milliseconds(20), milliseconds(10)};
+  }
+  config.services["models"] = service;
+  return config;
+}
+
+FleetEndpoint Endpoint(int i) {
+  FleetEndpoint endpoint;
+  endpoint.id = "e" + std::to_string(i);
+  endpoint.service = "models";
+  endpoint.address = {"127.0.0.1", static_cast<std::uint16_t>(9000 + i)};
+  endpoint.slots = 64;
+  return endpoint;
+}
+
+// One daemon's part in placement.
+struct Daemon {
+  Daemon(boost::asio::io_context* io, FakeFleetStore* store, FakeFleetEngines* engines,
+         const std::string& host)
+      : lease(store, ShortLease()),
+        leader(io->get_executor(), store, engines, &lease, &directory,
+               PlacementLeaderSettings{host, {"127.0.0.1", 7000}, "key-" + host, kHolderGap, true,
+                                       seconds(1), 1.1, [](MonotonicTime) { return true; }}) {
+    directory.Adopt(Config());
+    for (int i = 0; i < 3; ++i) directory.Put(Endpoint(i), MonotonicNow());
+    boost::asio::co_spawn(*io, lease.Run(), boost::asio::detached);
+    boost::asio::co_spawn(*io, leader.Run(), boost::asio::detached);
+  }
+
+  FleetDirectory directory;
+  LeaseKeeper<FakeFleetStore> lease;
+  PlacementLeader<FakeFleetStore, FakeFleetEngines> leader;
+};
+
+struct Fleet {
+  Fleet() {
+    for (int i = 0; i < 3; ++i) {
+      EngineHoldings& holdings = engines.engine(Endpoint(i).address).holdings;
+      holdings.models = {{"m" + std::to_string(i), {}}, {"m" + std::to_string(i + 1), {}}};
+      holdings.on_disk = {"m0", "m1", "m2", "m3", "m4"};
+    }
+  }
+
+  void Run(milliseconds time) { io.run_for(time); }
+
+  bool Lead(Daemon* daemon) {
+    bool leads = false;
+    boost::asio::co_spawn(
+        io, daemon->leader.TryTakeLead(),
+        [&leads](std::exception_ptr, bool result) { leads = result; });
+    Run(milliseconds(30));
+    return leads;
+  }
+
+  // Reports that one request waits for a model.
+  static UsageAnswer Wait(Daemon* daemon, const std::string& model) {
+    UsageReport report;
+    report.fence = daemon->leader.fence();
+    ModelUsage usage;
+    usage.service = "models";
+    usage.model = model;
+    usage.waiting = 1;
+    usage.target_ms = 800;
+    report.models.push_back(usage);
+    return daemon->leader.HandleReport("other", report, MonotonicNow());
+  }
+
+  boost::asio::io_context io{1};
+  FakeFleetStore store;
+  FakeFleetEngines engines;
+};
+
+}  // namespace
+
+// Guards against two daemons that lead at once.
+TEST_CASE("one daemon leads, and the next one has a higher fence", "[leader]") {
+  Fleet fleet;
+  Daemon a(&fleet.io, &fleet.store, &fleet.engines, "a");
+  Daemon b(&fleet.io, &fleet.store, &fleet.engines, "b");
+  fleet.Run(milliseconds(50));
+  REQUIRE(fleet.Lead(&a));
+  CHECK_FALSE(fleet.Lead(&b));
+  const std::uint64_t fence = a.leader.fence();
+  fleet.store.EndLease(ParseLeaderRecord(fleet.store.Get(kLeaderKey).value)->lease);
+  fleet.Run(milliseconds(100));
+  CHECK_FALSE(a.leader.IsLeader(MonotonicNow()));
+  REQUIRE(fleet.Lead(&b));
+  CHECK(b.leader.fence() > fence);
+}
+
+// Guards against orders of two holders that follow each other within the lease time.
+TEST_CASE("a new holder orders only after the gap, a restarted one at once", "[leader]") {
+  Fleet fleet;
+  fleet.store.Put(kLastHolderKey, "former");
+  Daemon a(&fleet.io, &fleet.store, &fleet.engines, "a");
+  fleet.Run(milliseconds(50));
+  REQUIRE(fleet.Lead(&a));
+  const MonotonicTime began = MonotonicNow();
+  Fleet::Wait(&a, "m4");
+  fleet.Run(milliseconds(100));
+  CHECK(fleet.engines.orders().empty());
+  Fleet::Wait(&a, "m4");
+  fleet.Run(milliseconds(400));
+  REQUIRE_FALSE(fleet.engines.orders().empty());
+  CHECK(fleet.engines.orders().front().at - began >= kHolderGap - milliseconds(40));
+
+  Fleet other;
+  other.store.Put(kLastHolderKey, "a");
+  Daemon again(&other.io, &other.store, &other.engines, "a");
+  other.Run(milliseconds(50));
+  REQUIRE(other.Lead(&again));
+  other.Run(milliseconds(40));
+  Fleet::Wait(&again, "m4");
+  other.Run(milliseconds(100));
+  CHECK_FALSE(other.engines.orders().empty());
+}
+
+// Guards against a leader that never learns that it leads, while its own key keeps others out.
+TEST_CASE("a claim whose answer was lost is adopted", "[leader]") {
+  Fleet fleet;
+  Daemon a(&fleet.io, &fleet.store, &fleet.engines, "a");
+  fleet.Run(milliseconds(50));
+  fleet.store.LoseNextAnswer();
+  CHECK_FALSE(fleet.Lead(&a));
+  const KvEntry entry = fleet.store.Get(kLeaderKey);
+  REQUIRE(entry.exists());
+  CHECK(a.leader.AdoptClaim(*ParseLeaderRecord(entry.value), entry.version));
+  CHECK(a.leader.IsLeader(MonotonicNow()));
+  CHECK(a.leader.fence() == entry.version);
+  CHECK_FALSE(a.leader.AdoptClaim({{"127.0.0.1", 7000}, "another lease", "k"}, 99));
+}
+
+TEST_CASE("a model that requests wait for is loaded, and the news tells of it", "[leader]") {
+  Fleet fleet;
+  Daemon a(&fleet.io, &fleet.store, &fleet.engines, "a");
+  fleet.Run(milliseconds(50));
+  REQUIRE(fleet.Lead(&a));
+  fleet.Run(milliseconds(50));
+  const UsageAnswer before = Fleet::Wait(&a, "m4");
+  CHECK(before.is_leader);
+  CHECK(before.directory.size() == 3);
+  fleet.Run(milliseconds(300));
+  const UsageAnswer after = Fleet::Wait(&a, "m4");
+  bool told = false;
+  for (const EndpointNews& news : after.news) {
+    for (const ModelNews& model : news.models) told = told || model.name == "m4";
+  }
+  CHECK(told);
+  for (const SeenOrder& seen : fleet.engines.orders()) {
+    CHECK(seen.outcome == OrderOutcome::kAccepted);
+    CHECK(seen.order.fence == a.leader.fence());
+  }
+}
+
+// Guards against an engine that is overfilled by an order which it carries out late: each order
+// names the number of orders that it follows.
+TEST_CASE("a late order never adds to newer ones", "[leader]") {
+  Fleet fleet;
+  Daemon a(&fleet.io, &fleet.store, &fleet.engines, "a");
+  fleet.Run(milliseconds(50));
+  REQUIRE(fleet.Lead(&a));
+  fleet.Run(milliseconds(50));
+  fleet.engines.CarryOutNextLate(milliseconds(1200));
+  for (int i = 0; i < 12; ++i) {
+    Fleet::Wait(&a, "m4");
+    Fleet::Wait(&a, "m5");
+    fleet.Run(milliseconds(150));
+  }
+  for (int i = 0; i < 3; ++i) {
+    const EngineHoldings& holdings = fleet.engines.engine(Endpoint(i).address).holdings;
+    CHECK(UsedMb(*Config().services.at("models").engine, holdings) <= 2 * kWeightsMb + 20);
+  }
+  CHECK(fleet.engines.orders().size() > 2);
+}
+
+// Guards against a replaced leader that goes on ordering.
+TEST_CASE("a leader whose fence is refused gives the lead up", "[leader]") {
+  Fleet fleet;
+  Daemon a(&fleet.io, &fleet.store, &fleet.engines, "a");
+  fleet.Run(milliseconds(50));
+  REQUIRE(fleet.Lead(&a));
+  for (int i = 0; i < 3; ++i) fleet.engines.engine(Endpoint(i).address).fence = 1000;
+  fleet.Run(milliseconds(50));
+  Fleet::Wait(&a, "m4");
+  fleet.Run(milliseconds(200));
+  CHECK_FALSE(a.leader.IsLeader(MonotonicNow()));
+  const std::size_t orders = fleet.engines.orders().size();
+  CHECK(orders >= 1);
+  fleet.Run(milliseconds(300));
+  CHECK(fleet.engines.orders().size() == orders);
+}
+
+// Guards against an adapter that is dropped while requests use it: the engine then takes no other
+// order until they have ended.
+TEST_CASE("an adapter makes way only for another when it is not in use", "[leader]") {
+  Fleet fleet;
+  Daemon a(&fleet.io, &fleet.store, &fleet.engines, "a");
+  fleet.Run(milliseconds(50));
+  REQUIRE(fleet.Lead(&a));
+  fleet.Run(milliseconds(50));
+  const auto place = [&](const std::string& adapter) {
+    bool placed = false;
+    boost::asio::co_spawn(
+        fleet.io, a.leader.PlaceAdapter(AdapterRequest{"e0", "m0", adapter}),
+        [&placed](std::exception_ptr, const AdapterAnswer& answer) { placed = answer.placed; });
+    fleet.Run(milliseconds(100));
+    return placed;
+  };
+  REQUIRE(place("a1"));
+  REQUIRE(place("a2"));
+  UsageReport report;
+  report.fence = a.leader.fence();
+  const UsageAnswer answer = a.leader.HandleReport("other", report, MonotonicNow());
+  for (const EndpointChange& change : answer.directory) {
+    if (change.id == "e0") report.adapters.push_back({change.number, {"m0/a1"}});
+  }
+  a.leader.HandleReport("other", report, MonotonicNow());
+  fleet.engines.engine(Endpoint(0).address).adapters_in_use = {"m0/a1"};
+  REQUIRE(place("a3"));
+  const HeldModel* held = fleet.engines.engine(Endpoint(0).address).holdings.Find("m0");
+  CHECK(held->adapters == std::vector<std::string>{"a1", "a3"});
+}
+
+// Guards against daemons that count a request of their own as one of others, or one that has ended.
+TEST_CASE("a daemon learns what the others have at the endpoints", "[leader]") {
+  Fleet fleet;
+  Daemon a(&fleet.io, &fleet.store, &fleet.engines, "a");
+  fleet.Run(milliseconds(50));
+  REQUIRE(fleet.Lead(&a));
+  UsageReport report;
+  report.fence = a.leader.fence();
+  const MonotonicTime now = MonotonicNow();
+  const std::uint32_t number = a.leader.HandleReport("d1", report, now).directory.front().number;
+  report.loads = {EndpointLoad(number, {2, 6400, 12800})};
+  CHECK(a.leader.HandleReport("d1", report, now).others.empty());
+  const auto others = a.leader.HandleReport("d2", report, now).others;
+  REQUIRE(others.size() == 1);
+  CHECK(others[0].Work().requests == 2);
+  CHECK(others[0].Work().unread_tokens == 6400);
+  report.loads.clear();
+  a.leader.HandleReport("d1", report, now);
+  CHECK(a.leader.HandleReport("d3", report, now).others.size() == 1);
+  a.leader.HandleReport("d2", report, now);
+  CHECK(a.leader.HandleReport("d3", report, now).others.empty());
+}
+
+}  // namespace mimosabend::testing
--- /dev/null
+++ b/tests/test_platform.cpp
@@ -0,0 +1,161 @@
+#include <catch2/catch.hpp>
+
+#include "platform/decode.h"
+#include "platform/request_headers.h"
+
+namespace mimosabend::testing {
+
+namespace {
+
+constexpr char kConfig[] = R"({"version":7,"routes":[
+  {"name":"plain","host":"a.example","prefix":"/x/","route-type":"non_idempotent","timeout-ms":800,
+   "service":"orders","max-attempts":1},
+  {"name":"deeper","host":"a.example","prefix":"/x/y/","route-type":"streaming","timeout-ms":5000,
+   "target-latency-ms":800,"priority":2,"max-attempts":2,"resumable":true,"gap-aim-ms":400,
+   "traffic-split":[{"service":"models","weight":90},{"service":"orders","weight":10}]}],
+ "services":[{"name":"orders","health-path":"/health","max-conns":96},
+  {"name":"models","max-conns":360,"engine":{"slots":64,"kv-capacity":1000,"weights-mb":160000.0,
+   "adapter-slots":8,"loads-per-s":4.2,"models":[{"name":"m","weights-mb":65100.5,"load-time-s":6.0,
+   "warm-s":0.38,"disk-s":0.76,"adapters":36,"adapter-mb":12.0}]}}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"idle-timeout-ms":15000}})";
+
+HttpRequest RequestWith(HttpHeaders headers) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/x/1";
+  request.headers = std::move(headers);
+  return request;
+}
+
+std::string Joined(const HttpHeaders& headers) {
+  std::string text;
+  for (const auto& [name, value] : headers) text += name + "=" + value + ";";
+  return text;
+}
+
+}  // namespace
+
+TEST_CASE("a configuration is decoded into typed values", "[platform]") {
+  const auto config = platform::DecodeConfig(kConfig);
+  REQUIRE(config);
+  CHECK(config.value().version == 7);
+  const Route* route = config.value().FindRoute("a.example:8080", "/x/y/z?q=/x/");
+  REQUIRE(route != nullptr);
+  CHECK(route->name == "deeper");
+  CHECK(route->repeatable());
+  CHECK(route->targets.size() == 2);
+  CHECK(config.value().FindRoute("a.example", "/x/z")->kind == RouteKind::kNonIdempotent);
+  CHECK(config.value().FindRoute("b.example", "/x/z") == nullptr);
+  CHECK(config.value().FindRoute("a.example", "/z/x/") == nullptr);
+  const RoutedService* models = config.value().FindService("models");
+  REQUIRE((models != nullptr && models->engine));
+  CHECK(models->engine->models.at("m").load_from_disk == milliseconds(760));
+  CHECK(models->engine->loads_per_second == Approx(4.2));
+  CHECK(config.value().limits.body_bytes == 4194304);
+}
+
+// Guards against a configuration that is half understood and then in force.
+TEST_CASE("a configuration that is not valid is refused with a reason", "[platform]") {
+  for (const char* text :
+       {"", "[]", "{}", R"({"version":"7","routes":[],"services":[]})",
+        R"({"version":1,"routes":[{"host":"a","prefix":"/","route-type":"odd"}],"services":[]})",
+        R"({"version":1,"routes":[{"prefix":"/","route-type":"streaming"}],"services":[]})"}) {
+    const auto config = platform::DecodeConfig(text);
+    CHECK_FALSE(config);
+    if (!config) CHECK_FALSE(config.error().empty());
+  }
+}
+
+// Guards against foreign entries that name an endpoint, or that break the reading of others.
+TEST_CASE("an entry that is not an endpoint's names none", "[platform]") {
+  const std::string good =
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":64,"state":"ready","born":12,
+          "models":[{"name":"m","version":1,"adapters":["a1"]}],"seq-no":4,"remaining-ms":1500})";
+  const auto endpoint = platform::DecodeEndpoint("i-1", good);
+  REQUIRE(endpoint);
+  CHECK(endpoint->address == Address{"10.0.0.1", 80});
+  CHECK(endpoint->started_ms == 12);
+  CHECK(endpoint->leaves_in == milliseconds(1500));
+  REQUIRE(endpoint->holdings.Find("m") != nullptr);
+  CHECK(endpoint->holdings.Find("m")->adapters == std::vector<std::string>{"a1"});
+  for (const char* text :
+       {"", "\xff\xfe", "7", R"({"service":"s","address":"10.0.0.1:80","state":"odd"})",
+        R"({"service":1,"address":"10.0.0.1:80","state":"ready"})",
+        R"({"service":"s","address":"host:80","state":"ready"})",
+        R"({"service":"s","state":"ready"})"}) {
+    CHECK_FALSE(platform::DecodeEndpoint("i-2", text));
+  }
+}
+
+TEST_CASE("a report names what an engine holds and fetches", "[platform]") {
+  const auto report = platform::DecodeReport(
+      R"({"models":[{"name":"m","version":1,"adapters":[]}],"busy":true,"seq-no":9,"running":3,
+          "coming":["m/a2@1"],"at-hand":{"in-memory":["m"],"on-disk":["m","n"]}})");
+  REQUIRE(report);
+  CHECK(report->busy);
+  CHECK(report->holdings.sequence == 9);
+  CHECK(report->coming == std::vector<std::string>{"m/a2"});
+  CHECK(report->holdings.on_disk.size() == 2);
+  CHECK_FALSE(platform::DecodeReport("{}"));
+}
+
+TEST_CASE("the headers of a request are read", "[platform]") {
+  const RelayRequest relay = platform::ReadRelayRequest(RequestWith(
+      {{"Request-Id", "9c41"}, {"Deadline-Ms", "800"}, {"Model", "m/a3"}, {"Token-Count", "1460,80"},
+       {"Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"}, {"Last-Event-Id", "12"}}));
+  CHECK(relay.id == "9c41");
+  CHECK(relay.time_limit == milliseconds(800));
+  CHECK(relay.model == "m");
+  CHECK(relay.adapter == "a3");
+  CHECK(relay.prompt_tokens == 1460);
+  CHECK(relay.max_output_tokens == 80);
+  REQUIRE(relay.prompt.size() == 2);
+  CHECK(relay.prompt[0].id == 0x5c1e07a2);
+  CHECK(relay.prompt[1].tokens == 410);
+  CHECK(relay.last_event_id == 12);
+  const RelayRequest odd = platform::ReadRelayRequest(
+      RequestWith({{"Deadline-Ms", "soon"}, {"Prompt-Prefix", "zz:1"}, {"Token-Count", ""}}));
+  CHECK_FALSE(odd.time_limit);
+  CHECK(odd.prompt.empty());
+}
+
+// Guards against callers that set what only the gateway may set, and against headers of one
+// connection that reach another.
+TEST_CASE("a request is passed on without the headers that are not the caller's", "[platform]") {
+  const HttpRequest request = RequestWith(
+      {{"Host", "a.example"}, {"Request-Id", "9c41"}, {"Connection", "close, X-Hop"},
+       {"X-Hop", "1"}, {"Keep-Alive", "timeout=5"}, {"Transfer-Encoding", "chunked"},
+       {"Content-Length", "5"}, {"Kv-From", "10.0.0.1:1/2"}, {"Hold", "7"}, {"Pin-Ms", "9"},
+       {"Kv-Backup", "10.0.0.1:1"}, {"Deadline-Ms", "99999"}, {"Last-Event-Id", "3"},
+       {"Model", "m"}});
+  platform::ForwardOptions options;
+  options.endpoint_id = "i-1";
+  options.time_left = milliseconds(700);
+  CHECK(Joined(platform::ForwardedHeaders(request, options)) ==
+        "Host=a.example;Request-Id=9c41;Last-Event-Id=3;Model=m;Deadline-Ms=700;"
+        "Expect-Instance=i-1;");
+  options.last_event_id = 8;
+  options.priority = 2;
+  CHECK(Joined(platform::ForwardedHeaders(request, options)) ==
+        "Host=a.example;Request-Id=9c41;Model=m;Deadline-Ms=700;Expect-Instance=i-1;"
+        "Request-Priority=2;Last-Event-Id=8;");
+}
+
+// Guards against answers that belong to another request, and against a refusal that is taken for
+// a run or the reverse.
+TEST_CASE("an answer is judged by its headers", "[platform]") {
+  const auto judge = [](int status, HttpHeaders headers) {
+    return platform::ClassifyAnswer(status, headers, "9c41");
+  };
+  CHECK(judge(200, {{"Request-Id", "9c41"}, {"Response-Stamp", "s"}}) == AnswerKind::kRan);
+  CHECK(judge(200, {{"Request-Id", "77"}, {"Response-Stamp", "s"}}) == AnswerKind::kForeign);
+  CHECK(judge(200, {{"Request-Id", "9c41"}}) == AnswerKind::kForeign);
+  CHECK(judge(200, {{"Request-Id", "9c41"}, {"Response-Stamp", "s"}, {"Content-Encoding", "x"}}) ==
+        AnswerKind::kForeign);
+  CHECK(judge(500, {{"Request-Id", "9c41"}, {"Response-Stamp", "s"}}) == AnswerKind::kRan);
+  CHECK(judge(503, {{"Not-Executed", "1"}}) == AnswerKind::kNotRun);
+  CHECK(judge(503, {}) == AnswerKind::kRan);
+  CHECK(judge(421, {}) == AnswerKind::kMisdirected);
+}
+
+}  // namespace mimosabend::testing
--- /dev/null
+++ b/tests/test_relay.cpp
@@ -0,0 +1,385 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "http_client.h"
+#include "http_server.h"
+#include "relay_handler.h"
+#include "supervisor.h"
+
+namespace mimosabend::testing {
+
+namespace {
+
+// What an endpoint of the test does with its next requests.
+using Behaviour = std::function<Task<void>(HttpExchange&)>;
+
+HttpHeaders Stamped(const HttpExchange& exchange) {
+  return {{"Request-Id", std::string(exchange.request().header("Request-Id"))},
+          {"Response-Stamp", "stamp"}};
+}
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+}
+
+// An endpoint on loopback.
+struct TestEndpoint {
+  TestEndpoint(boost::asio::io_context* io, std::string endpoint_id)
+      : id(std::move(endpoint_id)),
+        server(io->get_executor(), HttpLimits(), [this](HttpExchange& exchange) -> Task<void> {
+          ++arrivals;
+          last = exchange.request();
+          co_await behaviour(exchange);
+        }) {
+    port = server.Listen({"127.0.0.1", 0}).value();
+  }
+
+  std::string id;
+  HttpServer server;
+  std::uint16_t port = 0;
+  int arrivals = 0;
+  HttpRequest last;
+  Behaviour behaviour = [](HttpExchange& exchange) -> Task<void> {
+    HttpHeaders headers = Stamped(exchange);
+    co_await exchange.Reply(200, std::move(headers), "whole body");
+  };
+};
+
+Behaviour Answer(int status, bool not_run = false) {
+  return [status, not_run](HttpExchange& exchange) -> Task<void> {
+    HttpHeaders headers = Stamped(exchange);
+    if (not_run) headers = {{"Not-Executed", "1"}};
+    std::string body = "status " + std::to_string(status);
+    co_await exchange.Reply(status, std::move(headers), std::move(body));
+  };
+}
+
+// Sends events from `first` to `last`, and ends the stream only if `whole`.
+Behaviour Stream(int first, int last, bool whole) {
+  return [first, last, whole](HttpExchange& exchange) -> Task<void> {
+    HttpHeaders headers = Stamped(exchange);
+    headers.emplace_back("Content-Type", "text/event-stream");
+    co_await exchange.StartStream(200, std::move(headers));
+    for (int id = first; id <= last; ++id) co_await exchange.Write(Event(id));
+    if (whole) {
+      co_await exchange.FinishStream();
+    } else {
+      co_await exchange.Write("id: 99\nda");
+    }
+  };
+}
+
+FleetConfig Config() {
+  FleetConfig config;
+  config.version = 1;
+  const auto route = [&](const std::string& prefix, RouteKind kind, std::uint32_t attempts,
+                         bool resumable, const std::string& service) {
+    Route added;
+    added.name = prefix;
+    added.host = "a.example";
+    added.prefix = prefix;
+    added.kind = kind;
+    added.timeout = milliseconds(2000);
+    added.target_latency = milliseconds(300);
+    added.target_event_gap = milliseconds(100);
+    added.max_attempts = attempts;
+    added.resumable = resumable;
+    added.targets = {{service, 1}};
+    config.routes.push_back(added);
+  };
+  route("/read/", RouteKind::kIdempotent, 2, false, "plain");
+  route("/order/", RouteKind::kNonIdempotent, 1, false, "plain");
+  route("/resumable/", RouteKind::kStreaming, 2, true, "models");
+  route("/once/", RouteKind::kStreaming, 1, false, "models");
+  config.services["plain"] = RoutedService{};
+  RoutedService models;
+  models.engine = EngineProfile{64, 100000, 1000, 8, 1, {}};
+  models.engine->models["m"] = {100, 5, 4, seconds(6), milliseconds(800), milliseconds(400)};
+  config.services["models"] = models;
+  return config;
+}
+
+// A relay with two plain endpoints and two engines on loopback.
+struct Relay {
+  Relay()
+      : p1(&io, "p1"),
+        p2(&io, "p2"),
+        e1(&io, "e1"),
+        e2(&io, "e2"),
+        client(io.get_executor()),
+        caller(io.get_executor()),
+        selector({"north", {{"a", "north"}}}, &directory, &stats, &prefixes, 3),
+        board(io.get_executor()),
+        handler({&client, &directory, &stats, &prefixes, &selector, &board, &metrics, Hooks()}, 5),
+        server(io.get_executor(), HttpLimits(),
+               [this](HttpExchange& exchange) { return handler.Handle(exchange); }) {
+    directory.Adopt(Config());
+    Add(p1, "plain");
+    Add(p2, "plain");
+    Add(e1, "models");
+    Add(e2, "models");
+    RetryLimits limits;
+    limits.extra = 100;
+    limits.at_least = false;
+    handler.SetRetryLimits(limits);
+    port = server.Listen({"127.0.0.1", 0}).value();
+  }
+
+  PlacementHooks Hooks() {
+    PlacementHooks hooks;
+    hooks.place_adapter = [this](AdapterRequest) -> Task<bool> { co_return adapters_placed; };
+    hooks.load_end = [](const std::string&) { return std::nullopt; };
+    hooks.has_leader = [this](MonotonicTime) { return has_leader; };
+    return hooks;
+  }
+
+  void Add(const TestEndpoint& endpoint, const std::string& service) {
+    FleetEndpoint entry;
+    entry.id = endpoint.id;
+    entry.service = service;
+    entry.address = {"127.0.0.1", endpoint.port};
+    entry.failure_domain = "a";
+    entry.slots = 64;
+    entry.holdings.models.push_back({"m", {}});
+    directory.Put(entry, MonotonicNow());
+  }
+
+  HttpCall MakeCall(const std::string& path, const std::string& method = "POST") const {
+    HttpCall call;
+    call.address = {"127.0.0.1", port};
+    call.method = method;
+    call.target = path;
+    call.headers = {{"Host", "a.example"}, {"Request-Id", "9c41"}, {"Deadline-Ms", "1500"},
+                    {"Model", "m"},        {"Token-Count", "100,10"}};
+    call.deadline = MonotonicNow() + seconds(5);
+    return call;
+  }
+
+  // Sends a request and returns its answer; an error if the answer is not whole.
+  Result<HttpReply, HttpError> Send(const std::string& path) {
+    std::optional<Result<HttpReply, HttpError>> result;
+    const auto call = [this, &result](HttpCall request) -> Task<void> {
+      auto reply = co_await caller.Call(std::move(request));
+      result = std::move(reply);
+    };
+    boost::asio::co_spawn(io, call(MakeCall(path)), boost::asio::detached);
+    const MonotonicTime end = MonotonicNow() + seconds(5);
+    while (!result && MonotonicNow() < end) io.run_for(milliseconds(5));
+    REQUIRE(result);
+    return std::move(*result);
+  }
+
+  int plain_arrivals() const { return p1.arrivals + p2.arrivals; }
+  int engine_arrivals() const { return e1.arrivals + e2.arrivals; }
+
+  void Behave(const Behaviour& first, const Behaviour& then) {
+    const auto turns = std::make_shared<int>(0);
+    for (TestEndpoint* endpoint : {&p1, &p2, &e1, &e2}) {
+      endpoint->behaviour = [turns, first, then](HttpExchange& exchange) -> Task<void> {
+        const Behaviour& now = (*turns)++ == 0 ? first : then;
+        co_await now(exchange);
+      };
+    }
+  }
+
+  boost::asio::io_context io{1};
+  TestEndpoint p1, p2, e1, e2;
+  HttpClient client;
+  HttpClient caller;
+  FleetDirectory directory;
+  EndpointStats stats;
+  PrefixIndex prefixes;
+  EndpointSelector selector;
+  UsageBoard board;
+  RelayMetrics metrics;
+  bool adapters_placed = true;
+  bool has_leader = true;
+  RelayHandler handler;
+  HttpServer server;
+  std::uint16_t port = 0;
+};
+
+// Breaks the connection without an answer.
+Task<void> Break(HttpExchange& exchange) {
+  co_await exchange.StartStream(200, HttpHeaders{});
+}
+
+}  // namespace
+
+TEST_CASE("status, body and headers of an endpoint reach the caller unchanged", "[relay]") {
+  Relay relay;
+  auto reply = relay.Send("/order/1?q=2");
+  REQUIRE(reply);
+  CHECK(reply.value().status == 200);
+  CHECK(reply.value().body == "whole body");
+  CHECK(FindHeader(reply.value().headers, "Response-Stamp") == "stamp");
+  const HttpRequest& seen = relay.p1.arrivals > 0 ? relay.p1.last : relay.p2.last;
+  CHECK(seen.target == "/order/1?q=2");
+  CHECK(seen.header("Host") == "a.example");
+  CHECK(std::stoi(std::string(seen.header("Deadline-Ms"))) <= 1500);
+  CHECK_FALSE(seen.header("Expect-Instance").empty());
+  CHECK(relay.Send("/nowhere/1").value().status == 404);
+}
+
+// Guards against an order that runs twice.
+TEST_CASE("an order is sent again only if it has not run", "[relay]") {
+  Relay relay;
+  relay.Behave(Break, Answer(200));
+  CHECK(relay.Send("/order/1").value().status == 502);
+  CHECK(relay.plain_arrivals() == 1);
+  relay.Behave(Answer(500), Answer(200));
+  CHECK(relay.Send("/order/1").value().status == 500);
+  CHECK(relay.plain_arrivals() == 2);
+  relay.Behave(Answer(503, true), Answer(200));
+  CHECK(relay.Send("/order/1").value().status == 200);
+  CHECK(relay.plain_arrivals() == 4);
+}
+
+// Guards against a refusal that says "not run" of a request that may have run.
+TEST_CASE("a request is refused as not run only if that is true", "[relay]") {
+  Relay relay;
+  relay.Behave(Answer(503, true), Answer(503, true));
+  auto refused = relay.Send("/order/1");
+  CHECK(refused.value().status == 503);
+  CHECK_FALSE(FindHeader(refused.value().headers, "Retry-After").empty());
+  relay.Behave(Answer(503, true), Break);
+  CHECK(relay.Send("/order/1").value().status == 502);
+  for (TestEndpoint* endpoint : {&relay.p1, &relay.p2}) relay.directory.Remove(endpoint->id, {});
+  relay.directory.Tick(MonotonicNow());
+  CHECK(relay.Send("/order/1").value().status == 503);
+}
+
+TEST_CASE("a request that may repeat is sent to another endpoint after a failure", "[relay]") {
+  Relay relay;
+  relay.Behave(Answer(500), Answer(200));
+  CHECK(relay.Send("/read/1").value().status == 200);
+  relay.Behave(Break, Answer(200));
+  CHECK(relay.Send("/read/1").value().status == 200);
+  // Two attempts are the most, and the endpoint's own failure is passed on.
+  relay.Behave(Answer(500), Answer(500));
+  CHECK(relay.Send("/read/1").value().body == "status 500");
+  CHECK(relay.plain_arrivals() == 6);
+}
+
+// Guards against repeats beyond what all daemons may send together.
+TEST_CASE("repeats keep to the budget", "[relay]") {
+  Relay relay;
+  RetryLimits none;
+  none.share = 0;
+  none.extra = 1;
+  none.at_least = false;
+  relay.handler.SetRetryLimits(none);
+  for (int i = 0; i < 3; ++i) {
+    relay.Behave(Answer(500), Answer(200));
+    CHECK(relay.Send("/read/1").value().status == (i == 0 ? 200 : 500));
+  }
+}
+
+// Guards against an answer to another request that reaches the caller.
+TEST_CASE("an answer with another request's id is not passed on", "[relay]") {
+  Relay relay;
+  const Behaviour foreign = [](HttpExchange& exchange) -> Task<void> {
+    HttpHeaders headers{{"Request-Id", "other"}, {"Response-Stamp", "stamp"}};
+    co_await exchange.Reply(200, std::move(headers), "another's");
+  };
+  relay.Behave(foreign, Answer(200));
+  CHECK(relay.Send("/order/1").value().status == 502);
+  CHECK(relay.plain_arrivals() == 1);
+}
+
+TEST_CASE("a stream is passed on event by event to its end", "[relay]") {
+  Relay relay;
+  relay.Behave(Stream(1, 3, true), Answer(500));
+  auto reply = relay.Send("/once/1");
+  REQUIRE(reply);
+  CHECK(reply.value().body == Event(1) + Event(2) + Event(3));
+}
+
+// Guards against a stream with a missing, doubled or half event after a break.
+TEST_CASE("a broken stream goes on at another engine behind its last whole event", "[relay]") {
+  Relay relay;
+  relay.Behave(Stream(1, 2, false), Stream(3, 4, true));
+  auto reply = relay.Send("/resumable/1");
+  REQUIRE(reply);
+  CHECK(reply.value().body == Event(1) + Event(2) + Event(3) + Event(4));
+  const bool first_was_e1 = relay.e1.last.header("Last-Event-Id").empty();
+  const HttpRequest& second = first_was_e1 ? relay.e2.last : relay.e1.last;
+  CHECK(second.header("Last-Event-Id") == "2");
+}
+
+// Guards against a broken stream that looks complete.
+TEST_CASE("a stream that can't go on ends without its end", "[relay]") {
+  Relay relay;
+  relay.Behave(Stream(1, 2, false), Stream(3, 4, true));
+  CHECK_FALSE(relay.Send("/once/1"));
+  CHECK(relay.engine_arrivals() == 1);
+}
+
+// Guards against a caller that waits for the whole time limit although nobody can load its model.
+TEST_CASE("a request whose model nobody will load is refused early", "[relay]") {
+  Relay relay;
+  for (TestEndpoint* endpoint : {&relay.e1, &relay.e2}) {
+    relay.directory.NoteRefused(endpoint->id, "m");
+  }
+  relay.has_leader = false;
+  HttpCall call = relay.MakeCall("/once/1");
+  const MonotonicTime began = MonotonicNow();
+  auto reply = relay.Send("/once/1");
+  CHECK(reply.value().status == 503);
+  CHECK(MonotonicNow() - began < milliseconds(1700));
+  CHECK(relay.engine_arrivals() == 0);
+}
+
+// Guards against a request that waits for its model while its daemon stops: it was cut off at the
+// end of the grace time instead of refused.
+TEST_CASE("what waits is refused before the process ends", "[relay]") {
+  Relay relay;
+  for (TestEndpoint* endpoint : {&relay.e1, &relay.e2}) {
+    relay.directory.NoteRefused(endpoint->id, "m");
+  }
+  const MonotonicTime end = MonotonicNow() + milliseconds(300);
+  relay.handler.SetEnd(end);
+  auto reply = relay.Send("/once/1");
+  REQUIRE(reply);
+  CHECK(reply.value().status == 503);
+  CHECK(MonotonicNow() < end + milliseconds(150));
+}
+
+// Guards against an engine that works for a caller who has left.
+TEST_CASE("a caller that leaves ends the work for it", "[relay]") {
+  Relay relay;
+  bool engine_saw_end = false;
+  const Behaviour slow = [&](HttpExchange& exchange) -> Task<void> {
+    HttpHeaders headers = Stamped(exchange);
+    co_await exchange.StartStream(200, std::move(headers));
+    for (int id = 1; id < 200; ++id) {
+      const bool sent = co_await exchange.Write(Event(id));
+      if (!sent) {
+        engine_saw_end = true;
+        co_return;
+      }
+      co_await Sleep(milliseconds(10));
+    }
+  };
+  relay.Behave(slow, slow);
+  {
+    HttpCall call = relay.MakeCall("/resumable/1");
+    call.canceller = std::make_shared<HttpCanceller>();
+    const auto send = [&relay](HttpCall request) -> Task<void> {
+      auto ignored = co_await relay.caller.Call(std::move(request));
+      static_cast<void>(ignored);
+    };
+    boost::asio::co_spawn(relay.io, send(call), boost::asio::detached);
+    relay.io.run_for(milliseconds(100));
+    CHECK(relay.handler.in_flight() == 1);
+    call.canceller->Cancel();
+  }
+  relay.io.run_for(milliseconds(200));
+  CHECK(relay.handler.in_flight() == 0);
+  CHECK(engine_saw_end);
+  CHECK(relay.engine_arrivals() == 1);
+}
+
+}  // namespace mimosabend::testing
