--- /dev/null
+++ b/src/engine_ledger.cpp
@@ -0,0 +1,192 @@
+#include "engine_ledger.h"
+
+#include <algorithm>
+
+#include "model_planner.h"
+
+namespace mimosabend {
+
+namespace {
+
+// An engine's holdings are read again after this time.
+constexpr seconds kRefreshPeriod{10};
+// Longest age of what an engine reports.
+constexpr milliseconds kReportLag{1000};
+
+bool SameModels(const EngineHoldings& a, const EngineHoldings& b) {
+  if (a.models.size() != b.models.size()) return false;
+  return std::all_of(a.models.begin(), a.models.end(),
+                     [&](const HeldModel& held) { return b.Find(held.name) != nullptr; });
+}
+
+std::string AdapterName(const ModelAdapter& adapter) {
+  return adapter.first + "/" + adapter.second;
+}
+
+void AddAdapter(EngineHoldings* holdings, const ModelAdapter& adapter) {
+  for (HeldModel& held : holdings->models) {
+    if (held.name != adapter.first) continue;
+    if (!HasAdapter(*holdings, adapter.first, adapter.second)) {
+      held.adapters.push_back(adapter.second);
+    }
+  }
+}
+
+}  // namespace
+
+bool HasAdapter(const EngineHoldings& holdings, const std::string& model,
+                const std::string& adapter) {
+  const HeldModel* held = holdings.Find(model);
+  return held != nullptr &&
+         std::find(held->adapters.begin(), held->adapters.end(), adapter) != held->adapters.end();
+}
+
+std::size_t CountAdapters(const EngineHoldings& holdings) {
+  std::size_t count = 0;
+  for (const HeldModel& held : holdings.models) count += held.adapters.size();
+  return count;
+}
+
+double CommittedMb(const EngineProfile& profile, const LedgerEngine& engine) {
+  double committed = UsedMb(profile, engine.holdings);
+  const auto loading = profile.models.find(engine.loading);
+  if (loading != profile.models.end() && engine.holdings.Find(engine.loading) == nullptr) {
+    committed += loading->second.weights_mb;
+  }
+  return committed;
+}
+
+std::optional<ModelAdapter> OldestAdapter(const LedgerEngine& engine) {
+  std::optional<ModelAdapter> oldest;
+  MonotonicTime oldest_use = MonotonicTime::max();
+  for (const HeldModel& held : engine.holdings.models) {
+    for (const std::string& adapter : held.adapters) {
+      const auto use = engine.adapter_use.find(held.name + "/" + adapter);
+      const MonotonicTime used = use == engine.adapter_use.end() ? MonotonicTime() : use->second;
+      if (used >= oldest_use) continue;
+      oldest_use = used;
+      oldest = {held.name, adapter};
+    }
+  }
+  return oldest;
+}
+
+std::vector<std::string> EngineLedger::Follow(const FleetDirectory& directory, MonotonicTime now) {
+  const auto config = directory.config();
+  std::vector<std::string> unread;
+  if (config == nullptr) return unread;
+  std::erase_if(engines_, [&](const auto& item) {
+    const DirectoryEntry* entry = directory.Find(item.first);
+    return entry == nullptr || entry->endpoint.started_ms != item.second.started_ms;
+  });
+  for (const auto& [id, entry] : directory.entries()) {
+    const RoutedService* service = config->FindService(entry.endpoint.service);
+    if (service == nullptr || !service->engine) continue;
+    LedgerEngine& engine = engines_[id];
+    engine.id = id;
+    engine.service = entry.endpoint.service;
+    engine.address = entry.endpoint.address;
+    engine.started_ms = entry.endpoint.started_ms;
+    const bool changed = !SameModels(engine.registered, entry.endpoint.holdings) &&
+                         !SameModels(engine.holdings, entry.endpoint.holdings);
+    engine.registered = entry.endpoint.holdings;
+    const bool stale = !engine.known || changed || now - engine.read_at > kRefreshPeriod;
+    if (stale && engine.loading.empty() && engine.IsIdle(now)) unread.push_back(id);
+  }
+  return unread;
+}
+
+LedgerEngine* EngineLedger::Find(const std::string& id) {
+  const auto it = engines_.find(id);
+  return it == engines_.end() ? nullptr : &it->second;
+}
+
+LedgerEngine* EngineLedger::Find(const std::string& id, std::int64_t started_ms) {
+  LedgerEngine* engine = Find(id);
+  return engine != nullptr && engine->started_ms == started_ms ? engine : nullptr;
+}
+
+bool EngineLedger::NoteReport(LedgerEngine* engine, const EngineReport& report, MonotonicTime now) {
+  const bool old = engine->known && report.holdings.sequence < engine->holdings.sequence &&
+                   now - engine->ordered_at < kReportLag;
+  if (old) return false;
+  engine->holdings = report.holdings;
+  for (const std::string& name : report.coming) {
+    const std::size_t slash = name.find('/');
+    if (slash == std::string::npos) continue;
+    AddAdapter(&engine->holdings, {name.substr(0, slash), name.substr(slash + 1)});
+  }
+  engine->known = true;
+  engine->read_at = now;
+  Publish(engine);
+  return true;
+}
+
+// An engine counts the orders that it accepts.
+void EngineLedger::CountOrder(LedgerEngine* engine, MonotonicTime now) {
+  ++engine->holdings.sequence;
+  engine->ordered_at = now;
+}
+
+void EngineLedger::NoteLoadAccepted(LedgerEngine* engine, MonotonicTime now) {
+  CountOrder(engine, now);
+}
+
+void EngineLedger::NoteUnloadAccepted(LedgerEngine* engine, const std::string& model,
+                                      MonotonicTime now) {
+  CountOrder(engine, now);
+  std::erase_if(engine->holdings.models, [&](const HeldModel& held) { return held.name == model; });
+  Publish(engine);
+}
+
+void EngineLedger::NoteAdapterLoaded(LedgerEngine* engine, const ModelAdapter& adapter,
+                                     MonotonicTime now) {
+  CountOrder(engine, now);
+  AddAdapter(&engine->holdings, adapter);
+  engine->adapter_use[AdapterName(adapter)] = now;
+  Publish(engine);
+}
+
+void EngineLedger::NoteAdapterDropped(LedgerEngine* engine, const ModelAdapter& adapter,
+                                      MonotonicTime now) {
+  CountOrder(engine, now);
+  for (HeldModel& held : engine->holdings.models) {
+    if (held.name == adapter.first) std::erase(held.adapters, adapter.second);
+  }
+  engine->adapter_use.erase(AdapterName(adapter));
+  Publish(engine);
+}
+
+void EngineLedger::NoteAdapterUse(const DirectoryFeed& feed, const std::vector<AdapterUse>& uses,
+                                  MonotonicTime now) {
+  if (uses.empty()) return;
+  std::map<std::uint32_t, const AdapterUse*> by_number;
+  for (const AdapterUse& use : uses) by_number[use.number] = &use;
+  for (auto& [id, engine] : engines_) {
+    const auto number = feed.NumberOf(id);
+    const auto use = number ? by_number.find(*number) : by_number.end();
+    if (use == by_number.end()) continue;
+    for (const std::string& name : use->second->adapters) engine.adapter_use[name] = now;
+  }
+}
+
+void EngineLedger::AddNews(const DirectoryFeed& feed, std::uint64_t known, MonotonicTime now,
+                           UsageAnswer* answer) const {
+  answer->news_version = news_version_;
+  for (const auto& [id, engine] : engines_) {
+    const auto number = feed.NumberOf(id);
+    if (number && engine.known && engine.news_version > known) {
+      EndpointNews news{*number, {}};
+      for (const HeldModel& held : engine.holdings.models) {
+        news.models.push_back({held.name, held.adapters});
+      }
+      answer->news.push_back(std::move(news));
+    }
+    if (engine.loading.empty()) continue;
+    const auto left = std::chrono::duration_cast<milliseconds>(engine.ready_at - now).count();
+    answer->loads.push_back(
+        {engine.loading, static_cast<std::uint32_t>(std::max<std::int64_t>(0, left))});
+  }
+}
+
+}  // namespace mimosabend
--- /dev/null
+++ b/src/engine_ledger.h
@@ -0,0 +1,102 @@
+#ifndef MIMOSABEND_ENGINE_LEDGER_H_
+#define MIMOSABEND_ENGINE_LEDGER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "clock.h"
+#include "directory_feed.h"
+#include "fleet_config.h"
+#include "fleet_directory.h"
+#include "fleet_endpoint.h"
+#include "fleet_usage.h"
+
+namespace mimosabend {
+
+// What the leader knows of one incarnation of an engine.
+struct LedgerEngine {
+  std::string id;
+  std::string service;
+  Address address;
+  std::int64_t started_ms = 0;
+  // As the engine registered it.
+  EngineHoldings registered;
+  // As it reported it, with the orders that it has accepted since.
+  EngineHoldings holdings;
+  // The holdings were read in this term.
+  bool known = false;
+  // An order or a report is on its way.
+  bool busy = false;
+  // The model that is being loaded, from the decision on; empty for none.
+  std::string loading;
+  MonotonicTime ready_at;
+  MonotonicTime read_at;
+  MonotonicTime ordered_at;
+  // Nothing is sent to the engine before.
+  MonotonicTime retry_at;
+  std::uint64_t news_version = 0;
+  // When adapters ("MODEL/ADAPTER") were last in use.
+  std::map<std::string, MonotonicTime> adapter_use;
+
+  bool IsIdle(MonotonicTime now) const { return !busy && now >= retry_at; }
+};
+
+// A model and one of its adapters.
+using ModelAdapter = std::pair<std::string, std::string>;
+
+// Thread-safe.
+bool HasAdapter(const EngineHoldings& holdings, const std::string& model,
+                const std::string& adapter);
+std::size_t CountAdapters(const EngineHoldings& holdings);
+
+// Memory of an engine that its holdings and the model that it loads take. Thread-safe.
+double CommittedMb(const EngineProfile& profile, const LedgerEngine& engine);
+
+// The adapter that was in use least recently; std::nullopt if there is none. Thread-safe.
+std::optional<ModelAdapter> OldestAdapter(const LedgerEngine& engine);
+
+// The engines of all services as the leader knows them. Not thread-safe.
+class EngineLedger {
+ public:
+  // Brings the ledger in line with the directory. Returns the engines whose holdings have to be
+  // read.
+  std::vector<std::string> Follow(const FleetDirectory& directory, MonotonicTime now);
+
+  // nullptr if the engine is not in the ledger.
+  LedgerEngine* Find(const std::string& id);
+  // nullptr unless the engine is still in the incarnation.
+  LedgerEngine* Find(const std::string& id, std::int64_t started_ms);
+
+  // Takes in a report. False if it is from before the last order.
+  bool NoteReport(LedgerEngine* engine, const EngineReport& report, MonotonicTime now);
+  // Notes that an engine has accepted an order, and what it holds by it.
+  void NoteLoadAccepted(LedgerEngine* engine, MonotonicTime now);
+  void NoteUnloadAccepted(LedgerEngine* engine, const std::string& model, MonotonicTime now);
+  void NoteAdapterLoaded(LedgerEngine* engine, const ModelAdapter& adapter, MonotonicTime now);
+  void NoteAdapterDropped(LedgerEngine* engine, const ModelAdapter& adapter, MonotonicTime now);
+  // Notes the adapters that a daemon's requests use.
+  void NoteAdapterUse(const DirectoryFeed& feed, const std::vector<AdapterUse>& uses,
+                      MonotonicTime now);
+
+  // Adds what has changed after a version of the news, and the loads in progress.
+  void AddNews(const DirectoryFeed& feed, std::uint64_t known, MonotonicTime now,
+               UsageAnswer* answer) const;
+
+  const std::map<std::string, LedgerEngine>& engines() const { return engines_; }
+  void Clear() { engines_.clear(); }
+
+ private:
+  static void CountOrder(LedgerEngine* engine, MonotonicTime now);
+  void Publish(LedgerEngine* engine) { engine->news_version = ++news_version_; }
+
+  std::map<std::string, LedgerEngine> engines_;
+  std::uint64_t news_version_ = 0;
+};
+
+}  // namespace mimosabend
+
+#endif  // MIMOSABEND_ENGINE_LEDGER_H_
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -6,8 +6,10 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <cstdlib>
+#include <ctime>
 #include <iostream>
 
+#include "bounded_appender.h"
 #include "digest.h"
 #include "fleet_follower.h"
 #include "leader_link.h"
@@ -36,6 +38,10 @@
 constexpr int kBatchesPerDrain = 8;
 constexpr milliseconds kTickPeriod{250};
 constexpr milliseconds kMetricsPeriod{1000};
+constexpr milliseconds kSettingsPeriod{3000};
+constexpr milliseconds kSuspensionPeriod{100};
+// Less may come from reading two clocks one after the other.
+constexpr milliseconds kLeastSuspension{200};
 constexpr milliseconds kDrainPoll{20};
 // After it turns unready, the balancer still sends new connections for two of its checks.
 constexpr milliseconds kBalancerDelay{2300};
@@ -49,6 +55,8 @@
 // Less would lapse between two reports of a large fleet.
 constexpr milliseconds kLeastRelayedLifetime{1000};
 constexpr milliseconds kLargestRelayedLifetime{2000};
+// Requests on kept connections are still served for this long after the signal to stop.
+constexpr milliseconds kTakesRequests{2800};
 // Before the end, for refusing what still waits.
 constexpr milliseconds kRefusalMargin{500};
 constexpr HttpLimits kInternalLimits{256, 8192, 8192, milliseconds(15000)};
@@ -77,6 +85,17 @@
   return left < kLeastRelayedLifetime ? milliseconds(0) : std::min(left, kLargestRelayedLifetime);
 }
 
+// How long the host has been suspended since it started.
+milliseconds SuspendedTime() {
+  timespec with_suspension{};
+  timespec without{};
+  ::clock_gettime(CLOCK_BOOTTIME, &with_suspension);
+  ::clock_gettime(CLOCK_MONOTONIC, &without);
+  const auto difference = seconds(with_suspension.tv_sec - without.tv_sec) +
+                          std::chrono::nanoseconds(with_suspension.tv_nsec - without.tv_nsec);
+  return std::chrono::duration_cast<milliseconds>(difference);
+}
+
 // All parts of a gateway, built in the order of their dependencies.
 class Gateway {
  public:
@@ -109,6 +128,8 @@
   void ReloadSettings(const char* cause);
   Task<void> WaitForTermination();
   Task<void> WaitForReload();
+  Task<void> WatchSettings();
+  Task<void> WatchSuspension();
   Task<void> Drain();
 
   asio::io_context* io_;
@@ -355,11 +376,15 @@
   std::uint64_t calls = 0;
   std::uint64_t errors = 0;
   std::uint64_t connections = 0;
+  std::uint64_t left_out = 0;
   for (;;) {
     relay_metrics_.store_calls_total->Increment(static_cast<double>(store_.calls() - calls));
     relay_metrics_.store_errors_total->Increment(static_cast<double>(store_.errors() - errors));
     relay_metrics_.connections_opened_total->Increment(
         static_cast<double>(endpoint_client_.connections_opened() - connections));
+    relay_metrics_.log_lines_dropped_total->Increment(
+        static_cast<double>(BoundedAppender::left_out_total() - left_out));
+    left_out = BoundedAppender::left_out_total();
     calls = store_.calls();
     errors = store_.errors();
     connections = endpoint_client_.connections_opened();
@@ -370,12 +395,40 @@
   }
 }
 
+// Takes over the bounds of the settings; what they listen on takes a restart.
 void Gateway::ReloadSettings(const char* cause) {
   const auto settings = reread_();
-  if (!settings) return;
+  if (!settings) {
+    LOG4CPLUS_ERROR(Log(),
+                    "settings could not be read again, those in force stay, cause=" << cause);
+    return;
+  }
+  if (settings->bounds == settings_.bounds) return;
   settings_.bounds = settings->bounds;
   ApplyRetryLimits();
-  LOG4CPLUS_INFO(Log(), "settings read again, " << cause);
+  LOG4CPLUS_INFO(Log(), "settings read again, cause=" << cause);
+}
+
+// Notices that the host was suspended, which the monotonic clock does not count.
+Task<void> Gateway::WatchSuspension() {
+  auto suspended = SuspendedTime();
+  for (;;) {
+    co_await Sleep(kSuspensionPeriod);
+    const auto now = SuspendedTime();
+    if (now - suspended > kLeastSuspension) {
+      LOG4CPLUS_WARN(Log(), "host was suspended, milliseconds=" << (now - suspended).count());
+      lease_.Distrust();
+    }
+    suspended = now;
+  }
+}
+
+// The settings may change without a signal.
+Task<void> Gateway::WatchSettings() {
+  for (;;) {
+    co_await Sleep(kSettingsPeriod);
+    ReloadSettings("poll");
+  }
 }
 
 Task<void> Gateway::WaitForReload() {
@@ -399,7 +452,9 @@
   const MonotonicTime end = MonotonicNow() + settings_.bounds.shutdown_grace - kExitMargin;
   LOG4CPLUS_INFO(Log(), "drains, in_flight=" << relay_.in_flight());
   stopping_ = true;
-  relay_.SetEnd(end - kRefusalMargin);
+  const MonotonicTime refuse_from =
+      MonotonicNow() + std::min(kTakesRequests, settings_.bounds.shutdown_grace / 3);
+  relay_.SetEnd(refuse_from, end - kRefusalMargin);
   caller_server_.AnnounceClose();
   link_.Stop();
   leader_.Stop();
@@ -426,6 +481,8 @@
   lease_.SetWanted(false);
   supervisor_.Start("termination", [this] { return WaitForTermination(); });
   supervisor_.Start("reload", [this] { return WaitForReload(); });
+  supervisor_.Start("suspension", [this] { return WatchSuspension(); });
+  supervisor_.Start("settings", [this] { return WatchSettings(); });
   supervisor_.Start("configuration", [this] { return config_follower_.Run(); });
   supervisor_.Start("endpoints", [this] { return endpoint_follower_.Run(); });
   supervisor_.Start("lease", [this] { return lease_.Run(); });
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -29,6 +29,8 @@
   // Window and factor of the bound on loads from the weight store.
   seconds ceiling_window{5};
   double ceiling_over = 1.1;
+
+  bool operator==(const GatewayBounds&) const = default;
 };
 
 struct GatewaySettings {
--- /dev/null
+++ b/src/leader_record.h
@@ -0,0 +1,32 @@
+#ifndef MIMOSABEND_LEADER_RECORD_H_
+#define MIMOSABEND_LEADER_RECORD_H_
+
+#include <optional>
+#include <string>
+
+#include "kv_store.h"
+#include "settings.h"
+
+namespace mimosabend {
+
+// Keys of this program in the store.
+inline constexpr char kLeaderKey[] = "mimosabend/leader";
+inline constexpr char kLastHolderKey[] = "mimosabend/holder";
+
+// What the leader's key holds: where the leader is, the lease that it claimed the key with, and the
+// key with which messages to it are signed.
+struct LeaderRecord {
+  Address address;
+  LeaseId lease;
+  std::string message_key;
+};
+
+// "IP:PORT LEASE KEY". Thread-safe.
+std::string ToString(const LeaderRecord& record);
+
+// Parses what ToString writes; std::nullopt for anything else. Thread-safe.
+std::optional<LeaderRecord> ParseLeaderRecord(const std::string& text);
+
+}  // namespace mimosabend
+
+#endif  // MIMOSABEND_LEADER_RECORD_H_
--- a/src/lease_keeper.h
+++ b/src/lease_keeper.h
@@ -27,6 +27,10 @@
   // False once the service has said that the lease lapsed.
   bool Holds(const LeaseId& lease) const { return lease_ == lease; }
 
+  // The lease is not safe before its next renewal: the host has stood still for a time that the
+  // monotonic clock does not count.
+  void Distrust() { renewed_at_ = MonotonicTime(); }
+
   // Whether the daemon runs an owner that needs the lease. Without one it is given up, since each
   // renewal is a write of the service and most daemons of a large fleet own nothing.
   void SetWanted(bool wanted) { wanted_ = wanted; }
--- /dev/null
+++ b/src/load_sums.cpp
@@ -0,0 +1,69 @@
+#include "load_sums.h"
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+
+namespace mimosabend {
+
+namespace {
+
+constexpr milliseconds kDaemonLifetime{5000};
+
+std::uint16_t Clamp(std::int64_t value) {
+  constexpr std::int64_t kLargest = std::numeric_limits<std::uint16_t>::max();
+  return static_cast<std::uint16_t>(std::clamp<std::int64_t>(value, 0, kLargest));
+}
+
+}  // namespace
+
+void LoadSums::Note(const std::string& daemon, std::vector<EndpointLoad> loads, MonotonicTime now) {
+  DaemonLoads& entry = daemons_[daemon];
+  Add(entry.loads, -1);
+  entry.loads = std::move(loads);
+  entry.noted = now;
+  Add(entry.loads, 1);
+}
+
+void LoadSums::Add(const std::vector<EndpointLoad>& loads, int sign) {
+  for (const EndpointLoad& load : loads) {
+    Sum& sum = sums_[load.number];
+    sum.requests += sign * load.requests;
+    sum.unread_units += sign * load.unread_units;
+    sum.memory_units += sign * load.memory_units;
+    if (sum.requests <= 0) sums_.erase(load.number);
+  }
+}
+
+void LoadSums::DropSilent(MonotonicTime now) {
+  for (auto it = daemons_.begin(); it != daemons_.end();) {
+    const bool silent = now - it->second.noted >= kDaemonLifetime;
+    if (silent) Add(it->second.loads, -1);
+    it = silent ? daemons_.erase(it) : std::next(it);
+  }
+}
+
+std::uint32_t LoadSums::RequestsAt(std::uint32_t number) const {
+  const auto it = sums_.find(number);
+  return it == sums_.end() ? 0 : Clamp(it->second.requests);
+}
+
+std::vector<EndpointLoad> LoadSums::OthersOf(const std::string& daemon) const {
+  assert(daemons_.contains(daemon));
+  std::map<std::uint32_t, EndpointLoad> own;
+  for (const EndpointLoad& load : daemons_.at(daemon).loads) own[load.number] = load;
+  std::vector<EndpointLoad> others;
+  for (const auto& [number, sum] : sums_) {
+    const auto mine = own.find(number);
+    const EndpointLoad part = mine == own.end() ? EndpointLoad() : mine->second;
+    EndpointLoad load;
+    load.number = number;
+    load.requests = Clamp(sum.requests - part.requests);
+    load.unread_units = Clamp(sum.unread_units - part.unread_units);
+    load.memory_units = Clamp(sum.memory_units - part.memory_units);
+    if (load.requests > 0) others.push_back(load);
+  }
+  return others;
+}
+
+}  // namespace mimosabend
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -7,6 +7,8 @@
 #include <boost/json.hpp>
 #include <memory>
 
+#include "bounded_appender.h"
+
 namespace mimosabend {
 
 namespace {
@@ -51,8 +53,12 @@
 
 void SetUpLog(const LogSettings& settings, const std::string& process_name) {
   log4cplus::initialize();
-  const bool to_standard_error = !settings.to_standard_output;
-  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(to_standard_error, true));
+  log4cplus::SharedAppenderPtr appender;
+  if (settings.to_standard_output) {
+    appender = new BoundedAppender();
+  } else {
+    appender = new log4cplus::ConsoleAppender(true, true);
+  }
   if (settings.format == LogFormat::kJson) {
     appender->setLayout(std::make_unique<JsonLayout>(process_name));
   } else if (settings.format == LogFormat::kLogfmt) {
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -100,6 +100,8 @@
   BudgetOf(context->service_name).NoteRequest(MonotonicNow());
   if (context->service == nullptr) {
     co_await Refuse(context, "the route's service is not configured");
+  } else if (context->arrival >= refuse_from_) {
+    co_await Refuse(context, "this daemon is about to stop");
   } else if (route.kind == RouteKind::kStreaming && context->service->engine) {
     co_await ServeStream(context);
   } else {
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -56,8 +56,12 @@
   // Bounds the repeats that this daemon may send to each service.
   void SetRetryLimits(const RetryLimits& limits);
 
-  // The process ends soon: nothing new is tried, and nothing waits, after `end`.
-  void SetEnd(MonotonicTime end) { end_ = end; }
+  // The process ends soon: nothing new is tried, and nothing waits, after `end`. Requests that
+  // arrive after `refuse_from` are refused, since their answers might not be whole by then.
+  void SetEnd(MonotonicTime refuse_from, MonotonicTime end) {
+    refuse_from_ = refuse_from;
+    end_ = end;
+  }
 
   // Requests that have not ended.
   std::size_t in_flight() const { return in_flight_; }
@@ -97,6 +101,7 @@
   RetryLimits retry_limits_;
   std::map<std::string, RetryBudget> budgets_;
   std::size_t in_flight_ = 0;
+  MonotonicTime refuse_from_ = MonotonicTime::max();
   MonotonicTime end_ = MonotonicTime::max();
 };
 
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -129,6 +129,7 @@
   const RelayRequest& relay = context->relay;
   ++context->tries;
   parts_.metrics->tries_total->Increment();
+  if (context->stream_open) parts_.metrics->stream_resumes_total->Increment();
   context->endpoint = id;
   context->expected_ms = choice.expected_ms;
   const EndpointWork work{
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -246,8 +246,8 @@
   FleetDirectory directory;
   EndpointStats stats;
   PrefixIndex prefixes;
-  EndpointSelector selector{{"north", {{"north-a", "north"}, {"south-a", "south"}}},
-                            &directory, &stats, &prefixes, 7};
+  EndpointSelector selector{
+      {"north", {{"north-a", "north"}, {"south-a", "south"}}}, &directory, &stats, &prefixes, 7};
   EngineProfile profile;
   RelayRequest request;
   std::vector<std::uint64_t> hashes;
--- a/tests/test_fleet_follower.cpp
+++ b/tests/test_fleet_follower.cpp
@@ -18,7 +18,9 @@
 
   ItemHandlers Handlers() {
     ItemHandlers handlers;
-    handlers.put = [this](const KvItem& item, MonotonicTime) { known[item.key] = item.entry.value; };
+    handlers.put = [this](const KvItem& item, MonotonicTime) {
+      known[item.key] = item.entry.value;
+    };
     handlers.remove = [this](const std::string& key, MonotonicTime) { known.erase(key); };
     handlers.keep_only = [this](const std::set<std::string>& keys, MonotonicTime) {
       std::erase_if(known, [&](const auto& item) { return !keys.contains(item.first); });
@@ -94,7 +96,8 @@
 
 // Guards against calls to the store while the leader passes on what it reads, and against a
 // follower that does not go back to the store when the leader falls silent.
-TEST_CASE("a suspended follower reads nothing until its time is over or it is told to", "[follower]") {
+TEST_CASE("a suspended follower reads nothing until its time is over or it is told to",
+          "[follower]") {
   Followed followed;
   followed.store.Put("endpoints/a", "1");
   followed.io.run_for(milliseconds(50));
--- a/tests/test_metrics.cpp
+++ b/tests/test_metrics.cpp
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "metrics.h"
+#include "relay_metrics.h"
 
 namespace mimosabend {
 
@@ -68,7 +69,7 @@
 // Guards against a metric that operators can't look up, and against a row whose metric is gone or
 // has other labels.
 TEST_CASE("the page of metrics and /metrics name the same metrics, types and labels") {
-  const Descriptions exposed = Exposed(Metrics().Expose());
+  const Descriptions exposed = Exposed(Metrics().Expose() + RelayMetrics().Expose());
   const Descriptions documented = Documented();
   REQUIRE(exposed.size() > 20);
   for (const std::string& metric : exposed) {
--- a/tests/test_model_planner.cpp
+++ b/tests/test_model_planner.cpp
@@ -19,7 +19,8 @@
   EngineProfile profile;
   profile.weights_mb = 2 * kWeightsMb + 5000;
   for (int i = 0; i < models; ++i) {
-    profile.models[Model(i)] = {kWeightsMb, 50, 4, seconds(6), milliseconds(800), milliseconds(400)};
+    profile.models[Model(i)] = {kWeightsMb,       50, 4, seconds(6), milliseconds(800),
+                                milliseconds(400)};
   }
   return profile;
 }
@@ -56,7 +57,8 @@
 // Guards against a cold model that is read from the store for 6 s while an engine's disk has it.
 TEST_CASE("a waiting model goes where its weights are at hand", "[planner]") {
   const EngineProfile profile = Profile(6);
-  const std::vector<PlannerEngine> engines{Engine("e1", {"m0"}), Engine("e2", {"m1", "m2"}, {"m3"})};
+  const std::vector<PlannerEngine> engines{Engine("e1", {"m0"}),
+                                           Engine("e2", {"m1", "m2"}, {"m3"})};
   DemandRates demand;
   Use(&demand, "m2", 1, 100, 0, kLoose);
   Use(&demand, "m3", 0, 0, 1, kLoose);
@@ -167,7 +169,8 @@
       CHECK_FALSE(engine->blocked);
       EngineHoldings after = engine->holdings;
       for (const std::string& victim : load.victims) {
-        CHECK(std::erase_if(after.models, [&](const auto& held) { return held.name == victim; }) == 1);
+        CHECK(std::erase_if(after.models, [&](const auto& held) { return held.name == victim; }) ==
+              1);
       }
       CHECK(after.Find(load.model) == nullptr);
       after.models.push_back({load.model, {}});
--- a/tests/test_placement_leader.cpp
+++ b/tests/test_placement_leader.cpp
@@ -51,8 +51,14 @@
          const std::string& host)
       : lease(store, ShortLease()),
         leader(io->get_executor(), store, engines, &lease, &directory,
-               PlacementLeaderSettings{host, {"127.0.0.1", 7000}, "key-" + host, kHolderGap, true,
-                                       seconds(1), 1.1, [](MonotonicTime) { return true; }}) {
+               PlacementLeaderSettings{host,
+                                       {"127.0.0.1", 7000},
+                                       "key-" + host,
+                                       kHolderGap,
+                                       true,
+                                       seconds(1),
+                                       1.1,
+                                       [](MonotonicTime) { return true; }}) {
     directory.Adopt(Config());
     for (int i = 0; i < 3; ++i) directory.Put(Endpoint(i), MonotonicNow());
     boost::asio::co_spawn(*io, lease.Run(), boost::asio::detached);
@@ -77,9 +83,8 @@
 
   bool Lead(Daemon* daemon) {
     bool leads = false;
-    boost::asio::co_spawn(
-        io, daemon->leader.TryTakeLead(),
-        [&leads](std::exception_ptr, bool result) { leads = result; });
+    boost::asio::co_spawn(io, daemon->leader.TryTakeLead(),
+                          [&leads](std::exception_ptr, bool result) { leads = result; });
     Run(milliseconds(30));
     return leads;
   }
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -100,9 +100,13 @@
 }
 
 TEST_CASE("the headers of a request are read", "[platform]") {
-  const RelayRequest relay = platform::ReadRelayRequest(RequestWith(
-      {{"Request-Id", "9c41"}, {"Deadline-Ms", "800"}, {"Model", "m/a3"}, {"Token-Count", "1460,80"},
-       {"Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"}, {"Last-Event-Id", "12"}}));
+  const RelayRequest relay =
+      platform::ReadRelayRequest(RequestWith({{"Request-Id", "9c41"},
+                                              {"Deadline-Ms", "800"},
+                                              {"Model", "m/a3"},
+                                              {"Token-Count", "1460,80"},
+                                              {"Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+                                              {"Last-Event-Id", "12"}}));
   CHECK(relay.id == "9c41");
   CHECK(relay.time_limit == milliseconds(800));
   CHECK(relay.model == "m");
@@ -122,12 +126,20 @@
 // Guards against callers that set what only the gateway may set, and against headers of one
 // connection that reach another.
 TEST_CASE("a request is passed on without the headers that are not the caller's", "[platform]") {
-  const HttpRequest request = RequestWith(
-      {{"Host", "a.example"}, {"Request-Id", "9c41"}, {"Connection", "close, X-Hop"},
-       {"X-Hop", "1"}, {"Keep-Alive", "timeout=5"}, {"Transfer-Encoding", "chunked"},
-       {"Content-Length", "5"}, {"Kv-From", "10.0.0.1:1/2"}, {"Hold", "7"}, {"Pin-Ms", "9"},
-       {"Kv-Backup", "10.0.0.1:1"}, {"Deadline-Ms", "99999"}, {"Last-Event-Id", "3"},
-       {"Model", "m"}});
+  const HttpRequest request = RequestWith({{"Host", "a.example"},
+                                           {"Request-Id", "9c41"},
+                                           {"Connection", "close, X-Hop"},
+                                           {"X-Hop", "1"},
+                                           {"Keep-Alive", "timeout=5"},
+                                           {"Transfer-Encoding", "chunked"},
+                                           {"Content-Length", "5"},
+                                           {"Kv-From", "10.0.0.1:1/2"},
+                                           {"Hold", "7"},
+                                           {"Pin-Ms", "9"},
+                                           {"Kv-Backup", "10.0.0.1:1"},
+                                           {"Deadline-Ms", "99999"},
+                                           {"Last-Event-Id", "3"},
+                                           {"Model", "m"}});
   platform::ForwardOptions options;
   options.endpoint_id = "i-1";
   options.time_left = milliseconds(700);
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -151,8 +151,11 @@
     call.address = {"127.0.0.1", port};
     call.method = method;
     call.target = path;
-    call.headers = {{"Host", "a.example"}, {"Request-Id", "9c41"}, {"Deadline-Ms", "1500"},
-                    {"Model", "m"},        {"Token-Count", "100,10"}};
+    call.headers = {{"Host", "a.example"},
+                    {"Request-Id", "9c41"},
+                    {"Deadline-Ms", "1500"},
+                    {"Model", "m"},
+                    {"Token-Count", "100,10"}};
     call.deadline = MonotonicNow() + seconds(5);
     return call;
   }
@@ -202,9 +205,7 @@
 };
 
 // Breaks the connection without an answer.
-Task<void> Break(HttpExchange& exchange) {
-  co_await exchange.StartStream(200, HttpHeaders{});
-}
+Task<void> Break(HttpExchange& exchange) { co_await exchange.StartStream(200, HttpHeaders{}); }
 
 }  // namespace
 
@@ -340,13 +341,23 @@
     relay.directory.NoteRefused(endpoint->id, "m");
   }
   const MonotonicTime end = MonotonicNow() + milliseconds(300);
-  relay.handler.SetEnd(end);
+  relay.handler.SetEnd(MonotonicTime::max(), end);
   auto reply = relay.Send("/once/1");
   REQUIRE(reply);
   CHECK(reply.value().status == 503);
   CHECK(MonotonicNow() < end + milliseconds(150));
 }
 
+// Guards against a request on a kept connection that is taken when the process is about to end, and
+// then cut off.
+TEST_CASE("a request that arrives late at a daemon that stops is refused", "[relay]") {
+  Relay relay;
+  relay.handler.SetEnd(MonotonicNow() - seconds(1), MonotonicNow() + seconds(5));
+  CHECK(relay.Send("/resumable/1").value().status == 503);
+  CHECK(relay.Send("/read/1").value().status == 503);
+  CHECK(relay.engine_arrivals() + relay.plain_arrivals() == 0);
+}
+
 // Guards against an engine that works for a caller who has left.
 TEST_CASE("a caller that leaves ends the work for it", "[relay]") {
   Relay relay;
