Wait for a model whose engines refuse or can't be reached, and load it elsewhere

Ruled out: a lack of places (swappable models were there) and the retry budget (0 denied). Change: an engine that did not run a request is paused for 300 ms instead of excluded; engines that failed are no candidates for a model; daemons report endpoints that they can't reach, and the planner leaves them out.

--- a/src/codec.h
+++ b/src/codec.h
@@ -55,6 +55,16 @@
   for (std::string& name : names) SerializeName(archive, name);
 }
 
+// Serializes a list of numbers. Throws cereal::Exception.
+template <class Archive>
+void SerializeNumbers(Archive& archive, std::vector<std::uint32_t>& numbers) {
+  auto length = static_cast<std::uint32_t>(numbers.size());
+  archive(length);
+  codec_internal::CheckLength(length, kMaxEncodedItems);
+  if constexpr (Archive::is_loading::value) numbers.resize(length);
+  for (std::uint32_t& number : numbers) archive(number);
+}
+
 // Serializes a list whose items have a `serialize` member. Throws cereal::Exception.
 template <class Archive, class T>
 void SerializeList(Archive& archive, std::vector<T>& items) {
--- a/src/endpoint_selector.cpp
+++ b/src/endpoint_selector.cpp
@@ -41,8 +41,10 @@
     if (excluded.contains(entry->endpoint.id)) continue;
     if (!model.empty() && !entry->Holds(model)) continue;
     const bool usable = directory_->UsabilityOf(*entry, now) == Usability::kUsable;
-    const bool good = usable && !stats_->IsEjected(entry->endpoint.id, now);
-    (good ? healthy : others).push_back(entry);
+    const bool ejected = stats_->IsEjected(entry->endpoint.id, now);
+    // A model can be loaded elsewhere, so an engine that fails is no last resort.
+    if (ejected && !model.empty()) continue;
+    (usable && !ejected ? healthy : others).push_back(entry);
   }
   return healthy.empty() ? others : healthy;
 }
@@ -57,6 +59,11 @@
   return std::uniform_real_distribution<double>(0, millis)(random_);
 }
 
+bool EndpointSelector::HasEngine(const std::string& service, const std::string& model,
+                                 const std::set<std::string>& excluded, MonotonicTime now) const {
+  return !Candidates(service, excluded, model, now).empty();
+}
+
 std::optional<EndpointChoice> EndpointSelector::ChoosePlain(const std::string& service,
                                                             const std::set<std::string>& excluded,
                                                             MonotonicTime now) {
--- a/src/endpoint_selector.h
+++ b/src/endpoint_selector.h
@@ -52,6 +52,10 @@
                                             const std::set<std::string>& excluded,
                                             MonotonicTime now);
 
+  // Whether there is an engine that ChooseEngine might choose.
+  bool HasEngine(const std::string& service, const std::string& model,
+                 const std::set<std::string>& excluded, MonotonicTime now) const;
+
   // An engine that holds the model; std::nullopt if none is left.
   std::optional<EndpointChoice> ChooseEngine(const std::string& service,
                                              const EngineProfile& profile,
@@ -61,7 +65,8 @@
                                              MonotonicTime now);
 
  private:
-  // Endpoints without failures if there are any, else all that may be used.
+  // Endpoints without failures if there are any, else all that may be used. With a model: engines
+  // that hold it and have not failed lately.
   std::vector<const DirectoryEntry*> Candidates(const std::string& service,
                                                 const std::set<std::string>& excluded,
                                                 const std::string& model, MonotonicTime now) const;
--- a/src/endpoint_stats.cpp
+++ b/src/endpoint_stats.cpp
@@ -62,6 +62,7 @@
   }
   ++health.failures_in_row;
   const bool unreachable = verdict == TryVerdict::kUnreachable;
+  health.unreachable = unreachable;
   if (!unreachable && health.failures_in_row < kFailuresToEject) return;
   const std::uint32_t doublings =
       std::min(8U, health.failures_in_row - (unreachable ? 1 : kFailuresToEject));
@@ -87,6 +88,14 @@
   return it != health_.end() && now < it->second.ejected_until;
 }
 
+std::vector<std::string> EndpointStats::Unreachable(MonotonicTime now) const {
+  std::vector<std::string> unreachable;
+  for (const auto& [endpoint, health] : health_) {
+    if (health.unreachable && now < health.ejected_until) unreachable.push_back(endpoint);
+  }
+  return unreachable;
+}
+
 double EndpointStats::FailureRate(const std::string& endpoint) const {
   const auto it = health_.find(endpoint);
   return it == health_.end() ? 0 : it->second.failure_rate;
--- a/src/endpoint_stats.h
+++ b/src/endpoint_stats.h
@@ -43,6 +43,8 @@
 
   // Whether an endpoint is left out for its failures.
   bool IsEjected(const std::string& endpoint, MonotonicTime now) const;
+  // Endpoints that are left out because they could not be reached.
+  std::vector<std::string> Unreachable(MonotonicTime now) const;
   // Share of recent requests that failed, 0 to 1.
   double FailureRate(const std::string& endpoint) const;
 
@@ -59,6 +61,8 @@
     std::uint32_t failures_in_row = 0;
     double failure_rate = 0;
     MonotonicTime ejected_until;
+    // The last failure was that the endpoint could not be reached.
+    bool unreachable = false;
   };
 
   std::map<std::string, EndpointWork> own_;
--- a/src/fleet_usage.h
+++ b/src/fleet_usage.h
@@ -79,10 +79,13 @@
   std::vector<ModelUsage> models;
   std::vector<EndpointLoad> loads;
   std::vector<AdapterUse> adapters;
+  // Numbers of endpoints that the daemon can't reach.
+  std::vector<std::uint32_t> unreachable;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(fence, news_version, directory_version);
+    SerializeNumbers(archive, unreachable);
     SerializeList(archive, models);
     SerializeList(archive, loads);
     SerializeList(archive, adapters);
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -134,6 +134,10 @@
       std::vector<std::string> adapters = board_->AdaptersInUse(id);
       if (!adapters.empty()) report.adapters.push_back({number->second, std::move(adapters)});
     }
+    for (const std::string& id : stats_->Unreachable(MonotonicNow())) {
+      const auto number = numbers_.find(id);
+      if (number != numbers_.end()) report.unreachable.push_back(number->second);
+    }
     if (leader_->IsLeader(MonotonicNow())) {
       report.models = board_->Take();
       Apply(leader_->HandleReport(name_, report, MonotonicNow()));
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -116,6 +116,9 @@
     // Numbers of another term mean other endpoints.
     loads_.Note(sender, same_term ? report.loads : std::vector<EndpointLoad>(), now);
     if (same_term) ledger_.NoteAdapterUse(feed_, report.adapters, now);
+    if (same_term) {
+      for (std::uint32_t number : report.unreachable) unreachable_[number] = now;
+    }
     NoteDemand(sender, report, now);
     answer.is_leader = true;
     answer.fence = term_->fence;
@@ -157,6 +160,9 @@
   }
 
  private:
+  // An engine that a daemon can't reach counts for nothing until then, so that its models are loaded
+  // elsewhere if requests wait for them.
+  static constexpr milliseconds kUnreachableTime{1500};
   static constexpr milliseconds kPlanPeriod{150};
   static constexpr milliseconds kWakeDelay{5};
   static constexpr milliseconds kReportPeriod{250};
@@ -191,6 +197,7 @@
     allowances_.clear();
     feed_ = DirectoryFeed();
     loads_ = LoadSums();
+    unreachable_.clear();
     first_holder_ = !last_holder.exists();
     LOG4CPLUS_INFO(
         Log(), "leads placement fence=" << fence << " last_holder=\"" << last_holder.value << "\"");
@@ -249,6 +256,10 @@
       if (directory_->UsabilityOf(*entry, now) != Usability::kUsable) continue;
       const bool blocked = !engine.known || !engine.loading.empty() || !engine.IsIdle(now);
       const auto number = feed_.NumberOf(id);
+      const auto unreachable = number ? unreachable_.find(*number) : unreachable_.end();
+      if (unreachable != unreachable_.end() && now - unreachable->second < kUnreachableTime) {
+        continue;
+      }
       const std::uint32_t requests = number ? loads_.RequestsAt(*number) : 0;
       engines.push_back({id, engine.holdings, blocked, engine.loading, requests});
     }
@@ -299,6 +310,8 @@
   bool stopping_ = false;
   DirectoryFeed feed_;
   LoadSums loads_;
+  // When a daemon last said that it can't reach an endpoint, by number.
+  std::map<std::uint32_t, MonotonicTime> unreachable_;
   std::map<std::string, LoadAllowance> allowances_;
   // By service and model.
   std::map<std::string, DemandRates> demand_;
--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -1,6 +1,7 @@
 #ifndef MIMOSABEND_RELAY_CONTEXT_H_
 #define MIMOSABEND_RELAY_CONTEXT_H_
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -28,6 +29,8 @@
   std::shared_ptr<HttpCanceller> canceller;
   // Endpoints that are not tried again.
   std::set<std::string> excluded;
+  // Engines that did not run the request, and until when they are not tried again.
+  std::map<std::string, MonotonicTime> paused;
   // Tries in which an endpoint may have run the request.
   std::uint32_t runs = 0;
   // All tries.
@@ -51,6 +54,15 @@
   milliseconds waited{0};
   std::optional<MonotonicTime> first_byte;
 
+  // Endpoints that are not to be tried at `now`.
+  std::set<std::string> Avoided(MonotonicTime now) const {
+    std::set<std::string> avoided = excluded;
+    for (const auto& [id, until] : paused) {
+      if (now < until) avoided.insert(id);
+    }
+    return avoided;
+  }
+
   const HttpRequest& request() const { return exchange->request(); }
 };
 
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -92,7 +92,7 @@
   void NoteFailure(Context* context, const EndpointChoice& choice, HttpError error);
   HttpCall MakeCall(Context* context, const EndpointChoice& choice, MonotonicTime deadline) const;
   std::string PickService(const Route& route, const std::string& request_id) const;
-  bool AnyEngineHolds(const Context& context, MonotonicTime now) const;
+  bool HasEngine(const Context& context, MonotonicTime now) const;
   RetryBudget& BudgetOf(const std::string& service);
   void LogEnd(const Context& context) const;
 
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds kDecisionTime{1500};
 // Longest wait before the state is looked at again.
 constexpr milliseconds kWaitStep{100};
+// An engine that did not run a request is not tried again for this long.
+constexpr milliseconds kNotRunPause{300};
 // Pause after an engine said that it does not hold the model or adapter yet.
 constexpr milliseconds kNotReadyDelay{20};
 // A first event that takes this many times longer than expected is waited for elsewhere.
@@ -29,11 +31,9 @@
 
 }  // namespace
 
-bool RelayHandler::AnyEngineHolds(const Context& context, MonotonicTime now) const {
-  for (const DirectoryEntry* entry : parts_.directory->OfService(context.service_name, now)) {
-    if (entry->Holds(context.relay.model)) return true;
-  }
-  return false;
+bool RelayHandler::HasEngine(const Context& context, MonotonicTime now) const {
+  return parts_.selector->HasEngine(context.service_name, context.relay.model,
+                                    context.Avoided(now), now);
 }
 
 Task<void> RelayHandler::ServeStream(ContextPtr context) {
@@ -41,16 +41,10 @@
   context->hashes = PrefixHashes(relay.model, relay.adapter, relay.prompt);
   context->last_event_id = relay.last_event_id;
   while (!context->caller_gone && HasTimeLeft(*context, MonotonicNow())) {
+    const MonotonicTime now = MonotonicNow();
     auto choice =
         parts_.selector->ChooseEngine(context->service_name, *context->service->engine, relay,
-                                      context->hashes, context->excluded, MonotonicNow());
-    if (!choice && AnyEngineHolds(*context, MonotonicNow())) {
-      // All engines that hold the model were tried: another try may find one free.
-      if (context->excluded.empty() || context->tries >= 2 * context->route->max_attempts) break;
-      context->excluded.clear();
-      co_await Sleep(kNotReadyDelay);
-      continue;
-    }
+                                      context->hashes, context->Avoided(now), now);
     if (!choice) {
       const bool found = co_await WaitForModel(context);
       if (!found) break;
@@ -88,7 +82,7 @@
       context->reason = "no engine got the model in time";
       break;
     }
-    if (AnyEngineHolds(*context, now)) {
+    if (HasEngine(*context, now)) {
       found = true;
       break;
     }
@@ -118,7 +112,7 @@
   context->waited += ToMillis(MonotonicNow() - began);
   if (!placed) {
     context->reason = "the adapter could not be placed";
-    context->excluded.insert(choice->endpoint.id);
+    context->paused[choice->endpoint.id] = MonotonicNow() + kNotRunPause;
     co_await Sleep(kNotReadyDelay);
   }
   co_return placed;
@@ -163,7 +157,8 @@
       verdict = TryVerdict::kNeutral;
     } else if (kind == AnswerKind::kNotRun) {
       context->reason = "engine did not run it, status " + std::to_string(status);
-      context->excluded.insert(id);
+      // It is full, or drops or loads the model: the leader's news of that is on its way.
+      context->paused[id] = MonotonicNow() + kNotRunPause;
       verdict = TryVerdict::kFull;
     } else if (kind == AnswerKind::kForeign) {
       ++context->runs;
