Price a shared replica by the load that it leaves to the others

Change: dropping such a replica costs half a second and eight times the share that its other engines would be busy.

--- a/src/model_planner.cpp
+++ b/src/model_planner.cpp
@@ -42,6 +42,13 @@
   double urgency = 0;
 };
 
+// Seconds that dropping a replica costs by Hold, beside a second for each request a second.
+constexpr double kCostOfHold[] = {0, 0.1, 0.3, 0.5, 100};
+// Seconds that it costs beside, where others share the load, by how busy they become.
+constexpr double kCostOfShare = 8;
+// An unload waits for the requests that run.
+constexpr double kSecondsPerRequest = 0.001;
+
 // How much an engine's replica of a model is needed, the least first.
 enum class Hold : std::uint8_t {
   // Others hold the model, and it is not in use or they are enough.
@@ -60,6 +67,8 @@
   Hold hold = Hold::kNeeded;
   // Requests per second.
   double rate = 0;
+  // Share of their time that its other engines would be busy without this one.
+  double share_without = 0;
 };
 
 bool Contains(const std::vector<std::string>& list, const std::string& item) {
@@ -143,14 +152,20 @@
     return deficits;
   }
 
+  double ShareWithout(const std::string& model) const {
+    const ModelDemandRate* demand = DemandOf(model);
+    if (demand == nullptr) return 0;
+    return demand->EngineShare(now_) / std::max(1.0, ReplicasOf(model) - 1.0);
+  }
+
   Hold HoldOf(const std::string& model) const {
     const ModelDemandRate* demand = DemandOf(model);
     const std::uint32_t replicas = ReplicasOf(model);
     if (demand != nullptr && demand->Waiting(now_) > 0) return Hold::kNeeded;
     if (!IsInUse(demand)) return replicas > 1 ? Hold::kSurplus : Hold::kUnused;
     const std::uint32_t wanted = WantedReplicas(demand, engines_.size(), now_);
-    const double share_without = demand->EngineShare(now_) / std::max(1.0, replicas - 1.0);
-    if (replicas > std::max(1U, wanted) && share_without < kSurplusShare) return Hold::kSurplus;
+    const bool surplus = replicas > std::max(1U, wanted) && ShareWithout(model) < kSurplusShare;
+    if (surplus) return Hold::kSurplus;
     if (IsSwappable(*demand, model)) return Hold::kSwappable;
     return replicas > 1 ? Hold::kTightShared : Hold::kNeeded;
   }
@@ -176,7 +191,7 @@
       if (!MayTake(need, hold)) continue;
       const ModelDemandRate* demand = DemandOf(held.name);
       const double rate = demand == nullptr ? 0 : demand->LongRate(now_) + demand->RecentRate(now_);
-      candidates.push_back({held.name, hold, rate});
+      candidates.push_back({held.name, hold, rate, ShareWithout(held.name)});
     }
     std::sort(candidates.begin(), candidates.end(), [](const Victim& a, const Victim& b) {
       return a.hold != b.hold ? a.hold < b.hold : a.rate < b.rate;
@@ -197,10 +212,10 @@
   // Seconds that a choice costs: the load, and what the victims are worth.
   double CostOf(const PlannerEngine& engine, const ModelProfile& model, WeightSource source,
                 const std::vector<Victim>& victims) const {
-    constexpr double kCostOfHold[] = {0, 0.1, 0.3, 10, 100};
-    double cost = ToSeconds(LoadTime(model, source)) + 0.001 * engine.requests;
+    double cost = ToSeconds(LoadTime(model, source)) + kSecondsPerRequest * engine.requests;
     for (const Victim& victim : victims) {
       cost += kCostOfHold[static_cast<std::size_t>(victim.hold)] + victim.rate;
+      if (victim.hold == Hold::kTightShared) cost += kCostOfShare * victim.share_without;
     }
     return cost;
   }
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -160,8 +160,8 @@
   }
 
  private:
-  // An engine that a daemon can't reach counts for nothing until then, so that its models are loaded
-  // elsewhere if requests wait for them.
+  // An engine that a daemon can't reach counts for nothing until then, so that its models are
+  // loaded elsewhere if requests wait for them.
   static constexpr milliseconds kUnreachableTime{1500};
   static constexpr milliseconds kPlanPeriod{150};
   static constexpr milliseconds kWakeDelay{5};
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -32,8 +32,8 @@
 }  // namespace
 
 bool RelayHandler::HasEngine(const Context& context, MonotonicTime now) const {
-  return parts_.selector->HasEngine(context.service_name, context.relay.model,
-                                    context.Avoided(now), now);
+  return parts_.selector->HasEngine(context.service_name, context.relay.model, context.Avoided(now),
+                                    now);
 }
 
 Task<void> RelayHandler::ServeStream(ContextPtr context) {
@@ -42,9 +42,8 @@
   context->last_event_id = relay.last_event_id;
   while (!context->caller_gone && HasTimeLeft(*context, MonotonicNow())) {
     const MonotonicTime now = MonotonicNow();
-    auto choice =
-        parts_.selector->ChooseEngine(context->service_name, *context->service->engine, relay,
-                                      context->hashes, context->Avoided(now), now);
+    auto choice = parts_.selector->ChooseEngine(context->service_name, *context->service->engine,
+                                                relay, context->hashes, context->Avoided(now), now);
     if (!choice) {
       const bool found = co_await WaitForModel(context);
       if (!found) break;
--- a/tests/test_model_planner.cpp
+++ b/tests/test_model_planner.cpp
@@ -129,6 +129,23 @@
   }
 }
 
+// Guards against requests that wait 6 s for the weight store while an engine that has the weights
+// on its disk keeps a replica of a model which others serve with ease.
+TEST_CASE("a lightly loaded replica makes room for a waiting model", "[planner]") {
+  const EngineProfile profile = Profile(6);
+  const std::vector<PlannerEngine> engines{Engine("e1", {"m0", "m1"}, {"m4"}),
+                                           Engine("e2", {"m0", "m1"}), Engine("e3", {"m2"})};
+  DemandRates demand;
+  Use(&demand, "m0", 3, 300, 0, kTight);
+  Use(&demand, "m1", 3, 300, 0, kTight);
+  Use(&demand, "m4", 0, 0, 1, kTight);
+  const auto loads = PlanLoads(profile, engines, demand, 1, kStart);
+  REQUIRE_FALSE(loads.empty());
+  CHECK(loads[0].model == "m4");
+  CHECK(loads[0].engine == "e1");
+  CHECK_FALSE(loads[0].from_store);
+}
+
 // Guards against replicas that come and go with each swing of the demand.
 TEST_CASE("replicas are surplus only well below the load that adds one", "[planner]") {
   DemandRates demand;
