Keep the lead while draining, and hand it over with the last orders

Ruled out: a lost lease (renewals worked until 18 s) and the election (0.2 s after the store's return). Change: a daemon that drains leads on, and resigns 1.6 s before its end: it orders no more and tells all daemons which engines had an order lately, so that its successor waits only for those.

--- a/src/engine_controller.h
+++ b/src/engine_controller.h
@@ -180,6 +180,7 @@
     const FleetOrder order{step.engine,  engine->address,           step.kind,         step.model,
                            step.adapter, engine->holdings.sequence, authority_.holder, step.fence};
     engine->busy = true;
+    engine->sent_at = MonotonicNow();
     const OrderOutcome outcome = co_await engines_->Send(order, kOrderTimeout);
     LOG4CPLUS_INFO(Log(), "order kind=" << kOrderKindNames[order.kind] << " model=" << order.model
                                         << (order.adapter.empty() ? "" : "/" + order.adapter)
--- a/src/engine_ledger.cpp
+++ b/src/engine_ledger.cpp
@@ -170,6 +170,16 @@
   }
 }
 
+void EngineLedger::AddRecentOrders(const DirectoryFeed& feed, milliseconds within,
+                                   MonotonicTime now, UsageAnswer* answer) const {
+  for (const auto& [id, engine] : engines_) {
+    const auto number = feed.NumberOf(id);
+    const auto age = std::chrono::duration_cast<milliseconds>(now - engine.sent_at);
+    if (!number || age >= within) continue;
+    answer->recent_orders.push_back({*number, static_cast<std::uint32_t>(age.count())});
+  }
+}
+
 void EngineLedger::AddNews(const DirectoryFeed& feed, std::uint64_t known, MonotonicTime now,
                            UsageAnswer* answer) const {
   answer->news_version = news_version_;
--- a/src/engine_ledger.h
+++ b/src/engine_ledger.h
@@ -36,6 +36,8 @@
   MonotonicTime ready_at;
   MonotonicTime read_at;
   MonotonicTime ordered_at;
+  // The last order was sent then, whatever came of it.
+  MonotonicTime sent_at;
   // Nothing is sent to the engine before.
   MonotonicTime retry_at;
   std::uint64_t news_version = 0;
@@ -82,6 +84,10 @@
   void NoteAdapterUse(const DirectoryFeed& feed, const std::vector<AdapterUse>& uses,
                       MonotonicTime now);
 
+  // Adds the engines to which an order was sent within a time.
+  void AddRecentOrders(const DirectoryFeed& feed, milliseconds within, MonotonicTime now,
+                       UsageAnswer* answer) const;
+
   // Adds what has changed after a version of the news, and the loads in progress.
   void AddNews(const DirectoryFeed& feed, std::uint64_t known, MonotonicTime now,
                UsageAnswer* answer) const;
--- a/src/fleet_usage.h
+++ b/src/fleet_usage.h
@@ -128,6 +128,17 @@
   }
 };
 
+// An engine to which the leader has sent an order lately.
+struct RecentOrder {
+  std::uint32_t number = 0;
+  std::uint32_t age_ms = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(number, age_ms);
+  }
+};
+
 struct UsageAnswer {
   static constexpr PeerMessageType kType = PeerMessageType::kUsageAnswer;
   // False if the answering daemon is not the leader; the rest is empty then.
@@ -146,9 +157,17 @@
   std::vector<EndpointNews> news;
   std::vector<EndpointLoad> others;
   std::vector<PendingLoad> loads;
+  // The leader is about to give the lead up and sends no more orders. The next two members are set
+  // only then, so that its successor need not wait for engines that had no order lately.
+  bool resigning = false;
+  std::string holder;
+  std::vector<RecentOrder> recent_orders;
 
   template <class Archive>
   void serialize(Archive& archive) {
+    archive(resigning);
+    SerializeName(archive, holder);
+    SerializeList(archive, recent_orders);
     archive(is_leader, fence, news_version, daemons, next_report_ms);
     archive(store_is_fresh, config_version, directory_version);
     SerializeList(archive, directory);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -55,6 +55,8 @@
 // Less would lapse between two reports of a large fleet.
 constexpr milliseconds kLeastRelayedLifetime{1000};
 constexpr milliseconds kLargestRelayedLifetime{2000};
+// For telling all daemons that this one resigns, and for giving the lease back.
+constexpr milliseconds kResignTime{1600};
 // Requests on kept connections are still served for this long after the signal to stop.
 constexpr milliseconds kTakesRequests{2800};
 // Before the end, for refusing what still waits.
@@ -131,6 +133,7 @@
   Task<void> WatchSettings();
   Task<void> WatchSuspension();
   Task<void> Drain();
+  Task<void> HandOver();
 
   asio::io_context* io_;
   GatewaySettings settings_;
@@ -456,11 +459,16 @@
       MonotonicNow() + std::min(kTakesRequests, settings_.bounds.shutdown_grace / 3);
   relay_.SetEnd(refuse_from, end - kRefusalMargin);
   caller_server_.AnnounceClose();
-  link_.Stop();
-  leader_.Stop();
-  co_await lease_.Stop();
+  link_.StandBack();
   co_await Sleep(kBalancerDelay);
   caller_server_.StopAccepting();
+  // The lead is kept while requests are open, since another daemon can't take it while the store is
+  // away.
+  const MonotonicTime resign_at = end - kResignTime;
+  while (caller_server_.open_connections() > 0 && MonotonicNow() < resign_at) {
+    co_await Sleep(kDrainPoll);
+  }
+  co_await HandOver();
   while (caller_server_.open_connections() > 0 && MonotonicNow() < end) {
     co_await Sleep(kDrainPoll);
   }
@@ -469,6 +477,17 @@
   io_->stop();
 }
 
+// Gives the lead up, if this daemon has it, so that all others know its last orders before.
+Task<void> Gateway::HandOver() {
+  if (leader_.IsLeader(MonotonicNow())) {
+    leader_.Resign();
+    co_await Sleep(kResignTime / 2);
+  }
+  link_.Stop();
+  leader_.Stop();
+  co_await lease_.Stop();
+}
+
 Result<void, std::string> Gateway::Start() {
   for (auto [server, address] : {std::pair{&caller_server_, &settings_.caller_address},
                                  std::pair{&readiness_server_, &settings_.readiness_address},
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -69,6 +69,9 @@
 
   void Stop() { stopping_ = true; }
 
+  // Takes the lead no more.
+  void StandBack() { may_lead_ = false; }
+
   // Asks the leader to place an adapter at an engine.
   Task<bool> PlaceAdapter(AdapterRequest request) {
     if (leader_->IsLeader(MonotonicNow())) {
@@ -158,6 +161,7 @@
     failures_ = 0;
     ApplyView(answer.value(), sent_at);
     Apply(answer.value());
+    if (answer.value().resigning) NoteHandover(answer.value());
     co_await LookForOtherLeader(answer.value().store_is_fresh);
     co_return true;
   }
@@ -261,6 +265,7 @@
 
   // Takes the lead. Most daemons see another one's claim when they read the key a second time.
   Task<void> Claim() {
+    if (!may_lead_) co_return;
     if (!claiming_) {
       claiming_ = true;
       last_search_ = MonotonicTime();
@@ -277,6 +282,19 @@
     co_await leader_->TryTakeLead();
   }
 
+  // Ages count from now, so that no order seems older than it is.
+  void NoteHandover(const UsageAnswer& answer) {
+    Handover handover;
+    handover.holder = answer.holder;
+    const MonotonicTime now = MonotonicNow();
+    for (const RecentOrder& order : answer.recent_orders) {
+      const auto endpoint = endpoints_.find(order.number);
+      if (endpoint == endpoints_.end()) return;
+      handover.last_orders[endpoint->second.id] = now - milliseconds(order.age_ms);
+    }
+    leader_->NoteHandover(std::move(handover));
+  }
+
   // Looks for another leader if the present one can't reach the store.
   Task<void> LookForOtherLeader(bool store_is_fresh) {
     const MonotonicTime now = MonotonicNow();
@@ -317,6 +335,7 @@
   MonotonicTime fresh_at_;
   // The key of the leader was missing when it was last read.
   bool claiming_ = false;
+  bool may_lead_ = true;
   bool stopping_ = false;
 };
 
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -43,6 +43,13 @@
   std::function<bool(MonotonicTime)> store_is_fresh = [](MonotonicTime) { return false; };
 };
 
+// What a leader that resigned told of its last orders.
+struct Handover {
+  std::string holder;
+  // When engines had their last order, by id.
+  std::map<std::string, MonotonicTime> last_orders;
+};
+
 // The one daemon that orders loads and unloads. It is elected by a key in the store that is bound
 // to its lease; the key's revision is the fencing token of its orders. Not thread-safe.
 template <FleetStore Store, FleetEngines Engines>
@@ -98,6 +105,16 @@
     return own;
   }
 
+  // Notes that the present leader resigns. Its successor may be this daemon.
+  void NoteHandover(Handover handover) { handover_ = std::move(handover); }
+
+  // Sends no more orders and tells so, but stays the leader until Stop.
+  void Resign() {
+    if (!term_ || resigning_) return;
+    resigning_ = true;
+    LOG4CPLUS_INFO(Log(), "resigns placement fence=" << term_->fence);
+  }
+
   // Notes that the store names another leader.
   void NoteOtherLeader() { EndTerm("the store names another leader"); }
 
@@ -128,6 +145,11 @@
     AddDirectory(report, now, &answer);
     ledger_.AddNews(feed_, same_term ? report.news_version : 0, now, &answer);
     answer.others = loads_.OthersOf(sender);
+    if (resigning_) {
+      answer.resigning = true;
+      answer.holder = settings_.host;
+      ledger_.AddRecentOrders(feed_, settings_.holder_gap, now, &answer);
+    }
     return answer;
   }
 
@@ -187,13 +209,21 @@
     return authority;
   }
 
-  bool MayOrder(MonotonicTime now) const { return IsLeader(now) && now >= term_->orders_from; }
+  bool MayOrder(MonotonicTime now) const {
+    return IsLeader(now) && !resigning_ && now >= term_->orders_from;
+  }
 
   void BeginTerm(const LeaseId& lease, std::uint64_t fence, const KvEntry& last_holder) {
     const bool other = last_holder.exists() && last_holder.value != settings_.host;
-    const milliseconds gap = other ? settings_.holder_gap : milliseconds(0);
-    term_ = Term{lease, fence, MonotonicNow() + gap};
+    const bool handed_over = other && handover_ && handover_->holder == last_holder.value;
+    const bool wait = other && !handed_over;
+    const MonotonicTime now = MonotonicNow();
+    term_ = Term{lease, fence, now + (wait ? settings_.holder_gap : milliseconds(0))};
+    resigning_ = false;
     ledger_.Clear();
+    ledger_.Follow(*directory_, now);
+    if (handed_over) KeepGaps();
+    handover_.reset();
     allowances_.clear();
     feed_ = DirectoryFeed();
     loads_ = LoadSums();
@@ -204,6 +234,14 @@
     wake_.NotifyAll();
   }
 
+  // Leaves the gap between two holders at the engines that had an order lately.
+  void KeepGaps() {
+    for (const auto& [id, ordered] : handover_->last_orders) {
+      LedgerEngine* engine = ledger_.Find(id);
+      if (engine != nullptr) engine->retry_at = ordered + settings_.holder_gap;
+    }
+  }
+
   void EndTerm(const std::string& reason) {
     if (!term_) return;
     LOG4CPLUS_INFO(Log(), "no longer leads placement fence=" << term_->fence << " reason=\""
@@ -305,6 +343,8 @@
   EngineLedger ledger_;
   EngineController<Engines> controller_;
   std::optional<Term> term_;
+  std::optional<Handover> handover_;
+  bool resigning_ = false;
   // Nobody has led before this term, so the ceiling on loads is untouched.
   bool first_holder_ = false;
   bool stopping_ = false;
--- a/tests/test_placement_leader.cpp
+++ b/tests/test_placement_leader.cpp
@@ -152,6 +152,51 @@
   CHECK_FALSE(other.engines.orders().empty());
 }
 
+// Guards against seconds without loads at each planned restart of a leader, and against orders of
+// two holders that follow each other too closely at one engine.
+TEST_CASE("a successor waits only for engines that had an order lately", "[leader]") {
+  Fleet fleet;
+  Daemon a(&fleet.io, &fleet.store, &fleet.engines, "a");
+  Daemon b(&fleet.io, &fleet.store, &fleet.engines, "b");
+  fleet.Run(milliseconds(50));
+  REQUIRE(fleet.Lead(&a));
+  fleet.Run(milliseconds(50));
+  Fleet::Wait(&a, "m4");
+  fleet.Run(milliseconds(120));
+  REQUIRE_FALSE(fleet.engines.orders().empty());
+  a.leader.Resign();
+  fleet.Run(milliseconds(50));
+  std::map<std::string, MonotonicTime> last;
+  for (const SeenOrder& seen : fleet.engines.orders()) last[seen.order.endpoint_id] = seen.at;
+  REQUIRE(last.size() < 3);
+  const std::size_t before = fleet.engines.orders().size();
+  const MonotonicTime now = MonotonicNow();
+  const UsageAnswer answer = a.leader.HandleReport("b", UsageReport(), now);
+  REQUIRE(answer.resigning);
+  // An order arrives a moment after it was sent, so the youngest ages decide.
+  const auto recent = std::count_if(last.begin(), last.end(), [&](const auto& item) {
+    return now - item.second < kHolderGap - milliseconds(10);
+  });
+  CHECK(answer.recent_orders.size() >= static_cast<std::size_t>(recent));
+  CHECK(recent > 0);
+  b.leader.NoteHandover(Handover{answer.holder, last});
+  fleet.store.EndLease(ParseLeaderRecord(fleet.store.Get(kLeaderKey).value)->lease);
+  REQUIRE(fleet.Lead(&b));
+  const MonotonicTime began = MonotonicNow();
+  for (int i = 0; i < 6; ++i) {
+    Fleet::Wait(&b, "m4");
+    Fleet::Wait(&b, "m5");
+    fleet.Run(milliseconds(50));
+  }
+  const auto& orders = fleet.engines.orders();
+  REQUIRE(orders.size() > before);
+  CHECK(orders[before].at - began < kHolderGap);
+  for (std::size_t i = before; i < orders.size(); ++i) {
+    const auto former = last.find(orders[i].order.endpoint_id);
+    if (former != last.end()) CHECK(orders[i].at - former->second >= kHolderGap);
+  }
+}
+
 // Guards against a leader that never learns that it leads, while its own key keeps others out.
 TEST_CASE("a claim whose answer was lost is adopted", "[leader]") {
   Fleet fleet;
