--- a/src/bounded_appender.cpp
+++ b/src/bounded_appender.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <atomic>
 #include <sstream>
+#include <utility>
 
 namespace mimosabend {
 
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -108,7 +108,7 @@
   static constexpr milliseconds kLeasePoll{20};
   // While the leader's view of the store is old, all daemons together look this often whether
   // another one leads.
-  static constexpr std::int64_t kLookMillisPerDaemon = 25;
+  static constexpr milliseconds kLookPeriodPerDaemon{25};
   static constexpr milliseconds kLeastLookPeriod{500};
   // Pause between reports while requests wait for a model.
   static constexpr milliseconds kUrgentPeriod{60};
@@ -299,8 +299,7 @@
   Task<void> LookForOtherLeader(bool store_is_fresh) {
     const MonotonicTime now = MonotonicNow();
     if (store_is_fresh) fresh_at_ = now;
-    const milliseconds period =
-        std::max(kLeastLookPeriod, milliseconds(daemons_ * kLookMillisPerDaemon));
+    const milliseconds period = std::max(kLeastLookPeriod, kLookPeriodPerDaemon * daemons_);
     if (now - std::max(fresh_at_, last_search_) < period) co_return;
     last_search_ = now;
     co_await FindLeader();
