--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -471,6 +471,7 @@
   }
   co_await HandOver();
   while (caller_server_.open_connections() > 0 && MonotonicNow() < end) {
+    if (MonotonicNow() >= end - kRefusalMargin) relay_.FailUnanswered();
     co_await Sleep(kDrainPoll);
   }
   LOG4CPLUS_INFO(Log(), "stopped, in_flight=" << relay_.in_flight());
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -40,6 +40,13 @@
   return budgets_.try_emplace(service, retry_limits_).first->second;
 }
 
+void RelayHandler::FailUnanswered() {
+  for (Context* context : active_) {
+    if (!context->stream_open && context->canceller != nullptr) context->canceller->Cancel();
+  }
+  parts_.board->changed().NotifyAll();
+}
+
 // Chooses among the services that share a route, by the request's id so that no state is needed.
 std::string RelayHandler::PickService(const Route& route, const std::string& request_id) const {
   double sum = 0;
@@ -69,7 +76,9 @@
     if (watched->canceller != nullptr) watched->canceller->Cancel();
     parts_.board->changed().NotifyAll();
   });
+  active_.insert(context.get());
   co_await Serve(context);
+  active_.erase(context.get());
   exchange.StopWatchingCaller();
   --in_flight_;
   const RouteKind kind = context->route == nullptr ? RouteKind::kIdempotent : context->route->kind;
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -63,6 +63,10 @@
     end_ = end;
   }
 
+  // Breaks off all tries without an answer, so that their requests get one from this daemon.
+  // Precondition: the end that was set has come.
+  void FailUnanswered();
+
   // Requests that have not ended.
   std::size_t in_flight() const { return in_flight_; }
 
@@ -101,6 +105,7 @@
   RetryLimits retry_limits_;
   std::map<std::string, RetryBudget> budgets_;
   std::size_t in_flight_ = 0;
+  std::set<Context*> active_;
   MonotonicTime refuse_from_ = MonotonicTime::max();
   MonotonicTime end_ = MonotonicTime::max();
 };
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -348,6 +348,30 @@
   CHECK(MonotonicNow() < end + milliseconds(150));
 }
 
+// Guards against a request that was passed on and gets no answer, not even a failure, from a daemon
+// that stops while the endpoint is silent.
+TEST_CASE("what an endpoint has not answered fails before the process ends", "[relay]") {
+  Relay relay;
+  const Behaviour silent = [](HttpExchange&) -> Task<void> { co_await Sleep(seconds(3)); };
+  relay.Behave(silent, silent);
+  for (const char* path : {"/once/1", "/order/1", "/resumable/1"}) {
+    const MonotonicTime end = MonotonicNow() + milliseconds(300);
+    // The signal to stop comes while the request is at the endpoint.
+    const auto stop = [&relay, end]() -> Task<void> {
+      co_await Sleep(milliseconds(100));
+      relay.handler.SetEnd(MonotonicTime::max(), end);
+      co_await Sleep(end - MonotonicNow());
+      relay.handler.FailUnanswered();
+    };
+    boost::asio::co_spawn(relay.io, stop(), boost::asio::detached);
+    relay.handler.SetEnd(MonotonicTime::max(), MonotonicTime::max());
+    auto reply = relay.Send(path);
+    REQUIRE(reply);
+    CHECK(reply.value().status == 504);
+    CHECK(MonotonicNow() < end + milliseconds(150));
+  }
+}
+
 // Guards against a request on a kept connection that is taken when the process is about to end, and
 // then cut off.
 TEST_CASE("a request that arrives late at a daemon that stops is refused", "[relay]") {
