Bound the wait for a stream's header where another engine may be tried

Cause: an engine that falls silent keeps a request until its deadline when not even the header of the answer comes; the limit for the first event began with the header. Change: the same limit bounds the wait for the header on routes that may repeat. Test: a silent engine on a resumable route; before the change the stream took 2 s and failed.

--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -29,6 +29,12 @@
   return std::chrono::duration_cast<milliseconds>(duration);
 }
 
+// How long the first event is waited for before another engine is tried.
+milliseconds FirstEventLimit(const Route& route, const EndpointChoice& choice) {
+  const auto patience = static_cast<std::int64_t>(choice.expected_ms * kFirstEventPatience);
+  return std::max(route.target_latency, milliseconds(patience) + kFirstEventAllowance);
+}
+
 }  // namespace
 
 bool RelayHandler::HasEngine(const Context& context, MonotonicTime now) const {
@@ -135,6 +141,12 @@
                             parts_.stats->MillisPerToken(id, relay.model) * choice.unread_tokens);
   const MonotonicTime sent_at = MonotonicNow();
   HttpCall call = MakeCall(context.get(), choice, context->deadline);
+  // An engine that fell silent may leave the header or even the request waiting.
+  const bool may_move =
+      context->route->repeatable() && context->runs + 1 < context->route->max_attempts;
+  if (may_move) {
+    call.deadline = std::min(call.deadline, sent_at + FirstEventLimit(*context->route, choice));
+  }
   auto stream = co_await parts_.client->Open(std::move(call));
   Next next = Next::kTryAgain;
   TryVerdict verdict = TryVerdict::kFailed;
@@ -198,10 +210,7 @@
   EventSplitter splitter;
   const milliseconds silence =
       std::max(kLeastSilence, context->route->target_event_gap * kSilenceFactor);
-  const milliseconds first_limit =
-      std::max(context->route->target_latency,
-               milliseconds(static_cast<std::int64_t>(choice.expected_ms * kFirstEventPatience)) +
-                   kFirstEventAllowance);
+  const milliseconds first_limit = FirstEventLimit(*context->route, choice);
   const bool may_move =
       context->route->repeatable() && context->runs < context->route->max_attempts;
   bool first = true;
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -310,6 +310,18 @@
   CHECK(second.header("Last-Event-Id") == "2");
 }
 
+// Guards against a stream that waits for an engine which fell silent until its time is over.
+TEST_CASE("a stream is tried elsewhere when an engine sends no header in time", "[relay]") {
+  Relay relay;
+  const Behaviour silent = [](HttpExchange&) -> Task<void> { co_await Sleep(seconds(3)); };
+  relay.Behave(silent, Stream(1, 2, true));
+  const MonotonicTime began = MonotonicNow();
+  auto reply = relay.Send("/resumable/1");
+  REQUIRE(reply);
+  CHECK(reply.value().body == Event(1) + Event(2));
+  CHECK(MonotonicNow() - began < milliseconds(1000));
+}
+
 // Guards against a broken stream that looks complete.
 TEST_CASE("a stream that can't go on ends without its end", "[relay]") {
   Relay relay;
