Leave light loads out of the leader's answers, and share the registry of metrics

Each answer named the load of every endpoint in use. Change: loads with nothing to read and below an eighth of the slots are left out. The two classes of metrics share MetricsRegistry instead of two copies of its functions.

--- a/src/directory_feed.cpp
+++ b/src/directory_feed.cpp
@@ -33,6 +33,8 @@
                           endpoint.state,
                           endpoint.started_ms};
     if (same && record.change == change) continue;
+    if (!same && record.version > 0) slots_.erase(record.change.number);
+    slots_[change.number] = change.slots;
     record = {std::move(change), ++version_};
   }
   for (auto& [id, record] : records_) {
@@ -48,6 +50,11 @@
   return it->second.change.number;
 }
 
+std::uint32_t DirectoryFeed::SlotsOf(std::uint32_t number) const {
+  const auto it = slots_.find(number);
+  return it == slots_.end() ? 1 : it->second;
+}
+
 std::vector<EndpointChange> DirectoryFeed::Since(std::uint64_t version) const {
   std::vector<EndpointChange> changes;
   for (const auto& [id, record] : records_) {
--- a/src/directory_feed.h
+++ b/src/directory_feed.h
@@ -53,6 +53,9 @@
   // The number of an endpoint that is in the directory; std::nullopt if it is not.
   std::optional<std::uint32_t> NumberOf(const std::string& id) const;
 
+  // Requests that the endpoint with a number runs at once; 1 if there is none.
+  std::uint32_t SlotsOf(std::uint32_t number) const;
+
   // What has changed after a version; after 0 everything there is.
   std::vector<EndpointChange> Since(std::uint64_t version) const;
 
@@ -65,6 +68,7 @@
   std::uint64_t version_ = 0;
   std::uint32_t last_number_ = 0;
   std::map<std::string, Record> records_;
+  std::map<std::uint32_t, std::uint32_t> slots_;
 };
 
 }  // namespace mimosabend
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -1,7 +1,5 @@
 #include "metrics.h"
 
-#include <prometheus/text_serializer.h>
-
 #include "clock.h"
 
 namespace mimosabend {
@@ -20,12 +18,13 @@
 
 }  // namespace
 
-Metrics::Metrics() : registry_(std::make_shared<prometheus::Registry>()) {
-  accepted_ = AddCounter("requests_accepted_total", "Requests that were authenticated and parsed.");
+Metrics::Metrics() : registry_(kPrefix) {
+  accepted_ = registry_.AddCounter("requests_accepted_total",
+                                   "Requests that were authenticated and parsed.");
   auto& outcomes = prometheus::BuildCounter()
-                       .Name(std::string(kPrefix) + "requests_ended_total")
+                       .Name(registry_.NameOf("requests_ended_total"))
                        .Help("Accepted requests by final outcome and rank.")
-                       .Register(*registry_);
+                       .Register(registry_.registry());
   for (std::size_t i = 0; i < kRequestOutcomeCount; ++i) {
     for (Rank rank : kAllRanks) {
       outcomes_[i][Index(rank)] =
@@ -34,28 +33,28 @@
     }
   }
   auto& peer_errors = prometheus::BuildCounter()
-                          .Name(std::string(kPrefix) + "peer_errors_total")
+                          .Name(registry_.NameOf("peer_errors_total"))
                           .Help("Messages between daemons that were dropped or failed, by reason.")
-                          .Register(*registry_);
+                          .Register(registry_.registry());
   for (std::size_t i = 0; i < kPeerErrorCount; ++i) {
     peer_errors_[i] = &peer_errors.Add({{"reason", std::string(kPeerErrorNames.names[i])}});
   }
   auto& first_token = prometheus::BuildHistogram()
-                          .Name(std::string(kPrefix) + "first_token_seconds")
+                          .Name(registry_.NameOf("first_token_seconds"))
                           .Help("Time from the arrival of a request to its first token.")
-                          .Register(*registry_);
+                          .Register(registry_.registry());
   auto& token_gap = prometheus::BuildHistogram()
-                        .Name(std::string(kPrefix) + "token_gap_seconds")
+                        .Name(registry_.NameOf("token_gap_seconds"))
                         .Help("Time between two tokens of an answer.")
-                        .Register(*registry_);
+                        .Register(registry_.registry());
   auto& queue_time = prometheus::BuildHistogram()
-                         .Name(std::string(kPrefix) + "queue_seconds")
+                         .Name(registry_.NameOf("queue_seconds"))
                          .Help("Time that a request waited for admission, refused ones included.")
-                         .Register(*registry_);
+                         .Register(registry_.registry());
   auto& refusals = prometheus::BuildCounter()
-                       .Name(std::string(kPrefix) + "admission_refusals_total")
+                       .Name(registry_.NameOf("admission_refusals_total"))
                        .Help("Requests that admission refused, by reason.")
-                       .Register(*registry_);
+                       .Register(registry_.registry());
   for (std::size_t i = 0; i < kAdmissionRefusalCount; ++i) {
     admission_refusals_[i] =
         &refusals.Add({{"reason", std::string(kAdmissionRefusalNames.names[i])}});
@@ -69,67 +68,71 @@
     }
     token_gap_[Index(rank)] = &token_gap.Add({{"rank", name}}, kTokenGapBounds);
   }
-  tokens_total = AddCounter("tokens_total", "Tokens passed on to callers.");
-  http_rejected_total =
-      AddCounter("http_rejected_total", "HTTP requests refused before they were accepted.");
-  peer_messages_sent_total = AddCounter("peer_messages_sent_total", "Messages sent to daemons.");
-  peer_bytes_sent_total = AddCounter("peer_bytes_sent_total", "Bytes sent to daemons.");
+  tokens_total = registry_.AddCounter("tokens_total", "Tokens passed on to callers.");
+  http_rejected_total = registry_.AddCounter("http_rejected_total",
+                                             "HTTP requests refused before they were accepted.");
+  peer_messages_sent_total =
+      registry_.AddCounter("peer_messages_sent_total", "Messages sent to daemons.");
+  peer_bytes_sent_total = registry_.AddCounter("peer_bytes_sent_total", "Bytes sent to daemons.");
   peer_messages_received_total =
-      AddCounter("peer_messages_received_total", "Messages received from daemons.");
-  peer_bytes_received_total = AddCounter("peer_bytes_received_total", "Bytes from daemons.");
+      registry_.AddCounter("peer_messages_received_total", "Messages received from daemons.");
+  peer_bytes_received_total =
+      registry_.AddCounter("peer_bytes_received_total", "Bytes from daemons.");
   kv_calls_total =
-      AddCounter("kv_calls_total", "Calls to the key-value service, watches included.");
-  kv_errors_total = AddCounter("kv_errors_total", "Calls to the key-value service that failed.");
-  engine_errors_total = AddCounter("engine_errors_total", "Calls to engines that failed.");
-  stream_resumes_total = AddCounter("stream_resumes_total", "Streams resumed after a break.");
-  load_decisions_total = AddCounter("load_decisions_total", "Loads decided and recorded.");
-  retries_total = AddCounter("retries_total", "Retries that the retry budget allowed.");
-  retries_denied_total =
-      AddCounter("retries_denied_total", "Retries refused by the retry budget or the deadline.");
-  poison_crashes_total =
-      AddCounter("poison_crashes_total", "Requests that were running when an endpoint crashed.");
-  poison_trials_total = AddCounter("poison_trials_total", "Suspect requests that were run alone.");
-  poison_refusals_total =
-      AddCounter("poison_refusals_total", "Requests refused because they crashed two endpoints.");
-  poison_unverified_total =
-      AddCounter("poison_unverified_total",
-                 "Suspect requests not run because their record could not be read or written.");
-  load_orders_total = AddCounter("load_orders_total", "Load orders sent, repeats included.");
-  unload_orders_total = AddCounter("unload_orders_total", "Unload orders sent, repeats included.");
-  undecided_replicas_total =
-      AddCounter("undecided_replicas_total", "Replicas found at engines that nobody had decided.");
-  placement_writes_total = AddCounter("placement_writes_total", "Placement records written.");
+      registry_.AddCounter("kv_calls_total", "Calls to the key-value service, watches included.");
+  kv_errors_total =
+      registry_.AddCounter("kv_errors_total", "Calls to the key-value service that failed.");
+  engine_errors_total =
+      registry_.AddCounter("engine_errors_total", "Calls to engines that failed.");
+  stream_resumes_total =
+      registry_.AddCounter("stream_resumes_total", "Streams resumed after a break.");
+  load_decisions_total =
+      registry_.AddCounter("load_decisions_total", "Loads decided and recorded.");
+  retries_total = registry_.AddCounter("retries_total", "Retries that the retry budget allowed.");
+  retries_denied_total = registry_.AddCounter(
+      "retries_denied_total", "Retries refused by the retry budget or the deadline.");
+  poison_crashes_total = registry_.AddCounter(
+      "poison_crashes_total", "Requests that were running when an endpoint crashed.");
+  poison_trials_total =
+      registry_.AddCounter("poison_trials_total", "Suspect requests that were run alone.");
+  poison_refusals_total = registry_.AddCounter(
+      "poison_refusals_total", "Requests refused because they crashed two endpoints.");
+  poison_unverified_total = registry_.AddCounter(
+      "poison_unverified_total",
+      "Suspect requests not run because their record could not be read or written.");
+  load_orders_total =
+      registry_.AddCounter("load_orders_total", "Load orders sent, repeats included.");
+  unload_orders_total =
+      registry_.AddCounter("unload_orders_total", "Unload orders sent, repeats included.");
+  undecided_replicas_total = registry_.AddCounter(
+      "undecided_replicas_total", "Replicas found at engines that nobody had decided.");
+  placement_writes_total =
+      registry_.AddCounter("placement_writes_total", "Placement records written.");
   placement_conflicts_total =
-      AddCounter("placement_conflicts_total", "Placement writes lost to another daemon.");
+      registry_.AddCounter("placement_conflicts_total", "Placement writes lost to another daemon.");
   ownership_changes_total =
-      AddCounter("ownership_changes_total", "Placement groups taken over or given up.");
-  record_writes_total = AddCounter("record_writes_total", "Request record values written.");
-  record_replays_total =
-      AddCounter("record_replays_total", "Repeated requests that were answered from their record.");
-  record_slots_deleted_total = AddCounter("record_slots_deleted_total",
-                                          "Slots of request records deleted after their window.");
-  stale_documents_total =
-      AddCounter("stale_documents_total", "Environment heads ignored because they were older.");
-  task_restarts_total = AddCounter("task_restarts_total", "Tasks restarted by the supervisor.");
-  environment_version = AddGauge("environment_version", "Version of the document in force.");
-  document_watchers =
-      AddGauge("document_watchers", "1 if this daemon watches the document head, else 0.");
-  live_members = AddGauge("live_members", "Daemons seen alive, this one included.");
-  owned_groups = AddGauge("owned_groups", "Placement groups that this daemon owns.");
-  requests_in_flight = AddGauge("requests_in_flight", "Accepted requests that have not ended.");
-}
-
-prometheus::Counter* Metrics::AddCounter(const std::string& name, const std::string& help) {
-  return &prometheus::BuildCounter().Name(kPrefix + name).Help(help).Register(*registry_).Add({});
+      registry_.AddCounter("ownership_changes_total", "Placement groups taken over or given up.");
+  record_writes_total =
+      registry_.AddCounter("record_writes_total", "Request record values written.");
+  record_replays_total = registry_.AddCounter(
+      "record_replays_total", "Repeated requests that were answered from their record.");
+  record_slots_deleted_total = registry_.AddCounter(
+      "record_slots_deleted_total", "Slots of request records deleted after their window.");
+  stale_documents_total = registry_.AddCounter(
+      "stale_documents_total", "Environment heads ignored because they were older.");
+  task_restarts_total =
+      registry_.AddCounter("task_restarts_total", "Tasks restarted by the supervisor.");
+  environment_version =
+      registry_.AddGauge("environment_version", "Version of the document in force.");
+  document_watchers = registry_.AddGauge("document_watchers",
+                                         "1 if this daemon watches the document head, else 0.");
+  live_members = registry_.AddGauge("live_members", "Daemons seen alive, this one included.");
+  owned_groups = registry_.AddGauge("owned_groups", "Placement groups that this daemon owns.");
+  requests_in_flight =
+      registry_.AddGauge("requests_in_flight", "Accepted requests that have not ended.");
 }
 
-prometheus::Gauge* Metrics::AddGauge(const std::string& name, const std::string& help) {
-  return &prometheus::BuildGauge().Name(kPrefix + name).Help(help).Register(*registry_).Add({});
-}
-
-std::string Metrics::Expose() const {
-  return prometheus::TextSerializer().Serialize(registry_->Collect());
-}
+std::string Metrics::Expose() const { return registry_.Expose(); }
 
 void Metrics::ObserveQueueTime(Rank rank, std::chrono::steady_clock::duration time) {
   queue_time_[Index(rank)]->Observe(ToSeconds(time));
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -4,14 +4,13 @@
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
-#include <prometheus/registry.h>
 
 #include <array>
 #include <chrono>
-#include <memory>
 #include <string>
 
 #include "admission.h"
+#include "metrics_registry.h"
 #include "name_table.h"
 #include "peer_message.h"
 #include "rank.h"
@@ -91,10 +90,7 @@
   prometheus::Gauge* requests_in_flight;
 
  private:
-  prometheus::Counter* AddCounter(const std::string& name, const std::string& help);
-  prometheus::Gauge* AddGauge(const std::string& name, const std::string& help);
-
-  std::shared_ptr<prometheus::Registry> registry_;
+  MetricsRegistry registry_;
   prometheus::Counter* accepted_;
   std::array<std::array<prometheus::Counter*, kRankCount>, kRequestOutcomeCount> outcomes_;
   std::array<prometheus::Counter*, kPeerErrorCount> peer_errors_;
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -145,6 +145,7 @@
     AddDirectory(report, now, &answer);
     ledger_.AddNews(feed_, same_term ? report.news_version : 0, now, &answer);
     answer.others = loads_.OthersOf(sender);
+    std::erase_if(answer.others, [this](const EndpointLoad& load) { return IsLight(load); });
     if (resigning_) {
       answer.resigning = true;
       answer.holder = settings_.host;
@@ -185,6 +186,8 @@
   // An engine that a daemon can't reach counts for nothing until then, so that its models are
   // loaded elsewhere if requests wait for them.
   static constexpr milliseconds kUnreachableTime{1500};
+  // An endpoint with nothing to read is lightly loaded below this part of its slots.
+  static constexpr std::uint32_t kLightShare = 8;
   static constexpr milliseconds kPlanPeriod{150};
   static constexpr milliseconds kWakeDelay{5};
   static constexpr milliseconds kReportPeriod{250};
@@ -200,6 +203,12 @@
     MonotonicTime orders_from;
   };
 
+  // Whether a load is too small to change a choice. Most endpoints of a large fleet have such a
+  // load, and each answer would name them all.
+  bool IsLight(const EndpointLoad& load) const {
+    return load.unread_units == 0 && load.requests * kLightShare < feed_.SlotsOf(load.number);
+  }
+
   OrderAuthority MakeAuthority() {
     OrderAuthority authority;
     authority.holder = settings_.host;
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -1,7 +1,5 @@
 #include "relay_metrics.h"
 
-#include <prometheus/text_serializer.h>
-
 #include "clock.h"
 
 namespace mimosabend {
@@ -15,16 +13,16 @@
 
 }  // namespace
 
-RelayMetrics::RelayMetrics() : registry_(std::make_shared<prometheus::Registry>()) {
+RelayMetrics::RelayMetrics() : registry_(kPrefix) {
   auto& ends = prometheus::BuildCounter()
-                   .Name(std::string(kPrefix) + "requests_ended_total")
+                   .Name(registry_.NameOf("requests_ended_total"))
                    .Help("Requests by final outcome and kind of route.")
-                   .Register(*registry_);
+                   .Register(registry_.registry());
   auto& first_byte =
       prometheus::BuildHistogram()
-          .Name(std::string(kPrefix) + "first_byte_seconds")
+          .Name(registry_.NameOf("first_byte_seconds"))
           .Help("Time from the arrival of a request to the first byte of its answer.")
-          .Register(*registry_);
+          .Register(registry_.registry());
   for (std::size_t kind = 0; kind < kKinds; ++kind) {
     const std::string name(kRouteKindNames.names[kind]);
     for (std::size_t i = 0; i < kRelayOutcomeCount; ++i) {
@@ -33,35 +31,34 @@
     }
     first_byte_[kind] = &first_byte.Add({{"kind", name}}, kFirstByteBounds);
   }
-  requests_total = AddCounter("requests_total", "Requests that were read whole.");
-  tries_total = AddCounter("tries_total", "Requests sent to endpoints, repeats included.");
-  repeats_total = AddCounter("repeats_total", "Repeats that the retry budget allowed.");
-  repeats_denied_total = AddCounter("repeats_denied_total", "Repeats that the budget refused.");
-  stream_resumes_total = AddCounter("stream_resumes_total", "Streams resumed after a break.");
-  model_waits_total = AddCounter("model_waits_total", "Requests that waited for a model.");
-  adapter_waits_total = AddCounter("adapter_waits_total", "Requests that waited for an adapter.");
+  requests_total = registry_.AddCounter("requests_total", "Requests that were read whole.");
+  tries_total =
+      registry_.AddCounter("tries_total", "Requests sent to endpoints, repeats included.");
+  repeats_total = registry_.AddCounter("repeats_total", "Repeats that the retry budget allowed.");
+  repeats_denied_total =
+      registry_.AddCounter("repeats_denied_total", "Repeats that the budget refused.");
+  stream_resumes_total =
+      registry_.AddCounter("stream_resumes_total", "Streams resumed after a break.");
+  model_waits_total =
+      registry_.AddCounter("model_waits_total", "Requests that waited for a model.");
+  adapter_waits_total =
+      registry_.AddCounter("adapter_waits_total", "Requests that waited for an adapter.");
   connections_opened_total =
-      AddCounter("connections_opened_total", "Connections opened to endpoints.");
-  store_calls_total = AddCounter("store_calls_total", "Calls to the store, watches included.");
-  store_errors_total = AddCounter("store_errors_total", "Calls to the store that failed.");
-  log_lines_dropped_total = AddCounter("log_lines_dropped_total", "Log lines that were left out.");
-  config_version = AddGauge("config_version", "Version of the configuration in force.");
-  endpoints = AddGauge("endpoints", "Endpoints in the directory.");
-  requests_in_flight = AddGauge("requests_in_flight", "Requests that have not ended.");
-  leads_placement = AddGauge("leads_placement", "1 if this daemon leads placement, else 0.");
-}
-
-prometheus::Counter* RelayMetrics::AddCounter(const std::string& name, const std::string& help) {
-  return &prometheus::BuildCounter().Name(kPrefix + name).Help(help).Register(*registry_).Add({});
+      registry_.AddCounter("connections_opened_total", "Connections opened to endpoints.");
+  store_calls_total =
+      registry_.AddCounter("store_calls_total", "Calls to the store, watches included.");
+  store_errors_total =
+      registry_.AddCounter("store_errors_total", "Calls to the store that failed.");
+  log_lines_dropped_total =
+      registry_.AddCounter("log_lines_dropped_total", "Log lines that were left out.");
+  config_version = registry_.AddGauge("config_version", "Version of the configuration in force.");
+  endpoints = registry_.AddGauge("endpoints", "Endpoints in the directory.");
+  requests_in_flight = registry_.AddGauge("requests_in_flight", "Requests that have not ended.");
+  leads_placement =
+      registry_.AddGauge("leads_placement", "1 if this daemon leads placement, else 0.");
 }
 
-prometheus::Gauge* RelayMetrics::AddGauge(const std::string& name, const std::string& help) {
-  return &prometheus::BuildGauge().Name(kPrefix + name).Help(help).Register(*registry_).Add({});
-}
-
-std::string RelayMetrics::Expose() const {
-  return prometheus::TextSerializer().Serialize(registry_->Collect());
-}
+std::string RelayMetrics::Expose() const { return registry_.Expose(); }
 
 void RelayMetrics::ObserveFirstByte(RouteKind kind, std::chrono::steady_clock::duration time) {
   first_byte_[static_cast<std::size_t>(kind)]->Observe(ToSeconds(time));
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -4,14 +4,13 @@
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
-#include <prometheus/registry.h>
 
 #include <array>
 #include <chrono>
-#include <memory>
 #include <string>
 
 #include "fleet_config.h"
+#include "metrics_registry.h"
 #include "name_table.h"
 
 namespace mimosabend {
@@ -63,10 +62,7 @@
  private:
   static constexpr std::size_t kKinds = 3;
 
-  prometheus::Counter* AddCounter(const std::string& name, const std::string& help);
-  prometheus::Gauge* AddGauge(const std::string& name, const std::string& help);
-
-  std::shared_ptr<prometheus::Registry> registry_;
+  MetricsRegistry registry_;
   std::array<std::array<prometheus::Counter*, kKinds>, kRelayOutcomeCount> ends_;
   std::array<prometheus::Histogram*, kKinds> first_byte_;
 };
--- a/tests/test_placement_leader.cpp
+++ b/tests/test_placement_leader.cpp
@@ -319,6 +319,17 @@
   REQUIRE(others.size() == 1);
   CHECK(others[0].Work().requests == 2);
   CHECK(others[0].Work().unread_tokens == 6400);
+  // What would not change a choice is left out, so that answers stay short in a large fleet.
+  report.loads = {EndpointLoad(number, {2, 0, 12800})};
+  a.leader.HandleReport("d1", report, now);
+  report.loads.clear();
+  CHECK(a.leader.HandleReport("d2", report, now).others.empty());
+  report.loads = {EndpointLoad(number, {20, 0, 12800})};
+  a.leader.HandleReport("d1", report, now);
+  report.loads.clear();
+  CHECK(a.leader.HandleReport("d2", report, now).others.size() == 1);
+  report.loads = {EndpointLoad(number, {2, 6400, 12800})};
+  a.leader.HandleReport("d2", report, now);
   report.loads.clear();
   a.leader.HandleReport("d1", report, now);
   CHECK(a.leader.HandleReport("d3", report, now).others.size() == 1);
