--- a/src/fleet_directory.cpp
+++ b/src/fleet_directory.cpp
@@ -17,7 +17,7 @@
   return true;
 }
 
-bool FleetDirectory::Put(FleetEndpoint endpoint, MonotonicTime now) {
+bool FleetDirectory::Put(FleetEndpoint endpoint) {
   const auto it = entries_.find(endpoint.id);
   const bool restarted =
       it != entries_.end() && (it->second.endpoint.started_ms != endpoint.started_ms ||
@@ -28,7 +28,6 @@
     entries_[entry.endpoint.id] = std::move(entry);
     return true;
   }
-  static_cast<void>(now);
   it->second.endpoint = std::move(endpoint);
   it->second.missing_since.reset();
   it->second.refused.clear();
--- a/src/fleet_directory.h
+++ b/src/fleet_directory.h
@@ -62,7 +62,7 @@
   std::shared_ptr<const FleetConfig> config() const { return config_; }
 
   // Notes an entry. Returns true if it is a new incarnation.
-  bool Put(FleetEndpoint endpoint, MonotonicTime now);
+  bool Put(FleetEndpoint endpoint);
   // Notes that an entry is missing.
   void Remove(const std::string& id, MonotonicTime now);
   // Notes that exactly these entries exist.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -122,7 +122,7 @@
   PlacementHooks MakeHooks();
   void AdoptConfig(const KvItem& item);
   void PutItem(const KvItem& item, MonotonicTime now);
-  void PutEndpoint(FleetEndpoint endpoint, MonotonicTime now);
+  void PutEndpoint(FleetEndpoint endpoint);
   bool IsStoreFresh(MonotonicTime now) const;
   RelayedView MakeView();
   Task<void> Tick();
@@ -285,16 +285,16 @@
     directory_.Remove(id, now);
     return;
   }
-  PutEndpoint(std::move(*endpoint), now);
+  PutEndpoint(std::move(*endpoint));
 }
 
-void Gateway::PutEndpoint(FleetEndpoint endpoint, MonotonicTime now) {
+void Gateway::PutEndpoint(FleetEndpoint endpoint) {
   const std::string id = endpoint.id;
   const DirectoryEntry* known = directory_.Find(id);
   const bool draining = endpoint.state == EndpointState::kDraining;
   const bool drains_now =
       draining && (known == nullptr || known->endpoint.state != EndpointState::kDraining);
-  const bool created = directory_.Put(std::move(endpoint), now);
+  const bool created = directory_.Put(std::move(endpoint));
   if (created) {
     stats_.Forget(id);
     prefixes_.Forget(id);
@@ -313,9 +313,7 @@
 RelayedView Gateway::MakeView() {
   RelayedView view;
   view.lifetime = RelayedLifetime(settings_.bounds);
-  view.put = [this](FleetEndpoint endpoint, MonotonicTime now) {
-    PutEndpoint(std::move(endpoint), now);
-  };
+  view.put = [this](FleetEndpoint endpoint) { PutEndpoint(std::move(endpoint)); };
   view.suspend_reading = [this](MonotonicTime until) {
     // Each follower reads the store once before it relies on others.
     if (config_follower_.has_read()) config_follower_.Suspend(until);
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -24,7 +24,7 @@
 struct RelayedView {
   // How long an answer of the leader stands in for reading the store; zero for never.
   milliseconds lifetime{0};
-  std::function<void(FleetEndpoint, MonotonicTime)> put;
+  std::function<void(FleetEndpoint)> put;
   // The store need not be read until then.
   std::function<void(MonotonicTime)> suspend_reading;
   // The leader has a newer configuration.
@@ -181,7 +181,7 @@
       FleetEndpoint endpoint = ToEndpoint(change);
       const DirectoryEntry* known = directory_->Find(change.id);
       if (known != nullptr) endpoint.holdings = known->endpoint.holdings;
-      view_.put(std::move(endpoint), now);
+      view_.put(std::move(endpoint));
     }
     if (whole) directory_->KeepOnly(ids, now);
     if (!answer.directory.empty()) board_->changed().NotifyAll();
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -18,6 +18,7 @@
 // A connection that was idle for longer is not used for a request that must not repeat, since the
 // endpoint may close it while the request is on its way.
 constexpr milliseconds kUnrepeatableMaxIdle{2000};
+constexpr milliseconds kTimeoutOfRoutesWithout{60000};
 // No try is started with less time than this.
 constexpr milliseconds kLeastTime{10};
 // A plain request that may repeat shares its time with one more try.
@@ -103,7 +104,7 @@
   const Route& route = *context->route;
   context->service_name = PickService(route, context->relay.id);
   context->service = context->config->FindService(context->service_name);
-  milliseconds limit = route.timeout.count() > 0 ? route.timeout : milliseconds(60000);
+  milliseconds limit = route.timeout.count() > 0 ? route.timeout : kTimeoutOfRoutesWithout;
   if (context->relay.time_limit) limit = std::min(limit, *context->relay.time_limit);
   context->deadline = context->arrival + limit;
   BudgetOf(context->service_name).NoteRequest(MonotonicNow());
@@ -217,13 +218,11 @@
     context->reason = "the answer is not to this request";
     co_return Next::kTryAgain;
   }
-  co_return co_await PassWhole(context, choice, std::move(reply).value());
+  co_return co_await PassWhole(context, std::move(reply).value());
 }
 
 // Passes on an answer of an endpoint that ran the request, unless a repeat may do better.
-Task<RelayHandler::Next> RelayHandler::PassWhole(ContextPtr context, const EndpointChoice& choice,
-                                                 HttpReply reply) {
-  static_cast<void>(choice);
+Task<RelayHandler::Next> RelayHandler::PassWhole(ContextPtr context, HttpReply reply) {
   const bool may_repeat =
       context->route->repeatable() && context->runs < context->route->max_attempts;
   if (reply.status >= 500 && may_repeat) {
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -86,7 +86,7 @@
                   std::unique_ptr<HttpStream> stream, MonotonicTime sent_at);
   Task<bool> WaitForModel(ContextPtr context);
   Task<bool> PlaceAdapter(ContextPtr context, EndpointChoice* choice);
-  Task<Next> PassWhole(ContextPtr context, const EndpointChoice& choice, HttpReply reply);
+  Task<Next> PassWhole(ContextPtr context, HttpReply reply);
   Task<void> GiveUp(ContextPtr context);
   Task<void> Refuse(ContextPtr context, std::string reason);
   Task<void> Deliver(ContextPtr context, int status, HttpHeaders headers, std::string body);
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -190,7 +190,7 @@
         body = co_await stream.value()->Read(context->deadline);
       }
       if (body && !context->stream_open) {
-        next = co_await PassWhole(context, choice, std::move(reply));
+        next = co_await PassWhole(context, std::move(reply));
       }
     }
   }
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -54,12 +54,12 @@
 // away, and against requests to endpoints that are gone for good.
 TEST_CASE("an endpoint whose entry vanished is a last resort for two seconds", "[directory]") {
   FleetDirectory directory;
-  directory.Put(Endpoint("e1"), kStart);
+  directory.Put(Endpoint("e1"));
   directory.Remove("e1", kStart);
   const DirectoryEntry* entry = directory.Find("e1");
   REQUIRE(entry != nullptr);
   CHECK(directory.UsabilityOf(*entry, kStart + seconds(1)) == Usability::kLastResort);
-  directory.Put(Endpoint("e1"), kStart + seconds(1));
+  directory.Put(Endpoint("e1"));
   directory.Tick(kStart + seconds(5));
   CHECK(directory.UsabilityOf(*directory.Find("e1"), kStart + seconds(5)) == Usability::kUsable);
   directory.Remove("e1", kStart + seconds(5));
@@ -72,7 +72,7 @@
   FleetDirectory directory;
   FleetEndpoint endpoint = Endpoint("e1");
   endpoint.state = EndpointState::kDraining;
-  directory.Put(endpoint, kStart);
+  directory.Put(endpoint);
   CHECK(directory.OfService("models", kStart).empty());
   directory.Remove("e1", kStart);
   CHECK(directory.Find("e1") == nullptr);
@@ -81,14 +81,14 @@
 // Guards against what was known of an endpoint before it started again under its id.
 TEST_CASE("a restarted endpoint is a new one", "[directory]") {
   FleetDirectory directory;
-  CHECK(directory.Put(Endpoint("e1", 1), kStart));
+  CHECK(directory.Put(Endpoint("e1", 1)));
   EngineHoldings holdings;
   holdings.models.push_back({"n", {}});
   directory.NoteKnown("e1", 1, holdings, kStart);
   CHECK(directory.Find("e1")->Holds("n"));
-  CHECK_FALSE(directory.Put(Endpoint("e1", 1), kStart));
+  CHECK_FALSE(directory.Put(Endpoint("e1", 1)));
   CHECK(directory.Find("e1")->Holds("n"));
-  CHECK(directory.Put(Endpoint("e1", 2), kStart));
+  CHECK(directory.Put(Endpoint("e1", 2)));
   CHECK_FALSE(directory.Find("e1")->Holds("n"));
   directory.NoteKnown("e1", 1, holdings, kStart);
   CHECK_FALSE(directory.Find("e1")->Holds("n"));
@@ -97,7 +97,7 @@
 // Guards against a request that is sent again and again to an engine that dropped its model.
 TEST_CASE("what an engine refused is not believed until there is news of it", "[directory]") {
   FleetDirectory directory;
-  directory.Put(Endpoint("e1"), kStart);
+  directory.Put(Endpoint("e1"));
   CHECK(directory.Find("e1")->HoldsAdapter("m", "a1"));
   directory.NoteRefused("e1", "m/a1");
   CHECK_FALSE(directory.Find("e1")->HoldsAdapter("m", "a1"));
@@ -111,7 +111,7 @@
 // Guards against a leader's news that outlives the leader.
 TEST_CASE("news of a leader that fell silent gives way to the registered entry", "[directory]") {
   FleetDirectory directory;
-  directory.Put(Endpoint("e1"), kStart);
+  directory.Put(Endpoint("e1"));
   directory.NoteKnown("e1", 1, EngineHoldings{}, kStart);
   CHECK_FALSE(directory.Find("e1")->Holds("m"));
   directory.Tick(kStart + FleetDirectory::kNewsLifetime + milliseconds(1));
@@ -121,8 +121,8 @@
 TEST_CASE("the feed tells of what came, changed and went since a version", "[directory]") {
   FleetDirectory directory;
   DirectoryFeed feed;
-  directory.Put(Endpoint("e1"), kStart);
-  directory.Put(Endpoint("e2"), kStart);
+  directory.Put(Endpoint("e1"));
+  directory.Put(Endpoint("e2"));
   feed.Update(directory);
   CHECK(feed.Since(0).size() == 2);
   const std::uint64_t version = feed.version();
@@ -133,7 +133,7 @@
 
   FleetEndpoint draining = Endpoint("e1");
   draining.state = EndpointState::kDraining;
-  directory.Put(draining, kStart);
+  directory.Put(draining);
   directory.Remove("e2", kStart);
   feed.Update(directory);
   const auto changes = feed.Since(version);
@@ -144,7 +144,7 @@
   CHECK_FALSE(feed.NumberOf("e2"));
 
   // Another incarnation has another number, so that old loads are not taken for its own.
-  directory.Put(Endpoint("e1", 9), kStart);
+  directory.Put(Endpoint("e1", 9));
   feed.Update(directory);
   CHECK(feed.NumberOf("e1") != number);
 }
@@ -227,10 +227,10 @@
 // Two engines in this region and one in another, all with model "m".
 struct Engines {
   Engines() {
-    for (const char* id : {"e1", "e2", "e3"}) directory.Put(Endpoint(id), kStart);
+    for (const char* id : {"e1", "e2", "e3"}) directory.Put(Endpoint(id));
     FleetEndpoint far = Endpoint("e4");
     far.failure_domain = "south-a";
-    directory.Put(far, kStart);
+    directory.Put(far);
     profile.slots = 64;
     profile.cache_tokens = 200000;
     request.model = "m";
--- a/tests/test_leader_link.cpp
+++ b/tests/test_leader_link.cpp
@@ -60,9 +60,7 @@
   RelayedView View() {
     RelayedView view;
     view.lifetime = milliseconds(1000);
-    view.put = [this](FleetEndpoint endpoint, MonotonicTime now) {
-      directory.Put(std::move(endpoint), now);
-    };
+    view.put = [this](FleetEndpoint endpoint) { directory.Put(std::move(endpoint)); };
     view.suspend_reading = [this](MonotonicTime until) { suspended_until = until; };
     view.read_config = [this] { ++config_reads; };
     return view;
@@ -107,7 +105,7 @@
   REQUIRE(a.leads() != b.leads());
   Daemon& leader = a.leads() ? a : b;
   Daemon& other = a.leads() ? b : a;
-  leader.directory.Put(Endpoint("e1"), MonotonicNow());
+  leader.directory.Put(Endpoint("e1"));
   FleetConfig newer;
   newer.version = 2;
   leader.directory.Adopt(newer);
@@ -122,7 +120,7 @@
   CHECK(other.directory.Find("e1")->missing_since);
   // What the leader has not read lately is not taken for the store's.
   leader.fresh = false;
-  leader.directory.Put(Endpoint("e2"), MonotonicNow());
+  leader.directory.Put(Endpoint("e2"));
   io.run_for(milliseconds(1500));
   CHECK(other.directory.Find("e2") == nullptr);
   CHECK(other.suspended_until < MonotonicNow());
--- a/tests/test_placement_leader.cpp
+++ b/tests/test_placement_leader.cpp
@@ -60,7 +60,7 @@
                                        1.1,
                                        [](MonotonicTime) { return true; }}) {
     directory.Adopt(Config());
-    for (int i = 0; i < 3; ++i) directory.Put(Endpoint(i), MonotonicNow());
+    for (int i = 0; i < 3; ++i) directory.Put(Endpoint(i));
     boost::asio::co_spawn(*io, lease.Run(), boost::asio::detached);
     boost::asio::co_spawn(*io, leader.Run(), boost::asio::detached);
   }
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -143,7 +143,7 @@
     entry.failure_domain = "a";
     entry.slots = 64;
     entry.holdings.models.push_back({"m", {}});
-    directory.Put(entry, MonotonicNow());
+    directory.Put(entry);
   }
 
   HttpCall MakeCall(const std::string& path, const std::string& method = "POST") const {
