--- a/tests/test_ledger.cpp
+++ b/tests/test_ledger.cpp
@@ -296,8 +296,9 @@
       seen[answer] += world.answers(answer);
     }
   }
-  // Most orders get through, so the test does not pass because nothing was run.
-  CHECK(keys_run > static_cast<int>(kSeeds) * kKeys / 2);
+  // Orders get through, so the test does not pass because nothing was run. How many is the next
+  // case's matter.
+  CHECK(keys_run > 0);
   // Each kind of answer was met, so the faults were injected.
   for (const auto& [answer, count] : seen) {
     CAPTURE(static_cast<int>(answer));
@@ -305,6 +306,21 @@
   }
 }
 
+// Guards against a randomised test that proves little because few orders run in it. A case of its
+// own since it depends on how fast the machine is: the worlds run on real timers.
+TEST_CASE("most orders get through the faults", "[ledger]") {
+  constexpr std::uint64_t kSeeds = 30;
+  constexpr int kKeys = 50;
+  int keys_run = 0;
+  boost::asio::io_context io(1);
+  const Worlds worlds = StartWorlds(&io, kSeeds, kKeys, Mistake::kNone);
+  const Worlds unstored = StartWorlds(&io, 10, kKeys, Mistake::kSendUnstored);
+  const Worlds lost_answer = StartWorlds(&io, 10, kKeys, Mistake::kLostAnswerIsFailure);
+  io.run();
+  for (const auto& world : worlds) keys_run += world->KeysRun();
+  CHECK(keys_run > static_cast<int>(kSeeds) * kKeys / 2);
+}
+
 // Guards against keys that are run although no record of an earlier run can be relied on.
 TEST_CASE("keys outside the window or of another form are refused", "[ledger]") {
   const WallTime now = WallNow();
