Run the order worlds in simulated time, and wake waiters in the order of their arrival

Ruled out: a lower bound or longer deadlines, which weaken the check; Asio's own timers with a fake wait, since its event loop looks at timers only when the kernel has reported the timer descriptor. Two further sources of chance were the random digits of the keys, which choose the slot, and Notifier, which woke its waiters in the order of their addresses.

Change: clock.h has a replaceable TimeSource; all timers of the product are of one type, Timer, that uses it; tests/simulated_time.h moves it. Notifier keeps its waiters in a list.

--- a/src/admission_gate.cpp
+++ b/src/admission_gate.cpp
@@ -30,7 +30,7 @@
   admission_.NoteEndpoints(request.queue, endpoints, start);
   AdmissionDecisions decisions;
   const AdmissionTicket ticket = admission_.Arrive(request, start, &decisions);
-  Waiter waiter{asio::steady_timer(executor_), std::nullopt};
+  Waiter waiter{Timer(executor_), std::nullopt};
   waiters_[ticket] = &waiter;
   Apply(decisions);
   while (!waiter.decision) {
--- a/src/admission_gate.h
+++ b/src/admission_gate.h
@@ -2,7 +2,6 @@
 #define MIMOSABEND_ADMISSION_GATE_H_
 
 #include <boost/asio/any_io_executor.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <optional>
@@ -12,6 +11,7 @@
 #include "admission.h"
 #include "metrics.h"
 #include "result.h"
+#include "timer.h"
 
 namespace mimosabend {
 
@@ -62,7 +62,7 @@
   friend class AdmissionPermit;
 
   struct Waiter {
-    boost::asio::steady_timer timer;
+    Timer timer;
     std::optional<AdmissionDecision> decision;
   };
 
--- a/src/clock.h
+++ b/src/clock.h
@@ -14,8 +14,21 @@
 // Time that different hosts compare; it can jump.
 using WallTime = std::chrono::system_clock::time_point;
 
-inline MonotonicTime MonotonicNow() { return std::chrono::steady_clock::now(); }
-inline WallTime WallNow() { return std::chrono::system_clock::now(); }
+// Both clocks of a process. Programs use the system's; an experiment or a test replaces it.
+struct TimeSource {
+  MonotonicTime (*monotonic)() = std::chrono::steady_clock::now;
+  WallTime (*wall)() = std::chrono::system_clock::now;
+  // Decides which timers are due.
+  MonotonicTime (*timers)() = std::chrono::steady_clock::now;
+  // Time passes only when the program says so. Timers then never wait for real time.
+  bool simulated = false;
+};
+
+// Not thread-safe: replaced only while no other thread of the process runs and no timer waits.
+inline TimeSource time_source;
+
+inline MonotonicTime MonotonicNow() { return time_source.monotonic(); }
+inline WallTime WallNow() { return time_source.wall(); }
 
 // Milliseconds since 1970-01-01 UTC.
 inline std::int64_t ToUnixMillis(WallTime time) {
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -5,13 +5,13 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cassert>
 
 #include "tcp_listener.h"
+#include "timer.h"
 
 namespace mimosabend {
 
@@ -302,7 +302,7 @@
 
 // Callers that sent a request before they saw the listener close get kDrainIdleTimeout to arrive.
 Task<void> HttpServer::CloseIdleConnections() {
-  asio::steady_timer timer(executor_, kDrainIdleTimeout);
+  Timer timer(executor_, kDrainIdleTimeout);
   boost::system::error_code ignored;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
   for (ServerConnection* connection : idle_) connection->CloseIfIdle();
@@ -335,7 +335,7 @@
     if (error) {
       // Out of file descriptors, for example: accept again when some may have been closed.
       if (stopping_) co_return;
-      asio::steady_timer timer(executor_, kAcceptRetryDelay);
+      Timer timer(executor_, kAcceptRetryDelay);
       co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
       continue;
     }
--- a/src/notifier.h
+++ b/src/notifier.h
@@ -3,16 +3,17 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <set>
+#include <list>
 
 #include "clock.h"
 #include "result.h"
+#include "timer.h"
 
 namespace mimosabend {
 
-// Wakes all coroutines that wait for a change. Not thread-safe.
+// Wakes all coroutines that wait for a change, in the order in which they began to wait. Not
+// thread-safe.
 class Notifier {
  public:
   explicit Notifier(boost::asio::any_io_executor executor) : executor_(std::move(executor)) {}
@@ -21,21 +22,21 @@
   ~Notifier() = default;
 
   void NotifyAll() {
-    for (boost::asio::steady_timer* timer : waiters_) timer->cancel();
+    for (Timer* timer : waiters_) timer->cancel();
   }
 
   // Returns at the next NotifyAll or at the deadline.
   Task<void> WaitUntil(MonotonicTime deadline) {
-    boost::asio::steady_timer timer(executor_, deadline);
-    waiters_.insert(&timer);
+    Timer timer(executor_, deadline);
+    const auto place = waiters_.insert(waiters_.end(), &timer);
     boost::system::error_code ignored;
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-    waiters_.erase(&timer);
+    waiters_.erase(place);
   }
 
  private:
   boost::asio::any_io_executor executor_;
-  std::set<boost::asio::steady_timer*> waiters_;
+  std::list<Timer*> waiters_;
 };
 
 }  // namespace mimosabend
--- a/src/supervisor.cpp
+++ b/src/supervisor.cpp
@@ -3,12 +3,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <deque>
 
 #include "log.h"
+#include "timer.h"
 
 namespace mimosabend {
 
@@ -24,7 +24,7 @@
 }  // namespace
 
 Task<void> Sleep(std::chrono::steady_clock::duration duration) {
-  asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+  Timer timer(co_await asio::this_coro::executor, MonotonicNow() + duration);
   boost::system::error_code ignored;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
--- a/tests/test_ledger.cpp
+++ b/tests/test_ledger.cpp
@@ -6,6 +6,7 @@
 #include "fake_kv.h"
 #include "request_ledger.h"
 #include "request_sweeper.h"
+#include "simulated_time.h"
 #include "uuid7.h"
 
 namespace mimosabend::testing {
@@ -72,7 +73,7 @@
   // Sends each of `keys` orders several times, through any daemon at any time.
   void Start(int keys) {
     for (int i = 0; i < keys; ++i) {
-      const std::string key = MakeUuid7(WallNow());
+      const std::string key = NewKey();
       keys_.push_back(key);
       for (int repeat = 0; repeat < kDeliveries; ++repeat) {
         // Some repeats come after the others have ended, since callers wait before they try again.
@@ -105,6 +106,16 @@
   bool Happens(double share) { return std::bernoulli_distribution(share)(random_); }
   int Number(int below) { return std::uniform_int_distribution<int>(0, below - 1)(random_); }
 
+  // A key whose random part comes from the seed.
+  std::string NewKey() {
+    constexpr std::string_view kDigits = "0123456789abcdef";
+    std::string key = MakeUuid7(WallNow()).substr(0, 14) + "7000-8000-000000000000";
+    for (std::size_t i = 15; i < key.size(); ++i) {
+      if (key[i] == '0') key[i] = kDigits[Number(static_cast<int>(kDigits.size()))];
+    }
+    return key;
+  }
+
   void StartDaemon(int index) {
     daemons_[index] = std::make_shared<DaemonModel>(io_, &kv_service_, &metrics_, Happens(0.4));
     all_daemons_.push_back(daemons_[index]);
@@ -276,11 +287,12 @@
   std::cout << "at most once: seeds 1 to " << kSeeds << ", " << kKeys << " keys each\n";
   std::map<Answer, int> seen;
   int keys_run = 0;
+  SimulatedTime time;
   boost::asio::io_context io(1);
   const Worlds worlds = StartWorlds(&io, kSeeds, kKeys, Mistake::kNone);
   const Worlds unstored = StartWorlds(&io, kMistakeSeeds, kKeys, Mistake::kSendUnstored);
   const Worlds lost_answer = StartWorlds(&io, kMistakeSeeds, kKeys, Mistake::kLostAnswerIsFailure);
-  io.run();
+  time.Run(&io);
   CHECK(SumOf(unstored, &OrderWorld::KeysRunTwice) > 0);
   CHECK(SumOf(lost_answer, &OrderWorld::KeysRunTwice) > 0);
   CHECK(SumOf(lost_answer, &OrderWorld::false_refusals) > 0);
@@ -296,9 +308,9 @@
       seen[answer] += world.answers(answer);
     }
   }
-  // Orders get through, so the test does not pass because nothing was run. How many is the next
-  // case's matter.
-  CHECK(keys_run > 0);
+  std::cout << "orders run: " << keys_run << "\n";
+  // Most orders get through, so the test does not pass because little was run.
+  CHECK(keys_run > static_cast<int>(kSeeds) * kKeys / 2);
   // Each kind of answer was met, so the faults were injected.
   for (const auto& [answer, count] : seen) {
     CAPTURE(static_cast<int>(answer));
@@ -306,21 +318,6 @@
   }
 }
 
-// Guards against a randomised test that proves little because few orders run in it. A case of its
-// own since it depends on how fast the machine is: the worlds run on real timers.
-TEST_CASE("most orders get through the faults", "[ledger]") {
-  constexpr std::uint64_t kSeeds = 30;
-  constexpr int kKeys = 50;
-  int keys_run = 0;
-  boost::asio::io_context io(1);
-  const Worlds worlds = StartWorlds(&io, kSeeds, kKeys, Mistake::kNone);
-  const Worlds unstored = StartWorlds(&io, 10, kKeys, Mistake::kSendUnstored);
-  const Worlds lost_answer = StartWorlds(&io, 10, kKeys, Mistake::kLostAnswerIsFailure);
-  io.run();
-  for (const auto& world : worlds) keys_run += world->KeysRun();
-  CHECK(keys_run > static_cast<int>(kSeeds) * kKeys / 2);
-}
-
 // Guards against keys that are run although no record of an earlier run can be relied on.
 TEST_CASE("keys outside the window or of another form are refused", "[ledger]") {
   const WallTime now = WallNow();
