Bound the wait for an adapter by the request's deadline and the daemon's end

Cause: a request that needs an adapter waits for the leader's answer, up to 600 ms for a leader at another host, whatever its own deadline. A daemon that stops ends what is open 500 ms after the last moment at which requests may wait, so such a request was cut off without an answer. FailUnanswered breaks off waits for endpoints only.

Change: the question to the leader runs as a task of its own; the request waits for it until its deadline, the end that is set, or its caller's leaving. Next::kGiveUp, which nothing returned, is gone.

--- a/src/event_stream.h
+++ b/src/event_stream.h
@@ -24,9 +24,6 @@
   // Whole events so far.
   std::uint64_t events() const { return events_; }
 
-  // Drops the unfinished event.
-  void DropPartial() { rest_.clear(); }
-
  private:
   void Scan(std::string_view event);
 
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -171,7 +171,6 @@
     if (!MayTryAgain(context.get())) break;
     const Next next = co_await TryPlain(context, *choice);
     if (next == Next::kDone) co_return;
-    if (next == Next::kGiveUp) break;
   }
   co_await GiveUp(context);
 }
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -73,9 +73,10 @@
  private:
   struct Context;
   using ContextPtr = std::shared_ptr<Context>;
+  struct AdapterPlacement;
 
   // What a try leads to.
-  enum class Next : std::uint8_t { kDone, kTryAgain, kGiveUp };
+  enum class Next : std::uint8_t { kDone, kTryAgain };
 
   Task<void> Serve(ContextPtr context);
   Task<void> ServePlain(ContextPtr context);
@@ -86,6 +87,7 @@
                   std::unique_ptr<HttpStream> stream, MonotonicTime sent_at);
   Task<bool> WaitForModel(ContextPtr context);
   Task<bool> PlaceAdapter(ContextPtr context, EndpointChoice* choice);
+  Task<void> AskForAdapter(std::shared_ptr<AdapterPlacement> placement, AdapterRequest request);
   Task<Next> PassWhole(ContextPtr context, HttpReply reply);
   Task<void> GiveUp(ContextPtr context);
   Task<void> Refuse(ContextPtr context, std::string reason);
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -1,6 +1,10 @@
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
 
 #include "log.h"
+#include "notifier.h"
 #include "platform/request_headers.h"
 #include "relay_context.h"
 #include "relay_handler.h"
@@ -37,6 +41,14 @@
 
 }  // namespace
 
+struct RelayHandler::AdapterPlacement {
+  explicit AdapterPlacement(boost::asio::any_io_executor executor) : done(std::move(executor)) {}
+
+  Notifier done;
+  // Empty until the leader has decided.
+  std::optional<bool> placed;
+};
+
 bool RelayHandler::HasEngine(const Context& context, MonotonicTime now) const {
   return parts_.selector->HasEngine(context.service_name, context.relay.model, context.Avoided(now),
                                     now);
@@ -62,7 +74,6 @@
     if (!MayTryAgain(context.get())) break;
     const Next next = co_await TryStream(context, *choice);
     if (next == Next::kDone) co_return;
-    if (next == Next::kGiveUp) break;
   }
   if (context->reason.empty()) context->reason = "no engine in time";
   co_await GiveUp(context);
@@ -112,8 +123,19 @@
 Task<bool> RelayHandler::PlaceAdapter(ContextPtr context, EndpointChoice* choice) {
   const MonotonicTime began = MonotonicNow();
   parts_.metrics->adapter_waits_total->Increment();
+  const auto executor = co_await boost::asio::this_coro::executor;
+  const auto placement = std::make_shared<AdapterPlacement>(executor);
   AdapterRequest request{choice->endpoint.id, context->relay.model, context->relay.adapter};
-  const bool placed = co_await parts_.placement.place_adapter(std::move(request));
+  boost::asio::co_spawn(executor, AskForAdapter(placement, std::move(request)),
+                        boost::asio::detached);
+  // The leader may be silent, and the signal to stop may come meanwhile.
+  while (!placement->placed && !context->caller_gone) {
+    const MonotonicTime now = MonotonicNow();
+    if (!HasTimeLeft(*context, now)) break;
+    const MonotonicTime limit = std::min(context->deadline, end_);
+    co_await placement->done.WaitUntil(std::min(limit, now + kWaitStep));
+  }
+  const bool placed = placement->placed.value_or(false);
   context->waited += ToMillis(MonotonicNow() - began);
   if (!placed) {
     context->reason = "the adapter could not be placed";
@@ -123,6 +145,14 @@
   co_return placed;
 }
 
+// Goes on when the request that asked has ended, so it refers to nothing of that request.
+Task<void> RelayHandler::AskForAdapter(std::shared_ptr<AdapterPlacement> placement,
+                                       AdapterRequest request) {
+  const bool placed = co_await parts_.placement.place_adapter(std::move(request));
+  placement->placed = placed;
+  placement->done.NotifyAll();
+}
+
 Task<RelayHandler::Next> RelayHandler::TryStream(ContextPtr context, EndpointChoice choice) {
   const std::string id = choice.endpoint.id;
   const RelayRequest& relay = context->relay;
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -129,7 +129,10 @@
 
   PlacementHooks Hooks() {
     PlacementHooks hooks;
-    hooks.place_adapter = [this](AdapterRequest) -> Task<bool> { co_return adapters_placed; };
+    hooks.place_adapter = [this](AdapterRequest) -> Task<bool> {
+      co_await Sleep(placing_time);
+      co_return adapters_placed;
+    };
     hooks.load_end = [](const std::string&) { return std::nullopt; };
     hooks.has_leader = [this](MonotonicTime) { return has_leader; };
     return hooks;
@@ -146,28 +149,28 @@
     directory.Put(entry);
   }
 
-  HttpCall MakeCall(const std::string& path, const std::string& method = "POST") const {
+  HttpCall MakeCall(const std::string& path, const std::string& model = "m") const {
     HttpCall call;
     call.address = {"127.0.0.1", port};
-    call.method = method;
+    call.method = "POST";
     call.target = path;
     call.headers = {{"Host", "a.example"},
                     {"Request-Id", "9c41"},
                     {"Deadline-Ms", "1500"},
-                    {"Model", "m"},
+                    {"Model", model},
                     {"Token-Count", "100,10"}};
     call.deadline = MonotonicNow() + seconds(5);
     return call;
   }
 
   // Sends a request and returns its answer; an error if the answer is not whole.
-  Result<HttpReply, HttpError> Send(const std::string& path) {
+  Result<HttpReply, HttpError> Send(const std::string& path, const std::string& model = "m") {
     std::optional<Result<HttpReply, HttpError>> result;
     const auto call = [this, &result](HttpCall request) -> Task<void> {
       auto reply = co_await caller.Call(std::move(request));
       result = std::move(reply);
     };
-    boost::asio::co_spawn(io, call(MakeCall(path)), boost::asio::detached);
+    boost::asio::co_spawn(io, call(MakeCall(path, model)), boost::asio::detached);
     const MonotonicTime end = MonotonicNow() + seconds(5);
     while (!result && MonotonicNow() < end) io.run_for(milliseconds(5));
     REQUIRE(result);
@@ -198,6 +201,7 @@
   UsageBoard board;
   RelayMetrics metrics;
   bool adapters_placed = true;
+  milliseconds placing_time{0};
   bool has_leader = true;
   RelayHandler handler;
   HttpServer server;
@@ -360,6 +364,24 @@
   CHECK(MonotonicNow() < end + milliseconds(150));
 }
 
+// Guards against a request that is cut off at the end of the grace time because the leader does not
+// say in time whether it can place the request's adapter.
+TEST_CASE("what waits for an adapter is refused before the process ends", "[relay]") {
+  Relay relay;
+  relay.placing_time = milliseconds(1200);
+  const MonotonicTime end = MonotonicNow() + milliseconds(300);
+  const auto stop = [&relay, end]() -> Task<void> {
+    co_await Sleep(milliseconds(100));
+    relay.handler.SetEnd(MonotonicTime::max(), end);
+  };
+  boost::asio::co_spawn(relay.io, stop(), boost::asio::detached);
+  auto reply = relay.Send("/once/1", "m/adapter");
+  REQUIRE(reply);
+  CHECK(reply.value().status == 503);
+  CHECK(MonotonicNow() < end + milliseconds(150));
+  CHECK(relay.engine_arrivals() == 0);
+}
+
 // Guards against a request that was passed on and gets no answer, not even a failure, from a daemon
 // that stops while the endpoint is silent.
 TEST_CASE("what an endpoint has not answered fails before the process ends", "[relay]") {
