Serve waiting models by requests times wait, not by name

Among models with waiting requests of one priority the planner kept the order of its map, so models late in the alphabet were never loaded while others were loaded up to ten times.

Ruled out: the time of a swap (0.2 s from an accepted unload to the accepted load, about 1 s until the next order of the engine), and the ceiling on loads, since most of these loads come from disk.

Change: the order is by priority, then by the number of waiting requests times how long they have waited (the "R x W" rule of Aksoy and Franklin, Scheduling for large-scale on-demand data broadcasting, INFOCOM 1998), so that one load serves many and none is passed over for ever.

Before: the replay "every model that waits gets its turn" loads m2 and m0, m1 only, m3 to m7 never; "the model with more waiting requests goes first" loads the other. After: both pass.

--- a/src/event_stream.cpp
+++ b/src/event_stream.cpp
@@ -27,7 +27,7 @@
   for (;;) {
     const std::size_t end = rest_.find('\n', search_from);
     if (end == std::string::npos) break;
-    std::string_view line = std::string_view(rest_).substr(line_start_, end - line_start_);
+    std::string_view line(rest_.data() + line_start_, end - line_start_);
     if (line.ends_with('\r')) line.remove_suffix(1);
     line_start_ = end + 1;
     search_from = line_start_;
--- a/src/model_planner.cpp
+++ b/src/model_planner.cpp
@@ -38,7 +38,9 @@
 struct Deficit {
   std::string model;
   Need need = Need::kCopy;
-  // Among those of the same need, larger goes first.
+  // Among those of the same need, lower goes first.
+  std::uint32_t priority = 0;
+  // Among those of the same need and priority, larger goes first.
   double urgency = 0;
 };
 
@@ -46,6 +48,8 @@
 constexpr double kCostOfHold[] = {0, 0.1, 0.3, 0.5, 100};
 // Seconds that it costs beside, where others share the load, by how busy they become.
 constexpr double kCostOfShare = 8;
+// Added to how long requests have waited, so that their number counts from the start.
+constexpr double kLeastWaitingSeconds = 0.1;
 // An unload waits for the requests that run.
 constexpr double kSecondsPerRequest = 0.001;
 
@@ -131,6 +135,12 @@
            demand.target() > profile->second.load_from_disk * kSwapFactor;
   }
 
+  // Requests that wait, times how long they have: few requests are not passed over for ever, and a
+  // load serves many where it can.
+  double WaitingUrgency(const ModelDemandRate& demand) const {
+    return demand.Waiting(now_) * (ToSeconds(demand.WaitingTime(now_)) + kLeastWaitingSeconds);
+  }
+
   std::vector<Deficit> Deficits() const {
     std::vector<Deficit> deficits;
     for (const auto& [model, unused] : profile_.models) {
@@ -139,19 +149,21 @@
       const std::uint32_t replicas = ReplicasOf(model);
       if (demand != nullptr && demand->Waiting(now_) > 0 && replicas == 0) {
         deficits.push_back(
-            {model, Need::kWaiting, -static_cast<double>(demand->waiting_priority())});
+            {model, Need::kWaiting, demand->waiting_priority(), WaitingUrgency(*demand)});
       } else if (replicas < wanted && (replicas > 0 || !IsSwappable(*demand, model))) {
         const double urgency =
             (demand->EngineShare(now_) + demand->RecentRate(now_) * 0.01) / (replicas + 0.1);
         for (std::uint32_t i = replicas; i < wanted; ++i) {
-          deficits.push_back({model, Need::kLoad, urgency / (i - replicas + 1)});
+          deficits.push_back({model, Need::kLoad, 0, urgency / (i - replicas + 1)});
         }
       } else if (replicas == 0 && !HasCopy(model)) {
-        deficits.push_back({model, Need::kCopy, demand == nullptr ? 0 : demand->LongRate(now_)});
+        const double rate = demand == nullptr ? 0 : demand->LongRate(now_);
+        deficits.push_back({model, Need::kCopy, 0, rate});
       }
     }
     std::stable_sort(deficits.begin(), deficits.end(), [](const Deficit& a, const Deficit& b) {
-      return a.need != b.need ? a.need < b.need : a.urgency > b.urgency;
+      if (a.need != b.need) return a.need < b.need;
+      return a.priority != b.priority ? a.priority < b.priority : a.urgency > b.urgency;
     });
     return deficits;
   }
@@ -300,6 +312,7 @@
 
 void ModelDemandRate::Add(const ModelUsage& usage, const std::string& daemon, MonotonicTime now) {
   Decay(now);
+  if (usage.waiting > 0 && Waiting(now) == 0) waiting_since_ = now;
   recent_ += usage.requests;
   long_ += usage.requests;
   reading_ms_ += usage.reading_ms;
@@ -330,6 +343,10 @@
   return waiting;
 }
 
+MonotonicTime::duration ModelDemandRate::WaitingTime(MonotonicTime now) const {
+  return Waiting(now) > 0 ? now - waiting_since_ : MonotonicTime::duration::zero();
+}
+
 WeightSource SourceOf(const EngineHoldings& holdings, const std::string& model) {
   if (Contains(holdings.in_memory, model)) return WeightSource::kMemory;
   if (Contains(holdings.on_disk, model)) return WeightSource::kDisk;
--- a/src/model_planner.h
+++ b/src/model_planner.h
@@ -29,6 +29,8 @@
   // Requests that wait now, and the most urgent priority among them.
   std::uint32_t Waiting(MonotonicTime now) const;
   std::uint32_t waiting_priority() const { return waiting_priority_; }
+  // How long requests have waited without a moment in which none did.
+  MonotonicTime::duration WaitingTime(MonotonicTime now) const;
   // The tightest latency target of the recent requests.
   milliseconds target() const { return target_; }
   std::optional<MonotonicTime> last_used() const { return last_used_; }
@@ -47,6 +49,7 @@
   MonotonicTime decayed_;
   std::optional<MonotonicTime> last_used_;
   std::map<std::string, WaitingNote> waiting_;
+  MonotonicTime waiting_since_;
   std::uint32_t waiting_priority_ = 0;
   milliseconds target_ = milliseconds::max();
 };
--- a/tests/test_model_planner.cpp
+++ b/tests/test_model_planner.cpp
@@ -70,6 +70,48 @@
   CHECK_FALSE(loads[0].from_store);
 }
 
+// Guards against models whose requests are never served since others of the same priority come first
+// in the order of names: replays an engine with two places whose eight models all have a request
+// every second.
+TEST_CASE("every model that waits gets its turn", "[planner]") {
+  constexpr int kModels = 8;
+  const EngineProfile profile = Profile(kModels);
+  PlannerEngine engine = Engine("e1", {"m0", "m1"});
+  for (int i = 2; i < kModels; ++i) engine.holdings.on_disk.push_back(Model(i));
+  DemandRates demand;
+  std::map<std::string, int> loads_of;
+  MonotonicTime now = kStart;
+  for (int second = 0; second < 2 * kModels; ++second, now += seconds(1)) {
+    for (int i = 0; i < kModels; ++i) {
+      const bool held = engine.holdings.Find(Model(i)) != nullptr;
+      demand[Model(i)].Add(Usage(Model(i), 1, 10, held ? 0 : 1, kLoose), "d", now);
+    }
+    for (const PlannedLoad& load : PlanLoads(profile, {engine}, demand, 0, now)) {
+      ++loads_of[load.model];
+      for (const std::string& victim : load.victims) {
+        std::erase_if(engine.holdings.models, [&](const auto& held) { return held.name == victim; });
+      }
+      engine.holdings.models.push_back({load.model, {}});
+    }
+  }
+  for (int i = 0; i < kModels; ++i) {
+    CAPTURE(Model(i));
+    CHECK(loads_of[Model(i)] > 0);
+  }
+}
+
+// Guards against a load for one request while another load would serve many that wait as long.
+TEST_CASE("the model with more waiting requests goes first", "[planner]") {
+  const EngineProfile profile = Profile(6);
+  const std::vector<PlannerEngine> engines{Engine("e1", {"m0", "m1"}, {"m2", "m3"})};
+  DemandRates demand;
+  Use(&demand, "m2", 0, 0, 1, kLoose);
+  Use(&demand, "m3", 0, 0, 4, kLoose);
+  const auto loads = PlanLoads(profile, engines, demand, 0, kStart);
+  REQUIRE(loads.size() == 1);
+  CHECK(loads[0].model == "m3");
+}
+
 // Guards against many engines that are emptied for the one load that the store allows.
 TEST_CASE("one missing model empties one engine at most", "[planner]") {
   const EngineProfile profile = Profile(6);
