Let requests that have waited take the only engine of a model that is used less

Cause: with fewer places than models in use with tight targets, a model with waiting requests got no place at all, since the only engine of a model in use with a tight target was never given up, however seldom it was used. Its requests were held until their deadline.

Ruled out: a shorter time after which an unused model counts as not in use, which would hold for all sites and all rates alike.

Change: waiting requests take such a place if they outweigh what its model loses: their number, times one plus their wait in latency targets, against one request and those of the time of a reload. The model that loses a place takes one back in the same way when requests wait for it.

--- a/src/model_planner.cpp
+++ b/src/model_planner.cpp
@@ -45,9 +45,11 @@
 };
 
 // Seconds that dropping a replica costs by Hold, beside a second for each request a second.
-constexpr double kCostOfHold[] = {0, 0.1, 0.3, 0.5, 100};
+constexpr double kCostOfHold[] = {0, 0.1, 0.3, 0.5, 100, 1000};
 // Seconds that it costs beside, where others share the load, by how busy they become.
 constexpr double kCostOfShare = 8;
+// Time beside the load itself until a dropped model serves again: two orders and their reports.
+constexpr double kSwapSeconds = 0.4;
 // Added to how long requests have waited, so that their number counts from the start.
 constexpr double kLeastWaitingSeconds = 0.1;
 // An unload waits for the requests that run.
@@ -67,12 +69,15 @@
   kSwappable,
   // In use with a tight target; others hold the model, too.
   kTightShared,
-  kNeeded
+  // In use with a tight target, and the only one.
+  kNeeded,
+  // Requests wait for it.
+  kAwaited
 };
 
 struct Victim {
   std::string model;
-  Hold hold = Hold::kNeeded;
+  Hold hold = Hold::kAwaited;
   // Requests per second.
   double rate = 0;
   // Share of their time that its other engines would be busy without this one.
@@ -177,7 +182,7 @@
   Hold HoldOf(const std::string& model) const {
     const ModelDemandRate* demand = DemandOf(model);
     const std::uint32_t replicas = ReplicasOf(model);
-    if (demand != nullptr && demand->Waiting(now_) > 0) return Hold::kNeeded;
+    if (demand != nullptr && demand->Waiting(now_) > 0) return Hold::kAwaited;
     if (!IsInUse(demand)) return replicas > 1 ? Hold::kSurplus : Hold::kUnused;
     const std::uint32_t wanted = WantedReplicas(demand, engines_.size(), now_);
     const bool surplus = replicas > std::max(1U, wanted) && ShareWithout(model) < kSurplusShare;
@@ -186,10 +191,23 @@
     return replicas > 1 ? Hold::kTightShared : Hold::kNeeded;
   }
 
-  static bool MayTake(Need need, Hold hold) {
-    switch (need) {
+  // Whether the requests that wait for a model outweigh those that would wait for another one of
+  // which it takes the only engine: the first of these, and those of the time of a load. Requests
+  // that have waited for their latency target count twice, and so on, so that none waits for ever.
+  bool Outweighs(const std::string& model, const std::string& needed) const {
+    const ModelDemandRate& waiting = demand_.at(model);
+    const ModelDemandRate& used = demand_.at(needed);
+    const double targets = std::chrono::duration<double>(waiting.WaitingTime(now_)) /
+                           std::chrono::duration<double>(waiting.target());
+    const double reload_seconds =
+        ToSeconds(profile_.models.at(needed).load_from_disk) + kSwapSeconds;
+    return waiting.Waiting(now_) * (1 + targets) > 1 + used.RecentRate(now_) * reload_seconds;
+  }
+
+  bool MayTake(const Deficit& deficit, Hold hold, const std::string& held) const {
+    switch (deficit.need) {
       case Need::kWaiting:
-        return hold != Hold::kNeeded;
+        return hold < Hold::kNeeded || (hold == Hold::kNeeded && Outweighs(deficit.model, held));
       case Need::kLoad:
         return hold <= Hold::kSwappable;
       case Need::kCopy:
@@ -199,12 +217,12 @@
   }
 
   // The models that an engine would drop to make room for another; std::nullopt if it can't.
-  std::optional<std::vector<Victim>> Victims(const PlannerEngine& engine, Need need,
+  std::optional<std::vector<Victim>> Victims(const PlannerEngine& engine, const Deficit& deficit,
                                              double needed_mb) const {
     std::vector<Victim> candidates;
     for (const HeldModel& held : engine.holdings.models) {
       const Hold hold = HoldOf(held.name);
-      if (!MayTake(need, hold)) continue;
+      if (!MayTake(deficit, hold, held.name)) continue;
       const ModelDemandRate* demand = DemandOf(held.name);
       const double rate = demand == nullptr ? 0 : demand->LongRate(now_) + demand->RecentRate(now_);
       candidates.push_back({held.name, hold, rate, ShareWithout(held.name)});
@@ -262,7 +280,7 @@
       if (engine.blocked || used_[i] || engine.holdings.Find(deficit.model) != nullptr) continue;
       const WeightSource source = SourceOf(engine.holdings, deficit.model);
       if (source == WeightSource::kStore && !store_allowed) continue;
-      const auto victims = Victims(engine, deficit.need, model.weights_mb);
+      const auto victims = Victims(engine, deficit, model.weights_mb);
       if (!victims) continue;
       const double cost = CostOf(engine, model, source, *victims);
       if (cost >= best_cost) continue;
--- a/tests/test_model_planner.cpp
+++ b/tests/test_model_planner.cpp
@@ -70,9 +70,9 @@
   CHECK_FALSE(loads[0].from_store);
 }
 
-// Guards against models whose requests are never served since others of the same priority come first
-// in the order of names: replays an engine with two places whose eight models all have a request
-// every second.
+// Guards against models whose requests are never served since others of the same priority come
+// first in the order of names: replays an engine with two places whose eight models all have a
+// request every second.
 TEST_CASE("every model that waits gets its turn", "[planner]") {
   constexpr int kModels = 8;
   const EngineProfile profile = Profile(kModels);
@@ -89,7 +89,8 @@
     for (const PlannedLoad& load : PlanLoads(profile, {engine}, demand, 0, now)) {
       ++loads_of[load.model];
       for (const std::string& victim : load.victims) {
-        std::erase_if(engine.holdings.models, [&](const auto& held) { return held.name == victim; });
+        std::erase_if(engine.holdings.models,
+                      [&](const auto& held) { return held.name == victim; });
       }
       engine.holdings.models.push_back({load.model, {}});
     }
@@ -112,6 +113,43 @@
   CHECK(loads[0].model == "m3");
 }
 
+// Guards against requests that are never served because each engine's models are in use with tight
+// targets, however seldom, and against a busy model that has to go for one new request.
+TEST_CASE("requests that have waited long take a place from a model that is used less",
+          "[planner]") {
+  const EngineProfile profile = Profile(6);
+  const std::vector<PlannerEngine> engines{Engine("e1", {"m0", "m1"}, {"m2"})};
+  struct Case {
+    std::string name;
+    // Requests of the last second for each model that the engine holds.
+    std::uint32_t uses;
+    std::uint32_t waiting;
+    milliseconds waited;
+    bool expected;
+  };
+  const std::vector<Case> cases{
+      {"one request that has just come", 1, 1, milliseconds(0), false},
+      {"one request after its latency target", 1, 1, milliseconds(800), true},
+      {"one request at its latency target, busy models", 6, 1, milliseconds(800), false},
+      {"many requests", 1, 3, milliseconds(0), true},
+      {"one request after a long wait, busy models", 6, 1, milliseconds(3000), true},
+  };
+  for (const Case& item : cases) {
+    CAPTURE(item.name);
+    DemandRates demand;
+    const MonotonicTime now = kStart + item.waited;
+    for (MonotonicTime time = kStart; time <= now; time += milliseconds(200)) {
+      demand["m2"].Add(Usage("m2", 0, 0, item.waiting, kTight), "d", time);
+    }
+    for (const char* held : {"m0", "m1"}) {
+      demand[held].Add(Usage(held, item.uses, 10, 0, kTight), "d", now);
+    }
+    const auto loads = PlanLoads(profile, engines, demand, 0, now);
+    CHECK(!loads.empty() == item.expected);
+    for (const PlannedLoad& load : loads) CHECK(load.model == "m2");
+  }
+}
+
 // Guards against many engines that are emptied for the one load that the store allows.
 TEST_CASE("one missing model empties one engine at most", "[planner]") {
   const EngineProfile profile = Profile(6);
