Run the tests of leader, follower and lease in simulated time

Ruled out: the same for test_leader_link. It passed ten times in a row, but its daemons talk over real sockets, and simulated time would run ahead of them on a loaded machine.

Change: three files use SimulatedTime; what they check is unchanged.

--- a/tests/test_decoders.cpp
+++ b/tests/test_decoders.cpp
@@ -1,5 +1,6 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <cstdlib>
 #include <functional>
 #include <iostream>
@@ -25,9 +26,9 @@
 
 constexpr int kDefaultRounds = 3000;
 
-long FromEnvironment(const char* name, long fallback) {
+std::int64_t FromEnvironment(const char* name, std::int64_t fallback) {
   const char* text = std::getenv(name);
-  return text == nullptr ? fallback : std::atol(text);
+  return text == nullptr ? fallback : std::atoll(text);
 }
 
 // Changes messages at random: what a decoder sees is mostly valid, with a few faults.
@@ -110,11 +111,12 @@
 void Fuzz(const std::string& name, const std::vector<std::string>& corpus,
           const std::function<void(const std::string&)>& check) {
   const auto seed = static_cast<std::uint64_t>(FromEnvironment("MIMOSABEND_FUZZ_SEED", 1));
-  const long rounds = FromEnvironment("MIMOSABEND_FUZZ_ROUNDS", kDefaultRounds);
+  const std::int64_t rounds = FromEnvironment("MIMOSABEND_FUZZ_ROUNDS", kDefaultRounds);
   std::cout << name << ": seed " << seed << ", " << rounds << " changed messages\n";
   Mutator mutator(seed);
   for (const std::string& text : corpus) check(text);
-  for (long i = 0; i < rounds; ++i) check(mutator.Change(corpus[i % corpus.size()], corpus));
+  for (std::int64_t i = 0; i < rounds; ++i)
+    check(mutator.Change(corpus[i % corpus.size()], corpus));
 }
 
 const std::vector<std::string>& ConfigTexts() {
--- a/tests/test_fleet_follower.cpp
+++ b/tests/test_fleet_follower.cpp
@@ -5,6 +5,7 @@
 
 #include "fake_fleet_store.h"
 #include "fleet_follower.h"
+#include "simulated_time.h"
 
 namespace mimosabend::testing {
 
@@ -29,6 +30,7 @@
     return handlers;
   }
 
+  SimulatedTime time;
   boost::asio::io_context io{1};
   FakeFleetStore store;
   std::map<std::string, std::string> known;
@@ -41,11 +43,11 @@
   Followed followed;
   followed.store.Put("endpoints/a", "1");
   followed.store.Put("other/b", "1");
-  followed.io.run_for(milliseconds(50));
+  followed.time.RunFor(&followed.io, milliseconds(50));
   CHECK(followed.known == std::map<std::string, std::string>{{"endpoints/a", "1"}});
   followed.store.Put("endpoints/c", "1");
   followed.store.Erase("endpoints/a");
-  followed.io.run_for(milliseconds(50));
+  followed.time.RunFor(&followed.io, milliseconds(50));
   CHECK(followed.known == std::map<std::string, std::string>{{"endpoints/c", "1"}});
 }
 
@@ -54,11 +56,11 @@
 TEST_CASE("a follower reads everything anew after a watch was cut", "[follower]") {
   Followed followed;
   followed.store.Put("endpoints/a", "1");
-  followed.io.run_for(milliseconds(50));
+  followed.time.RunFor(&followed.io, milliseconds(50));
   followed.store.set_deaf(true);
   followed.store.Put("endpoints/a", "2");
   followed.store.CutNextWatch();
-  followed.io.run_for(milliseconds(300));
+  followed.time.RunFor(&followed.io, milliseconds(300));
   CHECK(followed.known["endpoints/a"] == "2");
 }
 
@@ -66,13 +68,13 @@
 TEST_CASE("a follower reads everything anew when the history is gone", "[follower]") {
   Followed followed;
   followed.store.Put("endpoints/a", "1");
-  followed.io.run_for(milliseconds(50));
+  followed.time.RunFor(&followed.io, milliseconds(50));
   followed.store.set_deaf(true);
   followed.store.Put("endpoints/b", "1");
   followed.store.Erase("endpoints/a");
   followed.store.Compact();
   followed.store.set_deaf(false);
-  followed.io.run_for(milliseconds(100));
+  followed.time.RunFor(&followed.io, milliseconds(100));
   CHECK(followed.known == std::map<std::string, std::string>{{"endpoints/b", "1"}});
 }
 
@@ -80,16 +82,16 @@
 TEST_CASE("a follower keeps what it knows while the store is down", "[follower]") {
   Followed followed;
   followed.store.Put("endpoints/a", "1");
-  followed.io.run_for(milliseconds(50));
+  followed.time.RunFor(&followed.io, milliseconds(50));
   CHECK(followed.follower.in_touch());
   followed.store.set_down(true);
   followed.store.CutNextWatch();
-  followed.io.run_for(milliseconds(300));
+  followed.time.RunFor(&followed.io, milliseconds(300));
   CHECK(followed.known.size() == 1);
   CHECK_FALSE(followed.follower.in_touch());
   followed.store.Put("endpoints/b", "1");
   followed.store.set_down(false);
-  followed.io.run_for(milliseconds(600));
+  followed.time.RunFor(&followed.io, milliseconds(600));
   CHECK(followed.known.size() == 2);
   CHECK(followed.follower.in_touch());
 }
@@ -100,20 +102,20 @@
           "[follower]") {
   Followed followed;
   followed.store.Put("endpoints/a", "1");
-  followed.io.run_for(milliseconds(50));
+  followed.time.RunFor(&followed.io, milliseconds(50));
   followed.store.CutNextWatch();
   followed.follower.Suspend(MonotonicNow() + milliseconds(400));
-  followed.io.run_for(milliseconds(100));
+  followed.time.RunFor(&followed.io, milliseconds(100));
   const std::uint64_t snapshots = followed.store.snapshots();
   followed.store.Put("endpoints/b", "1");
-  followed.io.run_for(milliseconds(100));
+  followed.time.RunFor(&followed.io, milliseconds(100));
   CHECK(followed.store.snapshots() == snapshots);
   CHECK(followed.known.size() == 1);
   followed.follower.ReadNow();
-  followed.io.run_for(milliseconds(50));
+  followed.time.RunFor(&followed.io, milliseconds(50));
   CHECK(followed.known.size() == 2);
   followed.store.Put("endpoints/c", "1");
-  followed.io.run_for(milliseconds(400));
+  followed.time.RunFor(&followed.io, milliseconds(400));
   CHECK(followed.known.size() == 3);
 }
 
--- a/tests/test_lease.cpp
+++ b/tests/test_lease.cpp
@@ -5,34 +5,36 @@
 
 #include "fake_kv.h"
 #include "lease_keeper.h"
+#include "simulated_time.h"
 
 namespace mimosabend::testing {
 
 // Guards against a renewal every 2 s by each of many daemons that own nothing, and against a lease
 // that is used after it was given up.
 TEST_CASE("a lease is held only while it is wanted") {
+  SimulatedTime time;
   boost::asio::io_context io(1);
   FakeKvService service(1);
   FakeKv kv(&service);
   LeaseKeeper<FakeKv> keeper(&kv);
   keeper.SetWanted(false);
   boost::asio::co_spawn(io, keeper.Run(), boost::asio::detached);
-  io.run_for(milliseconds(300));
+  time.RunFor(&io, milliseconds(300));
   CHECK(kv.calls() == 0);
 
   keeper.SetWanted(true);
-  io.run_for(milliseconds(300));
+  time.RunFor(&io, milliseconds(300));
   REQUIRE(keeper.SafeLease(MonotonicNow()) != nullptr);
   const LeaseId lease = *keeper.SafeLease(MonotonicNow());
   CHECK(service.Renew(lease));
 
   keeper.SetWanted(false);
-  io.run_for(milliseconds(2300));
+  time.RunFor(&io, milliseconds(2300));
   CHECK(keeper.SafeLease(MonotonicNow()) == nullptr);
   CHECK_FALSE(keeper.Holds(lease));
   CHECK_FALSE(service.Renew(lease));
   const std::uint64_t calls = kv.calls();
-  io.run_for(milliseconds(300));
+  time.RunFor(&io, milliseconds(300));
   CHECK(kv.calls() == calls);
 }
 
--- a/tests/test_placement_leader.cpp
+++ b/tests/test_placement_leader.cpp
@@ -6,6 +6,7 @@
 #include "fake_fleet_engines.h"
 #include "fake_fleet_store.h"
 #include "placement_leader.h"
+#include "simulated_time.h"
 
 namespace mimosabend::testing {
 
@@ -79,7 +80,7 @@
     }
   }
 
-  void Run(milliseconds time) { io.run_for(time); }
+  void Run(milliseconds duration) { time.RunFor(&io, duration); }
 
   bool Lead(Daemon* daemon) {
     bool leads = false;
@@ -102,6 +103,7 @@
     return daemon->leader.HandleReport("other", report, MonotonicNow());
   }
 
+  SimulatedTime time;
   boost::asio::io_context io{1};
   FakeFleetStore store;
   FakeFleetEngines engines;
