Drop a model that is no longer configured alone, and plan without a lookup that throws

Cause: found in reading.

Change: models that are not configured are the only victims of an engine that holds them; what else must go is decided when its next report gives a size that is known.

Before: the new test ends with "map::at"; after: it passes, model_planner 12 of 12.

--- a/src/model_planner.cpp
+++ b/src/model_planner.cpp
@@ -219,14 +219,21 @@
   // The models that an engine would drop to make room for another; std::nullopt if it can't.
   std::optional<std::vector<Victim>> Victims(const PlannerEngine& engine, const Deficit& deficit,
                                              double needed_mb) const {
+    std::vector<Victim> obsolete;
     std::vector<Victim> candidates;
     for (const HeldModel& held : engine.holdings.models) {
+      if (!profile_.models.contains(held.name)) {
+        obsolete.push_back({held.name, Hold::kUnused, 0, 0});
+        continue;
+      }
       const Hold hold = HoldOf(held.name);
       if (!MayTake(deficit, hold, held.name)) continue;
       const ModelDemandRate* demand = DemandOf(held.name);
       const double rate = demand == nullptr ? 0 : demand->LongRate(now_) + demand->RecentRate(now_);
       candidates.push_back({held.name, hold, rate, ShareWithout(held.name)});
     }
+    // Models that are no longer configured have an unknown size, so only they are dropped first.
+    if (!obsolete.empty()) return obsolete;
     std::sort(candidates.begin(), candidates.end(), [](const Victim& a, const Victim& b) {
       return a.hold != b.hold ? a.hold < b.hold : a.rate < b.rate;
     });
--- a/tests/test_model_planner.cpp
+++ b/tests/test_model_planner.cpp
@@ -150,6 +150,19 @@
   }
 }
 
+// Guards against an engine that drops all it can because the memory of a model that is no longer
+// configured is not known.
+TEST_CASE("a model that is no longer configured makes room alone", "[planner]") {
+  const EngineProfile profile = Profile(6);
+  const std::vector<PlannerEngine> engines{Engine("e1", {"removed", "m0"}, {"m2"})};
+  DemandRates demand;
+  Use(&demand, "m2", 0, 0, 1, kLoose);
+  Use(&demand, "removed", 1, 10, 0, kTight);
+  const auto loads = PlanLoads(profile, engines, demand, 0, kStart + milliseconds(1400));
+  REQUIRE(loads.size() == 1);
+  CHECK(loads[0].victims == std::vector<std::string>{"removed"});
+}
+
 // Guards against many engines that are emptied for the one load that the store allows.
 TEST_CASE("one missing model empties one engine at most", "[planner]") {
   const EngineProfile profile = Profile(6);
