Take the retry window and the lifetime of the leader's answers from settings and observation

Cause: reading the deciding constants for a table of what they depend on. Retries were counted over 10 s, whatever the operator's window; in a shorter one, the requests of before the window paid for retries, which can break the budget. The figures of other daemons and the knowledge that somebody leads lapsed after 2 s, while 340 daemons report every 2.04 s.

Not changed: the view of the store that followers take from the leader lives 2 s at most, which 340 daemons would exceed by 0.04 s; see docs/CAPACITY.md.

--- a/src/endpoint_stats.cpp
+++ b/src/endpoint_stats.cpp
@@ -14,8 +14,6 @@
 constexpr std::uint64_t kLeastObservedTokens = 1000;
 // Fixed time of a request in milliseconds: connections, a step of the batch, and links.
 constexpr double kFixedMillis = 15;
-// Figures of other daemons are ignored after this time.
-constexpr milliseconds kOthersLifetime{2000};
 // An endpoint that can't be reached is left out at once, one that fails after some failures.
 constexpr std::uint32_t kFailuresToEject = 3;
 constexpr milliseconds kFirstEjection{400};
@@ -69,9 +67,9 @@
   health.ejected_until = now + std::min(kFirstEjection * (1 << doublings), kLongestEjection);
 }
 
-void EndpointStats::SetOthers(std::map<std::string, EndpointWork> others, MonotonicTime now) {
+void EndpointStats::SetOthers(std::map<std::string, EndpointWork> others, MonotonicTime until) {
   others_ = std::move(others);
-  others_noted_ = now;
+  others_until_ = until;
 }
 
 EndpointWork EndpointStats::Work(const std::string& endpoint, MonotonicTime now) const {
@@ -79,7 +77,7 @@
   const auto own = own_.find(endpoint);
   if (own != own_.end()) Add(&work, own->second);
   const auto others = others_.find(endpoint);
-  if (others != others_.end() && now - others_noted_ < kOthersLifetime) Add(&work, others->second);
+  if (others != others_.end() && now < others_until_) Add(&work, others->second);
   return work;
 }
 
--- a/src/endpoint_stats.h
+++ b/src/endpoint_stats.h
@@ -33,8 +33,8 @@
   void End(const std::string& endpoint, const EndpointWork& work, TryVerdict verdict,
            MonotonicTime now);
 
-  // Replaces what other daemons have at the endpoints.
-  void SetOthers(std::map<std::string, EndpointWork> others, MonotonicTime now);
+  // Replaces what other daemons have at the endpoints. Counts until a point of time.
+  void SetOthers(std::map<std::string, EndpointWork> others, MonotonicTime until);
 
   // Work of all daemons at an endpoint.
   EndpointWork Work(const std::string& endpoint, MonotonicTime now) const;
@@ -67,7 +67,7 @@
 
   std::map<std::string, EndpointWork> own_;
   std::map<std::string, EndpointWork> others_;
-  MonotonicTime others_noted_;
+  MonotonicTime others_until_;
   std::map<std::string, Health> health_;
   // Milliseconds per token by model, and the factor of an endpoint on top of it.
   std::map<std::string, double> model_pace_;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -371,6 +371,7 @@
   limits.share = settings_.bounds.retry_ratio * kRetryMargin;
   limits.extra = settings_.bounds.retry_extra * kRetryMargin / std::max(daemons, 2.0);
   limits.at_least = false;
+  limits.window = settings_.bounds.retry_window;
   relay_.SetRetryLimits(limits);
 }
 
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -1,16 +1,27 @@
 #include "gateway_settings.h"
 
+#include <cmath>
+
 #include "settings_reader.h"
 
 namespace mimosabend {
 
 namespace {
 
-constexpr std::int64_t kLongestMillis = 600000;
+constexpr double kLongestMillis = 600000;
+constexpr double kLongestWindow = 3600;
 constexpr double kMillisPerSecond = 1000;
 
+// The platform may write a bound as a fraction.
 milliseconds ReadMillis(IniSection* section, const std::string& key, milliseconds fallback) {
-  return milliseconds(section->Integer(key, 0, kLongestMillis, fallback.count()));
+  const auto number = static_cast<double>(fallback.count());
+  return milliseconds(std::llround(section->Number(key, 0, kLongestMillis, number)));
+}
+
+// A part of a second counts as a whole one.
+seconds ReadWindow(IniSection* section, const std::string& key, seconds fallback) {
+  const auto number = static_cast<double>(fallback.count());
+  return seconds(std::llround(std::ceil(section->Number(key, 1, kLongestWindow, number))));
 }
 
 void ReadBounds(IniSection* section, GatewayBounds* bounds) {
@@ -20,10 +31,10 @@
   bounds->shutdown_grace = milliseconds(static_cast<std::int64_t>(grace * kMillisPerSecond));
   bounds->retry_ratio = section->Number("retry_ratio", 0, 100, bounds->retry_ratio);
   bounds->retry_extra = section->Number("retry_extra", 0, 1e6, bounds->retry_extra);
+  bounds->retry_window = ReadWindow(section, "retry_window_s", bounds->retry_window);
   bounds->holder_gap = ReadMillis(section, "holder_gap_ms", bounds->holder_gap);
   bounds->fencing_required = section->Flag("fencing_required", bounds->fencing_required);
-  bounds->ceiling_window =
-      seconds(section->Integer("ceiling_window_s", 1, 3600, bounds->ceiling_window.count()));
+  bounds->ceiling_window = ReadWindow(section, "ceiling_window_s", bounds->ceiling_window);
   bounds->ceiling_over = section->Number("ceiling_over", 1, 100, bounds->ceiling_over);
 }
 
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -23,6 +23,7 @@
   // Repeats of all daemons together, as a share of the requests, and beyond it, in a window.
   double retry_ratio = 0.2;
   double retry_extra = 50;
+  seconds retry_window{10};
   // Least time between the orders of two holders of an engine.
   milliseconds holder_gap{3000};
   bool fencing_required = true;
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -95,7 +95,7 @@
   }
 
   // Whether a leader has answered lately.
-  bool has_leader(MonotonicTime now) const { return now - answered_at_ < kLeaderLifetime; }
+  bool has_leader(MonotonicTime now) const { return now < answered_at_ + AnswerLifetime(); }
 
  private:
   // Long enough for the first answer of a term, which holds the whole directory, on a slow link.
@@ -113,7 +113,13 @@
   // Pause between reports while requests wait for a model.
   static constexpr milliseconds kUrgentPeriod{60};
   static constexpr milliseconds kFirstPeriod{250};
-  static constexpr milliseconds kLeaderLifetime{2000};
+  // An answer counts for this long at least, and until two more reports should have been answered.
+  static constexpr milliseconds kLeastAnswerLifetime{2000};
+  static constexpr int kReportsPerAnswerLifetime = 2;
+
+  milliseconds AnswerLifetime() const {
+    return std::max(kLeastAnswerLifetime, period_ * kReportsPerAnswerLifetime);
+  }
 
   Task<void> Pause(bool reported) {
     const MonotonicTime now = MonotonicNow();
@@ -234,7 +240,7 @@
       const auto endpoint = endpoints_.find(load.number);
       if (endpoint != endpoints_.end()) others[endpoint->second.id] = load.Work();
     }
-    stats_->SetOthers(std::move(others), now);
+    stats_->SetOthers(std::move(others), now + AnswerLifetime());
     loads_.clear();
     for (const PendingLoad& load : answer.loads) {
       loads_[load.model] = now + milliseconds(load.ready_in_ms);
--- a/src/retry_budget.cpp
+++ b/src/retry_budget.cpp
@@ -15,9 +15,11 @@
 
 RetryBudget::Bucket* RetryBudget::BucketAt(MonotonicTime now) {
   const std::int64_t second = SecondOf(now);
-  Bucket* bucket = &buckets_[static_cast<std::size_t>(second % kWindowSeconds)];
-  if (bucket->second != second) *bucket = {second, 0, 0};
-  return bucket;
+  while (!buckets_.empty() && buckets_.front().second <= second - limits_.window.count()) {
+    buckets_.pop_front();
+  }
+  if (buckets_.empty() || buckets_.back().second != second) buckets_.push_back({second, 0, 0});
+  return &buckets_.back();
 }
 
 void RetryBudget::NoteRequest(MonotonicTime now) { ++BucketAt(now)->requests; }
@@ -25,11 +27,10 @@
 bool RetryBudget::TryRetry(MonotonicTime now, MonotonicTime deadline,
                            std::chrono::steady_clock::duration expected) {
   if (now + expected >= deadline) return false;
-  const std::int64_t oldest = SecondOf(now) - kWindowSeconds;
+  Bucket* current = BucketAt(now);
   std::uint32_t requests = 0;
   std::uint32_t retries = 0;
   for (const Bucket& bucket : buckets_) {
-    if (bucket.second <= oldest) continue;
     requests += bucket.requests;
     retries += bucket.retries;
   }
@@ -37,7 +38,7 @@
   const double allowed =
       limits_.at_least ? std::max(std::floor(share), limits_.extra) : share + limits_.extra;
   if (retries + 1 > allowed) return false;
-  ++BucketAt(now)->retries;
+  ++current->retries;
   return true;
 }
 
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -1,8 +1,8 @@
 #ifndef MIMOSABEND_RETRY_BUDGET_H_
 #define MIMOSABEND_RETRY_BUDGET_H_
 
-#include <array>
 #include <cstdint>
+#include <deque>
 
 #include "clock.h"
 
@@ -16,14 +16,14 @@
   // must still be able to move one engine's batch (8 by default).
   double extra = 10;
   bool at_least = true;
+  // Requests and retries are counted over this time.
+  seconds window{10};
 };
 
 // Bounds the retries of a daemon, so that they can't multiply the load of a failing fleet.
 // Not thread-safe.
 class RetryBudget {
  public:
-  static constexpr std::int64_t kWindowSeconds = 10;
-
   explicit RetryBudget(RetryLimits limits = {}) : limits_(limits) {}
 
   void set_limits(const RetryLimits& limits) { limits_ = limits; }
@@ -39,15 +39,17 @@
  private:
   // What happened in one second.
   struct Bucket {
-    std::int64_t second = -1;
+    std::int64_t second = 0;
     std::uint32_t requests = 0;
     std::uint32_t retries = 0;
   };
 
+  // The bucket of this second. Those that the window has left are dropped.
   Bucket* BucketAt(MonotonicTime now);
 
   RetryLimits limits_;
-  std::array<Bucket, kWindowSeconds> buckets_{};
+  // The oldest first.
+  std::deque<Bucket> buckets_;
 };
 
 }  // namespace mimosabend
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -269,8 +269,10 @@
 TEST_CASE("work that other daemons have at an engine counts", "[selector]") {
   Engines engines;
   const std::string first = engines.Choose()->endpoint.id;
-  engines.stats.SetOthers({{first, {3, 27000, 27000}}}, kStart);
+  engines.stats.SetOthers({{first, {3, 27000, 27000}}}, kStart + milliseconds(1));
   CHECK(engines.Choose()->endpoint.id != first);
+  engines.stats.SetOthers({{first, {3, 27000, 27000}}}, kStart);
+  CHECK(engines.Choose()->endpoint.id == first);
 }
 
 // Guards against a request that makes an engine preempt what it runs.
--- /dev/null
+++ b/tests/test_gateway_settings.cpp
@@ -0,0 +1,42 @@
+#include <catch2/catch.hpp>
+
+#include "gateway_settings.h"
+
+namespace mimosabend::testing {
+
+namespace {
+
+std::string Settings(const std::string& bounds) {
+  return "[gateway]\nname = g\nregion = north\nfailure_domain = a\ndomains = a:north,b:south\n"
+         "[listen]\ncaller = 127.0.0.1:1\nreadiness = 127.0.0.1:2\npeer = 127.0.0.1:3\n"
+         "metrics = 127.0.0.1:4\n[platform]\nstore = 127.0.0.1:5\n[bounds]\n" +
+         bounds;
+}
+
+}  // namespace
+
+// Guards against a gateway that does not start because the platform writes a bound as a fraction.
+TEST_CASE("bounds may be fractions", "[settings]") {
+  const auto settings = ParseGatewaySettings(
+      "test.ini",
+      Settings("endpoint_drain_ms = 2500.0\nshutdown_grace_s = 7.5\nretry_window_s = 7.5\n"
+               "ceiling_window_s = 5.0\nholder_gap_ms = 3000\nretry_extra = 52.0\n"),
+      {});
+  REQUIRE(settings);
+  const GatewayBounds& bounds = settings.value().bounds;
+  CHECK(bounds.endpoint_drain == milliseconds(2500));
+  CHECK(bounds.shutdown_grace == milliseconds(7500));
+  CHECK(bounds.retry_window == seconds(8));
+  CHECK(bounds.ceiling_window == seconds(5));
+  CHECK(bounds.holder_gap == milliseconds(3000));
+}
+
+// Guards against a bound that is taken for another one because it can't be read.
+TEST_CASE("a bound that is no number is reported", "[settings]") {
+  const auto settings =
+      ParseGatewaySettings("test.ini", Settings("endpoint_drain_ms = soon\n"), {});
+  REQUIRE_FALSE(settings);
+  CHECK(settings.error().front().key == "endpoint_drain_ms");
+}
+
+}  // namespace mimosabend::testing
