--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -473,6 +473,7 @@
     if (MonotonicNow() >= end - kRefusalMargin) relay_.FailUnanswered();
     co_await Sleep(kDrainPoll);
   }
+  relay_.LogUnfinished();
   LOG4CPLUS_INFO(Log(), "stopped, in_flight=" << relay_.in_flight());
   supervisor_.Stop();
   io_->stop();
--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -8,11 +8,18 @@
 #include <string>
 #include <vector>
 
+#include "name_table.h"
 #include "relay_handler.h"
 #include "relay_request.h"
 
 namespace mimosabend {
 
+// What a request waits for.
+enum class RelayStep : std::uint8_t { kChoice, kModel, kAdapter, kEndpoint, kEvents, kCaller };
+
+inline constexpr NameTable<RelayStep, 6> kRelayStepNames{
+    {"choice", "model", "adapter", "endpoint", "events", "caller"}};
+
 // One request on its way through the relay. Internal to the relay's source files.
 struct RelayHandler::Context {
   HttpExchange* exchange = nullptr;
@@ -45,6 +52,8 @@
   std::uint64_t last_event_id = 0;
   std::uint64_t events = 0;
 
+  RelayStep step = RelayStep::kChoice;
+
   // For the log line at the end.
   RelayOutcome outcome = RelayOutcome::kRefused;
   int status = 0;
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -48,6 +48,15 @@
   parts_.board->changed().NotifyAll();
 }
 
+void RelayHandler::LogUnfinished() const {
+  for (const Context* context : active_) {
+    LOG4CPLUS_WARN(Log(), "unfinished id=" << context->relay.id
+                                           << " step=" << kRelayStepNames[context->step]
+                                           << " caller_gone=" << context->caller_gone);
+    LogEnd(*context);
+  }
+}
+
 // Chooses among the services that share a route, by the request's id so that no state is needed.
 std::string RelayHandler::PickService(const Route& route, const std::string& request_id) const {
   double sum = 0;
@@ -189,7 +198,9 @@
   context->expected_ms = choice.expected_ms;
   const EndpointWork work{1, 0, 0};
   parts_.stats->Start(choice.endpoint.id, work);
+  context->step = RelayStep::kEndpoint;
   auto reply = co_await parts_.client->Call(MakeCall(context.get(), choice, deadline));
+  context->step = RelayStep::kChoice;
   context->excluded.insert(choice.endpoint.id);
   TryVerdict verdict = TryVerdict::kGood;
   AnswerKind kind = AnswerKind::kForeign;
@@ -294,6 +305,7 @@
   if (FindHeader(headers, platform::RequestIdHeader("").first).empty()) {
     headers.push_back(platform::RequestIdHeader(context->relay.id));
   }
+  context->step = RelayStep::kCaller;
   const bool sent = co_await context->exchange->Reply(status, std::move(headers), std::move(body));
   if (!sent) context->outcome = RelayOutcome::kCallerGone;
 }
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -67,6 +67,9 @@
   // Precondition: the end that was set has come.
   void FailUnanswered();
 
+  // Logs the requests that have not ended, and what they wait for.
+  void LogUnfinished() const;
+
   // Requests that have not ended.
   std::size_t in_flight() const { return in_flight_; }
 
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -91,6 +91,7 @@
   parts_.metrics->model_waits_total->Increment();
   parts_.board->BeginWaiting(context->service_name, model, context->route->target_latency,
                              priority);
+  context->step = RelayStep::kModel;
   bool found = false;
   while (!context->caller_gone) {
     const MonotonicTime now = MonotonicNow();
@@ -114,6 +115,7 @@
     const MonotonicTime limit = std::min(context->deadline, end_);
     co_await parts_.board->changed().WaitUntil(std::min(limit, now + kWaitStep));
   }
+  context->step = RelayStep::kChoice;
   parts_.board->EndWaiting(context->service_name, model, priority);
   context->waited += ToMillis(MonotonicNow() - began);
   co_return found;
@@ -128,6 +130,7 @@
   AdapterRequest request{choice->endpoint.id, context->relay.model, context->relay.adapter};
   boost::asio::co_spawn(executor, AskForAdapter(placement, std::move(request)),
                         boost::asio::detached);
+  context->step = RelayStep::kAdapter;
   // The leader may be silent, and the signal to stop may come meanwhile.
   while (!placement->placed && !context->caller_gone) {
     const MonotonicTime now = MonotonicNow();
@@ -135,6 +138,7 @@
     const MonotonicTime limit = std::min(context->deadline, end_);
     co_await placement->done.WaitUntil(std::min(limit, now + kWaitStep));
   }
+  context->step = RelayStep::kChoice;
   const bool placed = placement->placed.value_or(false);
   context->waited += ToMillis(MonotonicNow() - began);
   if (!placed) {
@@ -177,6 +181,7 @@
   if (may_move) {
     call.deadline = std::min(call.deadline, sent_at + FirstEventLimit(*context->route, choice));
   }
+  context->step = RelayStep::kEndpoint;
   auto stream = co_await parts_.client->Open(std::move(call));
   Next next = Next::kTryAgain;
   TryVerdict verdict = TryVerdict::kFailed;
@@ -247,6 +252,7 @@
   for (;;) {
     MonotonicTime limit = context->deadline;
     if (may_move) limit = std::min(limit, MonotonicNow() + (first ? first_limit : silence));
+    context->step = RelayStep::kEvents;
     auto bytes = co_await stream->Read(limit);
     if (!bytes || context->caller_gone) {
       if (!bytes) context->reason = "stream: " + std::string(kHttpErrorNames[bytes.error()]);
@@ -276,6 +282,7 @@
           co_await context->exchange->StartStream(stream->status(), std::move(headers));
       if (!opened) context->caller_gone = true;
     }
+    context->step = RelayStep::kCaller;
     const bool sent = co_await context->exchange->Write(events);
     if (!sent) context->caller_gone = true;
     context->events += 1;
