End the time as a last resort within the bound for leaving endpoints

All gateways noticed within 6 ms that the entry was gone, but an endpoint whose entry vanished is a last resort for 2 s, as its entry may only have lapsed; a request for a model that no other engine held reached it 1,557 ms after the store's acknowledgement. Where the leader's view stands in for the store (bounds of 4 s), the view's age of up to 2 s comes on top, so the grown sites had no time left either.

Ruled out: a late notice (the log lines), a request on its way (it was sent 1.5 s later).

Change: the time is derived from the bound: what is left after the age of a relayed view and 500 ms, at most 2 s: 1,000 ms at 1,500 ms, 2,000 at 2,500 as before, 1,500 at 4,000. The functions that derive such times have a file of their own, view_age, out of gateway.cpp.

--- a/src/fleet_directory.cpp
+++ b/src/fleet_directory.cpp
@@ -56,7 +56,7 @@
 void FleetDirectory::Tick(MonotonicTime now) {
   std::erase_if(entries_, [&](const auto& item) {
     const auto& since = item.second.missing_since;
-    return since && now - *since >= kReappearTime;
+    return since && now - *since >= reappear_time_;
   });
   for (auto& [id, entry] : entries_) {
     if (entry.known && now - entry.known->noted > kNewsLifetime) entry.known.reset();
@@ -85,7 +85,8 @@
 Usability FleetDirectory::UsabilityOf(const DirectoryEntry& entry, MonotonicTime now) const {
   if (entry.endpoint.state == EndpointState::kDraining) return Usability::kUnusable;
   if (!entry.missing_since) return Usability::kUsable;
-  return now - *entry.missing_since < kReappearTime ? Usability::kLastResort : Usability::kUnusable;
+  return now - *entry.missing_since < reappear_time_ ? Usability::kLastResort
+                                                     : Usability::kUnusable;
 }
 
 const DirectoryEntry* FleetDirectory::Find(const std::string& id) const {
--- a/src/fleet_directory.h
+++ b/src/fleet_directory.h
@@ -51,12 +51,15 @@
 // The configuration and the endpoints as this daemon knows them. Not thread-safe.
 class FleetDirectory {
  public:
-  // How long an entry that vanished counts as lapsed rather than gone. Endpoints register again
-  // within about two seconds after an outage of the store.
-  static constexpr milliseconds kReappearTime{2000};
   // News of the leader is used for this long without any further word from a leader.
   static constexpr milliseconds kNewsLifetime{6000};
 
+  // `reappear_time`: how long an entry that vanished counts as lapsed rather than gone.
+  explicit FleetDirectory(milliseconds reappear_time = milliseconds(2000))
+      : reappear_time_(reappear_time) {}
+
+  void set_reappear_time(milliseconds time) { reappear_time_ = time; }
+
   // Takes a configuration into force unless it is older than the one in force.
   bool Adopt(FleetConfig config);
   std::shared_ptr<const FleetConfig> config() const { return config_; }
@@ -86,6 +89,7 @@
   std::vector<const DirectoryEntry*> OfService(const std::string& service, MonotonicTime now) const;
 
  private:
+  milliseconds reappear_time_;
   std::shared_ptr<const FleetConfig> config_;
   std::map<std::string, DirectoryEntry> entries_;
 };
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -22,6 +22,7 @@
 #include "platform/request_headers.h"
 #include "relay_handler.h"
 #include "supervisor.h"
+#include "view_age.h"
 
 namespace mimosabend {
 
@@ -47,14 +48,6 @@
 constexpr milliseconds kBalancerDelay{2300};
 // Left of the grace time for ending what is still open.
 constexpr milliseconds kExitMargin{300};
-// The leader's view counts as fresh if the store has answered a call that was sent within this
-// time. The lease is renewed more often.
-constexpr milliseconds kFreshness{1500};
-// For a late report and for reading the store afterwards.
-constexpr milliseconds kRelayMargin{500};
-// Less would lapse between two reports of a large fleet.
-constexpr milliseconds kLeastRelayedLifetime{1000};
-constexpr milliseconds kLargestRelayedLifetime{2000};
 // For telling all daemons that this one resigns, and for giving the lease back.
 constexpr milliseconds kResignTime{1600};
 constexpr milliseconds kReleaseTime{300};
@@ -80,14 +73,6 @@
   return timings;
 }
 
-// What a daemon takes from the leader may be as old as kFreshness and the lifetime of an answer
-// together. Only where that leaves time to the bounds, the leader's view stands in for the store.
-milliseconds RelayedLifetime(const GatewayBounds& bounds) {
-  const milliseconds bound = std::min(bounds.endpoint_drain, bounds.config_apply);
-  const milliseconds left = bound - kFreshness - kRelayMargin;
-  return left < kLeastRelayedLifetime ? milliseconds(0) : std::min(left, kLargestRelayedLifetime);
-}
-
 // How long the host has been suspended since it started.
 milliseconds SuspendedTime() {
   timespec with_suspension{};
@@ -187,6 +172,7 @@
       store_client_(io->get_executor(), kStoreOptions),
       store_(&store_client_, settings.store),
       orders_(&order_client_),
+      directory_(ReappearTime(settings.bounds)),
       selector_({settings.region, settings.domain_regions}, &directory_, &stats_, &prefixes_,
                 RandomId()),
       board_(io->get_executor()),
@@ -307,7 +293,7 @@
 // Whether the followers show what the store holds now.
 bool Gateway::IsStoreFresh(MonotonicTime now) const {
   return config_follower_.in_touch() && endpoint_follower_.in_touch() &&
-         now - store_.last_answered() < kFreshness;
+         now - store_.last_answered() < kStoreFreshness;
 }
 
 RelayedView Gateway::MakeView() {
@@ -408,6 +394,7 @@
   }
   if (settings->bounds == settings_.bounds) return;
   settings_.bounds = settings->bounds;
+  directory_.set_reappear_time(ReappearTime(settings_.bounds));
   ApplyRetryLimits();
   LOG4CPLUS_INFO(Log(), "settings read again, cause=" << cause);
 }
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -7,6 +7,7 @@
 #include "fleet_directory.h"
 #include "load_allowance.h"
 #include "prefix_index.h"
+#include "view_age.h"
 
 namespace mimosabend::testing {
 
@@ -67,6 +68,28 @@
   CHECK(directory.Find("e1") == nullptr);
 }
 
+// Guards against requests to an endpoint that is gone, later than the operator allows.
+TEST_CASE("the time as a last resort follows the bounds", "[directory]") {
+  GatewayBounds bounds;
+  bounds.endpoint_drain = milliseconds(1500);
+  bounds.config_apply = milliseconds(1500);
+  FleetDirectory directory(ReappearTime(bounds));
+  directory.Put(Endpoint("e1"));
+  directory.Remove("e1", kStart);
+  const DirectoryEntry* entry = directory.Find("e1");
+  REQUIRE(entry != nullptr);
+  CHECK(directory.UsabilityOf(*entry, kStart + milliseconds(999)) == Usability::kLastResort);
+  CHECK(directory.UsabilityOf(*entry, kStart + milliseconds(1000)) == Usability::kUnusable);
+  for (const milliseconds drain : {milliseconds(100), milliseconds(1500), milliseconds(2500),
+                                   milliseconds(4000), milliseconds(9000)}) {
+    CAPTURE(drain.count());
+    bounds.endpoint_drain = drain;
+    bounds.config_apply = drain;
+    CHECK(RelayedLifetime(bounds) + ReappearTime(bounds) < drain);
+    CHECK(ReappearTime(bounds) <= seconds(2));
+  }
+}
+
 // Guards against work for an endpoint that leaves.
 TEST_CASE("a draining endpoint is not used, and is forgotten with its entry", "[directory]") {
   FleetDirectory directory;
