Build families of labelled metrics in one place

Change: MetricsRegistry has CounterFamily and HistogramFamily; the registry itself and the names with prefix are no longer public. No behaviour changes.

--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -21,10 +21,8 @@
 Metrics::Metrics() : registry_(kPrefix) {
   accepted_ = registry_.AddCounter("requests_accepted_total",
                                    "Requests that were authenticated and parsed.");
-  auto& outcomes = prometheus::BuildCounter()
-                       .Name(registry_.NameOf("requests_ended_total"))
-                       .Help("Accepted requests by final outcome and rank.")
-                       .Register(registry_.registry());
+  auto& outcomes = registry_.CounterFamily("requests_ended_total",
+                                           "Accepted requests by final outcome and rank.");
   for (std::size_t i = 0; i < kRequestOutcomeCount; ++i) {
     for (Rank rank : kAllRanks) {
       outcomes_[i][Index(rank)] =
@@ -32,29 +30,19 @@
                          {"rank", std::string(kRankNames[rank])}});
     }
   }
-  auto& peer_errors = prometheus::BuildCounter()
-                          .Name(registry_.NameOf("peer_errors_total"))
-                          .Help("Messages between daemons that were dropped or failed, by reason.")
-                          .Register(registry_.registry());
+  auto& peer_errors = registry_.CounterFamily(
+      "peer_errors_total", "Messages between daemons that were dropped or failed, by reason.");
   for (std::size_t i = 0; i < kPeerErrorCount; ++i) {
     peer_errors_[i] = &peer_errors.Add({{"reason", std::string(kPeerErrorNames.names[i])}});
   }
-  auto& first_token = prometheus::BuildHistogram()
-                          .Name(registry_.NameOf("first_token_seconds"))
-                          .Help("Time from the arrival of a request to its first token.")
-                          .Register(registry_.registry());
-  auto& token_gap = prometheus::BuildHistogram()
-                        .Name(registry_.NameOf("token_gap_seconds"))
-                        .Help("Time between two tokens of an answer.")
-                        .Register(registry_.registry());
-  auto& queue_time = prometheus::BuildHistogram()
-                         .Name(registry_.NameOf("queue_seconds"))
-                         .Help("Time that a request waited for admission, refused ones included.")
-                         .Register(registry_.registry());
-  auto& refusals = prometheus::BuildCounter()
-                       .Name(registry_.NameOf("admission_refusals_total"))
-                       .Help("Requests that admission refused, by reason.")
-                       .Register(registry_.registry());
+  auto& first_token = registry_.HistogramFamily(
+      "first_token_seconds", "Time from the arrival of a request to its first token.");
+  auto& token_gap =
+      registry_.HistogramFamily("token_gap_seconds", "Time between two tokens of an answer.");
+  auto& queue_time = registry_.HistogramFamily(
+      "queue_seconds", "Time that a request waited for admission, refused ones included.");
+  auto& refusals = registry_.CounterFamily("admission_refusals_total",
+                                           "Requests that admission refused, by reason.");
   for (std::size_t i = 0; i < kAdmissionRefusalCount; ++i) {
     admission_refusals_[i] =
         &refusals.Add({{"reason", std::string(kAdmissionRefusalNames.names[i])}});
--- a/src/metrics_registry.h
+++ b/src/metrics_registry.h
@@ -2,7 +2,9 @@
 #define MIMOSABEND_METRICS_REGISTRY_H_
 
 #include <prometheus/counter.h>
+#include <prometheus/family.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <memory>
@@ -19,10 +21,11 @@
   prometheus::Counter* AddCounter(const std::string& name, const std::string& help);
   prometheus::Gauge* AddGauge(const std::string& name, const std::string& help);
 
-  // The name of a metric with the prefix.
-  std::string NameOf(const std::string& name) const { return prefix_ + name; }
-  // For metrics with labels.
-  prometheus::Registry& registry() { return *registry_; }
+  // Metrics of one name that differ in their labels. Lives as long as this object.
+  prometheus::Family<prometheus::Counter>& CounterFamily(const std::string& name,
+                                                         const std::string& help);
+  prometheus::Family<prometheus::Histogram>& HistogramFamily(const std::string& name,
+                                                             const std::string& help);
 
   // The text exposition format of Prometheus.
   std::string Expose() const;
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -14,15 +14,10 @@
 }  // namespace
 
 RelayMetrics::RelayMetrics() : registry_(kPrefix) {
-  auto& ends = prometheus::BuildCounter()
-                   .Name(registry_.NameOf("requests_ended_total"))
-                   .Help("Requests by final outcome and kind of route.")
-                   .Register(registry_.registry());
-  auto& first_byte =
-      prometheus::BuildHistogram()
-          .Name(registry_.NameOf("first_byte_seconds"))
-          .Help("Time from the arrival of a request to the first byte of its answer.")
-          .Register(registry_.registry());
+  auto& ends = registry_.CounterFamily("requests_ended_total",
+                                       "Requests by final outcome and kind of route.");
+  auto& first_byte = registry_.HistogramFamily(
+      "first_byte_seconds", "Time from the arrival of a request to the first byte of its answer.");
   for (std::size_t kind = 0; kind < kKinds; ++kind) {
     const std::string name(kRouteKindNames.names[kind]);
     for (std::size_t i = 0; i < kRelayOutcomeCount; ++i) {
