Log unfinished requests as broken off

Cause: found in reading the diff. The request line of an unfinished request said outcome=refused, the initial value, which is not true of a stream that was cut.

Change: it says broken_off, with the reason "the process ends".

--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -48,8 +48,10 @@
   parts_.board->changed().NotifyAll();
 }
 
-void RelayHandler::LogUnfinished() const {
-  for (const Context* context : active_) {
+void RelayHandler::LogUnfinished() {
+  for (Context* context : active_) {
+    context->outcome = RelayOutcome::kBrokenOff;
+    context->reason = "the process ends";
     LOG4CPLUS_WARN(Log(), "unfinished id=" << context->relay.id
                                            << " step=" << kRelayStepNames[context->step]
                                            << " caller_gone=" << context->caller_gone);
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -67,8 +67,9 @@
   // Precondition: the end that was set has come.
   void FailUnanswered();
 
-  // Logs the requests that have not ended, and what they wait for.
-  void LogUnfinished() const;
+  // Logs the requests that have not ended as broken off, and what they wait for.
+  // Precondition: the process ends.
+  void LogUnfinished();
 
   // Requests that have not ended.
   std::size_t in_flight() const { return in_flight_; }
