Leave a silent stream only for another engine

Ruled out: the change of the configuration beside it, which leaves running requests alone; the deadline (15 s).

Change: the limits on silence, before the first event and between events, hold only while another engine has the model and the retry budget has a repeat left. RetryBudget::HasRetry asks without taking one. What is lost between the limit and the next try, for example an engine that fills up meanwhile, can still break a stream.

Before: the new test "a slow stream is left only for another engine" ends without the rest of the stream. After: it passes, relay 17 of 17.

--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -103,6 +103,7 @@
   HttpCall MakeCall(Context* context, const EndpointChoice& choice, MonotonicTime deadline) const;
   std::string PickService(const Route& route, const std::string& request_id) const;
   bool HasEngine(const Context& context, MonotonicTime now) const;
+  bool MayMove(const Context& context, const std::string& endpoint);
   RetryBudget& BudgetOf(const std::string& service);
   void LogEnd(const Context& context) const;
 
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -54,6 +54,16 @@
                                     now);
 }
 
+// Whether a try at an endpoint that has run the request could be broken off for one elsewhere. An
+// engine that is only slow is not left where nothing better is at hand.
+bool RelayHandler::MayMove(const Context& context, const std::string& endpoint) {
+  const MonotonicTime now = MonotonicNow();
+  if (!context.route->repeatable() || !BudgetOf(context.service_name).HasRetry(now)) return false;
+  std::set<std::string> avoided = context.Avoided(now);
+  avoided.insert(endpoint);
+  return parts_.selector->HasEngine(context.service_name, context.relay.model, avoided, now);
+}
+
 Task<void> RelayHandler::ServeStream(ContextPtr context) {
   const RelayRequest& relay = context->relay;
   context->hashes = PrefixHashes(relay.model, relay.adapter, relay.prompt);
@@ -176,9 +186,7 @@
   const MonotonicTime sent_at = MonotonicNow();
   HttpCall call = MakeCall(context.get(), choice, context->deadline);
   // An engine that fell silent may leave the header or even the request waiting.
-  const bool may_move =
-      context->route->repeatable() && context->runs + 1 < context->route->max_attempts;
-  if (may_move) {
+  if (context->runs + 1 < context->route->max_attempts && MayMove(*context, id)) {
     call.deadline = std::min(call.deadline, sent_at + FirstEventLimit(*context->route, choice));
   }
   context->step = RelayStep::kEndpoint;
@@ -246,12 +254,13 @@
   const milliseconds silence =
       std::max(kLeastSilence, context->route->target_event_gap * kSilenceFactor);
   const milliseconds first_limit = FirstEventLimit(*context->route, choice);
-  const bool may_move =
-      context->route->repeatable() && context->runs < context->route->max_attempts;
+  const bool attempts_left = context->runs < context->route->max_attempts;
   bool first = true;
   for (;;) {
     MonotonicTime limit = context->deadline;
-    if (may_move) limit = std::min(limit, MonotonicNow() + (first ? first_limit : silence));
+    if (attempts_left && MayMove(*context, choice.endpoint.id)) {
+      limit = std::min(limit, MonotonicNow() + (first ? first_limit : silence));
+    }
     context->step = RelayStep::kEvents;
     auto bytes = co_await stream->Read(limit);
     if (!bytes || context->caller_gone) {
--- a/src/retry_budget.cpp
+++ b/src/retry_budget.cpp
@@ -24,10 +24,9 @@
 
 void RetryBudget::NoteRequest(MonotonicTime now) { ++BucketAt(now)->requests; }
 
-bool RetryBudget::TryRetry(MonotonicTime now, MonotonicTime deadline,
-                           std::chrono::steady_clock::duration expected) {
-  if (now + expected >= deadline) return false;
-  Bucket* current = BucketAt(now);
+bool RetryBudget::HasRetry(MonotonicTime now) {
+  // Drops what the window has left.
+  BucketAt(now);
   std::uint32_t requests = 0;
   std::uint32_t retries = 0;
   for (const Bucket& bucket : buckets_) {
@@ -37,8 +36,13 @@
   const double share = limits_.share * requests;
   const double allowed =
       limits_.at_least ? std::max(std::floor(share), limits_.extra) : share + limits_.extra;
-  if (retries + 1 > allowed) return false;
-  ++current->retries;
+  return retries + 1 <= allowed;
+}
+
+bool RetryBudget::TryRetry(MonotonicTime now, MonotonicTime deadline,
+                           std::chrono::steady_clock::duration expected) {
+  if (now + expected >= deadline || !HasRetry(now)) return false;
+  ++BucketAt(now)->retries;
   return true;
 }
 
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -31,6 +31,9 @@
   // Notes a new request.
   void NoteRequest(MonotonicTime now);
 
+  // Whether the budget has a retry left.
+  bool HasRetry(MonotonicTime now);
+
   // True if a retry may start, which counts it. `expected` is the least time that the retry
   // needs; a retry that can't meet the deadline is not allowed.
   bool TryRetry(MonotonicTime now, MonotonicTime deadline,
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -326,6 +326,36 @@
   CHECK(MonotonicNow() - began < milliseconds(1000));
 }
 
+// Guards against a stream that is broken off because its engine is silent for a while, although it
+// can't go on elsewhere.
+TEST_CASE("a slow stream is left only for another engine", "[relay]") {
+  const Behaviour slow = [](HttpExchange& exchange) -> Task<void> {
+    HttpHeaders headers = Stamped(exchange);
+    headers.emplace_back("Content-Type", "text/event-stream");
+    co_await exchange.StartStream(200, std::move(headers));
+    co_await exchange.Write(Event(1));
+    co_await Sleep(milliseconds(1200));
+    co_await exchange.Write(Event(2));
+    co_await exchange.FinishStream();
+  };
+  for (const bool budget : {false, true}) {
+    CAPTURE(budget);
+    Relay relay;
+    relay.Behave(slow, slow);
+    RetryLimits none;
+    none.extra = 0;
+    none.share = 0;
+    none.at_least = false;
+    if (!budget) relay.handler.SetRetryLimits(none);
+    // With a budget, no other engine holds the model.
+    if (budget) relay.directory.NoteRefused("e2", "m");
+    auto reply = relay.Send("/resumable/1");
+    REQUIRE(reply);
+    CHECK(reply.value().body == Event(1) + Event(2));
+    CHECK(relay.engine_arrivals() == 1);
+  }
+}
+
 // Guards against a broken stream that looks complete.
 TEST_CASE("a stream that can't go on ends without its end", "[relay]") {
   Relay relay;
