Read flags of messages as 0 or 1

Change: SerializeFlag writes one byte, as before, and refuses all but 0 and 1; all messages between daemons use it.

Before: "a flag of a message is 0 or 1" fails without the check. The run under the sanitizer was not repeated on this change.

--- a/src/codec.h
+++ b/src/codec.h
@@ -35,6 +35,16 @@
   archive(cereal::binary_data(text.data(), length));
 }
 
+// Serializes a flag as one byte. Loading refuses all but 0 and 1, which are no values of a bool.
+// Throws cereal::Exception.
+template <class Archive>
+void SerializeFlag(Archive& archive, bool& flag) {
+  std::uint8_t byte = flag ? 1 : 0;
+  archive(byte);
+  if (byte > 1) throw cereal::Exception("flag is neither 0 nor 1");
+  flag = byte == 1;
+}
+
 // Serializes a name of at most 255 bytes with one byte for its length. Throws cereal::Exception.
 template <class Archive>
 void SerializeName(Archive& archive, std::string& name) {
--- a/src/directory_feed.h
+++ b/src/directory_feed.h
@@ -34,7 +34,9 @@
     SerializeName(archive, address.ip);
     SerializeName(archive, failure_domain);
     SerializeEnum(archive, state, 2);
-    archive(number, gone, address.port, slots, started_ms);
+    archive(number);
+    SerializeFlag(archive, gone);
+    archive(address.port, slots, started_ms);
   }
 };
 
--- a/src/fleet_usage.h
+++ b/src/fleet_usage.h
@@ -165,11 +165,13 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(resigning);
+    SerializeFlag(archive, resigning);
     SerializeName(archive, holder);
     SerializeList(archive, recent_orders);
-    archive(is_leader, fence, news_version, daemons, next_report_ms);
-    archive(store_is_fresh, config_version, directory_version);
+    SerializeFlag(archive, is_leader);
+    archive(fence, news_version, daemons, next_report_ms);
+    SerializeFlag(archive, store_is_fresh);
+    archive(config_version, directory_version);
     SerializeList(archive, directory);
     SerializeList(archive, news);
     SerializeList(archive, others);
@@ -199,7 +201,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(placed);
+    SerializeFlag(archive, placed);
   }
 };
 
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -157,7 +157,8 @@
     SerializeText(archive, group);
     SerializeText(archive, model);
     for (std::uint32_t& count : waiting) archive(count);
-    archive(wait_ms, relay);
+    archive(wait_ms);
+    SerializeFlag(archive, relay);
   }
 };
 
@@ -217,7 +218,7 @@
   void serialize(Archive& archive) {
     SerializeText(archive, fingerprint);
     SerializeText(archive, crash);
-    archive(recorded);
+    SerializeFlag(archive, recorded);
   }
 };
 
@@ -227,7 +228,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(noted);
+    SerializeFlag(archive, noted);
   }
 };
 
--- a/tests/test_decoders.cpp
+++ b/tests/test_decoders.cpp
@@ -221,6 +221,18 @@
   });
 }
 
+// Guards against a byte that is taken for a flag although no bool has its value, which the program
+// may then read as true in one place and as false in another.
+TEST_CASE("a flag of a message is 0 or 1", "[decoders]") {
+  AdapterAnswer answer;
+  answer.placed = true;
+  std::string bytes = Encode(answer);
+  REQUIRE(Decode<AdapterAnswer>(bytes));
+  CHECK(Decode<AdapterAnswer>(bytes)->placed);
+  bytes.back() = 2;
+  CHECK_FALSE(Decode<AdapterAnswer>(bytes));
+}
+
 // Guards against events that are cut, joined or lost, whatever the bytes and wherever they are cut.
 TEST_CASE("an event stream is passed on unchanged", "[decoders]") {
   const std::vector<std::string> streams{"id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n",
