Ask for one candidate engine without listing them all

Cause: found in reading the change. Since streams are left only for another engine, HasEngine is asked before each read of a stream, and it listed all endpoints of the service to see whether the list is empty.

Ruled out: a timer that asks only after a silence. It needs a wait that does not close the connection, and the present cost does not call for it.

Change: HasEngine stops at the first engine that may be chosen; the condition is one function, which Candidates calls too. What is chosen stays the same.

ctest 31 of 31.

--- a/src/endpoint_selector.cpp
+++ b/src/endpoint_selector.cpp
@@ -32,18 +32,25 @@
 
 }  // namespace
 
+bool EndpointSelector::IsCandidate(const DirectoryEntry& entry,
+                                   const std::set<std::string>& excluded, const std::string& model,
+                                   MonotonicTime now) const {
+  const std::string& id = entry.endpoint.id;
+  if (excluded.contains(id)) return false;
+  if (model.empty()) return true;
+  // A model can be loaded elsewhere, so an engine that fails is no last resort.
+  return entry.Holds(model) && !stats_->IsEjected(id, now);
+}
+
 std::vector<const DirectoryEntry*> EndpointSelector::Candidates(
     const std::string& service, const std::set<std::string>& excluded, const std::string& model,
     MonotonicTime now) const {
   std::vector<const DirectoryEntry*> healthy;
   std::vector<const DirectoryEntry*> others;
   for (const DirectoryEntry* entry : directory_->OfService(service, now)) {
-    if (excluded.contains(entry->endpoint.id)) continue;
-    if (!model.empty() && !entry->Holds(model)) continue;
+    if (!IsCandidate(*entry, excluded, model, now)) continue;
     const bool usable = directory_->UsabilityOf(*entry, now) == Usability::kUsable;
     const bool ejected = stats_->IsEjected(entry->endpoint.id, now);
-    // A model can be loaded elsewhere, so an engine that fails is no last resort.
-    if (ejected && !model.empty()) continue;
     (usable && !ejected ? healthy : others).push_back(entry);
   }
   return healthy.empty() ? others : healthy;
@@ -61,7 +68,12 @@
 
 bool EndpointSelector::HasEngine(const std::string& service, const std::string& model,
                                  const std::set<std::string>& excluded, MonotonicTime now) const {
-  return !Candidates(service, excluded, model, now).empty();
+  const auto& entries = directory_->entries();
+  return std::any_of(entries.begin(), entries.end(), [&](const auto& item) {
+    const DirectoryEntry& entry = item.second;
+    return entry.endpoint.service == service && IsCandidate(entry, excluded, model, now) &&
+           directory_->UsabilityOf(entry, now) != Usability::kUnusable;
+  });
 }
 
 std::optional<EndpointChoice> EndpointSelector::ChoosePlain(const std::string& service,
--- a/src/endpoint_selector.h
+++ b/src/endpoint_selector.h
@@ -52,7 +52,8 @@
                                             const std::set<std::string>& excluded,
                                             MonotonicTime now);
 
-  // Whether there is an engine that ChooseEngine might choose.
+  // Whether there is an engine that ChooseEngine might choose. Asked for each event of a stream, so
+  // it stops at the first one.
   bool HasEngine(const std::string& service, const std::string& model,
                  const std::set<std::string>& excluded, MonotonicTime now) const;
 
@@ -65,6 +66,9 @@
                                              MonotonicTime now);
 
  private:
+  // Whether an endpoint may be chosen at all, if the directory lets it be used.
+  bool IsCandidate(const DirectoryEntry& entry, const std::set<std::string>& excluded,
+                   const std::string& model, MonotonicTime now) const;
   // Endpoints without failures if there are any, else all that may be used. With a model: engines
   // that hold it and have not failed lately.
   std::vector<const DirectoryEntry*> Candidates(const std::string& service,
