--- a/src/caller_api.h
+++ b/src/caller_api.h
@@ -47,9 +47,7 @@
   MonotonicTime arrival;
   MonotonicTime deadline;
 
-  milliseconds timeout() const {
-    return std::chrono::duration_cast<milliseconds>(deadline - arrival);
-  }
+  milliseconds timeout() const { return ToMillis(deadline - arrival); }
 };
 
 // Authenticates a request and reads its rank and deadline. Thread-safe.
--- a/src/clock.h
+++ b/src/clock.h
@@ -35,6 +35,11 @@
   return std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count();
 }
 
+// Whole milliseconds, rounded towards zero.
+inline milliseconds ToMillis(std::chrono::steady_clock::duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration);
+}
+
 inline double ToSeconds(std::chrono::steady_clock::duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
--- a/src/completion_handler.h
+++ b/src/completion_handler.h
@@ -364,8 +364,7 @@
       static_cast<void>(waited);
     }
     const WallTime until =
-        WallNow() + std::chrono::duration_cast<milliseconds>(context.deadline - MonotonicNow()) +
-        kTrialAllowance;
+        WallNow() + ToMillis(context.deadline - MonotonicNow()) + kTrialAllowance;
     const std::uint64_t claim = co_await poison_->ClaimEndpoint(chosen.endpoint, until);
     if (claim == 0) {
       // Another daemon runs a suspect there, or the service is down, which the next try finds.
--- a/src/engine_controller.h
+++ b/src/engine_controller.h
@@ -162,7 +162,7 @@
     }
     engine = FindFor(step);
     if (engine != nullptr) engine->loading.clear();
-    done(std::chrono::duration_cast<milliseconds>(MonotonicNow() - began));
+    done(ToMillis(MonotonicNow() - began));
     changed_->NotifyAll();
   }
 
--- a/src/engine_ledger.cpp
+++ b/src/engine_ledger.cpp
@@ -174,7 +174,7 @@
                                    MonotonicTime now, UsageAnswer* answer) const {
   for (const auto& [id, engine] : engines_) {
     const auto number = feed.NumberOf(id);
-    const auto age = std::chrono::duration_cast<milliseconds>(now - engine.sent_at);
+    const auto age = ToMillis(now - engine.sent_at);
     if (!number || age >= within) continue;
     answer->recent_orders.push_back({*number, static_cast<std::uint32_t>(age.count())});
   }
@@ -193,7 +193,7 @@
       answer->news.push_back(std::move(news));
     }
     if (engine.loading.empty()) continue;
-    const auto left = std::chrono::duration_cast<milliseconds>(engine.ready_at - now).count();
+    const auto left = ToMillis(engine.ready_at - now).count();
     answer->loads.push_back(
         {engine.loading, static_cast<std::uint32_t>(std::max<std::int64_t>(0, left))});
   }
--- a/src/idle_policy.cpp
+++ b/src/idle_policy.cpp
@@ -35,7 +35,7 @@
 }  // namespace
 
 void UseHistory::NoteUse(MonotonicTime now) {
-  const std::int64_t gap = std::chrono::duration_cast<milliseconds>(now - last_use_).count();
+  const std::int64_t gap = ToMillis(now - last_use_).count();
   const bool was_idle = used_ && gap >= kShortestGapMs;
   used_ = true;
   last_use_ = now;
--- a/src/json.h
+++ b/src/json.h
@@ -33,6 +33,12 @@
   return text == nullptr ? std::string() : std::string(text->data(), text->size());
 }
 
+// Whether a member is true; false if it is absent or of another type. Thread-safe.
+inline bool FlagMember(const boost::json::value& value, std::string_view name) {
+  const boost::json::value* member = JsonMember(value, name);
+  return member != nullptr && member->is_bool() && member->get_bool();
+}
+
 // The whole number of a member; std::nullopt if it is absent, of another type or does not fit.
 // Thread-safe.
 inline std::optional<std::int64_t> IntegerMember(const boost::json::value& value,
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -26,10 +26,6 @@
 constexpr milliseconds kLeastRetryAfter{150};
 constexpr milliseconds kLargestRetryAfter{1500};
 
-milliseconds ToMillis(std::chrono::steady_clock::duration duration) {
-  return std::chrono::duration_cast<milliseconds>(duration);
-}
-
 }  // namespace
 
 void RelayHandler::SetRetryLimits(const RetryLimits& limits) {
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -29,10 +29,6 @@
 constexpr int kSilenceFactor = 4;
 constexpr milliseconds kLeastSilence{1000};
 
-milliseconds ToMillis(std::chrono::steady_clock::duration duration) {
-  return std::chrono::duration_cast<milliseconds>(duration);
-}
-
 // How long the first event is waited for before another engine is tried.
 milliseconds FirstEventLimit(const Route& route, const EndpointChoice& choice) {
   const auto patience = static_cast<std::int64_t>(choice.expected_ms * kFirstEventPatience);
--- a/src/status_report.cpp
+++ b/src/status_report.cpp
@@ -42,10 +42,7 @@
   return array == nullptr ? empty : *array;
 }
 
-bool IsReady(const json::value& status) {
-  const json::value* ready = JsonMember(status, "ready");
-  return ready != nullptr && ready->is_bool() && ready->get_bool();
-}
+bool IsReady(const json::value& status) { return FlagMember(status, "ready"); }
 
 // Splits "pool.region.index".
 std::pair<std::string, std::string> PoolAndRegion(const std::string& group) {
