Place adapters ahead of requests, and tell the end of a load by where its weights are

Change: the leader fills free places of engines with adapters that no engine holds, those in use first, then with further copies; one place stays free beside further copies. Reports name the adapters of requests. A model gets as many engines as its adapters in use need. An adapter that other engines hold makes way before the only copy. The end of a planned load follows from where the weights are.

--- a/src/engine_controller.h
+++ b/src/engine_controller.h
@@ -57,6 +57,15 @@
     Spawn(Load(load, std::move(profile), std::move(done)));
   }
 
+  // Has an engine fetch an adapter into a free place. Precondition: the ledger has the engine, it
+  // is known and idle, and the profile has the model.
+  void StartAdapter(const std::string& id, const ModelAdapter& adapter, EngineProfilePtr profile) {
+    Spawn(FetchAdapter(id, adapter, std::move(profile)));
+  }
+
+  // Adapters that StartAdapter was called for and that are not in place yet.
+  std::size_t adapters_on_their_way() const { return adapters_on_their_way_; }
+
   // Places an adapter at an engine that holds its model. Returns whether the engine holds it or
   // has accepted to fetch it.
   Task<bool> PlaceAdapter(std::string id, ModelAdapter adapter, EngineProfilePtr profile) {
@@ -251,15 +260,29 @@
     engine->retry_at = MonotonicNow() + kOrderRetryDelay;
   }
 
+  static bool HasRoom(const LedgerEngine& engine, const ModelAdapter& adapter,
+                      const EngineProfile& profile) {
+    const auto model = profile.models.find(adapter.first);
+    return model != profile.models.end() &&
+           CountAdapters(engine.holdings) < profile.adapter_slots &&
+           CommittedMb(profile, engine) + model->second.adapter_mb <= profile.weights_mb;
+  }
+
+  Task<void> FetchAdapter(std::string id, ModelAdapter adapter, EngineProfilePtr profile) {
+    const LedgerEngine* engine = ledger_->Find(id);
+    if (engine == nullptr || !engine->known || !engine->loading.empty()) co_return;
+    if (!engine->IsIdle(MonotonicNow()) || !HasRoom(*engine, adapter, *profile)) co_return;
+    ++adapters_on_their_way_;
+    co_await OrderAdapter(id, adapter, profile);
+    --adapters_on_their_way_;
+  }
+
   // Sends one order that brings an adapter closer to an engine.
   // Precondition: the engine is known and idle, and the profile has the model.
   Task<void> OrderAdapter(std::string id, ModelAdapter adapter, EngineProfilePtr profile) {
     LedgerEngine* engine = ledger_->Find(id);
-    const auto model = profile->models.find(adapter.first);
-    const double needed_mb = CommittedMb(*profile, *engine) + model->second.adapter_mb;
-    const bool room = CountAdapters(engine->holdings) < profile->adapter_slots &&
-                      needed_mb <= profile->weights_mb;
-    const auto victim = OldestAdapter(*engine);
+    const bool room = HasRoom(*engine, adapter, *profile);
+    const auto victim = ledger_->AdapterToDrop(*engine, MonotonicNow());
     Step step = StepFor(*engine);
     if (!room && !victim) {
       engine->retry_at = MonotonicNow() + kOrderRetryDelay;
@@ -295,6 +318,7 @@
   EngineLedger* ledger_;
   Notifier* changed_;
   OrderAuthority authority_;
+  std::size_t adapters_on_their_way_ = 0;
 };
 
 }  // namespace mimosabend
--- a/src/engine_ledger.cpp
+++ b/src/engine_ledger.cpp
@@ -1,6 +1,7 @@
 #include "engine_ledger.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "model_planner.h"
 
@@ -12,6 +13,8 @@
 constexpr seconds kRefreshPeriod{10};
 // Longest age of what an engine reports.
 constexpr milliseconds kReportLag{1000};
+// An adapter that was in use within this time may still be: daemons report it that often.
+constexpr milliseconds kRecentUse{2500};
 
 bool SameModels(const EngineHoldings& a, const EngineHoldings& b) {
   if (a.models.size() != b.models.size()) return false;
@@ -56,19 +59,31 @@
   return committed;
 }
 
-std::optional<ModelAdapter> OldestAdapter(const LedgerEngine& engine) {
-  std::optional<ModelAdapter> oldest;
-  MonotonicTime oldest_use = MonotonicTime::max();
+bool EngineLedger::IsHeldElsewhere(const LedgerEngine& engine, const ModelAdapter& adapter) const {
+  return std::any_of(engines_.begin(), engines_.end(), [&](const auto& item) {
+    return item.first != engine.id && item.second.service == engine.service &&
+           HasAdapter(item.second.holdings, adapter.first, adapter.second);
+  });
+}
+
+std::optional<ModelAdapter> EngineLedger::AdapterToDrop(const LedgerEngine& engine,
+                                                        MonotonicTime now) const {
+  // Lower is dropped before higher.
+  using Worth = std::tuple<bool, bool, MonotonicTime>;
+  std::optional<ModelAdapter> dropped;
+  Worth least;
   for (const HeldModel& held : engine.holdings.models) {
-    for (const std::string& adapter : held.adapters) {
-      const auto use = engine.adapter_use.find(held.name + "/" + adapter);
+    for (const std::string& name : held.adapters) {
+      const ModelAdapter adapter{held.name, name};
+      const auto use = engine.adapter_use.find(AdapterName(adapter));
       const MonotonicTime used = use == engine.adapter_use.end() ? MonotonicTime() : use->second;
-      if (used >= oldest_use) continue;
-      oldest_use = used;
-      oldest = {held.name, adapter};
+      const Worth worth{now - used < kRecentUse, !IsHeldElsewhere(engine, adapter), used};
+      if (dropped && worth >= least) continue;
+      least = worth;
+      dropped = adapter;
     }
   }
-  return oldest;
+  return dropped;
 }
 
 std::vector<std::string> EngineLedger::Follow(const FleetDirectory& directory, MonotonicTime now) {
--- a/src/engine_ledger.h
+++ b/src/engine_ledger.h
@@ -58,9 +58,6 @@
 // Memory of an engine that its holdings and the model that it loads take. Thread-safe.
 double CommittedMb(const EngineProfile& profile, const LedgerEngine& engine);
 
-// The adapter that was in use least recently; std::nullopt if there is none. Thread-safe.
-std::optional<ModelAdapter> OldestAdapter(const LedgerEngine& engine);
-
 // The engines of all services as the leader knows them. Not thread-safe.
 class EngineLedger {
  public:
@@ -84,6 +81,10 @@
   void NoteAdapterUse(const DirectoryFeed& feed, const std::vector<AdapterUse>& uses,
                       MonotonicTime now);
 
+  // The adapter that an engine should drop for another one: one that was not in use lately, rather
+  // one that other engines hold, the least recently used first. std::nullopt if it holds none.
+  std::optional<ModelAdapter> AdapterToDrop(const LedgerEngine& engine, MonotonicTime now) const;
+
   // Adds the engines to which an order was sent within a time.
   void AddRecentOrders(const DirectoryFeed& feed, milliseconds within, MonotonicTime now,
                        UsageAnswer* answer) const;
@@ -96,6 +97,7 @@
   void Clear() { engines_.clear(); }
 
  private:
+  bool IsHeldElsewhere(const LedgerEngine& engine, const ModelAdapter& adapter) const;
   static void CountOrder(LedgerEngine* engine, MonotonicTime now);
   void Publish(LedgerEngine* engine) { engine->news_version = ++news_version_; }
 
--- a/src/fleet_config.h
+++ b/src/fleet_config.h
@@ -53,7 +53,7 @@
 struct ModelProfile {
   double weights_mb = 0;
   double adapter_mb = 0;
-  std::uint32_t adapters = 0;
+  std::vector<std::string> adapter_names;
   milliseconds load_from_store{0};
   milliseconds load_from_disk{0};
   milliseconds load_from_memory{0};
--- a/src/fleet_usage.h
+++ b/src/fleet_usage.h
@@ -13,6 +13,18 @@
 
 namespace mimosabend {
 
+// Requests for an adapter of a model.
+struct AdapterRequests {
+  std::string adapter;
+  std::uint32_t requests = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SerializeName(archive, adapter);
+    archive(requests);
+  }
+};
+
 // How a daemon used a model since its last report.
 struct ModelUsage {
   std::string service;
@@ -26,12 +38,15 @@
   std::uint32_t waiting_priority = 0;
   // The tightest latency target of the requests.
   std::uint32_t target_ms = UINT32_MAX;
+  // The part of the requests that use an adapter.
+  std::vector<AdapterRequests> adapters;
 
   template <class Archive>
   void serialize(Archive& archive) {
     SerializeName(archive, service);
     SerializeName(archive, model);
     archive(requests, reading_ms, waiting, waiting_priority, target_ms);
+    SerializeList(archive, adapters);
   }
 };
 
--- a/src/model_planner.cpp
+++ b/src/model_planner.cpp
@@ -11,6 +11,10 @@
 // Time constants of the demand rates in seconds.
 constexpr double kRecentSeconds = 3;
 constexpr double kLongSeconds = 30;
+// An adapter whose decayed count of requests is below this is no longer in use.
+constexpr double kLeastAdapterCount = 0.05;
+// Above this many times that count it has a claim to a place: one request in the last 30 s.
+constexpr double kInUseFactor = 7;
 // A daemon's waiting requests count until its next report, or for this long.
 constexpr milliseconds kWaitingLifetime{1500};
 // Share of an engine's time that reading prompts may take, so that a prompt seldom finds others.
@@ -150,7 +154,7 @@
     std::vector<Deficit> deficits;
     for (const auto& [model, unused] : profile_.models) {
       const ModelDemandRate* demand = DemandOf(model);
-      const std::uint32_t wanted = WantedReplicas(demand, engines_.size(), now_);
+      const std::uint32_t wanted = WantedReplicas(profile_, demand, engines_.size(), now_);
       const std::uint32_t replicas = ReplicasOf(model);
       if (demand != nullptr && demand->Waiting(now_) > 0 && replicas == 0) {
         deficits.push_back(
@@ -184,7 +188,7 @@
     const std::uint32_t replicas = ReplicasOf(model);
     if (demand != nullptr && demand->Waiting(now_) > 0) return Hold::kAwaited;
     if (!IsInUse(demand)) return replicas > 1 ? Hold::kSurplus : Hold::kUnused;
-    const std::uint32_t wanted = WantedReplicas(demand, engines_.size(), now_);
+    const std::uint32_t wanted = WantedReplicas(profile_, demand, engines_.size(), now_);
     const bool surplus = replicas > std::max(1U, wanted) && ShareWithout(model) < kSurplusShare;
     if (surplus) return Hold::kSurplus;
     if (IsSwappable(*demand, model)) return Hold::kSwappable;
@@ -331,6 +335,8 @@
     recent_ *= std::exp(-passed / kRecentSeconds);
     reading_ms_ *= std::exp(-passed / kRecentSeconds);
     long_ *= std::exp(-passed / kLongSeconds);
+    for (auto& [adapter, count] : adapters_) count *= std::exp(-passed / kLongSeconds);
+    std::erase_if(adapters_, [](const auto& item) { return item.second < kLeastAdapterCount; });
   }
   decayed_ = now;
 }
@@ -341,6 +347,9 @@
   recent_ += usage.requests;
   long_ += usage.requests;
   reading_ms_ += usage.reading_ms;
+  for (const AdapterRequests& adapter : usage.adapters) {
+    adapters_[adapter.adapter] += adapter.requests;
+  }
   if (usage.requests > 0 || usage.waiting > 0) last_used_ = now;
   waiting_[daemon] = {usage.waiting, now};
   if (usage.target_ms != UINT32_MAX) target_ = milliseconds(usage.target_ms);
@@ -355,6 +364,20 @@
   return long_ * std::exp(-ToSeconds(now - decayed_) / kLongSeconds) / kLongSeconds;
 }
 
+std::size_t ModelDemandRate::AdaptersInUse(MonotonicTime now) const {
+  const double decay = std::exp(-ToSeconds(now - decayed_) / kLongSeconds);
+  return static_cast<std::size_t>(
+      std::count_if(adapters_.begin(), adapters_.end(), [&](const auto& item) {
+        return item.second * decay >= kLeastAdapterCount * kInUseFactor;
+      }));
+}
+
+double ModelDemandRate::AdapterRate(const std::string& adapter, MonotonicTime now) const {
+  const auto it = adapters_.find(adapter);
+  if (it == adapters_.end()) return 0;
+  return it->second * std::exp(-ToSeconds(now - decayed_) / kLongSeconds) / kLongSeconds;
+}
+
 double ModelDemandRate::EngineShare(MonotonicTime now) const {
   return reading_ms_ * std::exp(-ToSeconds(now - decayed_) / kRecentSeconds) / kRecentSeconds /
          1000;
@@ -401,13 +424,17 @@
   return used;
 }
 
-std::uint32_t WantedReplicas(const ModelDemandRate* demand, std::size_t engines,
-                             MonotonicTime now) {
+std::uint32_t WantedReplicas(const EngineProfile& profile, const ModelDemandRate* demand,
+                             std::size_t engines, MonotonicTime now) {
   if (demand == nullptr || !demand->last_used()) return 0;
   std::uint32_t wanted = now - *demand->last_used() < kKeepTime ? 1 : 0;
   if (demand->RecentRate(now) >= kSecondEngineRate) wanted = 2;
   const double share = demand->EngineShare(now) / kTargetShare;
   wanted = std::max(wanted, static_cast<std::uint32_t>(std::ceil(share - 0.1)));
+  if (wanted > 0 && profile.adapter_slots > 0) {
+    const std::size_t adapters = demand->AdaptersInUse(now) + profile.adapter_slots - 1;
+    wanted = std::max(wanted, static_cast<std::uint32_t>(adapters / profile.adapter_slots));
+  }
   return std::min<std::uint32_t>(wanted, static_cast<std::uint32_t>(engines));
 }
 
--- a/src/model_planner.h
+++ b/src/model_planner.h
@@ -31,6 +31,10 @@
   std::uint32_t waiting_priority() const { return waiting_priority_; }
   // How long requests have waited without a moment in which none did.
   MonotonicTime::duration WaitingTime(MonotonicTime now) const;
+  // Adapters that were used lately.
+  std::size_t AdaptersInUse(MonotonicTime now) const;
+  // Requests per second for an adapter in the last half minute.
+  double AdapterRate(const std::string& adapter, MonotonicTime now) const;
   // The tightest latency target of the recent requests.
   milliseconds target() const { return target_; }
   std::optional<MonotonicTime> last_used() const { return last_used_; }
@@ -45,6 +49,8 @@
 
   double recent_ = 0;
   double long_ = 0;
+  // As long_, by adapter.
+  std::map<std::string, double> adapters_;
   double reading_ms_ = 0;
   MonotonicTime decayed_;
   std::optional<MonotonicTime> last_used_;
@@ -88,8 +94,9 @@
 // Memory that the models and adapters of an engine take. Thread-safe.
 double UsedMb(const EngineProfile& profile, const EngineHoldings& holdings);
 
-// Engines that a model should have. Thread-safe.
-std::uint32_t WantedReplicas(const ModelDemandRate* demand, std::size_t engines, MonotonicTime now);
+// Engines that a model should have: enough for its load and for its adapters in use. Thread-safe.
+std::uint32_t WantedReplicas(const EngineProfile& profile, const ModelDemandRate* demand,
+                             std::size_t engines, MonotonicTime now);
 
 // Decides the next loads, at most one for each engine: models with waiting requests first, then
 // models whose engines are too few, then models that no engine has a copy of. Models that are
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "adapter_planner.h"
 #include "directory_feed.h"
 #include "engine_controller.h"
 #include "engine_ledger.h"
@@ -193,6 +194,8 @@
   static constexpr milliseconds kReportPeriod{250};
   // Keeps the reports at the leader below 170 a second.
   static constexpr std::int64_t kReportMillisPerDaemon = 6;
+  // Adapters that are fetched ahead of requests at a time, well below what slows the fetches.
+  static constexpr std::size_t kAdaptersAtOnce = 8;
   // Loads that may begin in a window beyond the rate.
   static constexpr double kCeilingExtra = 3;
 
@@ -330,9 +333,10 @@
          PlanLoads(*profile, engines, demand_[service], store_loads, now)) {
       if (load.from_store) allowance->Start(now);
       LedgerEngine* engine = ledger_.Find(load.engine);
-      const milliseconds nominal = profile->models.at(load.model).load_from_store;
+      const ModelProfile& model = profile->models.at(load.model);
+      const milliseconds nominal = model.load_from_store;
       engine->loading = load.model;
-      engine->ready_at = now + nominal;
+      engine->ready_at = now + LoadTime(model, SourceOf(engine->holdings, load.model));
       const std::uint64_t term = term_->fence;
       controller_.StartLoad(load, profile,
                             [this, load, service, nominal, term](milliseconds taken) {
@@ -342,6 +346,17 @@
                               known->second.End(taken, nominal);
                             });
     }
+    FillAdapters(service, profile, now);
+  }
+
+  void FillAdapters(const std::string& service, const EngineProfilePtr& profile,
+                    MonotonicTime now) {
+    const std::size_t running = controller_.adapters_on_their_way();
+    if (running >= kAdaptersAtOnce) return;
+    for (const PlannedAdapter& planned : PlanAdapters(
+             *profile, EnginesOf(service, now), demand_[service], kAdaptersAtOnce - running, now)) {
+      controller_.StartAdapter(planned.engine, {planned.model, planned.adapter}, profile);
+    }
   }
 
   Store* store_;
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -177,7 +177,8 @@
   parts_.stats->Start(id, work);
   const std::string adapter_name = relay.model + "/" + relay.adapter;
   if (!relay.adapter.empty()) parts_.board->BeginAdapter(id, adapter_name);
-  parts_.board->NoteRequest(context->service_name, relay.model, context->route->target_latency,
+  parts_.board->NoteRequest(context->service_name, relay.model, relay.adapter,
+                            context->route->target_latency,
                             parts_.stats->MillisPerToken(id, relay.model) * choice.unread_tokens);
   const MonotonicTime sent_at = MonotonicNow();
   HttpCall call = MakeCall(context.get(), choice, context->deadline);
--- a/src/usage_board.h
+++ b/src/usage_board.h
@@ -20,10 +20,11 @@
   explicit UsageBoard(boost::asio::any_io_executor executor)
       : waiting_began_(executor), changed_(std::move(executor)) {}
 
-  // Notes a request that starts at an engine.
-  void NoteRequest(const std::string& service, const std::string& model, milliseconds target,
-                   double reading_ms) {
+  // Notes a request that starts at an engine. `adapter` is empty for none.
+  void NoteRequest(const std::string& service, const std::string& model,
+                   const std::string& adapter, milliseconds target, double reading_ms) {
     ModelUsage& usage = UsageOf(service, model);
+    if (!adapter.empty()) CountAdapter(&usage, {adapter, 1});
     usage.target_ms = std::min(usage.target_ms, static_cast<std::uint32_t>(target.count()));
     ++usage.requests;
     usage.reading_ms += static_cast<std::uint32_t>(reading_ms);
@@ -87,6 +88,7 @@
       mine.requests += usage.requests;
       mine.reading_ms += usage.reading_ms;
       mine.target_ms = std::min(mine.target_ms, usage.target_ms);
+      for (const AdapterRequests& adapter : usage.adapters) CountAdapter(&mine, adapter);
     }
   }
 
@@ -105,6 +107,15 @@
     return usage;
   }
 
+  static void CountAdapter(ModelUsage* usage, const AdapterRequests& more) {
+    for (AdapterRequests& known : usage->adapters) {
+      if (known.adapter != more.adapter) continue;
+      known.requests += more.requests;
+      return;
+    }
+    usage->adapters.push_back(more);
+  }
+
   std::map<Key, ModelUsage> usage_;
   std::map<Key, std::multiset<std::uint32_t>> waiting_;
   std::map<std::string, std::multiset<std::string>> adapters_;
--- a/tests/test_model_planner.cpp
+++ b/tests/test_model_planner.cpp
@@ -19,8 +19,8 @@
   EngineProfile profile;
   profile.weights_mb = 2 * kWeightsMb + 5000;
   for (int i = 0; i < models; ++i) {
-    profile.models[Model(i)] = {kWeightsMb,       50, 4, seconds(6), milliseconds(800),
-                                milliseconds(400)};
+    profile.models[Model(i)] = {kWeightsMb, 50,  {"a1", "a2", "a3", "a4"},
+                                seconds(6), milliseconds(800), milliseconds(400)};
   }
   return profile;
 }
@@ -54,6 +54,21 @@
 
 }  // namespace
 
+// Guards against adapters that push each other out for ever, because the engines of their model
+// have fewer places than it has adapters in use.
+TEST_CASE("a model gets as many engines as its adapters in use need", "[planner]") {
+  EngineProfile profile = Profile(4);
+  profile.adapter_slots = 2;
+  DemandRates demand;
+  ModelUsage usage = Usage("m0", 5, 10, 0, kTight);
+  for (int i = 0; i < 5; ++i) usage.adapters.push_back({"a" + std::to_string(i), 1});
+  demand["m0"].Add(usage, "d", kStart);
+  CHECK(WantedReplicas(profile, &demand["m0"], 8, kStart) == 3);
+  CHECK(WantedReplicas(profile, &demand["m0"], 2, kStart) == 2);
+  // Adapters that were last used long ago have no claim.
+  CHECK(WantedReplicas(profile, &demand["m0"], 8, kStart + seconds(60)) == 0);
+}
+
 // Guards against a cold model that is read from the store for 6 s while an engine's disk has it.
 TEST_CASE("a waiting model goes where its weights are at hand", "[planner]") {
   const EngineProfile profile = Profile(6);
@@ -241,13 +256,14 @@
 
 // Guards against replicas that come and go with each swing of the demand.
 TEST_CASE("replicas are surplus only well below the load that adds one", "[planner]") {
+  const EngineProfile profile = Profile(1);
   DemandRates demand;
   Use(&demand, "m0", 3, 700, 0, kTight);
   const ModelDemandRate& rate = demand["m0"];
-  const std::uint32_t wanted = WantedReplicas(&rate, 18, kStart);
+  const std::uint32_t wanted = WantedReplicas(profile, &rate, 18, kStart);
   CHECK(wanted >= 1);
-  CHECK(WantedReplicas(nullptr, 18, kStart) == 0);
-  CHECK(WantedReplicas(&rate, 18, kStart + seconds(60)) == 0);
+  CHECK(WantedReplicas(profile, nullptr, 18, kStart) == 0);
+  CHECK(WantedReplicas(profile, &rate, 18, kStart + seconds(60)) == 0);
 }
 
 // Guards against engines that are ordered to hold more than their memory.
--- a/tests/test_placement_leader.cpp
+++ b/tests/test_placement_leader.cpp
@@ -31,7 +31,7 @@
   service.engine = EngineProfile{64, 1000, 2 * kWeightsMb + 20, 2, 100, {}};
   for (int i = 0; i < 6; ++i) {
     service.engine->models["m" + std::to_string(i)] = {
-        kWeightsMb, 5, 8, milliseconds(60), milliseconds(20), milliseconds(10)};
+        kWeightsMb, 5, {}, milliseconds(60), milliseconds(20), milliseconds(10)};
   }
   config.services["models"] = service;
   return config;
@@ -305,6 +305,59 @@
   CHECK(held->adapters == std::vector<std::string>{"a1", "a3"});
 }
 
+// Guards against callers that are told "too late" while the weights come from a disk: until the
+// first order was sent, the load counted as one from the weight store.
+TEST_CASE("the end of a planned load is told by where its weights are", "[leader]") {
+  Fleet fleet;
+  Daemon a(&fleet.io, &fleet.store, &fleet.engines, "a");
+  fleet.Run(milliseconds(50));
+  REQUIRE(fleet.Lead(&a));
+  fleet.Run(milliseconds(50));
+  Fleet::Wait(&a, "m4");
+  std::optional<std::uint32_t> longest;
+  for (int i = 0; i < 30; ++i) {
+    fleet.Run(milliseconds(1));
+    for (const PendingLoad& load : Fleet::Wait(&a, "m4").loads) {
+      longest = std::max(longest.value_or(0), load.ready_in_ms);
+    }
+  }
+  REQUIRE(longest);
+  CHECK(*longest <= 20);
+}
+
+// Guards against requests that wait for adapters which could have been in place, above all while
+// nobody may order.
+TEST_CASE("free places take adapters before requests ask for them", "[leader]") {
+  Fleet fleet;
+  Daemon a(&fleet.io, &fleet.store, &fleet.engines, "a");
+  FleetConfig config = Config();
+  config.services["models"].engine->models["m0"].adapter_names = {"a1", "a2", "a3"};
+  a.directory.Adopt(config);
+  fleet.Run(milliseconds(50));
+  REQUIRE(fleet.Lead(&a));
+  fleet.Run(milliseconds(1000));
+  // Two places, and one engine that holds the model.
+  const HeldModel* held = fleet.engines.engine(Endpoint(0).address).holdings.Find("m0");
+  REQUIRE(held != nullptr);
+  CHECK(held->adapters.size() == 2);
+}
+
+// Guards against the loss of the only copy of an adapter where another one could be spared.
+TEST_CASE("an adapter that other engines hold makes way first", "[leader]") {
+  EngineLedger ledger;
+  FleetDirectory directory;
+  directory.Adopt(Config());
+  for (int i = 0; i < 2; ++i) directory.Put(Endpoint(i));
+  const MonotonicTime now = MonotonicNow();
+  ledger.Follow(directory, now);
+  ledger.Find("e0")->holdings.models = {{"m0", {"a1", "a2"}}};
+  ledger.Find("e1")->holdings.models = {{"m0", {"a2"}}};
+  ledger.Find("e0")->adapter_use["m0/a2"] = now - seconds(5);
+  CHECK(ledger.AdapterToDrop(*ledger.Find("e0"), now) == ModelAdapter{"m0", "a2"});
+  ledger.Find("e0")->adapter_use["m0/a2"] = now - seconds(1);
+  CHECK(ledger.AdapterToDrop(*ledger.Find("e0"), now) == ModelAdapter{"m0", "a1"});
+}
+
 // Guards against daemons that count a request of their own as one of others, or one that has ended.
 TEST_CASE("a daemon learns what the others have at the endpoints", "[leader]") {
   Fleet fleet;
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -96,7 +96,7 @@
   config.services["plain"] = RoutedService{};
   RoutedService models;
   models.engine = EngineProfile{64, 100000, 1000, 8, 1, {}};
-  models.engine->models["m"] = {100, 5, 4, seconds(6), milliseconds(800), milliseconds(400)};
+  models.engine->models["m"] = {100, 5, {}, seconds(6), milliseconds(800), milliseconds(400)};
   config.services["models"] = models;
   return config;
 }
