Let idle models make room, overloaded ones go first, and refuse before callers leave

(2) An overloaded hot model kept one engine for 8 s, since each engine that became free went to models whose requests could wait for seconds. (3) Requests that waited for a model or adapter were held until their callers had left after 2 s; a caller that is refused comes back once, one that has left does not.

Change: reports say how many requests run with each model at each engine; models without running requests make room first, and an engine that has waited 0.5 s to drop a model no longer counts as one that loads the next (which is dropped if another engine was faster). Overloaded models with tight targets go before waiting requests that can wait, until these have waited for 0.4 of their target. A stream without its first event is refused before its caller's patience ends, at once if its load is known to end later, and Retry-After names the time at which the model should be there.

Ruled out: the adapters' claim to engines (the same model is overloaded without it).

Tests: "a model with no running requests makes room first", "a model is loaded elsewhere when an unload waits long", "an overloaded model goes before requests that can wait", "a request that waits is refused before its caller leaves", "a refused caller is told when the load of its model ends".

--- a/src/adapter_planner.cpp
+++ b/src/adapter_planner.cpp
@@ -27,9 +27,8 @@
 
 bool Holds(const PlannerEngine& engine, const Candidate& candidate) {
   const HeldModel* held = engine.holdings.Find(candidate.model);
-  return held != nullptr &&
-         std::find(held->adapters.begin(), held->adapters.end(), candidate.adapter) !=
-             held->adapters.end();
+  return held != nullptr && std::find(held->adapters.begin(), held->adapters.end(),
+                                      candidate.adapter) != held->adapters.end();
 }
 
 class Round {
@@ -45,9 +44,8 @@
         for (const std::string& adapter : held.adapters) ++copies_[held.name + "/" + adapter];
       }
       const std::size_t places = profile_.adapter_slots;
-      free_.push_back(engine.blocked || !engine.loading.empty() || count >= places
-                          ? 0
-                          : places - count);
+      free_.push_back(
+          engine.blocked || !engine.loading.empty() || count >= places ? 0 : places - count);
       free_mb_.push_back(profile_.weights_mb - UsedMb(profile_, engine.holdings));
     }
   }
--- a/src/engine_controller.h
+++ b/src/engine_controller.h
@@ -32,6 +32,14 @@
   std::function<void()> give_up;
 };
 
+// What a load asks and tells on its way.
+struct LoadHooks {
+  // Whether the model is still needed once there is room for it.
+  std::function<bool()> still_needed;
+  // The load has ended, whatever came of it.
+  std::function<void(milliseconds taken)> done;
+};
+
 // Sends orders to engines and follows them to their end, one at a time for each engine. Each order
 // names the number of orders that the engine must have accepted, so that one which arrives late has
 // no effect. Not thread-safe.
@@ -50,11 +58,10 @@
   // Reads what an engine holds. Precondition: the ledger has it, and it is idle.
   void StartRefresh(const std::string& id) { Spawn(Refresh(id)); }
 
-  // Has an engine drop the victims and load the model, and calls `done` when that has ended.
+  // Has an engine drop the victims and load the model.
   // Precondition: the ledger has the engine, and its `loading` names the model.
-  void StartLoad(const PlannedLoad& load, EngineProfilePtr profile,
-                 std::function<void(milliseconds taken)> done) {
-    Spawn(Load(load, std::move(profile), std::move(done)));
+  void StartLoad(const PlannedLoad& load, EngineProfilePtr profile, LoadHooks hooks) {
+    Spawn(Load(load, std::move(profile), std::move(hooks)));
   }
 
   // Has an engine fetch an adapter into a free place. Precondition: the ledger has the engine, it
@@ -147,8 +154,7 @@
     changed_->NotifyAll();
   }
 
-  Task<void> Load(PlannedLoad load, EngineProfilePtr profile,
-                  std::function<void(milliseconds)> done) {
+  Task<void> Load(PlannedLoad load, EngineProfilePtr profile, LoadHooks hooks) {
     const MonotonicTime began = MonotonicNow();
     LedgerEngine* engine = ledger_->Find(load.engine);
     if (engine == nullptr) co_return;
@@ -160,8 +166,11 @@
       if (ordered) ordered = co_await Carry(step, milliseconds(0));
     }
     engine = FindFor(step);
-    // Adapters that were placed meanwhile may have taken the room.
-    if (ordered && engine != nullptr && CommittedMb(*profile, *engine) <= profile->weights_mb) {
+    if (engine != nullptr) engine->unloading_since.reset();
+    // Adapters that were placed meanwhile may have taken the room, and another engine may have
+    // loaded the model.
+    if (ordered && engine != nullptr && CommittedMb(*profile, *engine) <= profile->weights_mb &&
+        (load.victims.empty() || hooks.still_needed())) {
       const ModelProfile& model = profile->models.at(load.model);
       const milliseconds expected = LoadTime(model, SourceOf(engine->holdings, load.model));
       engine->ready_at = MonotonicNow() + expected;
@@ -171,7 +180,7 @@
     }
     engine = FindFor(step);
     if (engine != nullptr) engine->loading.clear();
-    done(ToMillis(MonotonicNow() - began));
+    hooks.done(ToMillis(MonotonicNow() - began));
     changed_->NotifyAll();
   }
 
@@ -215,6 +224,7 @@
       co_return outcome == OrderOutcome::kAlreadyHolds;
     }
     if (step.kind == OrderKind::kUnload) {
+      if (!engine->unloading_since) engine->unloading_since = MonotonicNow();
       ledger_->NoteUnloadAccepted(engine, step.model, MonotonicNow());
       changed_->NotifyAll();
     } else {
--- a/src/engine_ledger.cpp
+++ b/src/engine_ledger.cpp
@@ -172,16 +172,20 @@
   Publish(engine);
 }
 
-void EngineLedger::NoteAdapterUse(const DirectoryFeed& feed, const std::vector<AdapterUse>& uses,
+void EngineLedger::NoteAdapterUse(const DirectoryFeed& feed, const std::vector<EngineRuns>& runs,
                                   MonotonicTime now) {
-  if (uses.empty()) return;
-  std::map<std::uint32_t, const AdapterUse*> by_number;
-  for (const AdapterUse& use : uses) by_number[use.number] = &use;
+  if (runs.empty()) return;
+  std::map<std::uint32_t, const EngineRuns*> by_number;
+  for (const EngineRuns& engine_runs : runs) by_number[engine_runs.number] = &engine_runs;
   for (auto& [id, engine] : engines_) {
     const auto number = feed.NumberOf(id);
-    const auto use = number ? by_number.find(*number) : by_number.end();
-    if (use == by_number.end()) continue;
-    for (const std::string& name : use->second->adapters) engine.adapter_use[name] = now;
+    const auto found = number ? by_number.find(*number) : by_number.end();
+    if (found == by_number.end()) continue;
+    for (const ModelRuns& model : found->second->models) {
+      for (const std::string& name : model.adapters) {
+        engine.adapter_use[AdapterName({model.model, name})] = now;
+      }
+    }
   }
 }
 
--- a/src/engine_ledger.h
+++ b/src/engine_ledger.h
@@ -36,6 +36,8 @@
   MonotonicTime ready_at;
   MonotonicTime read_at;
   MonotonicTime ordered_at;
+  // Since when the engine waits for running requests before it drops a model; empty if it doesn't.
+  std::optional<MonotonicTime> unloading_since;
   // The last order was sent then, whatever came of it.
   MonotonicTime sent_at;
   // Nothing is sent to the engine before.
@@ -78,7 +80,7 @@
   void NoteAdapterLoaded(LedgerEngine* engine, const ModelAdapter& adapter, MonotonicTime now);
   void NoteAdapterDropped(LedgerEngine* engine, const ModelAdapter& adapter, MonotonicTime now);
   // Notes the adapters that a daemon's requests use.
-  void NoteAdapterUse(const DirectoryFeed& feed, const std::vector<AdapterUse>& uses,
+  void NoteAdapterUse(const DirectoryFeed& feed, const std::vector<EngineRuns>& runs,
                       MonotonicTime now);
 
   // The adapter that an engine should drop for another one: one that was not in use lately, rather
--- a/src/fleet_usage.h
+++ b/src/fleet_usage.h
@@ -72,18 +72,32 @@
   }
 };
 
-// Adapters that running requests of a daemon use, as "MODEL/ADAPTER".
-struct AdapterUse {
-  std::uint32_t number = 0;
+// Requests of a daemon that run with a model at an engine, and the adapters that they use.
+struct ModelRuns {
+  std::string model;
+  std::uint16_t requests = 0;
   std::vector<std::string> adapters;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(number);
+    SerializeName(archive, model);
+    archive(requests);
     SerializeNames(archive, adapters);
   }
 };
 
+// What runs at one engine.
+struct EngineRuns {
+  std::uint32_t number = 0;
+  std::vector<ModelRuns> models;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(number);
+    SerializeList(archive, models);
+  }
+};
+
 // Tells the placement leader what a daemon does. TCP.
 struct UsageReport {
   static constexpr PeerMessageType kType = PeerMessageType::kUsageReport;
@@ -93,7 +107,7 @@
   std::uint64_t directory_version = 0;
   std::vector<ModelUsage> models;
   std::vector<EndpointLoad> loads;
-  std::vector<AdapterUse> adapters;
+  std::vector<EngineRuns> runs;
   // Numbers of endpoints that the daemon can't reach.
   std::vector<std::uint32_t> unreachable;
 
@@ -103,7 +117,7 @@
     SerializeNumbers(archive, unreachable);
     SerializeList(archive, models);
     SerializeList(archive, loads);
-    SerializeList(archive, adapters);
+    SerializeList(archive, runs);
   }
 };
 
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -140,8 +140,8 @@
       const auto number = numbers_.find(id);
       if (work.requests == 0 || number == numbers_.end()) continue;
       report.loads.emplace_back(number->second, work);
-      std::vector<std::string> adapters = board_->AdaptersInUse(id);
-      if (!adapters.empty()) report.adapters.push_back({number->second, std::move(adapters)});
+      std::vector<ModelRuns> runs = board_->RunsAt(id);
+      if (!runs.empty()) report.runs.push_back({number->second, std::move(runs)});
     }
     for (const std::string& id : stats_->Unreachable(MonotonicNow())) {
       const auto number = numbers_.find(id);
--- a/src/load_sums.cpp
+++ b/src/load_sums.cpp
@@ -17,28 +17,34 @@
 
 }  // namespace
 
-void LoadSums::Note(const std::string& daemon, std::vector<EndpointLoad> loads, MonotonicTime now) {
+void LoadSums::Note(const std::string& daemon, std::vector<EndpointLoad> loads,
+                    std::vector<EngineRuns> runs, MonotonicTime now) {
   DaemonLoads& entry = daemons_[daemon];
-  Add(entry.loads, -1);
-  entry.loads = std::move(loads);
-  entry.noted = now;
-  Add(entry.loads, 1);
+  Add(entry, -1);
+  entry = {std::move(loads), std::move(runs), now};
+  Add(entry, 1);
 }
 
-void LoadSums::Add(const std::vector<EndpointLoad>& loads, int sign) {
-  for (const EndpointLoad& load : loads) {
+void LoadSums::Add(const DaemonLoads& loads, int sign) {
+  for (const EndpointLoad& load : loads.loads) {
     Sum& sum = sums_[load.number];
     sum.requests += sign * load.requests;
     sum.unread_units += sign * load.unread_units;
     sum.memory_units += sign * load.memory_units;
     if (sum.requests <= 0) sums_.erase(load.number);
   }
+  for (const EngineRuns& engine : loads.runs) {
+    for (const ModelRuns& model : engine.models) {
+      const auto key = std::pair(engine.number, model.model);
+      if ((runs_[key] += sign * model.requests) <= 0) runs_.erase(key);
+    }
+  }
 }
 
 void LoadSums::DropSilent(MonotonicTime now) {
   for (auto it = daemons_.begin(); it != daemons_.end();) {
     const bool silent = now - it->second.noted >= kDaemonLifetime;
-    if (silent) Add(it->second.loads, -1);
+    if (silent) Add(it->second, -1);
     it = silent ? daemons_.erase(it) : std::next(it);
   }
 }
@@ -48,6 +54,11 @@
   return it == sums_.end() ? 0 : Clamp(it->second.requests);
 }
 
+std::uint32_t LoadSums::RunsAt(std::uint32_t number, const std::string& model) const {
+  const auto it = runs_.find({number, model});
+  return it == runs_.end() ? 0 : Clamp(it->second);
+}
+
 std::vector<EndpointLoad> LoadSums::OthersOf(const std::string& daemon) const {
   assert(daemons_.contains(daemon));
   std::map<std::uint32_t, EndpointLoad> own;
--- a/src/load_sums.h
+++ b/src/load_sums.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "clock.h"
@@ -15,7 +16,8 @@
 class LoadSums {
  public:
   // Replaces what a daemon has.
-  void Note(const std::string& daemon, std::vector<EndpointLoad> loads, MonotonicTime now);
+  void Note(const std::string& daemon, std::vector<EndpointLoad> loads,
+            std::vector<EngineRuns> runs, MonotonicTime now);
 
   // Forgets daemons that no longer report.
   void DropSilent(MonotonicTime now);
@@ -26,11 +28,15 @@
   // Requests of all daemons at an endpoint.
   std::uint32_t RequestsAt(std::uint32_t number) const;
 
+  // Requests of all daemons that run with a model at an engine.
+  std::uint32_t RunsAt(std::uint32_t number, const std::string& model) const;
+
   std::size_t daemons() const { return daemons_.size(); }
 
  private:
   struct DaemonLoads {
     std::vector<EndpointLoad> loads;
+    std::vector<EngineRuns> runs;
     MonotonicTime noted;
   };
 
@@ -41,10 +47,11 @@
     std::int64_t memory_units = 0;
   };
 
-  void Add(const std::vector<EndpointLoad>& loads, int sign);
+  void Add(const DaemonLoads& loads, int sign);
 
   std::map<std::string, DaemonLoads> daemons_;
   std::map<std::uint32_t, Sum> sums_;
+  std::map<std::pair<std::uint32_t, std::string>, std::int64_t> runs_;
 };
 
 }  // namespace mimosabend
--- a/src/model_planner.cpp
+++ b/src/model_planner.cpp
@@ -21,6 +21,10 @@
 constexpr double kTargetShare = 0.25;
 // An engine is surplus only when the others would stay below this share without it.
 constexpr double kSurplusShare = 0.15;
+// From this share on requests queue up at an engine.
+constexpr double kOverloadShare = 0.5;
+// Requests that have waited for this part of their latency target can't wait for other loads.
+constexpr double kPatientPart = 0.4;
 // Requests per second from which a model has a second engine, in case one fails.
 constexpr double kSecondEngineRate = 0.8;
 // A model that was not used for this long has no claim to an engine.
@@ -31,8 +35,12 @@
 
 // Why a model should have another engine, the most pressing first.
 enum class Need : std::uint8_t {
-  // Requests wait, and no engine holds or loads the model.
+  // Requests wait, no engine holds or loads the model, and they would be late soon.
   kWaiting,
+  // Its engines can't keep up with requests that would be late soon.
+  kOverload,
+  // Requests wait that can wait for some loads.
+  kPatientWaiting,
   // Its engines are too few for the load, or it has none although it is in use.
   kLoad,
   // No engine has a copy of its weights.
@@ -56,8 +64,11 @@
 constexpr double kSwapSeconds = 0.4;
 // Added to how long requests have waited, so that their number counts from the start.
 constexpr double kLeastWaitingSeconds = 0.1;
-// An unload waits for the requests that run.
-constexpr double kSecondsPerRequest = 0.001;
+// An unload waits for the requests that run with the model: seconds for the first, and for each of
+// the next ones, since the longest of them counts.
+constexpr double kSecondsOfFirstRun = 1.0;
+constexpr double kSecondsPerFurtherRun = 0.2;
+constexpr std::uint32_t kMostFurtherRuns = 8;
 
 // An engine takes no adapters during the seconds of a load from the store, so one that serves few
 // adapters is better.
@@ -86,8 +97,17 @@
   double rate = 0;
   // Share of their time that its other engines would be busy without this one.
   double share_without = 0;
+  // How long an unload is likely to wait for running requests.
+  double unload_seconds = 0;
 };
 
+double UnloadSeconds(const PlannerEngine& engine, const std::string& model) {
+  const auto running = engine.running.find(model);
+  if (running == engine.running.end() || running->second == 0) return 0;
+  return kSecondsOfFirstRun +
+         kSecondsPerFurtherRun * std::min(running->second - 1, kMostFurtherRuns);
+}
+
 bool Contains(const std::vector<std::string>& list, const std::string& item) {
   return std::find(list.begin(), list.end(), item) != list.end();
 }
@@ -144,6 +164,13 @@
            demand.target() > profile->second.load_from_disk * kSwapFactor;
   }
 
+  // Whether the requests that wait for a model will be on time after some other loads, too.
+  bool IsPatient(const ModelDemandRate& demand, const std::string& model) const {
+    return IsSwappable(demand, model) &&
+           demand.WaitingTime(now_) <
+               std::chrono::duration_cast<MonotonicTime::duration>(demand.target() * kPatientPart);
+  }
+
   // Requests that wait, times how long they have: few requests are not passed over for ever, and a
   // load serves many where it can.
   double WaitingUrgency(const ModelDemandRate& demand) const {
@@ -157,13 +184,16 @@
       const std::uint32_t wanted = WantedReplicas(profile_, demand, engines_.size(), now_);
       const std::uint32_t replicas = ReplicasOf(model);
       if (demand != nullptr && demand->Waiting(now_) > 0 && replicas == 0) {
-        deficits.push_back(
-            {model, Need::kWaiting, demand->waiting_priority(), WaitingUrgency(*demand)});
+        const Need need = IsPatient(*demand, model) ? Need::kPatientWaiting : Need::kWaiting;
+        deficits.push_back({model, need, demand->waiting_priority(), WaitingUrgency(*demand)});
       } else if (replicas < wanted && (replicas > 0 || !IsSwappable(*demand, model))) {
         const double urgency =
             (demand->EngineShare(now_) + demand->RecentRate(now_) * 0.01) / (replicas + 0.1);
         for (std::uint32_t i = replicas; i < wanted; ++i) {
-          deficits.push_back({model, Need::kLoad, 0, urgency / (i - replicas + 1)});
+          const bool overload = !IsSwappable(*demand, model) &&
+                                demand->EngineShare(now_) > kOverloadShare * std::max(1U, i);
+          deficits.push_back(
+              {model, overload ? Need::kOverload : Need::kLoad, 0, urgency / (i - replicas + 1)});
         }
       } else if (replicas == 0 && !HasCopy(model)) {
         const double rate = demand == nullptr ? 0 : demand->LongRate(now_);
@@ -211,7 +241,9 @@
   bool MayTake(const Deficit& deficit, Hold hold, const std::string& held) const {
     switch (deficit.need) {
       case Need::kWaiting:
+      case Need::kPatientWaiting:
         return hold < Hold::kNeeded || (hold == Hold::kNeeded && Outweighs(deficit.model, held));
+      case Need::kOverload:
       case Need::kLoad:
         return hold <= Hold::kSwappable;
       case Need::kCopy:
@@ -227,19 +259,21 @@
     std::vector<Victim> candidates;
     for (const HeldModel& held : engine.holdings.models) {
       if (!profile_.models.contains(held.name)) {
-        obsolete.push_back({held.name, Hold::kUnused, 0, 0});
+        obsolete.push_back({held.name, Hold::kUnused, 0, 0, 0});
         continue;
       }
       const Hold hold = HoldOf(held.name);
       if (!MayTake(deficit, hold, held.name)) continue;
       const ModelDemandRate* demand = DemandOf(held.name);
       const double rate = demand == nullptr ? 0 : demand->LongRate(now_) + demand->RecentRate(now_);
-      candidates.push_back({held.name, hold, rate, ShareWithout(held.name)});
+      candidates.push_back(
+          {held.name, hold, rate, ShareWithout(held.name), UnloadSeconds(engine, held.name)});
     }
     // Models that are no longer configured have an unknown size, so only they are dropped first.
     if (!obsolete.empty()) return obsolete;
     std::sort(candidates.begin(), candidates.end(), [](const Victim& a, const Victim& b) {
-      return a.hold != b.hold ? a.hold < b.hold : a.rate < b.rate;
+      if (a.hold != b.hold) return a.hold < b.hold;
+      return a.rate + a.unload_seconds < b.rate + b.unload_seconds;
     });
     double free = profile_.weights_mb - UsedMb(profile_, engine.holdings);
     std::vector<Victim> victims;
@@ -263,10 +297,11 @@
   // Seconds that a choice costs: the load, and what the victims are worth.
   double CostOf(const PlannerEngine& engine, const ModelProfile& model, WeightSource source,
                 const std::vector<Victim>& victims) const {
-    double cost = ToSeconds(LoadTime(model, source)) + kSecondsPerRequest * engine.requests;
+    double cost = ToSeconds(LoadTime(model, source));
     if (source == WeightSource::kStore) cost += kSecondsPerAdapter * CountAdapters(engine);
     for (const Victim& victim : victims) {
-      cost += kCostOfHold[static_cast<std::size_t>(victim.hold)] + victim.rate;
+      cost +=
+          kCostOfHold[static_cast<std::size_t>(victim.hold)] + victim.rate + victim.unload_seconds;
       if (victim.hold == Hold::kTightShared) cost += kCostOfShare * victim.share_without;
     }
     return cost;
@@ -366,10 +401,9 @@
 
 std::size_t ModelDemandRate::AdaptersInUse(MonotonicTime now) const {
   const double decay = std::exp(-ToSeconds(now - decayed_) / kLongSeconds);
-  return static_cast<std::size_t>(
-      std::count_if(adapters_.begin(), adapters_.end(), [&](const auto& item) {
-        return item.second * decay >= kLeastAdapterCount * kInUseFactor;
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      adapters_.begin(), adapters_.end(),
+      [&](const auto& item) { return item.second * decay >= kLeastAdapterCount * kInUseFactor; }));
 }
 
 double ModelDemandRate::AdapterRate(const std::string& adapter, MonotonicTime now) const {
--- a/src/model_planner.h
+++ b/src/model_planner.h
@@ -69,8 +69,8 @@
   bool blocked = false;
   // The model that an order in progress loads; empty for none.
   std::string loading;
-  // Requests of all daemons.
-  std::uint32_t requests = 0;
+  // Requests of all daemons that run here, by model.
+  std::map<std::string, std::uint32_t> running;
 };
 
 // One engine is to drop some models, in this order, and then to load another.
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -132,9 +132,10 @@
     if (!IsLeader(now)) return answer;
     const bool same_term = report.fence == term_->fence;
     // Numbers of another term mean other endpoints.
-    loads_.Note(sender, same_term ? report.loads : std::vector<EndpointLoad>(), now);
-    if (same_term) ledger_.NoteAdapterUse(feed_, report.adapters, now);
+    loads_.Note(sender, same_term ? report.loads : std::vector<EndpointLoad>(),
+                same_term ? report.runs : std::vector<EngineRuns>(), now);
     if (same_term) {
+      ledger_.NoteAdapterUse(feed_, report.runs, now);
       for (std::uint32_t number : report.unreachable) unreachable_[number] = now;
     }
     NoteDemand(sender, report, now);
@@ -194,6 +195,9 @@
   static constexpr milliseconds kReportPeriod{250};
   // Keeps the reports at the leader below 170 a second.
   static constexpr std::int64_t kReportMillisPerDaemon = 6;
+  // An engine that waits this long for running requests before it drops a model no longer counts
+  // as one that loads the next.
+  static constexpr milliseconds kUnloadPatience{500};
   // Adapters that are fetched ahead of requests at a time, well below what slows the fetches.
   static constexpr std::size_t kAdaptersAtOnce = 8;
   // Loads that may begin in a window beyond the rate.
@@ -310,12 +314,33 @@
       if (unreachable != unreachable_.end() && now - unreachable->second < kUnreachableTime) {
         continue;
       }
-      const std::uint32_t requests = number ? loads_.RequestsAt(*number) : 0;
-      engines.push_back({id, engine.holdings, blocked, engine.loading, requests});
+      PlannerEngine planned{id, engine.holdings, blocked, engine.loading, {}};
+      // Another engine may be done earlier than one that waits for long streams to end.
+      if (engine.unloading_since && now - *engine.unloading_since >= kUnloadPatience) {
+        planned.loading.clear();
+      }
+      if (number) {
+        for (const HeldModel& held : engine.holdings.models) {
+          planned.running[held.name] = loads_.RunsAt(*number, held.name);
+        }
+      }
+      engines.push_back(std::move(planned));
     }
     return engines;
   }
 
+  // Whether a model that an engine was to load is still needed there.
+  bool IsStillNeeded(const std::string& service, const EngineProfile& profile,
+                     const std::string& engine, const std::string& model, MonotonicTime now) {
+    std::uint32_t others = 0;
+    for (const auto& [id, other] : ledger_.engines()) {
+      if (id == engine || other.service != service) continue;
+      if (other.holdings.Find(model) != nullptr || other.loading == model) ++others;
+    }
+    const ModelDemandRate& demand = demand_[service][model];
+    return others < std::max(1U, WantedReplicas(profile, &demand, ledger_.engines().size(), now));
+  }
+
   LoadAllowance* AllowanceOf(const std::string& service, double rate, MonotonicTime now) {
     const auto it = allowances_
                         .try_emplace(service, rate, settings_.ceiling_window,
@@ -338,13 +363,16 @@
       engine->loading = load.model;
       engine->ready_at = now + LoadTime(model, SourceOf(engine->holdings, load.model));
       const std::uint64_t term = term_->fence;
-      controller_.StartLoad(load, profile,
-                            [this, load, service, nominal, term](milliseconds taken) {
-                              const auto known = allowances_.find(service);
-                              if (!load.from_store || fence() != term || known == allowances_.end())
-                                return;
-                              known->second.End(taken, nominal);
-                            });
+      LoadHooks hooks;
+      hooks.still_needed = [this, load, service, profile] {
+        return IsStillNeeded(service, *profile, load.engine, load.model, MonotonicNow());
+      };
+      hooks.done = [this, load, service, nominal, term](milliseconds taken) {
+        const auto known = allowances_.find(service);
+        if (!load.from_store || fence() != term || known == allowances_.end()) return;
+        known->second.End(taken, nominal);
+      };
+      controller_.StartLoad(load, profile, std::move(hooks));
     }
     FillAdapters(service, profile, now);
   }
--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -31,6 +31,10 @@
   std::string service_name;
   MonotonicTime arrival;
   MonotonicTime deadline;
+  // The caller leaves soon after this time unless it has the first event of its stream.
+  MonotonicTime patience_end = MonotonicTime::max();
+  // When what the request waited for should be there, if that is known.
+  std::optional<MonotonicTime> ready_at;
   bool caller_gone = false;
   // Breaks off the try in progress.
   std::shared_ptr<HttpCanceller> canceller;
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -24,7 +24,9 @@
 // A plain request that may repeat shares its time with one more try.
 constexpr int kTriesToLeaveTimeFor = 2;
 constexpr milliseconds kLeastRetryAfter{150};
-constexpr milliseconds kLargestRetryAfter{1500};
+constexpr milliseconds kRetrySpread{1350};
+constexpr milliseconds kReadySpread{300};
+constexpr milliseconds kLargestReadyTime{10000};
 
 }  // namespace
 
@@ -130,6 +132,16 @@
   return now + kLeastTime < std::min(context.deadline, end_);
 }
 
+// A request with no event of its stream is not kept for longer than its caller waits for that.
+MonotonicTime RelayHandler::WaitLimit(const Context& context) const {
+  const MonotonicTime limit = std::min(context.deadline, end_);
+  return context.stream_open ? limit : std::min(limit, context.patience_end);
+}
+
+bool RelayHandler::MayWait(const Context& context, MonotonicTime now) const {
+  return now + kLeastTime < WaitLimit(context);
+}
+
 // Whether the next try may start. The first is free; each further one takes from the budget.
 bool RelayHandler::MayTryAgain(Context* context) {
   const MonotonicTime now = MonotonicNow();
@@ -285,14 +297,24 @@
 Task<void> RelayHandler::Refuse(ContextPtr context, std::string reason) {
   context->outcome = RelayOutcome::kRefused;
   context->reason = std::move(reason);
-  std::uniform_int_distribution<std::int64_t> spread(kLeastRetryAfter.count(),
-                                                     kLargestRetryAfter.count());
-  const double retry_after = static_cast<double>(spread(random_)) / 1000;
+  const double retry_after = ToSeconds(RetryAfter(*context));
   HttpHeaders headers{{"Content-Type", "application/json"},
                       {"Retry-After", std::to_string(retry_after)}};
   co_await Deliver(context, 503, std::move(headers), R"({"error":"not run, try again later"})");
 }
 
+// When to come back: once what the request waited for is there, if that is known. Spread, so that
+// callers that were refused together don't return together.
+milliseconds RelayHandler::RetryAfter(const Context& context) {
+  const MonotonicTime now = MonotonicNow();
+  milliseconds earliest = kLeastRetryAfter;
+  if (context.ready_at) earliest = std::max(earliest, ToMillis(*context.ready_at - now));
+  earliest = std::min(earliest, kLargestReadyTime);
+  const milliseconds spread = context.ready_at ? kReadySpread : kRetrySpread;
+  return earliest +
+         milliseconds(std::uniform_int_distribution<std::int64_t>(0, spread.count())(random_));
+}
+
 Task<void> RelayHandler::Deliver(ContextPtr context, int status, HttpHeaders headers,
                                  std::string body) {
   context->status = status;
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -99,6 +99,11 @@
 
   bool MayTryAgain(Context* context);
   bool HasTimeLeft(const Context& context, MonotonicTime now) const;
+  MonotonicTime WaitLimit(const Context& context) const;
+  bool MayWait(const Context& context, MonotonicTime now) const;
+  std::optional<std::string> ReasonNotToWait(Context* context, MonotonicTime began,
+                                             MonotonicTime now) const;
+  milliseconds RetryAfter(const Context& context);
   void NoteFailure(Context* context, const EndpointChoice& choice, HttpError error);
   HttpCall MakeCall(Context* context, const EndpointChoice& choice, MonotonicTime deadline) const;
   std::string PickService(const Route& route, const std::string& request_id) const;
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
+#include "caller_patience.h"
 #include "log.h"
 #include "notifier.h"
 #include "platform/request_headers.h"
@@ -14,8 +15,11 @@
 
 namespace {
 
-// A request waits this long for the leader to order a load of its model.
-constexpr milliseconds kDecisionTime{1500};
+// A request waits this long at least, and half of its time, for a leader that orders a load of its
+// model.
+constexpr milliseconds kDecisionTime{1000};
+// Typical time until another leader may order.
+constexpr milliseconds kLeaderlessTime{2500};
 // Longest wait before the state is looked at again.
 constexpr milliseconds kWaitStep{100};
 // An engine that did not run a request is not tried again for this long.
@@ -64,7 +68,8 @@
   const RelayRequest& relay = context->relay;
   context->hashes = PrefixHashes(relay.model, relay.adapter, relay.prompt);
   context->last_event_id = relay.last_event_id;
-  while (!context->caller_gone && HasTimeLeft(*context, MonotonicNow())) {
+  context->patience_end = context->arrival + FirstEventPatience(*context->route);
+  while (!context->caller_gone && MayWait(*context, MonotonicNow())) {
     const MonotonicTime now = MonotonicNow();
     auto choice = parts_.selector->ChooseEngine(context->service_name, *context->service->engine,
                                                 relay, context->hashes, context->Avoided(now), now);
@@ -101,25 +106,13 @@
   bool found = false;
   while (!context->caller_gone) {
     const MonotonicTime now = MonotonicNow();
-    if (!HasTimeLeft(*context, now)) {
-      context->reason = "no engine got the model in time";
+    found = HasEngine(*context, now);
+    if (found) break;
+    if (auto reason = ReasonNotToWait(context.get(), began, now)) {
+      context->reason = std::move(*reason);
       break;
     }
-    if (HasEngine(*context, now)) {
-      found = true;
-      break;
-    }
-    const auto load_end = parts_.placement.load_end(model);
-    if (load_end && *load_end >= context->deadline) {
-      context->reason = "the model's load ends too late";
-      break;
-    }
-    if (!load_end && now - began > kDecisionTime && !parts_.placement.has_leader(now)) {
-      context->reason = "nobody decides on loads now";
-      break;
-    }
-    const MonotonicTime limit = std::min(context->deadline, end_);
-    co_await parts_.board->changed().WaitUntil(std::min(limit, now + kWaitStep));
+    co_await parts_.board->changed().WaitUntil(std::min(WaitLimit(*context), now + kWaitStep));
   }
   context->step = RelayStep::kChoice;
   parts_.board->EndWaiting(context->service_name, model, priority);
@@ -127,6 +120,24 @@
   co_return found;
 }
 
+// Why a request that waits for its model since `began` should be refused now; std::nullopt if it
+// should wait on.
+std::optional<std::string> RelayHandler::ReasonNotToWait(Context* context, MonotonicTime began,
+                                                         MonotonicTime now) const {
+  if (!MayWait(*context, now)) return "no engine got the model in time";
+  const MonotonicTime limit = WaitLimit(*context);
+  const auto load_end = parts_.placement.load_end(context->relay.model);
+  context->ready_at = load_end;
+  if (load_end) {
+    if (*load_end < limit) return std::nullopt;
+    return "the model's load ends too late";
+  }
+  if (parts_.placement.has_leader(now)) return std::nullopt;
+  context->ready_at = now + kLeaderlessTime;
+  if (now - began <= std::max(kDecisionTime, ToMillis(limit - began) / 2)) return std::nullopt;
+  return "nobody decides on loads now";
+}
+
 // Has the adapter placed at the chosen engine. If that fails, the engine is not chosen again.
 Task<bool> RelayHandler::PlaceAdapter(ContextPtr context, EndpointChoice* choice) {
   const MonotonicTime began = MonotonicNow();
@@ -140,9 +151,8 @@
   // The leader may be silent, and the signal to stop may come meanwhile.
   while (!placement->placed && !context->caller_gone) {
     const MonotonicTime now = MonotonicNow();
-    if (!HasTimeLeft(*context, now)) break;
-    const MonotonicTime limit = std::min(context->deadline, end_);
-    co_await placement->done.WaitUntil(std::min(limit, now + kWaitStep));
+    if (!MayWait(*context, now)) break;
+    co_await placement->done.WaitUntil(std::min(WaitLimit(*context), now + kWaitStep));
   }
   context->step = RelayStep::kChoice;
   const bool placed = placement->placed.value_or(false);
@@ -175,8 +185,7 @@
       1, choice.unread_tokens,
       static_cast<std::uint64_t>(relay.prompt_tokens) + relay.max_output_tokens};
   parts_.stats->Start(id, work);
-  const std::string adapter_name = relay.model + "/" + relay.adapter;
-  if (!relay.adapter.empty()) parts_.board->BeginAdapter(id, adapter_name);
+  parts_.board->BeginRun(id, relay.model, relay.adapter);
   parts_.board->NoteRequest(context->service_name, relay.model, relay.adapter,
                             context->route->target_latency,
                             parts_.stats->MillisPerToken(id, relay.model) * choice.unread_tokens);
@@ -238,7 +247,7 @@
   EndpointWork left = work;
   if (context->events > events_before) left.unread_tokens = 0;
   parts_.stats->End(id, left, verdict, MonotonicNow());
-  if (!relay.adapter.empty()) parts_.board->EndAdapter(id, adapter_name);
+  parts_.board->EndRun(id, relay.model, relay.adapter);
   co_return next;
 }
 
--- a/src/usage_board.h
+++ b/src/usage_board.h
@@ -2,6 +2,7 @@
 #define MIMOSABEND_USAGE_BOARD_H_
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -21,8 +22,8 @@
       : waiting_began_(executor), changed_(std::move(executor)) {}
 
   // Notes a request that starts at an engine. `adapter` is empty for none.
-  void NoteRequest(const std::string& service, const std::string& model,
-                   const std::string& adapter, milliseconds target, double reading_ms) {
+  void NoteRequest(const std::string& service, const std::string& model, const std::string& adapter,
+                   milliseconds target, double reading_ms) {
     ModelUsage& usage = UsageOf(service, model);
     if (!adapter.empty()) CountAdapter(&usage, {adapter, 1});
     usage.target_ms = std::min(usage.target_ms, static_cast<std::uint32_t>(target.count()));
@@ -61,24 +62,35 @@
     return taken;
   }
 
-  // A request with an adapter runs at an engine until EndAdapter.
-  void BeginAdapter(const std::string& endpoint, const std::string& name) {
-    adapters_[endpoint].insert(name);
+  // A request runs at an engine until EndRun. `adapter` is empty for none.
+  void BeginRun(const std::string& endpoint, const std::string& model, const std::string& adapter) {
+    runs_[endpoint][model].insert(adapter);
   }
-  void EndAdapter(const std::string& endpoint, const std::string& name) {
-    const auto it = adapters_.find(endpoint);
-    if (it == adapters_.end()) return;
-    const auto one = it->second.find(name);
-    if (one != it->second.end()) it->second.erase(one);
-    if (it->second.empty()) adapters_.erase(it);
+  void EndRun(const std::string& endpoint, const std::string& model, const std::string& adapter) {
+    const auto engine = runs_.find(endpoint);
+    if (engine == runs_.end()) return;
+    const auto runs = engine->second.find(model);
+    if (runs == engine->second.end()) return;
+    const auto one = runs->second.find(adapter);
+    if (one != runs->second.end()) runs->second.erase(one);
+    if (runs->second.empty()) engine->second.erase(runs);
+    if (engine->second.empty()) runs_.erase(engine);
   }
 
-  // Adapters in use at an engine, as "MODEL/ADAPTER".
-  std::vector<std::string> AdaptersInUse(const std::string& endpoint) const {
-    const auto it = adapters_.find(endpoint);
-    if (it == adapters_.end()) return {};
-    const std::set<std::string> names(it->second.begin(), it->second.end());
-    return {names.begin(), names.end()};
+  // What runs at an engine, by model.
+  std::vector<ModelRuns> RunsAt(const std::string& endpoint) const {
+    std::vector<ModelRuns> found;
+    const auto engine = runs_.find(endpoint);
+    if (engine == runs_.end()) return found;
+    for (const auto& [model, adapters] : engine->second) {
+      std::set<std::string> names(adapters.begin(), adapters.end());
+      names.erase("");
+      found.push_back({model,
+                       static_cast<std::uint16_t>(std::min<std::size_t>(
+                           adapters.size(), std::numeric_limits<std::uint16_t>::max())),
+                       {names.begin(), names.end()}});
+    }
+    return found;
   }
 
   // Puts back what could not be reported.
@@ -118,7 +130,8 @@
 
   std::map<Key, ModelUsage> usage_;
   std::map<Key, std::multiset<std::uint32_t>> waiting_;
-  std::map<std::string, std::multiset<std::string>> adapters_;
+  // The adapter of each running request, by endpoint and model.
+  std::map<std::string, std::map<std::string, std::multiset<std::string>>> runs_;
   Notifier waiting_began_;
   Notifier changed_;
 };
--- a/tests/fake_fleet_engines.h
+++ b/tests/fake_fleet_engines.h
@@ -34,6 +34,8 @@
     std::uint64_t fence = 0;
     MonotonicTime busy_until;
     std::set<std::string> adapters_in_use;
+    // An unload of a model waits this long for running requests.
+    milliseconds unload_time{0};
   };
 
   Engine& engine(const Address& address) { return engines_[address.port]; }
@@ -88,6 +90,7 @@
       state.busy_until = MonotonicNow() + kLoadTime;
     } else if (held != state.holdings.models.end()) {
       state.holdings.models.erase(held);
+      state.busy_until = MonotonicNow() + state.unload_time;
     }
     ++state.holdings.sequence;
     return OrderOutcome::kAccepted;
--- a/tests/test_adapter_planner.cpp
+++ b/tests/test_adapter_planner.cpp
@@ -14,8 +14,8 @@
   profile.weights_mb = 2 * kWeightsMb + 1000;
   profile.adapter_slots = places;
   for (const char* model : {"m0", "m1"}) {
-    profile.models[model] = {kWeightsMb, 50, {"a1", "a2", "a3"}, seconds(6), seconds(1),
-                             milliseconds(400)};
+    profile.models[model] = {kWeightsMb, 50,         {"a1", "a2", "a3"},
+                             seconds(6), seconds(1), milliseconds(400)};
   }
   return profile;
 }
--- a/tests/test_decoders.cpp
+++ b/tests/test_decoders.cpp
@@ -137,7 +137,7 @@
   UsageReport report;
   report.fence = 9;
   report.loads.emplace_back(3, EndpointWork{2, 100, 300});
-  report.adapters.push_back({3, {"m/a", "m/b"}});
+  report.runs.push_back({3, {{"m", 2, {"a", "b"}}}});
   report.unreachable = {4, 5};
   return report;
 }
--- a/tests/test_model_planner.cpp
+++ b/tests/test_model_planner.cpp
@@ -19,8 +19,8 @@
   EngineProfile profile;
   profile.weights_mb = 2 * kWeightsMb + 5000;
   for (int i = 0; i < models; ++i) {
-    profile.models[Model(i)] = {kWeightsMb, 50,  {"a1", "a2", "a3", "a4"},
-                                seconds(6), milliseconds(800), milliseconds(400)};
+    profile.models[Model(i)] = {
+        kWeightsMb, 50, {"a1", "a2", "a3", "a4"}, seconds(6), milliseconds(800), milliseconds(400)};
   }
   return profile;
 }
@@ -254,6 +254,52 @@
   CHECK_FALSE(loads[0].from_store);
 }
 
+// Guards against an unload that waits for long streams while an idle model could make room at once:
+// the engine takes no other order meanwhile, and the requests for the new model wait with it.
+TEST_CASE("a model with no running requests makes room first", "[planner]") {
+  const EngineProfile profile = Profile(5);
+  std::vector<PlannerEngine> engines{Engine("e1", {"m0", "m1"}, {"m4"}),
+                                     Engine("e2", {"m2", "m3"}, {"m4"})};
+  engines[0].running = {{"m0", 3}, {"m1", 1}};
+  engines[1].running = {{"m2", 2}};
+  DemandRates demand;
+  for (const char* model : {"m0", "m1", "m2", "m3"}) Use(&demand, model, 1, 5, 0, kLoose);
+  // The idle model is used most.
+  Use(&demand, "m3", 2, 5, 0, kLoose);
+  Use(&demand, "m4", 0, 0, 1, kTight);
+  const auto loads = PlanLoads(profile, engines, demand, 0, kStart);
+  REQUIRE(loads.size() == 1);
+  CHECK(loads[0].engine == "e2");
+  CHECK(loads[0].victims == std::vector<std::string>{"m3"});
+}
+
+// Guards against a busy model that stays on one engine, with callers that leave unserved, because
+// each engine that is free goes to models whose requests can wait.
+TEST_CASE("an overloaded model goes before requests that can wait", "[planner]") {
+  const EngineProfile profile = Profile(4);
+  PlannerEngine busy = Engine("e1", {"m0", "m1"});
+  busy.blocked = true;
+  const std::vector<PlannerEngine> engines{busy, Engine("e2", {"m2"}, {"m0", "m3"})};
+  DemandRates demand;
+  Use(&demand, "m0", 30, 2500, 0, kTight);
+  Use(&demand, "m3", 0, 0, 4, kLoose);
+  const auto planned = PlanLoads(profile, engines, demand, 0, kStart);
+  REQUIRE(planned.size() == 1);
+  CHECK(planned[0].model == "m0");
+  // Requests that have waited long don't wait on for it.
+  DemandRates later;
+  Use(&later, "m3", 0, 0, 4, kLoose);
+  const MonotonicTime then = kStart + seconds(3);
+  for (int i = 1; i < 3; ++i) {
+    later["m3"].Add(Usage("m3", 0, 0, 4, kLoose), "d", kStart + seconds(i));
+  }
+  later["m3"].Add(Usage("m3", 0, 0, 4, kLoose), "d", then);
+  later["m0"].Add(Usage("m0", 30, 2500, 0, kTight), "d", then);
+  const auto fair = PlanLoads(profile, engines, later, 0, then);
+  REQUIRE(fair.size() == 1);
+  CHECK(fair[0].model == "m3");
+}
+
 // Guards against replicas that come and go with each swing of the demand.
 TEST_CASE("replicas are surplus only well below the load that adds one", "[planner]") {
   const EngineProfile profile = Profile(1);
--- a/tests/test_placement_leader.cpp
+++ b/tests/test_placement_leader.cpp
@@ -296,7 +296,7 @@
   report.fence = a.leader.fence();
   const UsageAnswer answer = a.leader.HandleReport("other", report, MonotonicNow());
   for (const EndpointChange& change : answer.directory) {
-    if (change.id == "e0") report.adapters.push_back({change.number, {"m0/a1"}});
+    if (change.id == "e0") report.runs.push_back({change.number, {{"m0", 1, {"a1"}}}});
   }
   a.leader.HandleReport("other", report, MonotonicNow());
   fleet.engines.engine(Endpoint(0).address).adapters_in_use = {"m0/a1"};
@@ -325,6 +325,44 @@
   CHECK(*longest <= 20);
 }
 
+// Guards against requests that wait as long as an engine's streams last, because the engine that
+// drops a model for theirs counts as the one that loads it.
+TEST_CASE("a model is loaded elsewhere when an unload waits long", "[leader]") {
+  Fleet fleet;
+  Daemon a(&fleet.io, &fleet.store, &fleet.engines, "a");
+  fleet.Run(milliseconds(50));
+  REQUIRE(fleet.Lead(&a));
+  fleet.Run(milliseconds(50));
+  for (int i = 0; i < 3; ++i) {
+    fleet.engines.engine(Endpoint(i).address).unload_time = milliseconds(4000);
+  }
+  const auto holders = [&] {
+    int count = 0;
+    for (int i = 0; i < 3; ++i) {
+      const EngineHoldings& holdings = fleet.engines.engine(Endpoint(i).address).holdings;
+      if (holdings.Find("m4") != nullptr) ++count;
+    }
+    return count;
+  };
+  Fleet::Wait(&a, "m4");
+  fleet.Run(milliseconds(300));
+  REQUIRE_FALSE(fleet.engines.orders().empty());
+  REQUIRE(holders() == 0);
+  const std::string slow = fleet.engines.orders().front().order.endpoint_id;
+  for (int i = 0; i < 3; ++i) {
+    if (Endpoint(i).id == slow) continue;
+    fleet.engines.engine(Endpoint(i).address).unload_time = milliseconds(0);
+  }
+  for (int i = 0; i < 5; ++i) {
+    Fleet::Wait(&a, "m4");
+    fleet.Run(milliseconds(300));
+  }
+  CHECK(holders() == 1);
+  // The engine that was slow has no need to load it as well.
+  fleet.Run(milliseconds(5000));
+  CHECK(holders() == 1);
+}
+
 // Guards against requests that wait for adapters which could have been in place, above all while
 // nobody may order.
 TEST_CASE("free places take adapters before requests ask for them", "[leader]") {
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -133,7 +133,7 @@
       co_await Sleep(placing_time);
       co_return adapters_placed;
     };
-    hooks.load_end = [](const std::string&) { return std::nullopt; };
+    hooks.load_end = [this](const std::string&) { return load_end; };
     hooks.has_leader = [this](MonotonicTime) { return has_leader; };
     return hooks;
   }
@@ -165,12 +165,15 @@
 
   // Sends a request and returns its answer; an error if the answer is not whole.
   Result<HttpReply, HttpError> Send(const std::string& path, const std::string& model = "m") {
+    return Send(MakeCall(path, model));
+  }
+  Result<HttpReply, HttpError> Send(HttpCall made) {
     std::optional<Result<HttpReply, HttpError>> result;
     const auto call = [this, &result](HttpCall request) -> Task<void> {
       auto reply = co_await caller.Call(std::move(request));
       result = std::move(reply);
     };
-    boost::asio::co_spawn(io, call(MakeCall(path, model)), boost::asio::detached);
+    boost::asio::co_spawn(io, call(std::move(made)), boost::asio::detached);
     const MonotonicTime end = MonotonicNow() + seconds(5);
     while (!result && MonotonicNow() < end) io.run_for(milliseconds(5));
     REQUIRE(result);
@@ -203,6 +206,7 @@
   bool adapters_placed = true;
   milliseconds placing_time{0};
   bool has_leader = true;
+  std::optional<MonotonicTime> load_end;
   RelayHandler handler;
   HttpServer server;
   std::uint16_t port = 0;
@@ -379,6 +383,42 @@
   CHECK(relay.engine_arrivals() == 0);
 }
 
+// Guards against callers that leave, and don't come back, while their daemon still waits for an
+// engine that gets their model.
+TEST_CASE("a request that waits is refused before its caller leaves", "[relay]") {
+  Relay relay;
+  for (TestEndpoint* endpoint : {&relay.e1, &relay.e2}) {
+    relay.directory.NoteRefused(endpoint->id, "m");
+  }
+  HttpCall call = relay.MakeCall("/once/1");
+  for (auto& [name, value] : call.headers) {
+    if (name == "Deadline-Ms") value = "4000";
+  }
+  const MonotonicTime began = MonotonicNow();
+  auto reply = relay.Send(std::move(call));
+  REQUIRE(reply);
+  CHECK(reply.value().status == 503);
+  CHECK(MonotonicNow() - began < milliseconds(2000));
+}
+
+// Guards against callers that come back before their model can be there, and are refused again.
+TEST_CASE("a refused caller is told when the load of its model ends", "[relay]") {
+  Relay relay;
+  for (TestEndpoint* endpoint : {&relay.e1, &relay.e2}) {
+    relay.directory.NoteRefused(endpoint->id, "m");
+  }
+  relay.load_end = MonotonicNow() + milliseconds(3500);
+  const MonotonicTime began = MonotonicNow();
+  auto reply = relay.Send("/once/1");
+  REQUIRE(reply);
+  CHECK(reply.value().status == 503);
+  CHECK(MonotonicNow() - began < milliseconds(300));
+  const double retry_after =
+      std::stod(std::string(FindHeader(reply.value().headers, "Retry-After")));
+  CHECK(retry_after > 3);
+  CHECK(retry_after < 4);
+}
+
 // Guards against a request that waits for its model while its daemon stops: it was cut off at the
 // end of the grace time instead of refused.
 TEST_CASE("what waits is refused before the process ends", "[relay]") {
