Have engines fetch adapters before they load another model

Change: each planning round fills free places for adapters first and gives these engines no load in that round; a request for an adapter counts as demand for it before it runs; an engine with adapters in place is dearer for loads from copies, too.

Test: "an engine fetches adapters before it loads another model" fails with the former order of planning.

--- a/src/model_planner.cpp
+++ b/src/model_planner.cpp
@@ -70,9 +70,10 @@
 constexpr double kSecondsPerFurtherRun = 0.2;
 constexpr std::uint32_t kMostFurtherRuns = 8;
 
-// An engine takes no adapters during the seconds of a load from the store, so one that serves few
-// adapters is better.
+// An engine takes no adapters during a load, so one that serves few adapters is better: seconds by
+// which each makes a load from the store, or from a copy, dearer.
 constexpr double kSecondsPerAdapter = 0.1;
+constexpr double kSecondsPerAdapterOfCopy = 0.05;
 
 // How much an engine's replica of a model is needed, the least first.
 enum class Hold : std::uint8_t {
@@ -298,7 +299,8 @@
   double CostOf(const PlannerEngine& engine, const ModelProfile& model, WeightSource source,
                 const std::vector<Victim>& victims) const {
     double cost = ToSeconds(LoadTime(model, source));
-    if (source == WeightSource::kStore) cost += kSecondsPerAdapter * CountAdapters(engine);
+    cost += CountAdapters(engine) *
+            (source == WeightSource::kStore ? kSecondsPerAdapter : kSecondsPerAdapterOfCopy);
     for (const Victim& victim : victims) {
       cost +=
           kCostOfHold[static_cast<std::size_t>(victim.hold)] + victim.rate + victim.unload_seconds;
@@ -391,6 +393,13 @@
   if (usage.waiting > 0) waiting_priority_ = usage.waiting_priority;
 }
 
+void ModelDemandRate::WantAdapter(const std::string& adapter, MonotonicTime now) {
+  Decay(now);
+  // Asked for anew while the request waits, so it counts once.
+  double& count = adapters_[adapter];
+  count = std::max(count, 1.0);
+}
+
 double ModelDemandRate::RecentRate(MonotonicTime now) const {
   return recent_ * std::exp(-ToSeconds(now - decayed_) / kRecentSeconds) / kRecentSeconds;
 }
--- a/src/model_planner.h
+++ b/src/model_planner.h
@@ -21,6 +21,9 @@
   // Adds what one daemon reported for the time since its last report.
   void Add(const ModelUsage& usage, const std::string& daemon, MonotonicTime now);
 
+  // Notes that a request waits for an adapter.
+  void WantAdapter(const std::string& adapter, MonotonicTime now);
+
   // Requests per second of the last seconds, and of the last half minute.
   double RecentRate(MonotonicTime now) const;
   double LongRate(MonotonicTime now) const;
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -162,6 +162,7 @@
     const LedgerEngine* engine = ledger_.Find(request.endpoint);
     const EngineProfilePtr profile = engine == nullptr ? nullptr : ProfileOf(engine->service);
     if (profile == nullptr) co_return answer;
+    demand_[engine->service][request.model].WantAdapter(request.adapter, MonotonicNow());
     const ModelAdapter adapter{request.model, request.adapter};
     answer.placed = co_await controller_.PlaceAdapter(request.endpoint, adapter, profile);
     co_return answer;
@@ -353,7 +354,9 @@
   void Plan(const std::string& service, const EngineProfilePtr& profile, MonotonicTime now) {
     LoadAllowance* allowance = AllowanceOf(service, profile->loads_per_second, now);
     const std::uint32_t store_loads = allowance->MayStart(now) ? 1 : 0;
-    const std::vector<PlannerEngine> engines = EnginesOf(service, now);
+    std::vector<PlannerEngine> engines = EnginesOf(service, now);
+    // An engine takes no adapters while it loads a model, which lasts much longer than a fetch.
+    FillAdapters(profile, demand_[service], &engines, now);
     for (const PlannedLoad& load :
          PlanLoads(*profile, engines, demand_[service], store_loads, now)) {
       if (load.from_store) allowance->Start(now);
@@ -374,16 +377,20 @@
       };
       controller_.StartLoad(load, profile, std::move(hooks));
     }
-    FillAdapters(service, profile, now);
   }
 
-  void FillAdapters(const std::string& service, const EngineProfilePtr& profile,
-                    MonotonicTime now) {
+  // Has engines fetch adapters into free places, and blocks these engines for loads.
+  void FillAdapters(const EngineProfilePtr& profile, const DemandRates& demand,
+                    std::vector<PlannerEngine>* engines, MonotonicTime now) {
     const std::size_t running = controller_.adapters_on_their_way();
     if (running >= kAdaptersAtOnce) return;
-    for (const PlannedAdapter& planned : PlanAdapters(
-             *profile, EnginesOf(service, now), demand_[service], kAdaptersAtOnce - running, now)) {
+    for (const PlannedAdapter& planned :
+         PlanAdapters(*profile, *engines, demand, kAdaptersAtOnce - running, now)) {
       controller_.StartAdapter(planned.engine, {planned.model, planned.adapter}, profile);
+      const auto engine =
+          std::find_if(engines->begin(), engines->end(),
+                       [&](const PlannerEngine& item) { return item.id == planned.engine; });
+      engine->blocked = true;
     }
   }
 
--- a/tests/test_placement_leader.cpp
+++ b/tests/test_placement_leader.cpp
@@ -380,6 +380,32 @@
   CHECK(held->adapters.size() == 2);
 }
 
+// Guards against requests that wait for an adapter as long as its engine is given one model after
+// another to load.
+TEST_CASE("an engine fetches adapters before it loads another model", "[leader]") {
+  Fleet fleet;
+  Daemon a(&fleet.io, &fleet.store, &fleet.engines, "a");
+  fleet.Run(milliseconds(50));
+  REQUIRE(fleet.Lead(&a));
+  fleet.Run(milliseconds(50));
+  FleetConfig config = Config();
+  for (const char* model : {"m0", "m1", "m2", "m3"}) {
+    config.services["models"].engine->models[model].adapter_names = {"a1"};
+  }
+  a.directory.Adopt(config);
+  Fleet::Wait(&a, "m4");
+  fleet.Run(milliseconds(400));
+  std::string loader;
+  for (const SeenOrder& seen : fleet.engines.orders()) {
+    if (seen.order.model == "m4") loader = seen.order.endpoint_id;
+  }
+  const auto first =
+      std::find_if(fleet.engines.orders().begin(), fleet.engines.orders().end(),
+                   [&](const SeenOrder& seen) { return seen.order.endpoint_id == loader; });
+  REQUIRE(first != fleet.engines.orders().end());
+  CHECK(first->order.adapter == "a1");
+}
+
 // Guards against the loss of the only copy of an adapter where another one could be spared.
 TEST_CASE("an adapter that other engines hold makes way first", "[leader]") {
   EngineLedger ledger;
