--- /dev/null
+++ b/src/directory_log.cpp
@@ -0,0 +1,109 @@
+#include "directory_log.h"
+
+#include <algorithm>
+#include <cassert>
+
+#include "digest.h"
+
+namespace mimosabend {
+
+std::uint32_t EndpointNumber(const std::string& id, std::int64_t started_ms) {
+  return static_cast<std::uint32_t>(Hash64(id, static_cast<std::uint64_t>(started_ms)));
+}
+
+FleetEndpoint ToEndpoint(const EndpointChange& change) {
+  assert(!change.gone);
+  FleetEndpoint endpoint;
+  endpoint.id = change.id;
+  endpoint.service = change.service;
+  endpoint.address = change.address;
+  endpoint.failure_domain = change.failure_domain;
+  endpoint.slots = change.slots;
+  endpoint.state = change.state;
+  endpoint.started_ms = change.started_ms;
+  return endpoint;
+}
+
+void DirectoryLog::Set(EndpointChange change) {
+  const auto known = entries_.find(change.id);
+  if (known != entries_.end()) {
+    ids_.erase(EndpointNumber(change.id, known->second.started_ms));
+  }
+  if (!change.gone) ids_[EndpointNumber(change.id, change.started_ms)] = change.id;
+  entries_[change.id] = std::move(change);
+}
+
+void DirectoryLog::Put(const FleetEndpoint& endpoint, std::uint64_t revision) {
+  const auto known = entries_.find(endpoint.id);
+  if (known != entries_.end() && known->second.revision > revision) return;
+  Set({endpoint.id, revision, false, endpoint.service, endpoint.address, endpoint.failure_domain,
+       endpoint.slots, endpoint.state, endpoint.started_ms});
+}
+
+void DirectoryLog::Remove(const std::string& id, std::uint64_t revision) {
+  const auto known = entries_.find(id);
+  if (known == entries_.end() || known->second.gone || known->second.revision > revision) return;
+  EndpointChange change = known->second;
+  change.gone = true;
+  change.revision = revision;
+  Set(std::move(change));
+}
+
+void DirectoryLog::KeepOnly(const std::set<std::string>& ids, std::uint64_t revision) {
+  std::vector<std::string> missing;
+  for (const auto& [id, change] : entries_) {
+    if (!ids.contains(id)) missing.push_back(id);
+  }
+  for (const std::string& id : missing) Remove(id, revision);
+}
+
+void DirectoryLog::Advance(std::uint64_t revision) { revision_ = std::max(revision_, revision); }
+
+std::vector<EndpointChange> DirectoryLog::Merge(const DirectoryChanges& changes) {
+  std::vector<EndpointChange> merged;
+  if (changes.revision <= revision_) return merged;
+  std::set<std::string> listed;
+  for (const EndpointChange& change : changes.changes) {
+    listed.insert(change.id);
+    const auto known = entries_.find(change.id);
+    if (known != entries_.end() && known->second.revision >= change.revision) continue;
+    Set(change);
+    merged.push_back(change);
+  }
+  if (changes.whole) {
+    for (const auto& [id, entry] : entries_) {
+      if (entry.gone || listed.contains(id) || entry.revision > changes.revision) continue;
+      merged.push_back(entry);
+      merged.back().gone = true;
+      merged.back().revision = changes.revision;
+    }
+    for (const EndpointChange& change : merged) {
+      if (change.gone) Set(change);
+    }
+  }
+  revision_ = changes.revision;
+  return merged;
+}
+
+DirectoryChanges DirectoryLog::Since(std::uint64_t revision) const {
+  DirectoryChanges since{revision_, revision == 0, {}};
+  if (revision >= revision_) return since;
+  for (const auto& [id, change] : entries_) {
+    const bool listed = since.whole ? !change.gone : change.revision > revision;
+    if (listed) since.changes.push_back(change);
+  }
+  return since;
+}
+
+const EndpointChange* DirectoryLog::FindNumber(std::uint32_t number) const {
+  const auto it = ids_.find(number);
+  return it == ids_.end() ? nullptr : &entries_.at(it->second);
+}
+
+std::optional<std::uint32_t> DirectoryLog::NumberOf(const std::string& id) const {
+  const auto it = entries_.find(id);
+  if (it == entries_.end() || it->second.gone) return std::nullopt;
+  return EndpointNumber(id, it->second.started_ms);
+}
+
+}  // namespace mimosabend
--- a/src/document_parts.cpp
+++ b/src/document_parts.cpp
@@ -19,8 +19,31 @@
   return !line.empty() && line.front() == '[' && Hash64(line) % kCutModulus == 0;
 }
 
+// One item in 8 of a JSON text ends a part: about 1 KB at 120 bytes an item.
+constexpr std::uint64_t kJsonCutModulus = 8;
+constexpr std::string_view kJsonItemEnd = "},";
+
 }  // namespace
 
+std::vector<std::string> SplitJsonDocument(std::string_view document) {
+  std::vector<std::string> parts;
+  std::string part;
+  while (!document.empty()) {
+    const std::size_t end = document.find(kJsonItemEnd);
+    std::size_t length = document.size();
+    if (end != std::string_view::npos) length = end + kJsonItemEnd.size();
+    length = std::min(length, kMaxPartBytes);
+    const std::string_view item = document.substr(0, length);
+    document.remove_prefix(length);
+    part += item;
+    if (Hash64(item) % kJsonCutModulus != 0 && part.size() < kMaxPartBytes) continue;
+    parts.push_back(std::move(part));
+    part.clear();
+  }
+  if (!part.empty()) parts.push_back(std::move(part));
+  return parts;
+}
+
 std::vector<std::string> SplitDocument(std::string_view document) {
   std::vector<std::string> parts;
   std::string part;
--- a/src/document_parts.h
+++ b/src/document_parts.h
@@ -11,6 +11,9 @@
 // section changes one part. Joining the parts gives the document back. Thread-safe.
 std::vector<std::string> SplitDocument(std::string_view document);
 
+// The same for a JSON text: cuts it behind items of arrays. Thread-safe.
+std::vector<std::string> SplitJsonDocument(std::string_view document);
+
 }  // namespace mimosabend
 
 #endif  // MIMOSABEND_DOCUMENT_PARTS_H_
--- a/src/endpoint_selector.cpp
+++ b/src/endpoint_selector.cpp
@@ -36,7 +36,7 @@
                                    const std::set<std::string>& excluded, const std::string& model,
                                    MonotonicTime now) const {
   const std::string& id = entry.endpoint.id;
-  if (excluded.contains(id)) return false;
+  if (excluded.contains(id) || stats_->HeldOffUntil(id, now)) return false;
   if (model.empty()) return true;
   // A model can be loaded elsewhere, so an engine that fails is no last resort.
   return entry.Holds(model) && !stats_->IsEjected(id, now);
@@ -76,6 +76,18 @@
   });
 }
 
+std::optional<MonotonicTime> EndpointSelector::HeldOffUntil(const std::string& service,
+                                                            const std::string& model,
+                                                            MonotonicTime now) const {
+  std::optional<MonotonicTime> earliest;
+  for (const DirectoryEntry* entry : directory_->OfService(service, now)) {
+    if (!model.empty() && !entry->Holds(model)) continue;
+    const auto until = stats_->HeldOffUntil(entry->endpoint.id, now);
+    if (until && (!earliest || *until < *earliest)) earliest = until;
+  }
+  return earliest;
+}
+
 std::optional<EndpointChoice> EndpointSelector::ChoosePlain(const std::string& service,
                                                             const std::set<std::string>& excluded,
                                                             MonotonicTime now) {
--- a/src/endpoint_selector.h
+++ b/src/endpoint_selector.h
@@ -57,6 +57,11 @@
   bool HasEngine(const std::string& service, const std::string& model,
                  const std::set<std::string>& excluded, MonotonicTime now) const;
 
+  // When the first of the endpoints that want no requests of this daemon now takes them again;
+  // std::nullopt if there is none. With a model: of those that hold it.
+  std::optional<MonotonicTime> HeldOffUntil(const std::string& service, const std::string& model,
+                                            MonotonicTime now) const;
+
   // An engine that holds the model; std::nullopt if none is left.
   std::optional<EndpointChoice> ChooseEngine(const std::string& service,
                                              const EngineProfile& profile,
--- a/src/endpoint_stats.cpp
+++ b/src/endpoint_stats.cpp
@@ -81,6 +81,18 @@
   return work;
 }
 
+void EndpointStats::HoldOff(const std::string& endpoint, MonotonicTime until) {
+  MonotonicTime& known = health_[endpoint].held_off_until;
+  known = std::max(known, until);
+}
+
+std::optional<MonotonicTime> EndpointStats::HeldOffUntil(const std::string& endpoint,
+                                                         MonotonicTime now) const {
+  const auto it = health_.find(endpoint);
+  if (it == health_.end() || now >= it->second.held_off_until) return std::nullopt;
+  return it->second.held_off_until;
+}
+
 bool EndpointStats::IsEjected(const std::string& endpoint, MonotonicTime now) const {
   const auto it = health_.find(endpoint);
   return it != health_.end() && now < it->second.ejected_until;
--- a/src/endpoint_stats.h
+++ b/src/endpoint_stats.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,11 @@
   // Own work at all endpoints.
   const std::map<std::string, EndpointWork>& own() const { return own_; }
 
+  // The endpoint wants no requests of this daemon until then.
+  void HoldOff(const std::string& endpoint, MonotonicTime until);
+  // Until when an endpoint wants no requests of this daemon; std::nullopt if it takes them.
+  std::optional<MonotonicTime> HeldOffUntil(const std::string& endpoint, MonotonicTime now) const;
+
   // Whether an endpoint is left out for its failures.
   bool IsEjected(const std::string& endpoint, MonotonicTime now) const;
   // Endpoints that are left out because they could not be reached.
@@ -61,6 +67,7 @@
     std::uint32_t failures_in_row = 0;
     double failure_rate = 0;
     MonotonicTime ejected_until;
+    MonotonicTime held_off_until;
     // The last failure was that the endpoint could not be reached.
     bool unreachable = false;
   };
--- a/src/engine_ledger.cpp
+++ b/src/engine_ledger.cpp
@@ -133,7 +133,7 @@
   }
   engine->known = true;
   engine->read_at = now;
-  Publish(engine);
+  Publish(*engine);
   return true;
 }
 
@@ -151,7 +151,7 @@
                                       MonotonicTime now) {
   CountOrder(engine, now);
   std::erase_if(engine->holdings.models, [&](const HeldModel& held) { return held.name == model; });
-  Publish(engine);
+  Publish(*engine);
 }
 
 void EngineLedger::NoteAdapterLoaded(LedgerEngine* engine, const ModelAdapter& adapter,
@@ -159,7 +159,7 @@
   CountOrder(engine, now);
   AddAdapter(&engine->holdings, adapter);
   engine->adapter_use[AdapterName(adapter)] = now;
-  Publish(engine);
+  Publish(*engine);
 }
 
 void EngineLedger::NoteAdapterDropped(LedgerEngine* engine, const ModelAdapter& adapter,
@@ -169,17 +169,27 @@
     if (held.name == adapter.first) std::erase(held.adapters, adapter.second);
   }
   engine->adapter_use.erase(AdapterName(adapter));
-  Publish(engine);
+  Publish(*engine);
 }
 
-void EngineLedger::NoteAdapterUse(const DirectoryFeed& feed, const std::vector<EngineRuns>& runs,
-                                  MonotonicTime now) {
+// Notes what an engine holds unless that is published already.
+void EngineLedger::Publish(const LedgerEngine& engine) {
+  EndpointNews news{engine.number(), 0, {}};
+  for (const HeldModel& held : engine.holdings.models) {
+    news.models.push_back({held.name, held.adapters});
+  }
+  const EndpointNews* known = published_->Find(news.number);
+  if (known != nullptr && known->models == news.models) return;
+  news.version = std::max(versions_after_, published_->version()) + 1;
+  published_->Note(news);
+}
+
+void EngineLedger::NoteAdapterUse(const std::vector<EngineRuns>& runs, MonotonicTime now) {
   if (runs.empty()) return;
   std::map<std::uint32_t, const EngineRuns*> by_number;
   for (const EngineRuns& engine_runs : runs) by_number[engine_runs.number] = &engine_runs;
   for (auto& [id, engine] : engines_) {
-    const auto number = feed.NumberOf(id);
-    const auto found = number ? by_number.find(*number) : by_number.end();
+    const auto found = by_number.find(engine.number());
     if (found == by_number.end()) continue;
     for (const ModelRuns& model : found->second->models) {
       for (const std::string& name : model.adapters) {
@@ -189,33 +199,23 @@
   }
 }
 
-void EngineLedger::AddRecentOrders(const DirectoryFeed& feed, milliseconds within,
-                                   MonotonicTime now, UsageAnswer* answer) const {
+void EngineLedger::AddRecentOrders(milliseconds within, MonotonicTime now,
+                                   UsageAnswer* answer) const {
   for (const auto& [id, engine] : engines_) {
-    const auto number = feed.NumberOf(id);
     const auto age = ToMillis(now - engine.sent_at);
-    if (!number || age >= within) continue;
-    answer->recent_orders.push_back({*number, static_cast<std::uint32_t>(age.count())});
+    if (age >= within) continue;
+    answer->recent_orders.push_back({engine.number(), static_cast<std::uint32_t>(age.count())});
   }
 }
 
-void EngineLedger::AddNews(const DirectoryFeed& feed, std::uint64_t known, MonotonicTime now,
-                           UsageAnswer* answer) const {
-  answer->news_version = news_version_;
+std::vector<PendingLoad> EngineLedger::PendingLoads(MonotonicTime now) const {
+  std::vector<PendingLoad> loads;
   for (const auto& [id, engine] : engines_) {
-    const auto number = feed.NumberOf(id);
-    if (number && engine.known && engine.news_version > known) {
-      EndpointNews news{*number, {}};
-      for (const HeldModel& held : engine.holdings.models) {
-        news.models.push_back({held.name, held.adapters});
-      }
-      answer->news.push_back(std::move(news));
-    }
     if (engine.loading.empty()) continue;
     const auto left = ToMillis(engine.ready_at - now).count();
-    answer->loads.push_back(
-        {engine.loading, static_cast<std::uint32_t>(std::max<std::int64_t>(0, left))});
+    loads.push_back({engine.loading, static_cast<std::uint32_t>(std::max<std::int64_t>(0, left))});
   }
+  return loads;
 }
 
 }  // namespace mimosabend
--- a/src/engine_ledger.h
+++ b/src/engine_ledger.h
@@ -9,11 +9,11 @@
 #include <vector>
 
 #include "clock.h"
-#include "directory_feed.h"
 #include "fleet_config.h"
 #include "fleet_directory.h"
 #include "fleet_endpoint.h"
 #include "fleet_usage.h"
+#include "holdings_log.h"
 
 namespace mimosabend {
 
@@ -42,10 +42,11 @@
   MonotonicTime sent_at;
   // Nothing is sent to the engine before.
   MonotonicTime retry_at;
-  std::uint64_t news_version = 0;
   // When adapters ("MODEL/ADAPTER") were last in use.
   std::map<std::string, MonotonicTime> adapter_use;
 
+  std::uint32_t number() const { return EndpointNumber(id, started_ms); }
+
   bool IsIdle(MonotonicTime now) const { return !busy && now >= retry_at; }
 };
 
@@ -63,6 +64,16 @@
 // The engines of all services as the leader knows them. Not thread-safe.
 class EngineLedger {
  public:
+  // Precondition: `published` outlives this object. What engines hold is published there.
+  explicit EngineLedger(HoldingsLog* published) : published_(published) {}
+
+  // Forgets all engines. What is published from now on has versions above `versions_after`.
+  void BeginTerm(std::uint64_t versions_after) {
+    engines_.clear();
+    versions_after_ = versions_after;
+    published_->SetGap(published_->version(), versions_after);
+  }
+
   // Brings the ledger in line with the directory. Returns the engines whose holdings have to be
   // read.
   std::vector<std::string> Follow(const FleetDirectory& directory, MonotonicTime now);
@@ -80,20 +91,17 @@
   void NoteAdapterLoaded(LedgerEngine* engine, const ModelAdapter& adapter, MonotonicTime now);
   void NoteAdapterDropped(LedgerEngine* engine, const ModelAdapter& adapter, MonotonicTime now);
   // Notes the adapters that a daemon's requests use.
-  void NoteAdapterUse(const DirectoryFeed& feed, const std::vector<EngineRuns>& runs,
-                      MonotonicTime now);
+  void NoteAdapterUse(const std::vector<EngineRuns>& runs, MonotonicTime now);
 
   // The adapter that an engine should drop for another one: one that was not in use lately, rather
   // one that other engines hold, the least recently used first. std::nullopt if it holds none.
   std::optional<ModelAdapter> AdapterToDrop(const LedgerEngine& engine, MonotonicTime now) const;
 
   // Adds the engines to which an order was sent within a time.
-  void AddRecentOrders(const DirectoryFeed& feed, milliseconds within, MonotonicTime now,
-                       UsageAnswer* answer) const;
+  void AddRecentOrders(milliseconds within, MonotonicTime now, UsageAnswer* answer) const;
 
-  // Adds what has changed after a version of the news, and the loads in progress.
-  void AddNews(const DirectoryFeed& feed, std::uint64_t known, MonotonicTime now,
-               UsageAnswer* answer) const;
+  // The loads in progress.
+  std::vector<PendingLoad> PendingLoads(MonotonicTime now) const;
 
   const std::map<std::string, LedgerEngine>& engines() const { return engines_; }
   void Clear() { engines_.clear(); }
@@ -101,10 +109,11 @@
  private:
   bool IsHeldElsewhere(const LedgerEngine& engine, const ModelAdapter& adapter) const;
   static void CountOrder(LedgerEngine* engine, MonotonicTime now);
-  void Publish(LedgerEngine* engine) { engine->news_version = ++news_version_; }
+  void Publish(const LedgerEngine& engine);
 
+  HoldingsLog* published_;
   std::map<std::string, LedgerEngine> engines_;
-  std::uint64_t news_version_ = 0;
+  std::uint64_t versions_after_ = 0;
 };
 
 }  // namespace mimosabend
--- a/src/fleet_directory.cpp
+++ b/src/fleet_directory.cpp
@@ -17,7 +17,7 @@
   return true;
 }
 
-bool FleetDirectory::Put(FleetEndpoint endpoint) {
+bool FleetDirectory::Put(FleetEndpoint endpoint, MonotonicTime read_at) {
   const auto it = entries_.find(endpoint.id);
   const bool restarted =
       it != entries_.end() && (it->second.endpoint.started_ms != endpoint.started_ms ||
@@ -25,10 +25,12 @@
   if (it == entries_.end() || restarted) {
     DirectoryEntry entry;
     entry.endpoint = std::move(endpoint);
+    entry.read_at = read_at;
     entries_[entry.endpoint.id] = std::move(entry);
     return true;
   }
   it->second.endpoint = std::move(endpoint);
+  it->second.read_at = std::max(it->second.read_at, read_at);
   it->second.missing_since.reset();
   it->second.refused.clear();
   return false;
@@ -59,7 +61,8 @@
     return since && now - *since >= reappear_time_;
   });
   for (auto& [id, entry] : entries_) {
-    if (entry.known && now - entry.known->noted > kNewsLifetime) entry.known.reset();
+    const bool old = entry.known && now - entry.known->noted > kNewsLifetime;
+    if (old && entry.read_at > entry.known->noted) entry.known.reset();
   }
 }
 
@@ -71,9 +74,9 @@
   it->second.refused.clear();
 }
 
-void FleetDirectory::RefreshKnown(MonotonicTime now) {
+void FleetDirectory::RefreshKnown(MonotonicTime at) {
   for (auto& [id, entry] : entries_) {
-    if (entry.known) entry.known->noted = now;
+    if (entry.known) entry.known->noted = std::max(entry.known->noted, at);
   }
 }
 
@@ -82,8 +85,26 @@
   if (it != entries_.end()) it->second.refused.insert(held);
 }
 
+bool FleetDirectory::NoteLeaving(const std::string& id, std::int64_t started_ms) {
+  const auto it = entries_.find(id);
+  if (it == entries_.end() || it->second.endpoint.started_ms != started_ms) return false;
+  if (it->second.said_leaving) return false;
+  it->second.said_leaving = true;
+  return true;
+}
+
+std::vector<std::string> FleetDirectory::Leaving() const {
+  std::vector<std::string> leaving;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.said_leaving) leaving.push_back(id);
+  }
+  return leaving;
+}
+
 Usability FleetDirectory::UsabilityOf(const DirectoryEntry& entry, MonotonicTime now) const {
-  if (entry.endpoint.state == EndpointState::kDraining) return Usability::kUnusable;
+  if (entry.endpoint.state == EndpointState::kDraining || entry.said_leaving) {
+    return Usability::kUnusable;
+  }
   if (!entry.missing_since) return Usability::kUsable;
   return now - *entry.missing_since < reappear_time_ ? Usability::kLastResort
                                                      : Usability::kUnusable;
--- a/src/fleet_directory.h
+++ b/src/fleet_directory.h
@@ -33,9 +33,13 @@
 
 struct DirectoryEntry {
   FleetEndpoint endpoint;
+  // The endpoint has said itself that it leaves, which holds whatever the store says of it.
+  bool said_leaving = false;
   // Set while the entry is missing in the store.
   std::optional<MonotonicTime> missing_since;
   std::optional<KnownHoldings> known;
+  // When the entry was last read in the store, with what the engine had registered.
+  MonotonicTime read_at;
   // Models and adapters ("MODEL/ADAPTER") that the engine refused since the last news of it.
   std::set<std::string> refused;
 
@@ -51,7 +55,8 @@
 // The configuration and the endpoints as this daemon knows them. Not thread-safe.
 class FleetDirectory {
  public:
-  // News of the leader is used for this long without any further word from a leader.
+  // News of the leader is used for this long without any further word from a leader, and then until
+  // the entry has been read in the store.
   static constexpr milliseconds kNewsLifetime{6000};
 
   // `reappear_time`: how long an entry that vanished counts as lapsed rather than gone.
@@ -64,8 +69,9 @@
   bool Adopt(FleetConfig config);
   std::shared_ptr<const FleetConfig> config() const { return config_; }
 
-  // Notes an entry. Returns true if it is a new incarnation.
-  bool Put(FleetEndpoint endpoint);
+  // Notes an entry. `read_at` is set if it comes from the store itself and tells what an engine
+  // holds. Returns true if it is a new incarnation.
+  bool Put(FleetEndpoint endpoint, MonotonicTime read_at = MonotonicTime());
   // Notes that an entry is missing.
   void Remove(const std::string& id, MonotonicTime now);
   // Notes that exactly these entries exist.
@@ -76,11 +82,17 @@
   // Notes what the placement leader knows of an engine. No effect on other incarnations.
   void NoteKnown(const std::string& id, std::int64_t started_ms, const EngineHoldings& holdings,
                  MonotonicTime now);
-  // Notes that the leader still stands by its news.
-  void RefreshKnown(MonotonicTime now);
+  // Notes that the leader stood by its news at a point of time.
+  void RefreshKnown(MonotonicTime at);
   // Notes that an engine said that it does not hold a model or adapter.
   void NoteRefused(const std::string& id, const std::string& held);
 
+  // Notes that an incarnation of an endpoint leaves. False if that is known, or the incarnation is
+  // not.
+  bool NoteLeaving(const std::string& id, std::int64_t started_ms);
+  // Endpoints that have said that they leave.
+  std::vector<std::string> Leaving() const;
+
   Usability UsabilityOf(const DirectoryEntry& entry, MonotonicTime now) const;
 
   const std::map<std::string, DirectoryEntry>& entries() const { return entries_; }
--- a/src/fleet_follower.h
+++ b/src/fleet_follower.h
@@ -17,12 +17,13 @@
 struct ItemHandlers {
   // An item was written.
   std::function<void(const KvItem&, MonotonicTime)> put;
-  // An item was deleted.
-  std::function<void(const std::string& key, MonotonicTime)> remove;
-  // Exactly these keys exist.
-  std::function<void(const std::set<std::string>&, MonotonicTime)> keep_only;
-  // A batch of changes has been handled.
-  std::function<void(MonotonicTime)> done;
+  // An item was deleted, at `revision` or before.
+  std::function<void(const std::string& key, std::uint64_t revision, MonotonicTime)> remove;
+  // Exactly these keys exist at a revision.
+  std::function<void(const std::set<std::string>&, std::uint64_t revision, MonotonicTime)>
+      keep_only;
+  // A batch of changes has been handled: everything up to a revision is known.
+  std::function<void(std::uint64_t revision, MonotonicTime)> done;
 };
 
 // Follows all items under a prefix of the store: a snapshot, then watches; a new snapshot when the
@@ -60,7 +61,14 @@
   void Stop() { stopping_ = true; }
 
   // Does not read the store until then, since another daemon passes on what it reads.
-  void Suspend(MonotonicTime until) { suspended_until_ = until; }
+  void Suspend(MonotonicTime until) {
+    const bool earlier = until < suspended_until_;
+    suspended_until_ = until;
+    if (earlier) wake_.NotifyAll();
+  }
+
+  // Failed calls are repeated with at most this pause.
+  void set_longest_retry_delay(milliseconds delay) { longest_retry_delay_ = delay; }
 
   // Reads all items once, also while suspended.
   void ReadNow() {
@@ -73,26 +81,32 @@
   bool has_read() const { return has_read_; }
   // Whether the items are followed and the last call to the store succeeded.
   bool in_touch() const { return synced_ && failures_ == 0; }
+  // The store held the known items then.
+  MonotonicTime confirmed() const { return confirmed_; }
 
  private:
   // A watch is asked for anew after this time, so that a silent connection is noticed.
   static constexpr milliseconds kWatchWait{4000};
   static constexpr milliseconds kFirstRetryDelay{50};
   static constexpr milliseconds kLongestRetryDelay{400};
+  // An answer to a watch may be as old as this when it arrives.
+  static constexpr milliseconds kAnswerAge{250};
 
   Task<void> TakeSnapshot() {
+    const MonotonicTime sent_at = MonotonicNow();
     auto snapshot = co_await store_->Snapshot(prefix_);
     if (!snapshot) co_return co_await Fail(snapshot.error());
     NoteSuccess();
+    confirmed_ = std::max(confirmed_, sent_at);
     const MonotonicTime now = MonotonicNow();
     std::set<std::string> keys;
     for (const KvItem& item : snapshot.value().items) {
       keys.insert(item.key);
       handlers_.put(item, now);
     }
-    handlers_.keep_only(keys, now);
-    handlers_.done(now);
     revision_ = snapshot.value().revision;
+    handlers_.keep_only(keys, revision_, now);
+    handlers_.done(revision_, now);
     synced_ = true;
     has_read_ = true;
   }
@@ -107,16 +121,17 @@
       co_return;
     }
     const MonotonicTime now = MonotonicNow();
+    confirmed_ = std::max(confirmed_, now - kAnswerAge);
+    revision_ = std::max(revision_, changes.value().revision);
     for (const KvItem& item : changes.value().items) {
       if (item.entry.exists()) {
         handlers_.put(item, now);
       } else {
-        handlers_.remove(item.key, now);
+        handlers_.remove(item.key, revision_, now);
       }
     }
-    revision_ = std::max(revision_, changes.value().revision);
+    handlers_.done(revision_, now);
     if (changes.value().items.empty()) co_return;
-    handlers_.done(now);
     co_await Sleep(batch_delay_);
   }
 
@@ -127,8 +142,8 @@
     // A watch that was cut may be asked for anew while the history that it needs is being dropped,
     // and then hears of nothing until its wait is over: only a snapshot shows what is there.
     synced_ = false;
-    const int doublings = std::min(failures_ - 1, 4);
-    co_await Sleep(std::min(kFirstRetryDelay * (1 << doublings), kLongestRetryDelay));
+    const int doublings = std::min(failures_ - 1, 8);
+    co_await Sleep(std::min(kFirstRetryDelay * (1 << doublings), longest_retry_delay_));
   }
 
   void NoteSuccess() {
@@ -144,6 +159,8 @@
   int failures_ = 0;
   Notifier wake_;
   MonotonicTime suspended_until_;
+  milliseconds longest_retry_delay_ = kLongestRetryDelay;
+  MonotonicTime confirmed_;
   bool read_now_ = false;
   bool synced_ = false;
   bool has_read_ = false;
--- a/src/fleet_usage.cpp
+++ b/src/fleet_usage.cpp
@@ -15,6 +15,15 @@
 
 }  // namespace
 
+void AddAdapterRequests(ModelUsage* usage, const AdapterRequests& more) {
+  for (AdapterRequests& known : usage->adapters) {
+    if (known.adapter != more.adapter) continue;
+    known.requests += more.requests;
+    return;
+  }
+  usage->adapters.push_back(more);
+}
+
 EndpointLoad::EndpointLoad(std::uint32_t endpoint, const EndpointWork& work)
     : number(endpoint),
       requests(ToUnits(work.requests, 1)),
--- a/src/fleet_usage.h
+++ b/src/fleet_usage.h
@@ -6,10 +6,12 @@
 #include <vector>
 
 #include "codec.h"
-#include "directory_feed.h"
+#include "directory_log.h"
 #include "endpoint_stats.h"
 #include "fleet_endpoint.h"
+#include "holdings_log.h"
 #include "peer_message.h"
+#include "relay_plan.h"
 
 namespace mimosabend {
 
@@ -50,8 +52,10 @@
   }
 };
 
-// Work of one daemon, or of all others, at an endpoint. Endpoints have the numbers that the
-// leader's directory gives them.
+// Counts requests for an adapter. Thread-safe.
+void AddAdapterRequests(ModelUsage* usage, const AdapterRequests& more);
+
+// Work of one daemon, or of all others, at an endpoint; see EndpointNumber.
 struct EndpointLoad {
   // Tokens in one unit of the figures below.
   static constexpr std::uint64_t kUnreadUnit = 64;
@@ -98,50 +102,58 @@
   }
 };
 
-// Tells the placement leader what a daemon does. TCP.
-struct UsageReport {
-  static constexpr PeerMessageType kType = PeerMessageType::kUsageReport;
-  // The leader's term, and the news and directory of it that the daemon knows.
-  std::uint64_t fence = 0;
+// What a daemon knows of the fleet, so that it is told only what is new.
+struct KnownState {
+  std::uint64_t config_version = 0;
+  std::uint64_t directory_revision = 0;
   std::uint64_t news_version = 0;
-  std::uint64_t directory_version = 0;
-  std::vector<ModelUsage> models;
-  std::vector<EndpointLoad> loads;
-  std::vector<EngineRuns> runs;
-  // Numbers of endpoints that the daemon can't reach.
-  std::vector<std::uint32_t> unreachable;
+  std::uint64_t plan_version = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(fence, news_version, directory_version);
-    SerializeNumbers(archive, unreachable);
-    SerializeList(archive, models);
-    SerializeList(archive, loads);
-    SerializeList(archive, runs);
+    archive(config_version, directory_revision, news_version, plan_version);
   }
 };
 
-// A model that an engine holds.
-struct ModelNews {
-  std::string name;
-  std::vector<std::string> adapters;
+// What a daemon knows of the store's contents.
+struct StoreView {
+  // The contents were read from the store this long ago.
+  std::uint32_t age_ms = 0;
+  std::uint64_t config_version = 0;
+  DirectoryChanges directory;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    SerializeName(archive, name);
-    SerializeNames(archive, adapters);
+    archive(age_ms, config_version);
+    directory.serialize(archive);
   }
 };
 
-// What an engine holds, as the leader knows it.
-struct EndpointNews {
-  std::uint32_t number = 0;
-  std::vector<ModelNews> models;
+// Tells the placement leader, or a relay on the way to it, what a daemon and those that report to
+// it do. TCP.
+struct UsageReport {
+  static constexpr PeerMessageType kType = PeerMessageType::kUsageReport;
+  DaemonInfo sender;
+  // Daemons whose reports are part of this one.
+  std::vector<DaemonInfo> relayed;
+  KnownState known;
+  std::vector<ModelUsage> models;
+  std::vector<EndpointLoad> loads;
+  std::vector<EngineRuns> runs;
+  // Numbers of endpoints that a daemon can't reach, and of those that have said that they leave.
+  std::vector<std::uint32_t> unreachable;
+  std::vector<std::uint32_t> leaving;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(number);
+    sender.serialize(archive);
+    SerializeList(archive, relayed);
+    known.serialize(archive);
+    SerializeNumbers(archive, unreachable);
+    SerializeNumbers(archive, leaving);
     SerializeList(archive, models);
+    SerializeList(archive, loads);
+    SerializeList(archive, runs);
   }
 };
 
@@ -168,24 +180,38 @@
   }
 };
 
+// Who leads placement, as far as the answering daemon knows.
+struct LeaderNotice {
+  // Fencing token of its term; 0 if no leader is known.
+  std::uint64_t fence = 0;
+  Address address;
+  // It was last heard of this long ago.
+  std::uint32_t age_ms = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SerializeName(archive, address.ip);
+    archive(fence, address.port, age_ms);
+  }
+};
+
 struct UsageAnswer {
   static constexpr PeerMessageType kType = PeerMessageType::kUsageAnswer;
-  // False if the answering daemon is not the leader; the rest is empty then.
-  bool is_leader = false;
-  std::uint64_t fence = 0;
-  std::uint64_t news_version = 0;
+  // False if the answering daemon neither leads nor is a relay; the rest is empty then.
+  bool accepted = false;
+  LeaderNotice leader;
   // Daemons that report to the leader.
   std::uint32_t daemons = 0;
   std::uint32_t next_report_ms = 0;
-  // The leader has lately read the store, so that the version and the directory are what it holds.
-  bool store_is_fresh = false;
-  std::uint64_t config_version = 0;
-  std::uint64_t directory_version = 0;
-  // Changes after the version of the report, or the whole directory if the term is another one.
-  std::vector<EndpointChange> directory;
+  StoreView view;
+  std::uint64_t news_version = 0;
   std::vector<EndpointNews> news;
   std::vector<EndpointLoad> others;
   std::vector<PendingLoad> loads;
+  // Numbers of endpoints that have said that they leave.
+  std::vector<std::uint32_t> leaving;
+  // Without domains if the reporting daemon knows the plan.
+  RelayPlan plan;
   // The leader is about to give the lead up and sends no more orders. The next two members are set
   // only then, so that its successor need not wait for engines that had no order lately.
   bool resigning = false;
@@ -197,14 +223,38 @@
     SerializeFlag(archive, resigning);
     SerializeName(archive, holder);
     SerializeList(archive, recent_orders);
-    SerializeFlag(archive, is_leader);
-    archive(fence, news_version, daemons, next_report_ms);
-    SerializeFlag(archive, store_is_fresh);
-    archive(config_version, directory_version);
-    SerializeList(archive, directory);
+    SerializeFlag(archive, accepted);
+    leader.serialize(archive);
+    archive(daemons, next_report_ms, news_version);
+    view.serialize(archive);
     SerializeList(archive, news);
     SerializeList(archive, others);
     SerializeList(archive, loads);
+    SerializeNumbers(archive, leaving);
+    plan.serialize(archive);
+  }
+};
+
+// Asks any daemon for what it knows of the store's contents. TCP.
+struct ViewRequest {
+  static constexpr PeerMessageType kType = PeerMessageType::kViewRequest;
+  std::uint64_t directory_revision = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(directory_revision);
+  }
+};
+
+struct ViewAnswer {
+  static constexpr PeerMessageType kType = PeerMessageType::kViewAnswer;
+  StoreView view;
+  LeaderNotice leader;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    view.serialize(archive);
+    leader.serialize(archive);
   }
 };
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -11,7 +11,10 @@
 
 #include "bounded_appender.h"
 #include "digest.h"
+#include "document_parts.h"
 #include "fleet_follower.h"
+#include "fleet_state.h"
+#include "leader_finder.h"
 #include "leader_link.h"
 #include "log.h"
 #include "metrics.h"
@@ -21,6 +24,7 @@
 #include "platform/platform_store.h"
 #include "platform/request_headers.h"
 #include "relay_handler.h"
+#include "state_sync.h"
 #include "supervisor.h"
 #include "view_age.h"
 
@@ -73,6 +77,18 @@
   return timings;
 }
 
+// Signs the messages between the daemons of one fleet, so that those of another one at an address
+// that was used again are refused. It is no secret: whoever reaches the store can change more.
+std::string FleetKey(const GatewaySettings& settings) {
+  return Sha256Hex("mimosabend fleet " + ToString(settings.store));
+}
+
+// What other daemons know of this one.
+DaemonInfo InfoOf(const GatewaySettings& settings) {
+  return {settings.peer_address, settings.failure_domain,
+          HostCapacity(settings.cores, settings.link_mbps)};
+}
+
 // How long the host has been suspended since it started.
 milliseconds SuspendedTime() {
   timespec with_suspension{};
@@ -96,6 +112,7 @@
 
  private:
   using Leader = PlacementLeader<PlatformStore, EngineOrders>;
+  using Finder = LeaderFinder<PlatformStore, EngineOrders>;
   using Link = LeaderLink<PlatformStore, EngineOrders>;
 
   bool IsReady() const;
@@ -105,11 +122,12 @@
   ItemHandlers ConfigHandlers();
   ItemHandlers EndpointHandlers();
   PlacementHooks MakeHooks();
-  void AdoptConfig(const KvItem& item);
+  bool AdoptConfig(const std::string& text, const std::string& source);
   void PutItem(const KvItem& item, MonotonicTime now);
-  void PutEndpoint(FleetEndpoint endpoint);
-  bool IsStoreFresh(MonotonicTime now) const;
-  RelayedView MakeView();
+  void PutEndpoint(FleetEndpoint endpoint, MonotonicTime read_at);
+  void ConfirmReading();
+  StateHooks MakeStateHooks();
+  LinkSettings MakeLinkSettings();
   Task<void> Tick();
   void ApplyRetryLimits();
   Task<void> UpdateMetrics();
@@ -124,8 +142,7 @@
   asio::io_context* io_;
   GatewaySettings settings_;
   SettingsReader reread_;
-  // With this key others sign their messages to this process.
-  std::string message_key_;
+  std::string fleet_key_;
   Metrics metrics_;
   RelayMetrics relay_metrics_;
   Supervisor supervisor_;
@@ -135,6 +152,7 @@
   PlatformStore store_;
   EngineOrders orders_;
   FleetDirectory directory_;
+  FleetState state_;
   EndpointStats stats_;
   PrefixIndex prefixes_;
   EndpointSelector selector_;
@@ -143,6 +161,8 @@
   Leader leader_;
   PeerClient peer_client_;
   PeerServer peer_server_;
+  StateSync sync_;
+  Finder finder_;
   Link link_;
   RelayHandler relay_;
   FleetFollower<PlatformStore> config_follower_;
@@ -160,7 +180,7 @@
     : io_(io),
       settings_(settings),
       reread_(std::move(reread)),
-      message_key_(Hex64(RandomId()) + Hex64(RandomId())),
+      fleet_key_(FleetKey(settings)),
       supervisor_(io->get_executor(), &metrics_, "gateway",
                   [this](const std::string& task) {
                     LOG4CPLUS_ERROR(Log(), "task " << task << " failed for good, ends");
@@ -177,17 +197,19 @@
                 RandomId()),
       board_(io->get_executor()),
       lease_(&store_, LeaseTimings(settings.bounds.holder_gap)),
-      leader_(io->get_executor(), &store_, &orders_, &lease_, &directory_,
-              PlacementLeaderSettings{settings.name + " " + settings.caller_address.ip,
-                                      settings.peer_address, message_key_,
-                                      settings.bounds.holder_gap, settings.bounds.fencing_required,
-                                      settings.bounds.ceiling_window, settings.bounds.ceiling_over,
-                                      [this](MonotonicTime now) { return IsStoreFresh(now); }}),
-      peer_client_(io->get_executor(), {settings.name, "", {}}, &metrics_),
-      peer_server_(io->get_executor(), {settings.name, message_key_, {}}, &metrics_,
+      leader_(io->get_executor(), &store_, &orders_, &lease_, &directory_, &state_,
+              PlacementLeaderSettings{
+                  settings.name + " " + settings.caller_address.ip, settings.peer_address,
+                  settings.bounds.holder_gap, settings.bounds.fencing_required,
+                  settings.bounds.ceiling_window, settings.bounds.ceiling_over}),
+      peer_client_(io->get_executor(), {settings.name, fleet_key_, {}}, &metrics_),
+      peer_server_(io->get_executor(), {settings.name, fleet_key_, {}}, &metrics_,
                    [this](Envelope request) { return HandlePeer(std::move(request)); }),
-      link_(settings.name, &store_, &lease_, &peer_client_, &leader_, &directory_, &stats_, &board_,
-            MakeView(), RandomId()),
+      sync_(io->get_executor(), &peer_client_, &state_, &directory_, &board_, MakeStateHooks()),
+      finder_(&store_, &lease_, &leader_, &state_, InfoOf(settings).capacity, RandomId()),
+      link_(MakeLinkSettings(),
+            {&peer_client_, &leader_, &finder_, &state_, &sync_, &directory_, &stats_, &board_},
+            RandomId()),
       relay_({&endpoint_client_, &directory_, &stats_, &prefixes_, &selector_, &board_,
               &relay_metrics_, MakeHooks()},
              RandomId()),
@@ -219,10 +241,13 @@
 
 ItemHandlers Gateway::ConfigHandlers() {
   ItemHandlers handlers;
-  handlers.put = [this](const KvItem& item, MonotonicTime) { AdoptConfig(item); };
-  handlers.remove = [](const std::string&, MonotonicTime) {};
-  handlers.keep_only = [](const std::set<std::string>&, MonotonicTime) {};
-  handlers.done = [](MonotonicTime) {};
+  handlers.put = [this](const KvItem& item, MonotonicTime) {
+    if (item.key != PlatformStore::config_key()) return;
+    AdoptConfig(item.entry.value, "the store, revision " + std::to_string(item.entry.version));
+  };
+  handlers.remove = [](const std::string&, std::uint64_t, MonotonicTime) {};
+  handlers.keep_only = [](const std::set<std::string>&, std::uint64_t, MonotonicTime) {};
+  handlers.done = [](std::uint64_t, MonotonicTime) {};
   return handlers;
 }
 
@@ -230,37 +255,46 @@
   const std::size_t prefix = PlatformStore::endpoint_prefix().size();
   ItemHandlers handlers;
   handlers.put = [this](const KvItem& item, MonotonicTime now) { PutItem(item, now); };
-  handlers.remove = [this, prefix](const std::string& key, MonotonicTime now) {
+  handlers.remove = [this, prefix](const std::string& key, std::uint64_t revision,
+                                   MonotonicTime now) {
     LOG4CPLUS_INFO(Log(), "endpoint " << key.substr(prefix) << " is gone from the store");
     directory_.Remove(key.substr(prefix), now);
+    state_.directory().Remove(key.substr(prefix), revision);
   };
-  handlers.keep_only = [this, prefix](const std::set<std::string>& keys, MonotonicTime now) {
+  handlers.keep_only = [this, prefix](const std::set<std::string>& keys, std::uint64_t revision,
+                                      MonotonicTime now) {
     std::set<std::string> ids;
     for (const std::string& key : keys) ids.insert(key.substr(prefix));
     directory_.KeepOnly(ids, now);
+    state_.directory().KeepOnly(ids, revision);
+  };
+  handlers.done = [this](std::uint64_t revision, MonotonicTime) {
+    state_.directory().Advance(revision);
+    board_.changed().NotifyAll();
   };
-  handlers.done = [this](MonotonicTime) { board_.changed().NotifyAll(); };
   return handlers;
 }
 
-void Gateway::AdoptConfig(const KvItem& item) {
-  if (item.key != PlatformStore::config_key()) return;
-  auto config = platform::DecodeConfig(item.entry.value);
+// Takes a configuration into force. False if it can't be used or is not newer.
+bool Gateway::AdoptConfig(const std::string& text, const std::string& source) {
+  auto config = platform::DecodeConfig(text);
   if (!config) {
-    LOG4CPLUS_ERROR(Log(), "configuration at revision " << item.entry.version
-                                                        << " is not used: " << config.error());
-    return;
+    LOG4CPLUS_ERROR(Log(), "configuration of " << source << " is not used: " << config.error());
+    return false;
   }
   const std::uint64_t version = config.value().version;
+  const bool known = version == state_.config().version();
   const HttpLimits limits = config.value().limits;
   if (!directory_.Adopt(std::move(config).value())) {
     LOG4CPLUS_WARN(Log(), "configuration " << version << " is older than the one in force");
-    return;
+    return false;
   }
+  if (known) return true;
+  if (version > 0) state_.SetConfig(PartedDocument(version, SplitJsonDocument(text)));
   caller_server_.set_limits(limits);
   relay_metrics_.config_version->Set(static_cast<double>(version));
-  LOG4CPLUS_INFO(Log(),
-                 "configuration " << version << " is in force, revision " << item.entry.version);
+  LOG4CPLUS_INFO(Log(), "configuration " << version << " is in force, from " << source);
+  return true;
 }
 
 void Gateway::PutItem(const KvItem& item, MonotonicTime now) {
@@ -269,48 +303,67 @@
   if (!endpoint) {
     LOG4CPLUS_WARN(Log(), "entry " << item.key << " names no endpoint that can be used");
     directory_.Remove(id, now);
+    state_.directory().Remove(id, item.entry.version);
     return;
   }
-  PutEndpoint(std::move(*endpoint));
+  state_.directory().Put(*endpoint, item.entry.version);
+  PutEndpoint(std::move(*endpoint), now);
 }
 
-void Gateway::PutEndpoint(FleetEndpoint endpoint) {
+void Gateway::PutEndpoint(FleetEndpoint endpoint, MonotonicTime read_at) {
   const std::string id = endpoint.id;
+  const std::int64_t started_ms = endpoint.started_ms;
   const DirectoryEntry* known = directory_.Find(id);
   const bool draining = endpoint.state == EndpointState::kDraining;
   const bool drains_now =
       draining && (known == nullptr || known->endpoint.state != EndpointState::kDraining);
-  const bool created = directory_.Put(std::move(endpoint));
+  const bool created = directory_.Put(std::move(endpoint), read_at);
   if (created) {
     stats_.Forget(id);
     prefixes_.Forget(id);
+    const EndpointNews* news = state_.holdings().Find(EndpointNumber(id, started_ms));
+    if (news != nullptr) {
+      directory_.NoteKnown(id, started_ms, ToHoldings(*news), state_.leader_heard());
+    }
   }
   if (created || drains_now) {
     LOG4CPLUS_INFO(Log(), "endpoint " << id << (draining ? " drains" : " is registered"));
   }
 }
 
-// Whether the followers show what the store holds now.
-bool Gateway::IsStoreFresh(MonotonicTime now) const {
-  return config_follower_.in_touch() && endpoint_follower_.in_touch() &&
-         now - store_.last_answered() < kStoreFreshness;
+// Notes until when the followers have shown what the store holds.
+void Gateway::ConfirmReading() {
+  const auto confirmed = [this](const FleetFollower<PlatformStore>& follower) {
+    return follower.in_touch() ? std::max(follower.confirmed(), store_.last_answered())
+                               : follower.confirmed();
+  };
+  state_.Confirm(std::min(confirmed(config_follower_), confirmed(endpoint_follower_)));
 }
 
-RelayedView Gateway::MakeView() {
-  RelayedView view;
-  view.lifetime = RelayedLifetime(settings_.bounds);
-  view.put = [this](FleetEndpoint endpoint) { PutEndpoint(std::move(endpoint)); };
-  view.suspend_reading = [this](MonotonicTime until) {
-    // Each follower reads the store once before it relies on others.
-    if (config_follower_.has_read()) config_follower_.Suspend(until);
-    if (endpoint_follower_.has_read()) endpoint_follower_.Suspend(until);
+StateHooks Gateway::MakeStateHooks() {
+  StateHooks hooks;
+  hooks.put = [this](FleetEndpoint endpoint) { PutEndpoint(std::move(endpoint), MonotonicTime()); };
+  hooks.adopt_config = [this](const PartedDocument& document) {
+    return AdoptConfig(document.Text(), "another daemon");
   };
-  view.read_config = [this] { config_follower_.ReadNow(); };
-  return view;
+  hooks.read_config = [this] { config_follower_.ReadNow(); };
+  return hooks;
+}
+
+LinkSettings Gateway::MakeLinkSettings() {
+  LinkSettings link;
+  link.name = settings_.name;
+  link.self = InfoOf(settings_);
+  link.relayed_lifetime = RelayedLifetime(settings_.bounds);
+  link.suspend_reading = [this](MonotonicTime until) {
+    if (state_.config().version() > 0) config_follower_.Suspend(until);
+    if (state_.directory().revision() > 0) endpoint_follower_.Suspend(until);
+  };
+  return link;
 }
 
 bool Gateway::IsReady() const {
-  return !stopping_ && directory_.config() != nullptr && endpoint_follower_.has_read();
+  return !stopping_ && directory_.config() != nullptr && state_.directory().revision() > 0;
 }
 
 Task<void> Gateway::HandleReadiness(HttpExchange& exchange) {
@@ -330,9 +383,22 @@
   if (request.type == PeerMessageType::kUsageReport) {
     auto report = Unwrap<UsageReport>(request);
     if (!report) co_return outcome::failure(report.error());
-    const UsageAnswer answer = leader_.HandleReport(request.sender, report.value(), MonotonicNow());
+    const UsageAnswer answer = link_.HandleReport(request.sender, report.value(), MonotonicNow());
     co_return Wrap(answer, settings_.name, 0, WallNow());
   }
+  if (request.type == PeerMessageType::kViewRequest) {
+    auto message = Unwrap<ViewRequest>(request);
+    if (!message) co_return outcome::failure(message.error());
+    const MonotonicTime now = MonotonicNow();
+    const ViewAnswer answer{state_.ViewSince(message.value().directory_revision, now),
+                            state_.Notice(now)};
+    co_return Wrap(answer, settings_.name, 0, WallNow());
+  }
+  if (request.type == PeerMessageType::kDocumentRequest) {
+    auto message = Unwrap<DocumentRequest>(request);
+    if (!message) co_return outcome::failure(message.error());
+    co_return Wrap(state_.config().Answer(message.value()), settings_.name, 0, WallNow());
+  }
   if (request.type == PeerMessageType::kAdapterRequest) {
     auto message = Unwrap<AdapterRequest>(request);
     if (!message) co_return outcome::failure(message.error());
@@ -345,6 +411,9 @@
 Task<void> Gateway::Tick() {
   for (;;) {
     directory_.Tick(MonotonicNow());
+    state_.holdings().KeepIf(
+        [this](std::uint32_t number) { return state_.directory().FindNumber(number) != nullptr; });
+    ConfirmReading();
     ApplyRetryLimits();
     co_await Sleep(kTickPeriod);
   }
@@ -446,7 +515,7 @@
       MonotonicNow() + std::min(kTakesRequests, settings_.bounds.shutdown_grace / 3);
   relay_.SetEnd(refuse_from, end - kRefusalMargin);
   caller_server_.AnnounceClose();
-  link_.StandBack();
+  finder_.StandBack();
   co_await Sleep(kBalancerDelay);
   caller_server_.StopAccepting();
   // The lead is kept while requests are open, since another daemon can't take it while the store is
@@ -504,6 +573,7 @@
   supervisor_.Start("endpoints", [this] { return endpoint_follower_.Run(); });
   supervisor_.Start("lease", [this] { return lease_.Run(); });
   supervisor_.Start("leader link", [this] { return link_.Run(); });
+  supervisor_.Start("view requests", [this] { return link_.RunViewRequests(); });
   supervisor_.Start("placement leader", [this] { return leader_.Run(); });
   supervisor_.Start("tick", [this] { return Tick(); });
   supervisor_.Start("metrics", [this] { return UpdateMetrics(); });
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -10,6 +10,8 @@
 
 constexpr double kLongestMillis = 600000;
 constexpr double kLongestWindow = 3600;
+constexpr double kMostCores = 4096;
+constexpr double kFastestLink = 1e6;
 constexpr double kMillisPerSecond = 1000;
 
 // The platform may write a bound as a fraction.
@@ -76,6 +78,11 @@
           settings.metrics_address = ReadAddress(section, "metrics");
         }},
        {"platform", [&](IniSection* section) { settings.store = ReadAddress(section, "store"); }},
+       {"host",
+        [&](IniSection* section) {
+          settings.cores = section->Number("cores", 0, kMostCores, settings.cores);
+          settings.link_mbps = section->Number("link_mbps", 0, kFastestLink, settings.link_mbps);
+        }},
        {"bounds", [&](IniSection* section) { ReadBounds(section, &settings.bounds); }},
        {"log", [&](IniSection* section) {
           settings.log = ReadLog(section);
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -45,6 +45,9 @@
   Address peer_address;
   Address metrics_address;
   Address store;
+  // What the host gives this process.
+  double cores = 0.25;
+  double link_mbps = 1000;
   GatewayBounds bounds;
   LogSettings log;
 };
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -6,82 +6,115 @@
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
+#include <utility>
 
 #include "endpoint_stats.h"
 #include "fleet_directory.h"
+#include "fleet_state.h"
 #include "fleet_store.h"
 #include "fleet_usage.h"
+#include "leader_finder.h"
 #include "log.h"
 #include "peer_transport.h"
 #include "placement_leader.h"
+#include "report_desk.h"
+#include "state_sync.h"
+#include "uplink.h"
 #include "usage_board.h"
+#include "view_age.h"
 
 namespace mimosabend {
 
-// What a daemon does with the leader's view of the store.
-struct RelayedView {
-  // How long an answer of the leader stands in for reading the store; zero for never.
-  milliseconds lifetime{0};
-  std::function<void(FleetEndpoint)> put;
+// How a daemon takes part in spreading the fleet's state.
+struct LinkSettings {
+  std::string name;
+  // Where other daemons reach this one, and what they know of its host.
+  DaemonInfo self;
+  // How long what other daemons tell of the store stands in for reading it, beyond kStoreFreshness;
+  // zero for never.
+  milliseconds relayed_lifetime{0};
   // The store need not be read until then.
   std::function<void(MonotonicTime)> suspend_reading;
-  // The leader has a newer configuration.
-  std::function<void()> read_config;
 };
 
-// A daemon's link to the placement leader: finds it in the store, or takes the lead if there is
-// none, reports what this daemon does, and takes in the leader's news. Not thread-safe.
+// A daemon's link to the placement leader: finds it, or takes the lead if there is none, reports
+// what this daemon and those that report to it do, and takes in and passes on the fleet's state.
+// Not thread-safe.
 template <FleetStore Store, FleetEngines Engines>
 class LeaderLink {
  public:
   using Leader = PlacementLeader<Store, Engines>;
+  using Finder = LeaderFinder<Store, Engines>;
 
-  // Precondition: all pointers outlive this object.
-  LeaderLink(std::string name, Store* store, LeaseKeeper<Store>* lease, PeerClient* peers,
-             Leader* leader, FleetDirectory* directory, EndpointStats* stats, UsageBoard* board,
-             RelayedView view, std::uint64_t seed)
-      : name_(std::move(name)),
-        store_(store),
-        lease_(lease),
-        peers_(peers),
-        leader_(leader),
-        directory_(directory),
-        stats_(stats),
-        board_(board),
-        view_(std::move(view)),
+  // What the link works with. Precondition: all pointers outlive the link.
+  struct Parts {
+    PeerClient* peers;
+    Leader* leader;
+    Finder* finder;
+    FleetState* state;
+    StateSync* sync;
+    FleetDirectory* directory;
+    EndpointStats* stats;
+    UsageBoard* board;
+  };
+
+  LeaderLink(LinkSettings settings, Parts parts, std::uint64_t seed)
+      : settings_(std::move(settings)),
+        parts_(parts),
+        uplink_(settings_.self.address, settings_.self.failure_domain),
         random_(seed) {}
 
   // Reports until Stop is called.
   Task<void> Run() {
     while (!stopping_) {
-      const bool reported = co_await ReportOnce();
-      const MonotonicTime now = MonotonicNow();
-      if (!reported && now - last_search_ >= kSearchPeriod) {
-        last_search_ = now;
-        co_await FindLeader();
+      uplink_.Update(parts_.state->plan(), KnownLeader());
+      const bool answered = co_await ReportOnce();
+      if (stopping_) break;
+      if (ShouldSearch(MonotonicNow())) {
+        last_search_ = MonotonicNow();
+        co_await parts_.finder->Search();
         continue;
       }
-      co_await Pause(reported);
+      co_await Pause(answered);
+    }
+  }
+
+  // Asks other daemons for what they know of the store while this one's view of it is old, until
+  // Stop is called.
+  Task<void> RunViewRequests() {
+    std::size_t next = 0;
+    while (!stopping_) {
+      co_await Sleep(kViewPeriod);
+      const std::vector<Address> relays = uplink_.Relays();
+      if (relays.empty() || !LooksForViews(MonotonicNow())) continue;
+      co_await parts_.sync->Ask(relays[next++ % relays.size()]);
     }
   }
 
   void Stop() { stopping_ = true; }
 
-  // Takes the lead no more.
-  void StandBack() { may_lead_ = false; }
+  // Answers the report of another daemon.
+  UsageAnswer HandleReport(const std::string& sender, const UsageReport& report,
+                           MonotonicTime now) {
+    NoteLeaving(report.leaving);
+    UsageAnswer answer = parts_.leader->IsLeader(now)
+                             ? parts_.leader->HandleReport(sender, report, now)
+                             : RelayReport(sender, report, now);
+    answer.leaving = LeavingNumbers();
+    return answer;
+  }
 
   // Asks the leader to place an adapter at an engine.
   Task<bool> PlaceAdapter(AdapterRequest request) {
-    if (leader_->IsLeader(MonotonicNow())) {
-      const AdapterAnswer answer = co_await leader_->PlaceAdapter(std::move(request));
+    if (parts_.leader->IsLeader(MonotonicNow())) {
+      const AdapterAnswer answer = co_await parts_.leader->PlaceAdapter(std::move(request));
       co_return answer.placed;
     }
-    if (!leader_address_) co_return false;
-    const Address address = *leader_address_;
-    auto answer =
-        co_await peers_->template Call<AdapterAnswer>(address, std::move(request), kAdapterTimeout);
+    const std::optional<Address> leader = KnownLeader();
+    if (!leader) co_return false;
+    auto answer = co_await parts_.peers->template Call<AdapterAnswer>(*leader, std::move(request),
+                                                                      kAdapterTimeout);
     co_return answer&& answer.value().placed;
   }
 
@@ -94,207 +127,236 @@
     return it == loads_.end() ? std::nullopt : std::optional(it->second);
   }
 
-  // Whether a leader has answered lately.
-  bool has_leader(MonotonicTime now) const { return now < answered_at_ + AnswerLifetime(); }
+  // Whether a leader has been heard of lately.
+  bool has_leader(MonotonicTime now) const {
+    return now < parts_.state->leader_heard() + AnswerLifetime();
+  }
 
  private:
-  // Long enough for the first answer of a term, which holds the whole directory, on a slow link.
+  // Long enough for the whole state of a large fleet on a slow link.
   static constexpr milliseconds kReportTimeout{800};
   static constexpr milliseconds kAdapterTimeout{600};
   static constexpr milliseconds kSearchPeriod{250};
-  // Spreads the daemons that find no leader, so that few of them write to the store.
-  static constexpr milliseconds kLargestClaimDelay{400};
-  static constexpr milliseconds kLeaseWait{300};
-  static constexpr milliseconds kLeasePoll{20};
-  // While the leader's view of the store is old, all daemons together look this often whether
-  // another one leads.
+  // A leader that was not heard of for this long is looked up in the store, by daemons that a relay
+  // serves much later since the relay does so.
+  static constexpr milliseconds kLeaderSilence{900};
+  static constexpr milliseconds kLeaderSilenceOfRelayed{6000};
+  static constexpr milliseconds kRelayedSearchPeriod{1500};
+  // While the view of the store is old, all daemons together look this often whether another one
+  // leads.
   static constexpr milliseconds kLookPeriodPerDaemon{25};
   static constexpr milliseconds kLeastLookPeriod{500};
+  static constexpr std::uint32_t kMostSearchers = 16;
   // Pause between reports while requests wait for a model.
   static constexpr milliseconds kUrgentPeriod{60};
   static constexpr milliseconds kFirstPeriod{250};
+  // Pause between reports to a relay, and what each daemon that reports there adds to it.
+  static constexpr milliseconds kRelayedPeriod{400};
+  static constexpr int kRelayedMillisPerDaemon = 8;
+  // A relay that has not heard of the leader for this long sends its daemons elsewhere.
+  static constexpr milliseconds kLostLeaderTime{2500};
   // An answer counts for this long at least, and until two more reports should have been answered.
   static constexpr milliseconds kLeastAnswerLifetime{2000};
   static constexpr int kReportsPerAnswerLifetime = 2;
+  static constexpr milliseconds kViewPeriod{300};
+  // A daemon behind a relay leaves reading the store to the relays, which have a view of their own
+  // when the leader has not, unless the view becomes older than this.
+  static constexpr milliseconds kOldestRelayedView{8000};
+  static constexpr milliseconds kRelayedPatience{2500};
 
   milliseconds AnswerLifetime() const {
     return std::max(kLeastAnswerLifetime, period_ * kReportsPerAnswerLifetime);
   }
 
-  Task<void> Pause(bool reported) {
+  // The leader, unless that is this daemon.
+  std::optional<Address> KnownLeader() const {
+    const auto leader = parts_.state->leader();
+    return leader && *leader != settings_.self.address ? leader : std::nullopt;
+  }
+
+  // Whether a relay passes this daemon's reports on.
+  bool IsRelayed() const {
+    return !uplink_.is_relay() &&
+           parts_.state->plan().Find(settings_.self.failure_domain) != nullptr;
+  }
+
+  bool ShouldSearch(MonotonicTime now) const {
+    if (parts_.leader->IsLeader(now)) return ShouldLook(now);
+    const bool relayed = IsRelayed();
+    const milliseconds period = relayed ? kRelayedSearchPeriod : kSearchPeriod;
+    const milliseconds silence = relayed ? kLeaderSilenceOfRelayed : kLeaderSilence;
+    if (now - last_search_ < period) return false;
+    return now - parts_.state->leader_heard() >= silence || ShouldLook(now);
+  }
+
+  // Whether to look for another leader, since the present one can't reach the store.
+  bool ShouldLook(MonotonicTime now) const {
+    if (IsRelayed()) return false;
+    const std::uint32_t searchers = std::min(daemons_, kMostSearchers);
+    const milliseconds period = std::max(kLeastLookPeriod, kLookPeriodPerDaemon * searchers);
+    return now - parts_.state->confirmed() >= kStoreFreshness && now - last_search_ >= period;
+  }
+
+  bool LooksForViews(MonotonicTime now) const {
+    return now - parts_.state->confirmed() >= kStoreFreshness;
+  }
+
+  Task<void> Pause(bool answered) {
     const MonotonicTime now = MonotonicNow();
-    if (board_->HasWaiting()) {
+    if (parts_.board->HasWaiting() || desk_.HasWaiting(now)) {
       co_await Sleep(kUrgentPeriod);
       co_return;
     }
-    co_await board_->waiting_began().WaitUntil(now + (reported ? period_ : kFirstPeriod));
+    co_await parts_.board->waiting_began().WaitUntil(now + (answered ? period_ : kFirstPeriod));
   }
 
-  // Sends a report. Returns true if a leader has taken it in.
-  Task<bool> ReportOnce() {
+  // Endpoints that have said to some daemon that they leave.
+  std::vector<std::uint32_t> LeavingNumbers() const {
+    std::vector<std::uint32_t> numbers;
+    for (const std::string& id : parts_.directory->Leaving()) {
+      const auto number = parts_.state->directory().NumberOf(id);
+      if (number) numbers.push_back(*number);
+    }
+    return numbers;
+  }
+
+  void NoteLeaving(const std::vector<std::uint32_t>& numbers) {
+    for (std::uint32_t number : numbers) {
+      const EndpointChange* endpoint = parts_.state->directory().FindNumber(number);
+      if (endpoint != nullptr) parts_.directory->NoteLeaving(endpoint->id, endpoint->started_ms);
+    }
+  }
+
+  // What this daemon does itself.
+  UsageReport MakeReport() {
     UsageReport report;
-    report.fence = known_fence_;
-    report.news_version = known_news_;
-    report.directory_version = known_directory_;
-    for (const auto& [id, work] : stats_->own()) {
-      const auto number = numbers_.find(id);
-      if (work.requests == 0 || number == numbers_.end()) continue;
-      report.loads.emplace_back(number->second, work);
-      std::vector<ModelRuns> runs = board_->RunsAt(id);
-      if (!runs.empty()) report.runs.push_back({number->second, std::move(runs)});
+    report.sender = settings_.self;
+    report.known = {parts_.state->config().version(), parts_.state->directory().revision(),
+                    parts_.state->holdings().version(), parts_.state->plan().version};
+    report.models = parts_.board->Take();
+    for (const auto& [id, work] : parts_.stats->own()) {
+      const auto number = parts_.state->directory().NumberOf(id);
+      if (work.requests == 0 || !number) continue;
+      report.loads.emplace_back(*number, work);
+      std::vector<ModelRuns> runs = parts_.board->RunsAt(id);
+      if (!runs.empty()) report.runs.push_back({*number, std::move(runs)});
     }
-    for (const std::string& id : stats_->Unreachable(MonotonicNow())) {
-      const auto number = numbers_.find(id);
-      if (number != numbers_.end()) report.unreachable.push_back(number->second);
+    for (const std::string& id : parts_.stats->Unreachable(MonotonicNow())) {
+      const auto number = parts_.state->directory().NumberOf(id);
+      if (number) report.unreachable.push_back(*number);
     }
-    if (leader_->IsLeader(MonotonicNow())) {
-      report.models = board_->Take();
-      Apply(leader_->HandleReport(name_, report, MonotonicNow()));
+    report.leaving = LeavingNumbers();
+    return report;
+  }
+
+  // Sends a report. Returns true if it was taken in.
+  Task<bool> ReportOnce() {
+    const MonotonicTime sent_at = MonotonicNow();
+    UsageReport report = MakeReport();
+    if (parts_.leader->IsLeader(sent_at)) {
+      const UsageAnswer answer =
+          parts_.leader->HandleReport(settings_.name, report, MonotonicNow());
+      Apply(answer, sent_at);
+      settings_.suspend_reading(MonotonicTime());
       co_return true;
     }
-    if (!leader_address_) co_return false;
-    report.models = board_->Take();
-    const Address address = *leader_address_;
-    const MonotonicTime sent_at = MonotonicNow();
-    auto answer = co_await peers_->template Call<UsageAnswer>(address, report, kReportTimeout);
-    const bool former = answer && answer.value().fence < known_fence_;
-    if (!answer || !answer.value().is_leader || former) {
-      board_->Return(report.models);
-      if (!answer && ++failures_ < 2) co_return false;
-      leader_address_.reset();
+    desk_.Merge(settings_.name, &report, sent_at);
+    const std::optional<Address> uplink = uplink_.Next(sent_at);
+    if (!uplink) {
+      desk_.Return(report.models);
       co_return false;
     }
-    failures_ = 0;
-    ApplyView(answer.value(), sent_at);
-    Apply(answer.value());
-    if (answer.value().resigning) NoteHandover(answer.value());
-    co_await LookForOtherLeader(answer.value().store_is_fresh);
-    co_return true;
-  }
-
-  // Takes the leader's view of the store for this daemon's own.
-  void ApplyView(const UsageAnswer& answer, MonotonicTime sent_at) {
-    if (view_.lifetime.count() == 0 || !answer.store_is_fresh) return;
+    auto answer =
+        co_await parts_.peers->template Call<UsageAnswer>(*uplink, report, kReportTimeout);
     const MonotonicTime now = MonotonicNow();
-    const bool whole = answer.fence != known_fence_ || known_directory_ == 0;
-    std::set<std::string> ids;
-    for (const EndpointChange& change : answer.directory) {
-      if (change.gone) {
-        directory_->Remove(change.id, now);
-        continue;
-      }
-      ids.insert(change.id);
-      FleetEndpoint endpoint = ToEndpoint(change);
-      const DirectoryEntry* known = directory_->Find(change.id);
-      if (known != nullptr) endpoint.holdings = known->endpoint.holdings;
-      view_.put(std::move(endpoint));
+    const bool accepted = answer && answer.value().accepted &&
+                          answer.value().leader.fence >= parts_.state->leader_fence();
+    if (!accepted) {
+      desk_.Return(report.models);
+      uplink_.NoteFailed(now);
+      co_return false;
     }
-    if (whole) directory_->KeepOnly(ids, now);
-    if (!answer.directory.empty()) board_->changed().NotifyAll();
-    const auto config = directory_->config();
-    if (config == nullptr || answer.config_version > config->version) view_.read_config();
-    view_.suspend_reading(sent_at + view_.lifetime);
+    uplink_.NoteAnswered();
+    parts_.sync->Apply(answer.value().view, *uplink, sent_at);
+    Apply(answer.value(), sent_at);
+    SuspendReading(now);
+    if (answer.value().resigning) NoteHandover(answer.value());
+    co_return true;
   }
 
-  // Learns which numbers stand for which endpoints.
-  void LearnNumbers(const UsageAnswer& answer) {
-    if (answer.fence != known_fence_) {
-      known_directory_ = 0;
-      numbers_.clear();
-      endpoints_.clear();
+  // Leaves reading the store to others as long as what they tell is recent enough.
+  void SuspendReading(MonotonicTime now) {
+    if (settings_.relayed_lifetime.count() == 0) return;
+    const MonotonicTime confirmed = parts_.state->confirmed();
+    MonotonicTime until = confirmed + kStoreFreshness + settings_.relayed_lifetime;
+    if (IsRelayed() && now - confirmed < kOldestRelayedView) {
+      const std::int64_t spread = kRelayedPatience.count();
+      until = std::max(
+          until, now + kRelayedPatience +
+                     milliseconds(std::uniform_int_distribution<std::int64_t>(0, spread)(random_)));
     }
-    for (const EndpointChange& change : answer.directory) {
-      numbers_[change.id] = change.number;
-      endpoints_[change.number] = {change.id, change.started_ms};
-    }
-    known_fence_ = answer.fence;
-    // While the leader's view is old, this daemon follows the store itself and then needs the whole
-    // directory again.
-    known_directory_ = answer.store_is_fresh ? answer.directory_version : 0;
+    settings_.suspend_reading(until);
   }
 
-  void Apply(const UsageAnswer& answer) {
+  void Apply(const UsageAnswer& answer, MonotonicTime sent_at) {
     const MonotonicTime now = MonotonicNow();
-    LearnNumbers(answer);
-    answered_at_ = now;
-    bool all_known = true;
+    parts_.state->NoteLeader(answer.leader, sent_at);
+    if (!answer.plan.domains.empty() || answer.plan.version > parts_.state->plan().version) {
+      parts_.state->AdoptPlan(answer.plan);
+    }
     daemons_ = std::max(1U, answer.daemons);
     period_ = milliseconds(std::max(1U, answer.next_report_ms));
-    directory_->RefreshKnown(now);
+    parts_.directory->RefreshKnown(parts_.state->leader_heard());
     for (const EndpointNews& news : answer.news) {
-      EngineHoldings holdings;
-      for (const ModelNews& model : news.models) {
-        holdings.models.push_back({model.name, model.adapters});
-      }
-      const auto endpoint = endpoints_.find(news.number);
-      if (endpoint == endpoints_.end()) {
-        all_known = false;
-        continue;
-      }
-      directory_->NoteKnown(endpoint->second.id, endpoint->second.started_ms, holdings, now);
-    }
-    // News of endpoints that are not known yet is asked for again.
-    if (all_known) known_news_ = answer.news_version;
-    std::map<std::string, EndpointWork> others;
-    for (const EndpointLoad& load : answer.others) {
-      const auto endpoint = endpoints_.find(load.number);
-      if (endpoint != endpoints_.end()) others[endpoint->second.id] = load.Work();
+      parts_.state->holdings().Note(news);
+      const EndpointChange* endpoint = parts_.state->directory().FindNumber(news.number);
+      if (endpoint == nullptr) continue;
+      parts_.directory->NoteKnown(endpoint->id, endpoint->started_ms, ToHoldings(news), now);
     }
-    stats_->SetOthers(std::move(others), now + AnswerLifetime());
+    NoteLeaving(answer.leaving);
+    desk_.SetOutside(answer.others);
+    SetOthers(answer, now);
     loads_.clear();
     for (const PendingLoad& load : answer.loads) {
       loads_[load.model] = now + milliseconds(load.ready_in_ms);
     }
-    if (!answer.news.empty()) board_->changed().NotifyAll();
+    if (!answer.news.empty()) parts_.board->changed().NotifyAll();
   }
 
-  // Looks the leader up in the store, or takes the lead.
-  Task<void> FindLeader() {
-    auto entry = co_await store_->Read(kLeaderKey);
-    if (!entry || stopping_) co_return;
-    const auto record = ParseLeaderRecord(entry.value().value);
-    if (entry.value().exists() && record) {
-      // A claim of this process whose answer was lost.
-      if (leader_->AdoptClaim(*record, entry.value().version)) co_return;
-      if (record->address == leader_->peer_address()) co_return co_await EndFormerLease(*record);
-      claiming_ = false;
-      leader_->NoteOtherLeader();
-      leader_address_ = record->address;
-      peers_->set_shared_key(record->message_key);
-      // Only a daemon that leads, or is about to, needs a lease.
-      lease_->SetWanted(false);
-      co_return;
+  // Notes what all other daemons have, whether they report through this one or not.
+  void SetOthers(const UsageAnswer& answer, MonotonicTime now) {
+    std::map<std::string, EndpointWork> others;
+    const bool leads = parts_.leader->IsLeader(now);
+    const auto loads = leads ? answer.others : desk_.OthersOf(settings_.name);
+    for (const EndpointLoad& load : loads) {
+      const EndpointChange* endpoint = parts_.state->directory().FindNumber(load.number);
+      if (endpoint != nullptr) others[endpoint->id] = load.Work();
     }
-    co_await Claim();
-  }
-
-  // Ends the lease of a former process of this host, which can't lead any more since this one
-  // listens at its address, and claims the lead without waiting for others to do so.
-  Task<void> EndFormerLease(LeaderRecord record) {
-    LOG4CPLUS_INFO(Log(), "ends the lease " << record.lease << " of a former process");
-    auto revoked = co_await store_->RevokeLease(record.lease);
-    if (!revoked) co_return;
-    claiming_ = true;
-    last_search_ = MonotonicTime();
+    parts_.stats->SetOthers(std::move(others), now + AnswerLifetime());
   }
 
-  // Takes the lead. Most daemons see another one's claim when they read the key a second time.
-  Task<void> Claim() {
-    if (!may_lead_) co_return;
-    if (!claiming_) {
-      claiming_ = true;
-      last_search_ = MonotonicTime();
-      co_await Sleep(milliseconds(
-          std::uniform_int_distribution<std::int64_t>(0, kLargestClaimDelay.count())(random_)));
-      co_return;
+  // Answers for the leader from what this daemon knows.
+  UsageAnswer RelayReport(const std::string& sender, const UsageReport& report, MonotonicTime now) {
+    UsageAnswer answer;
+    const FleetState& state = *parts_.state;
+    if (now - state.leader_heard() >= kLostLeaderTime) return answer;
+    desk_.Note(sender, report, now);
+    if (desk_.HasWaiting(now)) parts_.board->waiting_began().NotifyAll();
+    answer.accepted = true;
+    answer.leader = state.Notice(now);
+    answer.daemons = daemons_;
+    answer.next_report_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(
+        kRelayedPeriod.count(),
+        static_cast<std::int64_t>(desk_.daemons()) * kRelayedMillisPerDaemon));
+    AddState(state, report.known, now, &answer);
+    answer.others = desk_.OthersOf(sender);
+    std::erase_if(answer.others,
+                  [&](const EndpointLoad& load) { return IsLight(state.directory(), load); });
+    for (const auto& [model, end] : loads_) {
+      const auto left = ToMillis(end - now).count();
+      answer.loads.push_back({model, static_cast<std::uint32_t>(std::max<std::int64_t>(0, left))});
     }
-    claiming_ = false;
-    lease_->SetWanted(true);
-    const MonotonicTime give_up = MonotonicNow() + kLeaseWait;
-    while (lease_->SafeLease(MonotonicNow()) == nullptr && MonotonicNow() < give_up) {
-      co_await Sleep(kLeasePoll);
-    }
-    co_await leader_->TryTakeLead();
+    return answer;
   }
 
   // Ages count from now, so that no order seems older than it is.
@@ -303,53 +365,22 @@
     handover.holder = answer.holder;
     const MonotonicTime now = MonotonicNow();
     for (const RecentOrder& order : answer.recent_orders) {
-      const auto endpoint = endpoints_.find(order.number);
-      if (endpoint == endpoints_.end()) return;
-      handover.last_orders[endpoint->second.id] = now - milliseconds(order.age_ms);
+      const EndpointChange* endpoint = parts_.state->directory().FindNumber(order.number);
+      if (endpoint == nullptr) return;
+      handover.last_orders[endpoint->id] = now - milliseconds(order.age_ms);
     }
-    leader_->NoteHandover(std::move(handover));
+    parts_.leader->NoteHandover(std::move(handover));
   }
 
-  // Looks for another leader if the present one can't reach the store.
-  Task<void> LookForOtherLeader(bool store_is_fresh) {
-    const MonotonicTime now = MonotonicNow();
-    if (store_is_fresh) fresh_at_ = now;
-    const milliseconds period = std::max(kLeastLookPeriod, kLookPeriodPerDaemon * daemons_);
-    if (now - std::max(fresh_at_, last_search_) < period) co_return;
-    last_search_ = now;
-    co_await FindLeader();
-  }
-
-  std::string name_;
-  Store* store_;
-  LeaseKeeper<Store>* lease_;
-  PeerClient* peers_;
-  Leader* leader_;
-  FleetDirectory* directory_;
-  EndpointStats* stats_;
-  UsageBoard* board_;
-  RelayedView view_;
+  LinkSettings settings_;
+  Parts parts_;
+  Uplink uplink_;
+  ReportDesk desk_;
   std::mt19937_64 random_;
-  struct NumberedEndpoint {
-    std::string id;
-    std::int64_t started_ms = 0;
-  };
-  std::map<std::string, std::uint32_t> numbers_;
-  std::map<std::uint32_t, NumberedEndpoint> endpoints_;
-  std::optional<Address> leader_address_;
-  std::uint64_t known_fence_ = 0;
-  std::uint64_t known_news_ = 0;
-  std::uint64_t known_directory_ = 0;
   std::uint32_t daemons_ = 1;
   milliseconds period_ = kFirstPeriod;
-  int failures_ = 0;
   std::map<std::string, MonotonicTime> loads_;
-  MonotonicTime answered_at_;
   MonotonicTime last_search_;
-  MonotonicTime fresh_at_;
-  // The key of the leader was missing when it was last read.
-  bool claiming_ = false;
-  bool may_lead_ = true;
   bool stopping_ = false;
 };
 
--- a/src/leader_record.h
+++ b/src/leader_record.h
@@ -13,15 +13,13 @@
 inline constexpr char kLeaderKey[] = "mimosabend/leader";
 inline constexpr char kLastHolderKey[] = "mimosabend/holder";
 
-// What the leader's key holds: where the leader is, the lease that it claimed the key with, and the
-// key with which messages to it are signed.
+// What the leader's key holds: where the leader is, and the lease that it claimed the key with.
 struct LeaderRecord {
   Address address;
   LeaseId lease;
-  std::string message_key;
 };
 
-// "IP:PORT LEASE KEY". Thread-safe.
+// "IP:PORT LEASE". Thread-safe.
 std::string ToString(const LeaderRecord& record);
 
 // Parses what ToString writes; std::nullopt for anything else. Thread-safe.
--- a/src/load_sums.cpp
+++ b/src/load_sums.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <limits>
+#include <set>
 
 namespace mimosabend {
 
@@ -49,6 +50,40 @@
   }
 }
 
+std::vector<EndpointLoad> LoadSums::Totals() const {
+  std::vector<EndpointLoad> totals;
+  for (const auto& [number, sum] : sums_) {
+    EndpointLoad load;
+    load.number = number;
+    load.requests = Clamp(sum.requests);
+    load.unread_units = Clamp(sum.unread_units);
+    load.memory_units = Clamp(sum.memory_units);
+    totals.push_back(load);
+  }
+  return totals;
+}
+
+std::vector<EngineRuns> LoadSums::TotalRuns() const {
+  std::map<std::uint32_t, std::map<std::string, std::set<std::string>>> adapters;
+  for (const auto& [name, daemon] : daemons_) {
+    for (const EngineRuns& engine : daemon.runs) {
+      for (const ModelRuns& model : engine.models) {
+        adapters[engine.number][model.model].insert(model.adapters.begin(), model.adapters.end());
+      }
+    }
+  }
+  std::vector<EngineRuns> totals;
+  for (const auto& [number, models] : adapters) {
+    EngineRuns engine{number, {}};
+    for (const auto& [model, names] : models) {
+      engine.models.push_back(
+          {model, static_cast<std::uint16_t>(RunsAt(number, model)), {names.begin(), names.end()}});
+    }
+    totals.push_back(std::move(engine));
+  }
+  return totals;
+}
+
 std::uint32_t LoadSums::RequestsAt(std::uint32_t number) const {
   const auto it = sums_.find(number);
   return it == sums_.end() ? 0 : Clamp(it->second.requests);
--- a/src/load_sums.h
+++ b/src/load_sums.h
@@ -25,6 +25,10 @@
   // What all daemons but one have. Precondition: that one has been noted.
   std::vector<EndpointLoad> OthersOf(const std::string& daemon) const;
 
+  // What all daemons have.
+  std::vector<EndpointLoad> Totals() const;
+  std::vector<EngineRuns> TotalRuns() const;
+
   // Requests of all daemons at an endpoint.
   std::uint32_t RequestsAt(std::uint32_t number) const;
 
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -50,9 +50,13 @@
   kUsageReport,
   kUsageAnswer,
   kAdapterRequest,
-  kAdapterAnswer
+  kAdapterAnswer,
+  kViewRequest,
+  kViewAnswer,
+  kStandDownRequest,
+  kStandDownAnswer
 };
-inline constexpr std::uint8_t kPeerMessageTypeCount = 15;
+inline constexpr std::uint8_t kPeerMessageTypeCount = 19;
 
 // Asks whether a daemon is alive. UDP.
 struct Ping {
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -10,11 +10,11 @@
 #include <vector>
 
 #include "adapter_planner.h"
-#include "directory_feed.h"
 #include "engine_controller.h"
 #include "engine_ledger.h"
 #include "fleet_directory.h"
 #include "fleet_order.h"
+#include "fleet_state.h"
 #include "fleet_store.h"
 #include "fleet_usage.h"
 #include "leader_record.h"
@@ -24,6 +24,7 @@
 #include "log.h"
 #include "model_planner.h"
 #include "notifier.h"
+#include "relay_plan.h"
 #include "supervisor.h"
 
 namespace mimosabend {
@@ -31,17 +32,14 @@
 struct PlacementLeaderSettings {
   // Identifies the host: a restarted process of it need not wait for its former orders.
   std::string host;
-  // Where other daemons reach this one, and the key with which they sign their messages.
+  // Where other daemons reach this one.
   Address peer_address;
-  std::string message_key;
   // Time between the last order of one holder and the first of another.
   milliseconds holder_gap{3000};
   // Engines refuse orders with a lower fencing token than one they have seen.
   bool fencing_required = true;
   seconds ceiling_window{5};
   double ceiling_over = 1.1;
-  // Whether this daemon's directory is what the store holds now.
-  std::function<bool(MonotonicTime)> store_is_fresh = [](MonotonicTime) { return false; };
 };
 
 // What a leader that resigned told of its last orders.
@@ -58,13 +56,15 @@
  public:
   // Precondition: all pointers outlive this object.
   PlacementLeader(boost::asio::any_io_executor executor, Store* store, Engines* engines,
-                  LeaseKeeper<Store>* lease, FleetDirectory* directory,
+                  LeaseKeeper<Store>* lease, FleetDirectory* directory, FleetState* state,
                   PlacementLeaderSettings settings)
       : store_(store),
         lease_(lease),
         directory_(directory),
+        state_(state),
         settings_(std::move(settings)),
         wake_(executor),
+        ledger_(&state->holdings()),
         controller_(executor, engines, &ledger_, &wake_, MakeAuthority()) {}
 
   // Whether this daemon leads at `now`.
@@ -87,7 +87,7 @@
     const LeaseId held = *lease;
     auto holder = co_await store_->Read(kLastHolderKey);
     if (!holder) co_return false;
-    const LeaderRecord record{settings_.peer_address, held, settings_.message_key};
+    const LeaderRecord record{settings_.peer_address, held};
     std::vector<KvItem> expected{{kLeaderKey, {"", 0}},
                                  {kLastHolderKey, {"", holder.value().version}}};
     std::vector<KvPut> puts{{kLeaderKey, ToString(record), held},
@@ -125,33 +125,32 @@
     EndTerm("stops");
   }
 
-  // Takes in a daemon's report and answers with the leader's news.
+  // Takes in a daemon's report and answers with what it does not know yet.
   UsageAnswer HandleReport(const std::string& sender, const UsageReport& report,
                            MonotonicTime now) {
     UsageAnswer answer;
     if (!IsLeader(now)) return answer;
-    const bool same_term = report.fence == term_->fence;
-    // Numbers of another term mean other endpoints.
-    loads_.Note(sender, same_term ? report.loads : std::vector<EndpointLoad>(),
-                same_term ? report.runs : std::vector<EngineRuns>(), now);
-    if (same_term) {
-      ledger_.NoteAdapterUse(feed_, report.runs, now);
-      for (std::uint32_t number : report.unreachable) unreachable_[number] = now;
-    }
+    loads_.Note(sender, report.loads, report.runs, now);
+    ledger_.NoteAdapterUse(report.runs, now);
+    for (std::uint32_t number : report.unreachable) unreachable_[number] = now;
     NoteDemand(sender, report, now);
-    answer.is_leader = true;
-    answer.fence = term_->fence;
-    answer.daemons = static_cast<std::uint32_t>(loads_.daemons());
+    relays_->Note(report.sender, now);
+    for (const DaemonInfo& daemon : report.relayed) relays_->Note(daemon, now);
+    state_->NoteLeader({fence(), settings_.peer_address, 0}, now);
+    answer.accepted = true;
+    answer.leader = state_->Notice(now);
+    answer.daemons = static_cast<std::uint32_t>(std::max<std::size_t>(1, relays_->live_daemons()));
     answer.next_report_ms = static_cast<std::uint32_t>(
-        std::max<std::int64_t>(kReportPeriod.count(), answer.daemons * kReportMillisPerDaemon));
-    AddDirectory(report, now, &answer);
-    ledger_.AddNews(feed_, same_term ? report.news_version : 0, now, &answer);
+        std::max<std::int64_t>(kReportPeriod.count(), loads_.daemons() * kReportMillisPerDaemon));
+    AddState(*state_, report.known, now, &answer);
     answer.others = loads_.OthersOf(sender);
-    std::erase_if(answer.others, [this](const EndpointLoad& load) { return IsLight(load); });
+    std::erase_if(answer.others,
+                  [this](const EndpointLoad& load) { return IsLight(state_->directory(), load); });
+    answer.loads = ledger_.PendingLoads(now);
     if (resigning_) {
       answer.resigning = true;
       answer.holder = settings_.host;
-      ledger_.AddRecentOrders(feed_, settings_.holder_gap, now, &answer);
+      ledger_.AddRecentOrders(settings_.holder_gap, now, &answer);
     }
     return answer;
   }
@@ -174,6 +173,7 @@
       const MonotonicTime now = MonotonicNow();
       if (IsLeader(now)) {
         loads_.DropSilent(now);
+        UpdateRelays(now);
         for (const std::string& id : ledger_.Follow(*directory_, now)) controller_.StartRefresh(id);
         if (MayOrder(now)) PlanAll(now);
       } else if (term_) {
@@ -189,13 +189,15 @@
   // An engine that a daemon can't reach counts for nothing until then, so that its models are
   // loaded elsewhere if requests wait for them.
   static constexpr milliseconds kUnreachableTime{1500};
-  // An endpoint with nothing to read is lightly loaded below this part of its slots.
-  static constexpr std::uint32_t kLightShare = 8;
   static constexpr milliseconds kPlanPeriod{150};
   static constexpr milliseconds kWakeDelay{5};
   static constexpr milliseconds kReportPeriod{250};
   // Keeps the reports at the leader below 170 a second.
   static constexpr std::int64_t kReportMillisPerDaemon = 6;
+  // Versions that one term may publish: its versions begin at its fence times this.
+  static constexpr int kVersionBits = 20;
+  // A new leader leaves the plan of the relays as it is until the fleet has reported to it.
+  static constexpr milliseconds kFirstPlanDelay{1000};
   // An engine that waits this long for running requests before it drops a model no longer counts
   // as one that loads the next.
   static constexpr milliseconds kUnloadPatience{500};
@@ -211,12 +213,6 @@
     MonotonicTime orders_from;
   };
 
-  // Whether a load is too small to change a choice. Most endpoints of a large fleet have such a
-  // load, and each answer would name them all.
-  bool IsLight(const EndpointLoad& load) const {
-    return load.unread_units == 0 && load.requests * kLightShare < feed_.SlotsOf(load.number);
-  }
-
   OrderAuthority MakeAuthority() {
     OrderAuthority authority;
     authority.holder = settings_.host;
@@ -237,13 +233,15 @@
     const MonotonicTime now = MonotonicNow();
     term_ = Term{lease, fence, now + (wait ? settings_.holder_gap : milliseconds(0))};
     resigning_ = false;
-    ledger_.Clear();
+    ledger_.BeginTerm(fence << kVersionBits);
     ledger_.Follow(*directory_, now);
     if (handed_over) KeepGaps();
     handover_.reset();
     allowances_.clear();
-    feed_ = DirectoryFeed();
     loads_ = LoadSums();
+    relays_.emplace(settings_.peer_address, state_->plan(), fence << kVersionBits);
+    plan_relays_from_ = now + kFirstPlanDelay;
+    state_->NoteLeader({fence, settings_.peer_address, 0}, now);
     unreachable_.clear();
     first_holder_ = !last_holder.exists();
     LOG4CPLUS_INFO(
@@ -276,15 +274,14 @@
     if (waiting) wake_.NotifyAll();
   }
 
-  void AddDirectory(const UsageReport& report, MonotonicTime now, UsageAnswer* answer) {
-    const auto config = directory_->config();
-    answer->store_is_fresh = config != nullptr && settings_.store_is_fresh(now);
-    answer->config_version = config == nullptr ? 0 : config->version;
-    feed_.Update(*directory_);
-    answer->directory_version = feed_.version();
-    const bool same_term = report.fence == term_->fence;
-    if (same_term && !answer->store_is_fresh) return;
-    answer->directory = feed_.Since(same_term ? report.directory_version : 0);
+  void UpdateRelays(MonotonicTime now) {
+    if (now < plan_relays_from_) return;
+    relays_->Update(now);
+    if (state_->AdoptPlan(relays_->plan())) {
+      LOG4CPLUS_INFO(Log(), "relays of " << relays_->plan().domains.size()
+                                         << " failure domains, daemons=" << relays_->live_daemons()
+                                         << " plan=" << relays_->plan().version);
+    }
   }
 
   // nullptr if the service is not configured or has no engines.
@@ -310,8 +307,8 @@
       if (engine.service != service || entry == nullptr) continue;
       if (directory_->UsabilityOf(*entry, now) != Usability::kUsable) continue;
       const bool blocked = !engine.known || !engine.loading.empty() || !engine.IsIdle(now);
-      const auto number = feed_.NumberOf(id);
-      const auto unreachable = number ? unreachable_.find(*number) : unreachable_.end();
+      const std::uint32_t number = engine.number();
+      const auto unreachable = unreachable_.find(number);
       if (unreachable != unreachable_.end() && now - unreachable->second < kUnreachableTime) {
         continue;
       }
@@ -320,10 +317,8 @@
       if (engine.unloading_since && now - *engine.unloading_since >= kUnloadPatience) {
         planned.loading.clear();
       }
-      if (number) {
-        for (const HeldModel& held : engine.holdings.models) {
-          planned.running[held.name] = loads_.RunsAt(*number, held.name);
-        }
+      for (const HeldModel& held : engine.holdings.models) {
+        planned.running[held.name] = loads_.RunsAt(number, held.name);
       }
       engines.push_back(std::move(planned));
     }
@@ -397,6 +392,7 @@
   Store* store_;
   LeaseKeeper<Store>* lease_;
   FleetDirectory* directory_;
+  FleetState* state_;
   PlacementLeaderSettings settings_;
   Notifier wake_;
   EngineLedger ledger_;
@@ -407,8 +403,10 @@
   // Nobody has led before this term, so the ceiling on loads is untouched.
   bool first_holder_ = false;
   bool stopping_ = false;
-  DirectoryFeed feed_;
   LoadSums loads_;
+  // Set in a term.
+  std::optional<RelayPlanner> relays_;
+  MonotonicTime plan_relays_from_;
   // When a daemon last said that it can't reach an endpoint, by number.
   std::map<std::uint32_t, MonotonicTime> unreachable_;
   std::map<std::string, LoadAllowance> allowances_;
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -185,6 +185,7 @@
         parts_.selector->ChoosePlain(context->service_name, context->excluded, MonotonicNow());
     if (!choice) {
       if (context->reason.empty()) context->reason = "no endpoint";
+      context->ready_at = parts_.selector->HeldOffUntil(context->service_name, "", MonotonicNow());
       break;
     }
     if (!MayTryAgain(context.get())) break;
@@ -215,6 +216,7 @@
   TryVerdict verdict = TryVerdict::kGood;
   AnswerKind kind = AnswerKind::kForeign;
   if (reply) {
+    NoteHeaders(choice, reply.value().status, reply.value().headers);
     kind = platform::ClassifyAnswer(reply.value().status, reply.value().headers, context->relay.id);
     const bool ran = kind == AnswerKind::kRan;
     const bool failed = kind == AnswerKind::kForeign || (ran && reply.value().status >= 500);
@@ -255,6 +257,19 @@
   co_return Next::kDone;
 }
 
+// Notes what an answer says of its endpoint rather than of the request.
+void RelayHandler::NoteHeaders(const EndpointChoice& choice, int status,
+                               const HttpHeaders& headers) {
+  const std::string& id = choice.endpoint.id;
+  if (const auto wait = platform::RetryAfter(status, headers)) {
+    parts_.stats->HoldOff(id, MonotonicNow() + *wait);
+  }
+  if (!platform::SaysLeaving(headers)) return;
+  if (parts_.directory->NoteLeaving(id, choice.endpoint.started_ms)) {
+    LOG4CPLUS_INFO(Log(), "endpoint " << id << " says that it leaves");
+  }
+}
+
 // Notes a try that brought no answer.
 void RelayHandler::NoteFailure(Context* context, const EndpointChoice& choice, HttpError error) {
   context->reason = std::string(kHttpErrorNames[error]);
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -104,6 +104,7 @@
   std::optional<std::string> ReasonNotToWait(Context* context, MonotonicTime began,
                                              MonotonicTime now) const;
   milliseconds RetryAfter(const Context& context);
+  void NoteHeaders(const EndpointChoice& choice, int status, const HttpHeaders& headers);
   void NoteFailure(Context* context, const EndpointChoice& choice, HttpError error);
   HttpCall MakeCall(Context* context, const EndpointChoice& choice, MonotonicTime deadline) const;
   std::string PickService(const Route& route, const std::string& request_id) const;
--- /dev/null
+++ b/src/relay_plan.cpp
@@ -0,0 +1,99 @@
+#include "relay_plan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace mimosabend {
+
+namespace {
+
+// Below this number of daemons all report to the leader itself.
+constexpr std::size_t kLeastFleet = 24;
+// A domain with fewer daemons has no relay.
+constexpr std::size_t kLeastDomain = 4;
+// The second relay of a domain is there in case the first one fails.
+constexpr std::size_t kRelaysPerDomain = 2;
+// A daemon that has not reported for this long counts as gone.
+constexpr milliseconds kSilence{2500};
+// Megabits a second that are worth as much as one core.
+constexpr double kMbpsPerCore = 400;
+
+}  // namespace
+
+const std::vector<Address>* RelayPlan::Find(const std::string& failure_domain) const {
+  for (const DomainRelays& domain : domains) {
+    if (domain.failure_domain == failure_domain) return &domain.relays;
+  }
+  return nullptr;
+}
+
+bool RelayPlan::Contains(const Address& daemon) const {
+  return std::any_of(domains.begin(), domains.end(), [&](const DomainRelays& domain) {
+    return std::find(domain.relays.begin(), domain.relays.end(), daemon) != domain.relays.end();
+  });
+}
+
+std::uint32_t HostCapacity(double cores, double link_mbps) {
+  const double capacity = std::min(cores * kMbpsPerCore, link_mbps);
+  return static_cast<std::uint32_t>(std::clamp(std::lround(capacity), 1L, 1000000L));
+}
+
+RelayPlanner::RelayPlanner(Address leader, RelayPlan plan, std::uint64_t versions_after)
+    : leader_(std::move(leader)), plan_(std::move(plan)) {
+  plan_.version = std::max(plan_.version, versions_after);
+}
+
+void RelayPlanner::Note(const DaemonInfo& daemon, MonotonicTime now) {
+  daemons_[daemon.address] = {daemon, now};
+}
+
+bool RelayPlanner::IsLive(const Daemon& daemon, MonotonicTime now) const {
+  return now - daemon.noted < kSilence;
+}
+
+std::vector<Address> RelayPlanner::Choose(const std::string& domain,
+                                          const std::vector<Address>& present,
+                                          MonotonicTime now) const {
+  std::vector<const Daemon*> candidates;
+  for (const auto& [address, daemon] : daemons_) {
+    if (daemon.info.failure_domain != domain || !IsLive(daemon, now)) continue;
+    if (address != leader_) candidates.push_back(&daemon);
+  }
+  if (candidates.size() + 1 < kLeastDomain) return {};
+  const auto place = [&](const Daemon* daemon) {
+    return std::find(present.begin(), present.end(), daemon->info.address) - present.begin();
+  };
+  std::stable_sort(candidates.begin(), candidates.end(), [&](const Daemon* a, const Daemon* b) {
+    if (place(a) != place(b)) return place(a) < place(b);
+    return a->info.capacity > b->info.capacity;
+  });
+  std::vector<Address> chosen;
+  for (const Daemon* daemon : candidates) {
+    if (chosen.size() < kRelaysPerDomain) chosen.push_back(daemon->info.address);
+  }
+  return chosen;
+}
+
+void RelayPlanner::Update(MonotonicTime now) {
+  std::set<std::string> names;
+  live_daemons_ = 0;
+  for (const auto& [address, daemon] : daemons_) {
+    if (!IsLive(daemon, now)) continue;
+    ++live_daemons_;
+    names.insert(daemon.info.failure_domain);
+  }
+  std::vector<DomainRelays> domains;
+  for (const std::string& name : names) {
+    if (live_daemons_ < kLeastFleet) break;
+    const std::vector<Address>* present = plan_.Find(name);
+    std::vector<Address> relays =
+        Choose(name, present == nullptr ? std::vector<Address>() : *present, now);
+    if (!relays.empty()) domains.push_back({name, std::move(relays)});
+  }
+  if (domains == plan_.domains) return;
+  plan_.domains = std::move(domains);
+  ++plan_.version;
+}
+
+}  // namespace mimosabend
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -132,8 +132,10 @@
     if (*load_end < limit) return std::nullopt;
     return "the model's load ends too late";
   }
+  context->ready_at =
+      parts_.selector->HeldOffUntil(context->service_name, context->relay.model, now);
   if (parts_.placement.has_leader(now)) return std::nullopt;
-  context->ready_at = now + kLeaderlessTime;
+  context->ready_at = std::max(context->ready_at.value_or(now), now + kLeaderlessTime);
   if (now - began <= std::max(kDecisionTime, ToMillis(limit - began) / 2)) return std::nullopt;
   return "nobody decides on loads now";
 }
@@ -207,6 +209,7 @@
   } else {
     const int status = stream.value()->status();
     const HttpHeaders headers = stream.value()->headers();
+    NoteHeaders(choice, status, headers);
     const AnswerKind kind = platform::ClassifyAnswer(status, headers, relay.id);
     const bool success = status >= 200 && status < 300;
     if (kind == AnswerKind::kMisdirected) {
--- /dev/null
+++ b/src/report_desk.cpp
@@ -0,0 +1,115 @@
+#include "report_desk.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace mimosabend {
+
+namespace {
+
+// A daemon that has not reported for this long goes another way, or is gone.
+constexpr milliseconds kSilence{2500};
+
+std::uint16_t SaturatedSum(std::uint16_t a, std::uint16_t b) {
+  return static_cast<std::uint16_t>(
+      std::min<std::uint32_t>(std::uint32_t{a} + b, std::numeric_limits<std::uint16_t>::max()));
+}
+
+}  // namespace
+
+void AddLoad(EndpointLoad* sum, const EndpointLoad& load) {
+  sum->number = load.number;
+  sum->requests = SaturatedSum(sum->requests, load.requests);
+  sum->unread_units = SaturatedSum(sum->unread_units, load.unread_units);
+  sum->memory_units = SaturatedSum(sum->memory_units, load.memory_units);
+}
+
+void ReportDesk::AddUsage(const ModelUsage& usage) {
+  ModelUsage& sum = usage_[{usage.service, usage.model}];
+  sum.service = usage.service;
+  sum.model = usage.model;
+  sum.requests += usage.requests;
+  sum.reading_ms += usage.reading_ms;
+  sum.target_ms = std::min(sum.target_ms, usage.target_ms);
+  for (const AdapterRequests& adapter : usage.adapters) AddAdapterRequests(&sum, adapter);
+}
+
+void ReportDesk::Note(const std::string& daemon, const UsageReport& report, MonotonicTime now) {
+  loads_.Note(daemon, report.loads, report.runs, now);
+  DaemonNote& note = infos_[daemon];
+  note = {now, report.relayed, {}};
+  note.infos.push_back(report.sender);
+  for (const ModelUsage& usage : report.models) {
+    AddUsage(usage);
+    if (usage.waiting == 0) continue;
+    note.waiting[{usage.service, usage.model}] = {usage.waiting, usage.waiting_priority};
+  }
+  unreachable_.insert(report.unreachable.begin(), report.unreachable.end());
+}
+
+void ReportDesk::DropSilent(MonotonicTime now) {
+  loads_.DropSilent(now);
+  std::erase_if(infos_, [&](const auto& item) { return now - item.second.noted >= kSilence; });
+}
+
+void ReportDesk::Merge(const std::string& own_name, UsageReport* report, MonotonicTime now) {
+  DropSilent(now);
+  loads_.Note(own_name, report->loads, report->runs, now);
+  report->loads = loads_.Totals();
+  report->runs = loads_.TotalRuns();
+  unreachable_.insert(report->unreachable.begin(), report->unreachable.end());
+  report->unreachable.assign(unreachable_.begin(), unreachable_.end());
+  unreachable_.clear();
+  std::map<Key, Waiting> waiting;
+  const auto add_waiting = [&](const Key& key, const Waiting& more) {
+    const auto [it, first] = waiting.try_emplace(key, more);
+    if (first) return;
+    it->second.count += more.count;
+    it->second.priority = std::min(it->second.priority, more.priority);
+  };
+  for (const ModelUsage& usage : report->models) {
+    AddUsage(usage);
+    if (usage.waiting > 0) {
+      add_waiting({usage.service, usage.model}, {usage.waiting, usage.waiting_priority});
+    }
+  }
+  for (const auto& [name, note] : infos_) {
+    report->relayed.insert(report->relayed.end(), note.infos.begin(), note.infos.end());
+    for (const auto& [key, more] : note.waiting) add_waiting(key, more);
+  }
+  report->models.clear();
+  for (const auto& [key, sum] : waiting) {
+    ModelUsage& usage = usage_[key];
+    usage.service = key.first;
+    usage.model = key.second;
+    usage.waiting = sum.count;
+    usage.waiting_priority = sum.priority;
+  }
+  for (auto& [key, usage] : usage_) report->models.push_back(std::move(usage));
+  usage_.clear();
+}
+
+void ReportDesk::Return(const std::vector<ModelUsage>& models) {
+  for (const ModelUsage& usage : models) AddUsage(usage);
+}
+
+void ReportDesk::SetOutside(const std::vector<EndpointLoad>& loads) {
+  outside_.clear();
+  for (const EndpointLoad& load : loads) outside_[load.number] = load;
+}
+
+std::vector<EndpointLoad> ReportDesk::OthersOf(const std::string& daemon) const {
+  std::map<std::uint32_t, EndpointLoad> sums = outside_;
+  for (const EndpointLoad& load : loads_.OthersOf(daemon)) AddLoad(&sums[load.number], load);
+  std::vector<EndpointLoad> others;
+  for (const auto& [number, load] : sums) others.push_back(load);
+  return others;
+}
+
+bool ReportDesk::HasWaiting(MonotonicTime now) const {
+  return std::any_of(infos_.begin(), infos_.end(), [&](const auto& item) {
+    return !item.second.waiting.empty() && now - item.second.noted < kSilence;
+  });
+}
+
+}  // namespace mimosabend
--- /dev/null
+++ b/src/uplink.h
@@ -0,0 +1,52 @@
+#ifndef MIMOSABEND_UPLINK_H_
+#define MIMOSABEND_UPLINK_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "clock.h"
+#include "relay_plan.h"
+
+namespace mimosabend {
+
+// Chooses where a daemon sends its reports: to the relays of its failure domain in their order,
+// then to the leader, then to relays of other domains. Not thread-safe.
+class Uplink {
+ public:
+  Uplink(Address self, std::string failure_domain)
+      : self_(std::move(self)), failure_domain_(std::move(failure_domain)) {}
+
+  // Takes over the plan and the leader. A change of either starts from the first choice again.
+  void Update(const RelayPlan& plan, const std::optional<Address>& leader);
+
+  // Where the next report goes; std::nullopt if all choices have failed or there is none.
+  std::optional<Address> Next(MonotonicTime now);
+
+  // The last report was answered.
+  void NoteAnswered() { failures_ = 0; }
+  // The last report was not answered, or its receiver has not heard of the leader for too long.
+  void NoteFailed(MonotonicTime now);
+
+  // Other daemons that pass on what they know, in an order of this daemon's own.
+  std::vector<Address> Relays() const;
+
+  bool is_relay() const { return is_relay_; }
+
+ private:
+  Address self_;
+  std::string failure_domain_;
+  std::uint64_t plan_version_ = 0;
+  std::optional<Address> leader_;
+  std::vector<Address> choices_;
+  std::vector<Address> relays_;
+  std::size_t choice_ = 0;
+  MonotonicTime moved_;
+  int failures_ = 0;
+  bool is_relay_ = false;
+};
+
+}  // namespace mimosabend
+
+#endif  // MIMOSABEND_UPLINK_H_
--- a/src/usage_board.h
+++ b/src/usage_board.h
@@ -25,7 +25,7 @@
   void NoteRequest(const std::string& service, const std::string& model, const std::string& adapter,
                    milliseconds target, double reading_ms) {
     ModelUsage& usage = UsageOf(service, model);
-    if (!adapter.empty()) CountAdapter(&usage, {adapter, 1});
+    if (!adapter.empty()) AddAdapterRequests(&usage, {adapter, 1});
     usage.target_ms = std::min(usage.target_ms, static_cast<std::uint32_t>(target.count()));
     ++usage.requests;
     usage.reading_ms += static_cast<std::uint32_t>(reading_ms);
@@ -100,7 +100,7 @@
       mine.requests += usage.requests;
       mine.reading_ms += usage.reading_ms;
       mine.target_ms = std::min(mine.target_ms, usage.target_ms);
-      for (const AdapterRequests& adapter : usage.adapters) CountAdapter(&mine, adapter);
+      for (const AdapterRequests& adapter : usage.adapters) AddAdapterRequests(&mine, adapter);
     }
   }
 
@@ -119,15 +119,6 @@
     return usage;
   }
 
-  static void CountAdapter(ModelUsage* usage, const AdapterRequests& more) {
-    for (AdapterRequests& known : usage->adapters) {
-      if (known.adapter != more.adapter) continue;
-      known.requests += more.requests;
-      return;
-    }
-    usage->adapters.push_back(more);
-  }
-
   std::map<Key, ModelUsage> usage_;
   std::map<Key, std::multiset<std::uint32_t>> waiting_;
   // The adapter of each running request, by endpoint and model.
--- /dev/null
+++ b/tests/test_fleet_state.cpp
@@ -0,0 +1,280 @@
+#include <catch2/catch.hpp>
+
+#include "document_parts.h"
+#include "fleet_state.h"
+#include "report_desk.h"
+#include "uplink.h"
+
+namespace mimosabend::testing {
+
+namespace {
+
+constexpr MonotonicTime kStart{seconds(1000)};
+
+FleetEndpoint Endpoint(const std::string& id, std::int64_t started_ms = 1) {
+  FleetEndpoint endpoint;
+  endpoint.id = id;
+  endpoint.service = "models";
+  endpoint.address = {"10.0.0.1", 80};
+  endpoint.slots = 64;
+  endpoint.started_ms = started_ms;
+  return endpoint;
+}
+
+Address Daemon(int i) { return {"10.1.0." + std::to_string(i), 7380}; }
+
+std::vector<std::string> Gone(const std::vector<EndpointChange>& changes) {
+  std::vector<std::string> gone;
+  for (const EndpointChange& change : changes) {
+    if (change.gone) gone.push_back(change.id);
+  }
+  return gone;
+}
+
+ModelUsage Usage(const std::string& model, std::uint32_t requests, std::uint32_t waiting,
+                 std::uint32_t priority) {
+  ModelUsage usage;
+  usage.service = "models";
+  usage.model = model;
+  usage.requests = requests;
+  usage.waiting = waiting;
+  usage.waiting_priority = priority;
+  return usage;
+}
+
+std::string Config(int routes, int changed) {
+  std::string text = R"({"version":1,"routes":[)";
+  for (int i = 0; i < routes; ++i) {
+    text += R"({"name":"r)" + std::to_string(i) + R"(","timeout-ms":)" +
+            std::to_string(i == changed ? 9 : 5) + "},";
+  }
+  return text + "{}]}";
+}
+
+}  // namespace
+
+// Guards against endpoints that a daemon keeps, or takes back, because it learned of them from
+// another daemon and not from the store.
+TEST_CASE("a directory learns from others what is newer, and nothing else", "[state]") {
+  DirectoryLog reader;
+  reader.Put(Endpoint("e1"), 3);
+  reader.Put(Endpoint("e2"), 5);
+  reader.Advance(6);
+  DirectoryLog other;
+  CHECK(other.Merge(reader.Since(other.revision())).size() == 2);
+  CHECK(other.revision() == 6);
+
+  const DirectoryChanges old = reader.Since(0);
+  reader.Remove("e1", 8);
+  FleetEndpoint draining = Endpoint("e2");
+  draining.state = EndpointState::kDraining;
+  reader.Put(draining, 9);
+  reader.Advance(9);
+  const auto merged = other.Merge(reader.Since(other.revision()));
+  CHECK(merged.size() == 2);
+  CHECK(Gone(merged) == std::vector<std::string>{"e1"});
+  CHECK_FALSE(other.NumberOf("e1"));
+  // A daemon that is behind takes nothing back.
+  CHECK(other.Merge(old).empty());
+  CHECK(other.revision() == 9);
+
+  // Who missed everything gets the whole, and drops what is not in it.
+  DirectoryLog lost;
+  lost.Put(Endpoint("e3"), 2);
+  CHECK(Gone(lost.Merge(reader.Since(0))) == std::vector<std::string>{"e3"});
+  CHECK(lost.NumberOf("e2"));
+}
+
+// Guards against loads of a former incarnation that are taken for those of the present one.
+TEST_CASE("an endpoint that starts again has another number", "[state]") {
+  DirectoryLog log;
+  log.Put(Endpoint("e1", 1), 1);
+  const auto first = log.NumberOf("e1");
+  log.Put(Endpoint("e1", 2), 2);
+  CHECK(log.NumberOf("e1") != first);
+  CHECK(log.FindNumber(*first) == nullptr);
+  REQUIRE(log.FindNumber(*log.NumberOf("e1")) != nullptr);
+}
+
+// Guards against a whole configuration that is sent where one route has changed, and against one
+// that is put together wrongly.
+TEST_CASE("a configuration is passed on by the parts that changed", "[state]") {
+  const std::string before = Config(400, -1);
+  const std::string after = Config(400, 200);
+  const PartedDocument old(1, SplitJsonDocument(before));
+  const PartedDocument fresh(2, SplitJsonDocument(after));
+  CHECK(fresh.Text() == after);
+  const DocumentAnswer answer = fresh.Answer(old.Request());
+  CHECK(answer.parts.size() <= 2);
+  const auto joined = old.Join(answer);
+  REQUIRE(joined);
+  CHECK(joined->Text() == after);
+  CHECK(joined->version() == 2);
+  // Without the other parts it is not put together.
+  CHECK_FALSE(PartedDocument().Join(answer));
+  DocumentAnswer spoilt = answer;
+  spoilt.parts.back() += " ";
+  CHECK_FALSE(old.Join(spoilt));
+}
+
+// Guards against holdings that are told again and again, and against ones that a daemon keeps since
+// only the former leader had told it of them.
+TEST_CASE("news goes on from one leader to the next", "[state]") {
+  HoldingsLog former;
+  former.Note({1, 11, {{"m", {}}}});
+  former.Note({2, 12, {{"m", {}}}});
+  HoldingsLog log = former;
+  // The new leader missed this one.
+  former.Note({2, 13, {}});
+  log.SetGap(log.version(), 1000);
+  log.Note({1, 1001, {{"n", {}}}});
+  CHECK(log.Since(12).size() == 1);
+  CHECK(log.Since(13).size() == 2);
+  CHECK(log.Since(1001).empty());
+  CHECK_FALSE(log.Note({1, 11, {}}));
+}
+
+// Guards against a daemon that believes an old leader, or a leader that nobody has heard of.
+TEST_CASE("the leader with the highest fence counts, with the age of its last word", "[state]") {
+  FleetState state;
+  CHECK_FALSE(state.leader());
+  CHECK(state.NoteLeader({5, Daemon(1), 100}, kStart));
+  CHECK(state.leader_heard() == kStart - milliseconds(100));
+  CHECK_FALSE(state.NoteLeader({4, Daemon(2), 0}, kStart + seconds(1)));
+  CHECK(*state.leader() == Daemon(1));
+  // Found in the store, not heard of.
+  CHECK(state.NoteLeader({9, Daemon(3), 600000}, kStart + seconds(1)));
+  CHECK(*state.leader() == Daemon(3));
+  CHECK(state.leader_heard() < kStart - seconds(100));
+  CHECK(state.Notice(kStart + seconds(1)).age_ms == 600000);
+}
+
+// Guards against a leader to which all daemons of a large fleet report, and against small hosts
+// that relay while large ones are there.
+TEST_CASE("large fleets get relays on the largest hosts of each failure domain", "[relays]") {
+  RelayPlanner planner(Daemon(0), {}, 100);
+  for (int i = 0; i < 20; ++i) planner.Note({Daemon(i), i % 2 == 0 ? "a" : "b", 20}, kStart);
+  planner.Update(kStart);
+  CHECK(planner.plan().domains.empty());
+  for (int i = 20; i < 40; ++i) {
+    planner.Note({Daemon(i), i % 2 == 0 ? "a" : "b", i >= 36 ? 200U : 20U}, kStart);
+  }
+  planner.Note({Daemon(90), "c", 200}, kStart);
+  planner.Update(kStart);
+  CHECK(planner.live_daemons() == 41);
+  CHECK(planner.plan().version == 101);
+  REQUIRE(planner.plan().Find("a") != nullptr);
+  CHECK(*planner.plan().Find("a") == std::vector<Address>{Daemon(36), Daemon(38)});
+  CHECK(*planner.plan().Find("b") == std::vector<Address>{Daemon(37), Daemon(39)});
+  // One daemon needs none.
+  CHECK(planner.plan().Find("c") == nullptr);
+}
+
+// Guards against daemons that lose their relay for good, and against relays that change without
+// need.
+TEST_CASE("a relay that falls silent is replaced, the others stay", "[relays]") {
+  RelayPlanner planner(Daemon(0), {}, 0);
+  const auto report = [&](int but, MonotonicTime now) {
+    for (int i = 1; i < 30; ++i) {
+      if (i != but) planner.Note({Daemon(i), "a", 20}, now);
+    }
+    planner.Update(now);
+  };
+  report(-1, kStart);
+  const std::vector<Address> first = *planner.plan().Find("a");
+  REQUIRE(first.size() == 2);
+  // A larger host does not move the daemons.
+  planner.Note({Daemon(60), "a", 200}, kStart + seconds(1));
+  report(-1, kStart + seconds(1));
+  CHECK(*planner.plan().Find("a") == first);
+  int lost = 0;
+  for (int i = 1; i < 30; ++i) {
+    if (Daemon(i) == first[0]) lost = i;
+  }
+  report(lost, kStart + seconds(2));
+  report(lost, kStart + seconds(4));
+  const std::vector<Address> second = *planner.plan().Find("a");
+  CHECK(second[0] == first[1]);
+  CHECK(second.size() == 2);
+}
+
+// Guards against daemons without a way to the leader while some other daemon has one.
+TEST_CASE("reports go to the relays, then to the leader, then to other domains", "[relays]") {
+  RelayPlan plan;
+  plan.version = 1;
+  plan.domains = {{"a", {Daemon(1), Daemon(2)}}, {"b", {Daemon(3)}}};
+  Uplink uplink(Daemon(9), "a");
+  CHECK_FALSE(uplink.Next(kStart));
+  uplink.Update(plan, Daemon(7));
+  std::vector<Address> tried;
+  for (MonotonicTime now = kStart; uplink.Next(now) && tried.size() < 10;) {
+    tried.push_back(*uplink.Next(now));
+    uplink.NoteFailed(now);
+    uplink.NoteFailed(now);
+  }
+  CHECK(tried == std::vector<Address>{Daemon(1), Daemon(2), Daemon(7), Daemon(3)});
+  // One lost answer does not move a daemon, and it returns to the first choice.
+  CHECK(*uplink.Next(kStart + seconds(6)) == Daemon(1));
+  uplink.NoteFailed(kStart + seconds(6));
+  CHECK(*uplink.Next(kStart + seconds(6)) == Daemon(1));
+  // A relay reports to the leader.
+  Uplink relay(Daemon(1), "a");
+  relay.Update(plan, Daemon(7));
+  CHECK(relay.is_relay());
+  CHECK(*relay.Next(kStart) == Daemon(7));
+}
+
+// Guards against requests that the leader never hears of, or hears of twice, behind a relay.
+TEST_CASE("a relay merges what its daemons report", "[relays]") {
+  ReportDesk desk;
+  UsageReport a;
+  a.sender = {Daemon(1), "a", 20};
+  a.models = {Usage("m", 3, 0, 0), Usage("n", 0, 2, 1)};
+  a.loads = {EndpointLoad(5, {2, 640, 2560})};
+  a.runs = {{5, {{"m", 2, {"a1"}}}}};
+  a.unreachable = {8};
+  UsageReport b;
+  b.sender = {Daemon(2), "a", 20};
+  b.models = {Usage("m", 1, 0, 0), Usage("n", 0, 1, 0)};
+  b.loads = {EndpointLoad(5, {1, 64, 256})};
+  b.runs = {{5, {{"m", 1, {"a2"}}}}};
+  desk.Note("a", a, kStart);
+  desk.Note("b", b, kStart);
+  CHECK(desk.HasWaiting(kStart));
+  UsageReport own;
+  own.sender = {Daemon(3), "a", 200};
+  own.loads = {EndpointLoad(5, {4, 0, 0})};
+  desk.Merge("self", &own, kStart);
+  REQUIRE(own.loads.size() == 1);
+  CHECK(own.loads[0].Work().requests == 7);
+  REQUIRE(own.runs.size() == 1);
+  CHECK(own.runs[0].models[0].requests == 3);
+  CHECK(own.runs[0].models[0].adapters == std::vector<std::string>{"a1", "a2"});
+  CHECK(own.unreachable == std::vector<std::uint32_t>{8});
+  CHECK(own.relayed.size() == 2);
+  REQUIRE(own.models.size() == 2);
+  CHECK(own.models[0].requests == 4);
+  CHECK(own.models[1].waiting == 3);
+  CHECK(own.models[1].waiting_priority == 0);
+  // Requests are told once, what waits as long as it does.
+  UsageReport next;
+  desk.Merge("self", &next, kStart + milliseconds(100));
+  REQUIRE(next.models.size() == 1);
+  CHECK(next.models[0].waiting == 3);
+  desk.Return(own.models);
+  UsageReport again;
+  desk.Merge("self", &again, kStart + milliseconds(200));
+  CHECK(again.models[0].requests == 4);
+  // Each daemon hears of the others, near and far, and not of itself.
+  desk.SetOutside({EndpointLoad(5, {10, 0, 0}), EndpointLoad(6, {1, 0, 0})});
+  const auto others = desk.OthersOf("a");
+  REQUIRE(others.size() == 2);
+  CHECK(others[0].Work().requests == 11);
+  // A daemon that fell silent counts no more.
+  UsageReport later;
+  desk.Merge("self", &later, kStart + seconds(9));
+  CHECK(later.relayed.empty());
+  CHECK(later.loads.empty());
+}
+
+}  // namespace mimosabend::testing
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -170,4 +170,28 @@
   CHECK(judge(421, {}) == AnswerKind::kMisdirected);
 }
 
+// Guards against an endpoint that is left alone for ever, or not at all, for what it says about
+// when it takes requests again.
+TEST_CASE("the time to come back of an endpoint is read with care", "[platform]") {
+  const auto read = [](const std::string& text) {
+    return platform::RetryAfter(503, {{"Retry-After", text}});
+  };
+  CHECK(read("2") == milliseconds(2000));
+  CHECK(read("0.25") == milliseconds(250));
+  CHECK(read(" 1.5 ") == milliseconds(1500));
+  CHECK(read("0") == milliseconds(0));
+  // Nothing is left alone for longer than a minute at a word.
+  CHECK(read("99999999999999999999") == milliseconds(60000));
+  CHECK(read("1e300") == milliseconds(60000));
+  for (const char* text :
+       {"-3", "", "soon", "1s", "nan", "inf", "0x10", "1,5", "Fri, 04 Dec 2026 10:00:00 GMT"}) {
+    CHECK_FALSE(read(text));
+  }
+  CHECK_FALSE(platform::RetryAfter(503, {}));
+  CHECK_FALSE(platform::RetryAfter(429, {{"Retry-After", "2"}}));
+  CHECK(platform::SaysLeaving({{"server-leaving", "1"}}));
+  CHECK_FALSE(platform::SaysLeaving({{"Server-Leaving", "0"}}));
+  CHECK_FALSE(platform::SaysLeaving({}));
+}
+
 }  // namespace mimosabend::testing
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -246,6 +246,84 @@
   CHECK(relay.plain_arrivals() == 4);
 }
 
+// Guards against requests to an endpoint that has said in an answer that it leaves, by this daemon
+// and by those that hear of it from this one.
+TEST_CASE("an endpoint that says that it leaves gets nothing new", "[relay]") {
+  Relay relay;
+  const Behaviour leaving = [](HttpExchange& exchange) -> Task<void> {
+    HttpHeaders headers = Stamped(exchange);
+    headers.emplace_back("Server-Leaving", "1");
+    co_await exchange.Reply(200, std::move(headers), "whole body");
+  };
+  relay.Behave(leaving, Answer(200));
+  auto reply = relay.Send("/read/1");
+  CHECK(reply.value().status == 200);
+  // The caller gets the answer as it came.
+  CHECK_FALSE(FindHeader(reply.value().headers, "Server-Leaving").empty());
+  TestEndpoint& left = relay.p1.arrivals > 0 ? relay.p1 : relay.p2;
+  for (int i = 0; i < 10; ++i) CHECK(relay.Send("/read/1").value().status == 200);
+  CHECK(left.arrivals == 1);
+  CHECK(relay.directory.Leaving() == std::vector<std::string>{left.id});
+  // A word of the store that the endpoint is ready, from before, changes nothing.
+  relay.Add(left, "plain");
+  CHECK(relay.Send("/read/1").value().status == 200);
+  CHECK(left.arrivals == 1);
+}
+
+// Guards against the same on a stream, whose header says it long before its end.
+TEST_CASE("an engine that says in a stream that it leaves gets nothing new", "[relay]") {
+  Relay relay;
+  const Behaviour leaving = [](HttpExchange& exchange) -> Task<void> {
+    HttpHeaders headers = Stamped(exchange);
+    headers.emplace_back("Server-Leaving", "1");
+    co_await exchange.StartStream(200, std::move(headers));
+    co_await exchange.Write(Event(1));
+    co_await exchange.FinishStream();
+  };
+  relay.Behave(leaving, Stream(1, 1, true));
+  CHECK(relay.Send("/resumable/1").value().status == 200);
+  TestEndpoint& left = relay.e1.arrivals > 0 ? relay.e1 : relay.e2;
+  for (int i = 0; i < 10; ++i) CHECK(relay.Send("/resumable/1").value().status == 200);
+  CHECK(left.arrivals == 1);
+}
+
+// Guards against requests to an endpoint that has said for how long it wants none.
+TEST_CASE("an endpoint that turns requests away for a time is left alone", "[relay]") {
+  Relay relay;
+  const auto refusing = [](const std::string& retry_after) -> Behaviour {
+    return [retry_after](HttpExchange& exchange) -> Task<void> {
+      HttpHeaders headers{{"Not-Executed", "1"}, {"Retry-After", retry_after}};
+      co_await exchange.Reply(503, std::move(headers), "full");
+    };
+  };
+  relay.Behave(refusing("0.6"), Answer(200));
+  CHECK(relay.Send("/read/1").value().status == 200);
+  const int first = relay.p1.arrivals;
+  const int second = relay.p2.arrivals;
+  REQUIRE(first == 1);
+  REQUIRE(second == 1);
+  for (int i = 0; i < 10; ++i) CHECK(relay.Send("/read/1").value().status == 200);
+  CHECK((relay.p1.arrivals == 1) != (relay.p2.arrivals == 1));
+  relay.io.run_for(milliseconds(700));
+  for (int i = 0; i < 20; ++i) CHECK(relay.Send("/read/1").value().status == 200);
+  CHECK(relay.p1.arrivals > 1);
+  CHECK(relay.p2.arrivals > 1);
+  // When all want none, the caller is told when to come back, and the request goes nowhere.
+  for (TestEndpoint* endpoint : {&relay.p1, &relay.p2}) endpoint->behaviour = refusing("2.5");
+  CHECK(relay.Send("/read/1").value().status == 503);
+  const int before = relay.plain_arrivals();
+  auto refused = relay.Send("/read/1");
+  CHECK(refused.value().status == 503);
+  CHECK(relay.plain_arrivals() == before);
+  const double wait = std::stod(std::string(FindHeader(refused.value().headers, "Retry-After")));
+  CHECK(wait > 2);
+  CHECK(wait < 3);
+  // An endpoint that starts anew has said nothing.
+  relay.stats.Forget(relay.p1.id);
+  relay.p1.behaviour = Answer(200);
+  CHECK(relay.Send("/read/1").value().status == 200);
+}
+
 // Guards against a refusal that says "not run" of a request that may have run.
 TEST_CASE("a request is refused as not run only if that is true", "[relay]") {
   Relay relay;
