Shorten the time without orders, and let daemons start without the store

A daemon that starts while the store turns it away serves nothing.

Change: the lease lives 1.5 s and is renewed every 0.25 s. The next leader has its predecessor stand down; if that answers, only engines with recent orders wait. If it can't be reached, the next one orders at once where engines check fences, else after the gap and the time for which a lease is believed safe, which also covers a lease that was taken away (before, orders of two holders could follow each other within the gap then). It plans once it knows what the engines have. Daemons ask the seeds of the settings while they know no relay; small fleets get a plan of daemons to ask, too. With a configuration that is old, a route that is not known is refused with 503. The end of a load is the earliest of its loads.

--- a/src/directory_log.cpp
+++ b/src/directory_log.cpp
@@ -29,7 +29,7 @@
   if (known != entries_.end()) {
     ids_.erase(EndpointNumber(change.id, known->second.started_ms));
   }
-  if (!change.gone) ids_[EndpointNumber(change.id, change.started_ms)] = change.id;
+  ids_[EndpointNumber(change.id, change.started_ms)] = change.id;
   entries_[change.id] = std::move(change);
 }
 
@@ -97,7 +97,9 @@
 
 const EndpointChange* DirectoryLog::FindNumber(std::uint32_t number) const {
   const auto it = ids_.find(number);
-  return it == ids_.end() ? nullptr : &entries_.at(it->second);
+  if (it == ids_.end()) return nullptr;
+  const EndpointChange& change = entries_.at(it->second);
+  return change.gone ? nullptr : &change;
 }
 
 std::optional<std::uint32_t> DirectoryLog::NumberOf(const std::string& id) const {
--- a/src/directory_log.h
+++ b/src/directory_log.h
@@ -84,7 +84,9 @@
   // What has changed after a revision that another daemon knows everything up to.
   DirectoryChanges Since(std::uint64_t revision) const;
 
-  // The incarnation that a number stands for; nullptr if there is none.
+  // Whether a number stands for an incarnation that is registered, or was the last of its id.
+  bool KnowsNumber(std::uint32_t number) const { return ids_.contains(number); }
+  // The incarnation that a number stands for; nullptr if it is not registered.
   const EndpointChange* FindNumber(std::uint32_t number) const;
   // The number of an endpoint that is registered; std::nullopt if it is not.
   std::optional<std::uint32_t> NumberOf(const std::string& id) const;
--- a/src/engine_ledger.cpp
+++ b/src/engine_ledger.cpp
@@ -199,13 +199,14 @@
   }
 }
 
-void EngineLedger::AddRecentOrders(milliseconds within, MonotonicTime now,
-                                   UsageAnswer* answer) const {
+std::vector<RecentOrder> EngineLedger::RecentOrders(milliseconds within, MonotonicTime now) const {
+  std::vector<RecentOrder> orders;
   for (const auto& [id, engine] : engines_) {
     const auto age = ToMillis(now - engine.sent_at);
     if (age >= within) continue;
-    answer->recent_orders.push_back({engine.number(), static_cast<std::uint32_t>(age.count())});
+    orders.push_back({engine.number(), static_cast<std::uint32_t>(age.count())});
   }
+  return orders;
 }
 
 std::vector<PendingLoad> EngineLedger::PendingLoads(MonotonicTime now) const {
--- a/src/engine_ledger.h
+++ b/src/engine_ledger.h
@@ -97,14 +97,13 @@
   // one that other engines hold, the least recently used first. std::nullopt if it holds none.
   std::optional<ModelAdapter> AdapterToDrop(const LedgerEngine& engine, MonotonicTime now) const;
 
-  // Adds the engines to which an order was sent within a time.
-  void AddRecentOrders(milliseconds within, MonotonicTime now, UsageAnswer* answer) const;
+  // The engines to which an order was sent within a time.
+  std::vector<RecentOrder> RecentOrders(milliseconds within, MonotonicTime now) const;
 
   // The loads in progress.
   std::vector<PendingLoad> PendingLoads(MonotonicTime now) const;
 
   const std::map<std::string, LedgerEngine>& engines() const { return engines_; }
-  void Clear() { engines_.clear(); }
 
  private:
   bool IsHeldElsewhere(const LedgerEngine& engine, const ModelAdapter& adapter) const;
--- a/src/fleet_directory.cpp
+++ b/src/fleet_directory.cpp
@@ -61,6 +61,8 @@
     return since && now - *since >= reappear_time_;
   });
   for (auto& [id, entry] : entries_) {
+    std::erase_if(entry.refused,
+                  [&](const auto& item) { return now - item.second >= kRefusedLifetime; });
     const bool old = entry.known && now - entry.known->noted > kNewsLifetime;
     if (old && entry.read_at > entry.known->noted) entry.known.reset();
   }
@@ -80,9 +82,10 @@
   }
 }
 
-void FleetDirectory::NoteRefused(const std::string& id, const std::string& held) {
+void FleetDirectory::NoteRefused(const std::string& id, const std::string& held,
+                                 MonotonicTime now) {
   const auto it = entries_.find(id);
-  if (it != entries_.end()) it->second.refused.insert(held);
+  if (it != entries_.end()) it->second.refused[held] = now;
 }
 
 bool FleetDirectory::NoteLeaving(const std::string& id, std::int64_t started_ms) {
--- a/src/fleet_directory.h
+++ b/src/fleet_directory.h
@@ -40,8 +40,9 @@
   std::optional<KnownHoldings> known;
   // When the entry was last read in the store, with what the engine had registered.
   MonotonicTime read_at;
-  // Models and adapters ("MODEL/ADAPTER") that the engine refused since the last news of it.
-  std::set<std::string> refused;
+  // Models and adapters ("MODEL/ADAPTER") that the engine refused since the last news of it, and
+  // when.
+  std::map<std::string, MonotonicTime> refused;
 
   // What the engine holds: as the leader knows it, else as the engine registered it.
   const EngineHoldings& holdings() const { return known ? known->holdings : endpoint.holdings; }
@@ -55,6 +56,9 @@
 // The configuration and the endpoints as this daemon knows them. Not thread-safe.
 class FleetDirectory {
  public:
+  // An engine that lacked a model or adapter is asked again after this time: it may only have been
+  // fetching it, and then there is no further news of it.
+  static constexpr milliseconds kRefusedLifetime{600};
   // News of the leader is used for this long without any further word from a leader, and then until
   // the entry has been read in the store.
   static constexpr milliseconds kNewsLifetime{6000};
@@ -85,7 +89,7 @@
   // Notes that the leader stood by its news at a point of time.
   void RefreshKnown(MonotonicTime at);
   // Notes that an engine said that it does not hold a model or adapter.
-  void NoteRefused(const std::string& id, const std::string& held);
+  void NoteRefused(const std::string& id, const std::string& held, MonotonicTime now);
 
   // Notes that an incarnation of an endpoint leaves. False if that is known, or the incarnation is
   // not.
--- a/src/fleet_usage.h
+++ b/src/fleet_usage.h
@@ -235,6 +235,32 @@
   }
 };
 
+// Tells a former leader that another daemon leads with a higher fence. It sends no more orders once
+// it has answered. TCP.
+struct StandDownRequest {
+  static constexpr PeerMessageType kType = PeerMessageType::kStandDownRequest;
+  std::uint64_t fence = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(fence);
+  }
+};
+
+struct StandDownAnswer {
+  static constexpr PeerMessageType kType = PeerMessageType::kStandDownAnswer;
+  // Identifies the host that answers, as the holder of its orders.
+  std::string holder;
+  // All engines that have had an order of it within the time between two holders.
+  std::vector<RecentOrder> recent_orders;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SerializeName(archive, holder);
+    SerializeList(archive, recent_orders);
+  }
+};
+
 // Asks any daemon for what it knows of the store's contents. TCP.
 struct ViewRequest {
   static constexpr PeerMessageType kType = PeerMessageType::kViewRequest;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -38,6 +38,8 @@
 using platform::PlatformStore;
 
 constexpr milliseconds kConfigBatch{20};
+// Before the bound for configurations, a route that is not known may have been added.
+constexpr milliseconds kOldConfigMargin{1000};
 // Entries of endpoints may be read this many times within the time in which a leaving endpoint has
 // to be noticed.
 constexpr int kBatchesPerDrain = 8;
@@ -66,14 +68,14 @@
 // Shares of the repeats that all daemons may send, since their views of each other lag.
 constexpr double kRetryMargin = 0.7;
 
-// The lease lives as long as orders of two holders must lie apart, and is renewed three times in
-// that time.
-PlacementTimings LeaseTimings(milliseconds holder_gap) {
+// A renewal costs a tenth of a read, so a short lease that is renewed often is cheap. The time
+// without orders after the loss of a leader grows with its life and with the time that it is safe.
+PlacementTimings LeaseTimings() {
   PlacementTimings timings;
-  timings.lease_time_to_live = std::max(holder_gap, milliseconds(1500));
-  timings.lease_renew_period = timings.lease_time_to_live / 3;
-  timings.lease_safe_time = timings.lease_time_to_live * 2 / 3;
-  timings.lease_retry_delay = milliseconds(200);
+  timings.lease_time_to_live = milliseconds(1500);
+  timings.lease_renew_period = milliseconds(250);
+  timings.lease_safe_time = milliseconds(800);
+  timings.lease_retry_delay = milliseconds(100);
   return timings;
 }
 
@@ -196,7 +198,7 @@
       selector_({settings.region, settings.domain_regions}, &directory_, &stats_, &prefixes_,
                 RandomId()),
       board_(io->get_executor()),
-      lease_(&store_, LeaseTimings(settings.bounds.holder_gap)),
+      lease_(&store_, LeaseTimings()),
       leader_(io->get_executor(), &store_, &orders_, &lease_, &directory_, &state_,
               PlacementLeaderSettings{
                   settings.name + " " + settings.caller_address.ip, settings.peer_address,
@@ -206,7 +208,8 @@
       peer_server_(io->get_executor(), {settings.name, fleet_key_, {}}, &metrics_,
                    [this](Envelope request) { return HandlePeer(std::move(request)); }),
       sync_(io->get_executor(), &peer_client_, &state_, &directory_, &board_, MakeStateHooks()),
-      finder_(&store_, &lease_, &leader_, &state_, InfoOf(settings).capacity, RandomId()),
+      finder_(&store_, &lease_, &peer_client_, &leader_, &state_, InfoOf(settings).capacity,
+              RandomId()),
       link_(MakeLinkSettings(),
             {&peer_client_, &leader_, &finder_, &state_, &sync_, &directory_, &stats_, &board_},
             RandomId()),
@@ -236,6 +239,9 @@
     return link_.LoadEnd(model);
   };
   hooks.has_leader = [this](MonotonicTime now) { return link_.has_leader(now); };
+  hooks.may_lack_routes = [this](MonotonicTime now) {
+    return now - state_.confirmed() >= settings_.bounds.config_apply - kOldConfigMargin;
+  };
   return hooks;
 }
 
@@ -354,6 +360,7 @@
   LinkSettings link;
   link.name = settings_.name;
   link.self = InfoOf(settings_);
+  link.seeds = settings_.seeds;
   link.relayed_lifetime = RelayedLifetime(settings_.bounds);
   link.suspend_reading = [this](MonotonicTime until) {
     if (state_.config().version() > 0) config_follower_.Suspend(until);
@@ -386,6 +393,12 @@
     const UsageAnswer answer = link_.HandleReport(request.sender, report.value(), MonotonicNow());
     co_return Wrap(answer, settings_.name, 0, WallNow());
   }
+  if (request.type == PeerMessageType::kStandDownRequest) {
+    auto message = Unwrap<StandDownRequest>(request);
+    if (!message) co_return outcome::failure(message.error());
+    co_return Wrap(leader_.StandDown(message.value(), MonotonicNow()), settings_.name, 0,
+                   WallNow());
+  }
   if (request.type == PeerMessageType::kViewRequest) {
     auto message = Unwrap<ViewRequest>(request);
     if (!message) co_return outcome::failure(message.error());
@@ -412,7 +425,7 @@
   for (;;) {
     directory_.Tick(MonotonicNow());
     state_.holdings().KeepIf(
-        [this](std::uint32_t number) { return state_.directory().FindNumber(number) != nullptr; });
+        [this](std::uint32_t number) { return state_.directory().KnowsNumber(number); });
     ConfirmReading();
     ApplyRetryLimits();
     co_await Sleep(kTickPeriod);
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -54,6 +54,16 @@
   return regions;
 }
 
+// Hosts of seeds; daemons listen for their peers at the same port on all hosts.
+std::vector<Address> SeedPeers(const std::vector<std::string>& seeds, const Address& own) {
+  std::vector<Address> peers;
+  for (const std::string& seed : seeds) {
+    const auto address = ParseAddress(seed);
+    if (address && address->ip != own.ip) peers.push_back({address->ip, own.port});
+  }
+  return peers;
+}
+
 }  // namespace
 
 Result<GatewaySettings, IniIssues> ParseGatewaySettings(const std::string& file,
@@ -61,6 +71,7 @@
                                                         const std::vector<std::string>& overrides) {
   GatewaySettings settings;
   settings.log.to_standard_output = true;
+  std::vector<std::string> seeds;
   IniIssues issues = ReadSections(
       file, text, overrides,
       {{"gateway",
@@ -69,6 +80,7 @@
           settings.region = section->Text("region");
           settings.failure_domain = section->Text("failure_domain");
           settings.domain_regions = ReadDomains(section, "domains");
+          seeds = section->List("seeds");
         }},
        {"listen",
         [&](IniSection* section) {
@@ -89,6 +101,7 @@
           settings.log.to_standard_output = true;
         }}});
   if (!issues.empty()) return outcome::failure(std::move(issues));
+  settings.seeds = SeedPeers(seeds, settings.peer_address);
   return settings;
 }
 
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -45,6 +45,8 @@
   Address peer_address;
   Address metrics_address;
   Address store;
+  // Daemons to ask for the fleet's state when the store can't be read. They may be gone.
+  std::vector<Address> seeds;
   // What the host gives this process.
   double cores = 0.25;
   double link_mbps = 1000;
--- a/src/leader_finder.h
+++ b/src/leader_finder.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -10,6 +11,7 @@
 #include "fleet_state.h"
 #include "fleet_store.h"
 #include "log.h"
+#include "peer_transport.h"
 #include "placement_leader.h"
 #include "supervisor.h"
 
@@ -22,10 +24,11 @@
   using Leader = PlacementLeader<Store, Engines>;
 
   // Precondition: all pointers outlive this object. `capacity` is that of this daemon's host.
-  LeaderFinder(Store* store, LeaseKeeper<Store>* lease, Leader* leader, FleetState* state,
-               std::uint32_t capacity, std::uint64_t seed)
+  LeaderFinder(Store* store, LeaseKeeper<Store>* lease, PeerClient* peers, Leader* leader,
+               FleetState* state, std::uint32_t capacity, std::uint64_t seed)
       : store_(store),
         lease_(lease),
+        peers_(peers),
         leader_(leader),
         state_(state),
         capacity_(capacity),
@@ -53,6 +56,7 @@
   static constexpr std::uint32_t kLargeCapacity = 100;
   static constexpr milliseconds kLeaseWait{300};
   static constexpr milliseconds kLeasePoll{20};
+  static constexpr milliseconds kStandDownTimeout{400};
   // A leader that is only known from the store has not been heard of.
   static constexpr std::uint32_t kUnheardMillis = 600000;
 
@@ -98,11 +102,40 @@
     while (lease_->SafeLease(MonotonicNow()) == nullptr && MonotonicNow() < give_up) {
       co_await Sleep(kLeasePoll);
     }
-    co_await leader_->TryTakeLead();
+    const std::optional<Address> predecessor = state_->leader();
+    const bool leads = co_await leader_->TryTakeLead();
+    if (leads) co_await ReplacePredecessor(predecessor);
+  }
+
+  // Has the former leader send no more orders, so that this one need not wait until it can't.
+  Task<void> ReplacePredecessor(std::optional<Address> predecessor) {
+    if (!leader_->WaitsForPredecessor(MonotonicNow())) co_return;
+    std::optional<Handover> handover;
+    if (predecessor && *predecessor != leader_->peer_address()) {
+      const StandDownRequest request{leader_->fence()};
+      auto answer =
+          co_await peers_->Call<StandDownAnswer>(*predecessor, request, kStandDownTimeout);
+      if (answer) handover = ToHandover(answer.value());
+    }
+    leader_->NotePredecessor(handover);
+  }
+
+  // Ages count from now, so that no order seems older than it is.
+  Handover ToHandover(const StandDownAnswer& answer) const {
+    Handover handover;
+    handover.holder = answer.holder;
+    const MonotonicTime now = MonotonicNow();
+    for (const RecentOrder& order : answer.recent_orders) {
+      const EndpointChange* endpoint = state_->directory().FindNumber(order.number);
+      if (endpoint == nullptr) continue;
+      handover.last_orders[endpoint->id] = now - milliseconds(order.age_ms);
+    }
+    return handover;
   }
 
   Store* store_;
   LeaseKeeper<Store>* lease_;
+  PeerClient* peers_;
   Leader* leader_;
   FleetState* state_;
   std::uint32_t capacity_;
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -8,6 +8,7 @@
 #include <random>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "endpoint_stats.h"
 #include "fleet_directory.h"
@@ -31,6 +32,8 @@
   std::string name;
   // Where other daemons reach this one, and what they know of its host.
   DaemonInfo self;
+  // Daemons to ask when no relay is known.
+  std::vector<Address> seeds;
   // How long what other daemons tell of the store stands in for reading it, beyond kStoreFreshness;
   // zero for never.
   milliseconds relayed_lifetime{0};
@@ -86,9 +89,10 @@
     std::size_t next = 0;
     while (!stopping_) {
       co_await Sleep(kViewPeriod);
+      if (!LooksForViews(MonotonicNow())) continue;
       const std::vector<Address> relays = uplink_.Relays();
-      if (relays.empty() || !LooksForViews(MonotonicNow())) continue;
-      co_await parts_.sync->Ask(relays[next++ % relays.size()]);
+      const std::vector<Address>& sources = relays.empty() ? settings_.seeds : relays;
+      if (!sources.empty()) co_await parts_.sync->Ask(sources[next++ % sources.size()]);
     }
   }
 
@@ -176,7 +180,7 @@
 
   // Whether a relay passes this daemon's reports on.
   bool IsRelayed() const {
-    return !uplink_.is_relay() &&
+    return parts_.state->plan().relaying && !uplink_.is_relay() &&
            parts_.state->plan().Find(settings_.self.failure_domain) != nullptr;
   }
 
@@ -273,6 +277,9 @@
                           answer.value().leader.fence >= parts_.state->leader_fence();
     if (!accepted) {
       desk_.Return(report.models);
+      // Who was known to lead says that it does not, so another one is looked for at once.
+      const bool leads_no_more = answer && !answer.value().accepted && uplink == KnownLeader();
+      if (leads_no_more) parts_.state->ForgetLeader();
       uplink_.NoteFailed(now);
       co_return false;
     }
@@ -307,20 +314,29 @@
     daemons_ = std::max(1U, answer.daemons);
     period_ = milliseconds(std::max(1U, answer.next_report_ms));
     parts_.directory->RefreshKnown(parts_.state->leader_heard());
-    for (const EndpointNews& news : answer.news) {
-      parts_.state->holdings().Note(news);
-      const EndpointChange* endpoint = parts_.state->directory().FindNumber(news.number);
-      if (endpoint == nullptr) continue;
-      parts_.directory->NoteKnown(endpoint->id, endpoint->started_ms, ToHoldings(news), now);
-    }
+    for (const EndpointNews& news : answer.news) parts_.state->holdings().Note(news);
+    ApplyNews(now);
     NoteLeaving(answer.leaving);
     desk_.SetOutside(answer.others);
     SetOthers(answer, now);
     loads_.clear();
     for (const PendingLoad& load : answer.loads) {
-      loads_[load.model] = now + milliseconds(load.ready_in_ms);
+      const MonotonicTime end = now + milliseconds(load.ready_in_ms);
+      const auto [known, first] = loads_.try_emplace(load.model, end);
+      if (!first) known->second = std::min(known->second, end);
+    }
+  }
+
+  // Uses what has been published since the last time, by this daemon if it leads.
+  void ApplyNews(MonotonicTime now) {
+    const std::vector<EndpointNews> fresh = parts_.state->holdings().Since(applied_news_);
+    applied_news_ = parts_.state->holdings().version();
+    for (const EndpointNews& news : fresh) {
+      const EndpointChange* endpoint = parts_.state->directory().FindNumber(news.number);
+      if (endpoint == nullptr) continue;
+      parts_.directory->NoteKnown(endpoint->id, endpoint->started_ms, ToHoldings(news), now);
     }
-    if (!answer.news.empty()) parts_.board->changed().NotifyAll();
+    if (!fresh.empty()) parts_.board->changed().NotifyAll();
   }
 
   // Notes what all other daemons have, whether they report through this one or not.
@@ -339,6 +355,8 @@
   UsageAnswer RelayReport(const std::string& sender, const UsageReport& report, MonotonicTime now) {
     UsageAnswer answer;
     const FleetState& state = *parts_.state;
+    // A leader whose lease is not safe is no leader, and passes nothing on to one.
+    if (state.leader() == settings_.self.address) return answer;
     if (now - state.leader_heard() >= kLostLeaderTime) return answer;
     desk_.Note(sender, report, now);
     if (desk_.HasWaiting(now)) parts_.board->waiting_began().NotifyAll();
@@ -380,6 +398,8 @@
   std::uint32_t daemons_ = 1;
   milliseconds period_ = kFirstPeriod;
   std::map<std::string, MonotonicTime> loads_;
+  // Version of the news that this daemon's directory shows.
+  std::uint64_t applied_news_ = 0;
   MonotonicTime last_search_;
   bool stopping_ = false;
 };
--- a/src/lease_keeper.h
+++ b/src/lease_keeper.h
@@ -24,6 +24,9 @@
     return safe ? &*lease_ : nullptr;
   }
 
+  // How long a lease is safe after it was renewed.
+  milliseconds safe_time() const { return timings_.lease_safe_time; }
+
   // False once the service has said that the lease lapsed.
   bool Holds(const LeaseId& lease) const { return lease_ == lease; }
 
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -106,6 +106,36 @@
     return own;
   }
 
+  // Ends the term for another leader's, and tells which orders were sent lately.
+  StandDownAnswer StandDown(const StandDownRequest& request, MonotonicTime now) {
+    StandDownAnswer answer;
+    answer.holder = settings_.host;
+    if (term_ && request.fence > term_->fence) EndTerm("another daemon leads");
+    // The ledger outlives the term, and no order is sent without one.
+    if (!term_) answer.recent_orders = ledger_.RecentOrders(settings_.holder_gap, now);
+    return answer;
+  }
+
+  // Whether this daemon leads, but leaves the time between two holders to its predecessor's orders.
+  bool WaitsForPredecessor(MonotonicTime now) const {
+    return IsLeader(now) && now < term_->orders_from;
+  }
+
+  // Notes what the predecessor has told of its last orders, after which it sends none;
+  // std::nullopt if it could not be reached.
+  void NotePredecessor(const std::optional<Handover>& handover) {
+    const MonotonicTime now = MonotonicNow();
+    if (!WaitsForPredecessor(now)) return;
+    const bool told = handover && handover->holder == last_holder_;
+    if (told) KeepGaps(*handover);
+    // Engines that check fences refuse what a predecessor sends that is cut off.
+    if (!told && (handover || !settings_.fencing_required)) return;
+    term_->orders_from = now;
+    LOG4CPLUS_INFO(Log(), "orders at once fence=" << term_->fence << " predecessor="
+                                                  << (told ? "stood down" : "unreachable"));
+    wake_.NotifyAll();
+  }
+
   // Notes that the present leader resigns. Its successor may be this daemon.
   void NoteHandover(Handover handover) { handover_ = std::move(handover); }
 
@@ -150,7 +180,7 @@
     if (resigning_) {
       answer.resigning = true;
       answer.holder = settings_.host;
-      ledger_.AddRecentOrders(settings_.holder_gap, now, &answer);
+      answer.recent_orders = ledger_.RecentOrders(settings_.holder_gap, now);
     }
     return answer;
   }
@@ -175,7 +205,7 @@
         loads_.DropSilent(now);
         UpdateRelays(now);
         for (const std::string& id : ledger_.Follow(*directory_, now)) controller_.StartRefresh(id);
-        if (MayOrder(now)) PlanAll(now);
+        if (MayOrder(now) && KnowsEngines(now)) PlanAll(now);
       } else if (term_) {
         EndTerm("the lease has ended");
       }
@@ -194,6 +224,10 @@
   static constexpr milliseconds kReportPeriod{250};
   // Keeps the reports at the leader below 170 a second.
   static constexpr std::int64_t kReportMillisPerDaemon = 6;
+  // A new leader plans after this time even if it does not know all engines.
+  static constexpr milliseconds kFirstReadTime{700};
+  // An order may take this much longer on its way than another one.
+  static constexpr milliseconds kGapMargin{100};
   // Versions that one term may publish: its versions begin at its fence times this.
   static constexpr int kVersionBits = 20;
   // A new leader leaves the plan of the relays as it is until the fleet has reported to it.
@@ -209,6 +243,7 @@
   struct Term {
     LeaseId lease;
     std::uint64_t fence = 0;
+    MonotonicTime began;
     // Orders of the former holder lie far enough back from then on.
     MonotonicTime orders_from;
   };
@@ -231,11 +266,14 @@
     const bool handed_over = other && handover_ && handover_->holder == last_holder.value;
     const bool wait = other && !handed_over;
     const MonotonicTime now = MonotonicNow();
-    term_ = Term{lease, fence, now + (wait ? settings_.holder_gap : milliseconds(0))};
+    last_holder_ = last_holder.value;
+    // A predecessor whose lease was taken away may order until the lease is no longer safe.
+    const milliseconds gap = settings_.holder_gap + lease_->safe_time();
+    term_ = Term{lease, fence, now, now + (wait ? gap : milliseconds(0))};
     resigning_ = false;
     ledger_.BeginTerm(fence << kVersionBits);
     ledger_.Follow(*directory_, now);
-    if (handed_over) KeepGaps();
+    if (handed_over) KeepGaps(*handover_);
     handover_.reset();
     allowances_.clear();
     loads_ = LoadSums();
@@ -249,11 +287,20 @@
     wake_.NotifyAll();
   }
 
+  // Whether the engines have been asked what they hold and have copies of. One that can't be
+  // reached is not waited for.
+  bool KnowsEngines(MonotonicTime now) const {
+    if (now >= term_->began + kFirstReadTime) return true;
+    const auto& engines = ledger_.engines();
+    return std::all_of(engines.begin(), engines.end(),
+                       [](const auto& item) { return item.second.known; });
+  }
+
   // Leaves the gap between two holders at the engines that had an order lately.
-  void KeepGaps() {
-    for (const auto& [id, ordered] : handover_->last_orders) {
+  void KeepGaps(const Handover& handover) {
+    for (const auto& [id, ordered] : handover.last_orders) {
       LedgerEngine* engine = ledger_.Find(id);
-      if (engine != nullptr) engine->retry_at = ordered + settings_.holder_gap;
+      if (engine != nullptr) engine->retry_at = ordered + settings_.holder_gap + kGapMargin;
     }
   }
 
@@ -262,7 +309,6 @@
     LOG4CPLUS_INFO(Log(), "no longer leads placement fence=" << term_->fence << " reason=\""
                                                              << reason << "\"");
     term_.reset();
-    ledger_.Clear();
   }
 
   void NoteDemand(const std::string& sender, const UsageReport& report, MonotonicTime now) {
@@ -399,6 +445,8 @@
   EngineController<Engines> controller_;
   std::optional<Term> term_;
   std::optional<Handover> handover_;
+  // Who led before this term.
+  std::string last_holder_;
   bool resigning_ = false;
   // Nobody has led before this term, so the ceiling on loads is untouched.
   bool first_holder_ = false;
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -103,6 +103,10 @@
   }
   const HttpRequest& request = context->request();
   context->route = context->config->FindRoute(request.header("Host"), request.target);
+  if (context->route == nullptr && parts_.placement.may_lack_routes(MonotonicNow())) {
+    co_await Refuse(context, "no route in an old configuration");
+    co_return;
+  }
   if (context->route == nullptr) {
     context->outcome = RelayOutcome::kUnknownRoute;
     context->reason = "no route";
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -29,6 +29,8 @@
   std::function<std::optional<MonotonicTime>(const std::string& model)> load_end;
   // Whether somebody decides on loads now.
   std::function<bool(MonotonicTime)> has_leader;
+  // Whether the configuration in force is so old that routes may have been added since.
+  std::function<bool(MonotonicTime)> may_lack_routes;
 };
 
 // Passes requests on to the endpoints of the operator's routes: plain requests whole, streams
--- a/src/relay_plan.cpp
+++ b/src/relay_plan.cpp
@@ -53,14 +53,14 @@
 }
 
 std::vector<Address> RelayPlanner::Choose(const std::string& domain,
-                                          const std::vector<Address>& present,
+                                          const std::vector<Address>& present, bool relaying,
                                           MonotonicTime now) const {
   std::vector<const Daemon*> candidates;
   for (const auto& [address, daemon] : daemons_) {
     if (daemon.info.failure_domain != domain || !IsLive(daemon, now)) continue;
     if (address != leader_) candidates.push_back(&daemon);
   }
-  if (candidates.size() + 1 < kLeastDomain) return {};
+  if (relaying && candidates.size() + 1 < kLeastDomain) return {};
   const auto place = [&](const Daemon* daemon) {
     return std::find(present.begin(), present.end(), daemon->info.address) - present.begin();
   };
@@ -83,16 +83,17 @@
     ++live_daemons_;
     names.insert(daemon.info.failure_domain);
   }
+  const bool relaying = live_daemons_ >= kLeastFleet;
   std::vector<DomainRelays> domains;
   for (const std::string& name : names) {
-    if (live_daemons_ < kLeastFleet) break;
     const std::vector<Address>* present = plan_.Find(name);
     std::vector<Address> relays =
-        Choose(name, present == nullptr ? std::vector<Address>() : *present, now);
+        Choose(name, present == nullptr ? std::vector<Address>() : *present, relaying, now);
     if (!relays.empty()) domains.push_back({name, std::move(relays)});
   }
-  if (domains == plan_.domains) return;
+  if (domains == plan_.domains && relaying == plan_.relaying) return;
   plan_.domains = std::move(domains);
+  plan_.relaying = relaying;
   ++plan_.version;
 }
 
--- a/src/relay_plan.h
+++ b/src/relay_plan.h
@@ -50,21 +50,25 @@
   }
 };
 
-// Which daemons pass reports on to the placement leader and its answers back.
+// Which daemons pass the fleet's state on. In a large fleet they also pass reports on to the
+// placement leader.
 struct RelayPlan {
   // Rises with each change, also from one leader to the next; 0 for no plan.
   std::uint64_t version = 0;
+  // Daemons report to the relays; false if all report to the leader itself.
+  bool relaying = false;
   std::vector<DomainRelays> domains;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(version);
+    SerializeFlag(archive, relaying);
     SerializeList(archive, domains);
   }
 
-  // The relays of a failure domain; nullptr if it has none. Thread-safe.
+  // The daemons of a failure domain; nullptr if it has none. Thread-safe.
   const std::vector<Address>* Find(const std::string& failure_domain) const;
-  // Whether a daemon is a relay. Thread-safe.
+  // Whether a daemon is in the plan. Thread-safe.
   bool Contains(const Address& daemon) const;
 };
 
@@ -98,7 +102,7 @@
   };
 
   std::vector<Address> Choose(const std::string& domain, const std::vector<Address>& present,
-                              MonotonicTime now) const;
+                              bool relaying, MonotonicTime now) const;
   bool IsLive(const Daemon& daemon, MonotonicTime now) const;
 
   Address leader_;
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -216,7 +216,7 @@
       context->reason = "engine does not hold the model or adapter";
       const std::string held =
           relay.adapter.empty() ? relay.model : relay.model + "/" + relay.adapter;
-      parts_.directory->NoteRefused(id, held);
+      parts_.directory->NoteRefused(id, held, MonotonicNow());
       verdict = TryVerdict::kNeutral;
     } else if (kind == AnswerKind::kNotRun) {
       context->reason = "engine did not run it, status " + std::to_string(status);
--- a/src/uplink.cpp
+++ b/src/uplink.cpp
@@ -19,7 +19,7 @@
   if (plan.version == plan_version_ && leader == leader_) return;
   plan_version_ = plan.version;
   leader_ = leader;
-  is_relay_ = plan.Contains(self_);
+  is_relay_ = plan.relaying && plan.Contains(self_);
   relays_.clear();
   for (const DomainRelays& domain : plan.domains) {
     for (const Address& relay : domain.relays) {
@@ -34,7 +34,7 @@
             [&](const Address& a, const Address& b) { return score(a) < score(b); });
   choices_.clear();
   const std::vector<Address>* near = plan.Find(failure_domain_);
-  if (near != nullptr && !is_relay_) choices_ = *near;
+  if (plan.relaying && near != nullptr && !is_relay_) choices_ = *near;
   if (leader_) choices_.push_back(*leader_);
   for (const Address& relay : relays_) {
     if (std::find(choices_.begin(), choices_.end(), relay) == choices_.end()) {
--- a/tests/fake_fleet_store.h
+++ b/tests/fake_fleet_store.h
@@ -50,6 +50,9 @@
     for (const std::string& key : keys) Erase(key);
   }
 
+  // Deletes a key that is bound to a lease, which goes on.
+  void TakeKey(const std::string& key) { Erase(key); }
+
   std::uint64_t snapshots() const { return snapshots_; }
 
   Task<Result<KvEntry, KvError>> Read(std::string key) {
--- a/tests/test_gateway_settings.cpp
+++ b/tests/test_gateway_settings.cpp
@@ -39,4 +39,18 @@
   CHECK(settings.error().front().key == "endpoint_drain_ms");
 }
 
+// Guards against a daemon that asks itself for the fleet's state, or asks at the port of a seed
+// that serves no daemons, and against settings that name no seeds.
+TEST_CASE("seeds are asked at the port of the peers", "[settings]") {
+  std::string text = Settings("");
+  const auto none = ParseGatewaySettings("test.ini", text, {"gateway.seeds="});
+  REQUIRE(none);
+  CHECK(none.value().seeds.empty());
+  const auto settings = ParseGatewaySettings(
+      "test.ini", text, {"gateway.seeds=127.0.0.1:9,10.0.0.2:9,10.0.0.3:9", "host.cores=0.12"});
+  REQUIRE(settings);
+  CHECK(settings.value().seeds == std::vector<Address>{{"10.0.0.2", 3}, {"10.0.0.3", 3}});
+  CHECK(settings.value().cores == 0.12);
+}
+
 }  // namespace mimosabend::testing
