--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -27,6 +27,8 @@
 constexpr milliseconds kRetrySpread{1350};
 constexpr milliseconds kReadySpread{300};
 constexpr milliseconds kLargestReadyTime{10000};
+constexpr milliseconds kFirstConfigTime{2000};
+constexpr milliseconds kLongestFirstConfigTime{5000};
 
 }  // namespace
 
@@ -57,6 +59,13 @@
   }
 }
 
+// When a process that has no configuration may have one. Only when all daemons started at about the
+// same time do callers reach one without, and then the store is away; the longer it has been, the
+// longer it is likely to last.
+MonotonicTime RelayHandler::FirstConfigTime(MonotonicTime now) const {
+  return now + std::min(kFirstConfigTime + ToMillis(now - started_), kLongestFirstConfigTime);
+}
+
 // Chooses among the services that share a route, by the request's id so that no state is needed.
 std::string RelayHandler::PickService(const Route& route, const std::string& request_id) const {
   double sum = 0;
@@ -98,6 +107,7 @@
 
 Task<void> RelayHandler::Serve(ContextPtr context) {
   if (context->config == nullptr) {
+    context->ready_at = FirstConfigTime(MonotonicNow());
     co_await Refuse(context, "no configuration yet");
     co_return;
   }
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -99,6 +99,7 @@
   Task<void> Refuse(ContextPtr context, std::string reason);
   Task<void> Deliver(ContextPtr context, int status, HttpHeaders headers, std::string body);
 
+  MonotonicTime FirstConfigTime(MonotonicTime now) const;
   bool MayTryAgain(Context* context);
   bool HasTimeLeft(const Context& context, MonotonicTime now) const;
   MonotonicTime WaitLimit(const Context& context) const;
@@ -121,6 +122,7 @@
   std::map<std::string, RetryBudget> budgets_;
   std::size_t in_flight_ = 0;
   std::set<Context*> active_;
+  MonotonicTime started_ = MonotonicNow();
   MonotonicTime refuse_from_ = MonotonicTime::max();
   MonotonicTime end_ = MonotonicTime::max();
 };
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -103,7 +103,8 @@
 
 // A relay with two plain endpoints and two engines on loopback.
 struct Relay {
-  Relay()
+  // `configured`: a configuration is in force.
+  explicit Relay(bool configured = true)
       : p1(&io, "p1"),
         p2(&io, "p2"),
         e1(&io, "e1"),
@@ -115,7 +116,7 @@
         handler({&client, &directory, &stats, &prefixes, &selector, &board, &metrics, Hooks()}, 5),
         server(io.get_executor(), HttpLimits(),
                [this](HttpExchange& exchange) { return handler.Handle(exchange); }) {
-    directory.Adopt(Config());
+    if (configured) directory.Adopt(Config());
     Add(p1, "plain");
     Add(p2, "plain");
     Add(e1, "models");
@@ -448,6 +449,18 @@
   CHECK(relay.engine_arrivals() == 1);
 }
 
+// Guards against callers that come back, and are refused for good, while all daemons have just
+// started and the store is still away.
+TEST_CASE("without a configuration callers are told to stay away for a while", "[relay]") {
+  Relay relay(false);
+  auto reply = relay.Send("/read/1");
+  REQUIRE(reply);
+  CHECK(reply.value().status == 503);
+  const double wait = std::stod(std::string(FindHeader(reply.value().headers, "Retry-After")));
+  CHECK(wait >= 2);
+  CHECK(wait <= 5.3);
+}
+
 // Guards against a caller that is told that its route does not exist, by a daemon that has not
 // heard of any change for longer than changes may take.
 TEST_CASE("a route that is not known is refused for good only by a current configuration",
