Log which requests are the same one, and whether an endpoint that broke off has ended

A request was known by its id only, which each repeat of a caller has anew; a broken connection of a sound endpoint and the end of an endpoint gave the same line.

Change: a fingerprint of what a caller asks for in each request line, a line and a counter for each request that an endpoint broke off, and one for whether the endpoint then takes a connection. No decision changes.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -209,6 +209,20 @@
   co_return connection;
 }
 
+Task<Reachability> HttpClient::Probe(Address address, milliseconds timeout) {
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(address.ip, error);
+  if (error) co_return Reachability::kSilent;
+  ++connections_opened_;
+  beast::tcp_stream stream(executor_);
+  stream.expires_at(MonotonicNow() + timeout);
+  co_await stream.async_connect(asio::ip::tcp::endpoint(ip, address.port),
+                                asio::redirect_error(asio::use_awaitable, error));
+  if (!error) co_return Reachability::kAccepts;
+  co_return error == asio::error::connection_refused ? Reachability::kRefuses
+                                                     : Reachability::kSilent;
+}
+
 // Sends the request and reads the header of the answer.
 Task<Result<std::unique_ptr<HttpConnection>, HttpError>> HttpClient::Send(const HttpCall& call) {
   std::unique_ptr<HttpConnection> connection;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -21,6 +21,10 @@
 inline constexpr NameTable<HttpError, 4> kHttpErrorNames{
     {"not sent", "timed out", "connection broken", "answer too large"}};
 
+// What a new connection to an address meets.
+enum class Reachability : std::uint8_t { kAccepts, kRefuses, kSilent };
+inline constexpr NameTable<Reachability, 3> kReachabilityNames{{"accepts", "refuses", "silent"}};
+
 class HttpConnection;
 
 // Breaks a call off from outside the coroutine that makes it, by closing its connection. One
@@ -114,9 +118,14 @@
   // Precondition: the stream does not outlive this client.
   Task<Result<std::unique_ptr<HttpStream>, HttpError>> Open(HttpCall call);
 
+  // Opens a connection and closes it at once.
+  Task<Reachability> Probe(Address address, milliseconds timeout);
+
   // Closes the idle connections to an address.
   void Forget(const Address& address);
 
+  const boost::asio::any_io_executor& executor() const { return executor_; }
+
   // Connections opened so far.
   std::uint64_t connections_opened() const { return connections_opened_; }
 
--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -24,6 +24,8 @@
 struct RelayHandler::Context {
   HttpExchange* exchange = nullptr;
   RelayRequest relay;
+  // See RequestFingerprint.
+  std::uint64_t fingerprint = 0;
   // Keeps `route` and `service` alive.
   std::shared_ptr<const FleetConfig> config;
   const Route* route = nullptr;
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -1,12 +1,15 @@
 #include "relay_handler.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <cmath>
 
 #include "digest.h"
 #include "log.h"
 #include "platform/request_headers.h"
 #include "relay_context.h"
+#include "request_fingerprint.h"
 #include "supervisor.h"
 
 namespace mimosabend {
@@ -84,6 +87,7 @@
   auto context = std::make_shared<Context>();
   context->exchange = &exchange;
   context->relay = platform::ReadRelayRequest(exchange.request());
+  context->fingerprint = RequestFingerprint(exchange.request());
   context->arrival = exchange.request().arrival;
   context->config = parts_.directory->config();
   ++in_flight_;
@@ -289,11 +293,36 @@
   context->reason = std::string(kHttpErrorNames[error]);
   if (error != HttpError::kNotSent) {
     ++context->runs;
+    NoteBreak(*context, choice, error);
     return;
   }
   parts_.client->Forget(choice.endpoint.address);
 }
 
+// Logs that an endpoint broke off a request that it may have run, and whether the endpoint itself
+// has ended.
+void RelayHandler::NoteBreak(const Context& context, const EndpointChoice& choice,
+                             HttpError error) {
+  if (context.caller_gone) return;
+  parts_.metrics->endpoint_breaks_total->Increment();
+  LOG4CPLUS_INFO(Log(), "endpoint broke off id=" << context.relay.id
+                                                 << " content=" << Hex64(context.fingerprint)
+                                                 << " endpoint=" << choice.endpoint.id
+                                                 << " started_ms=" << choice.endpoint.started_ms
+                                                 << " error=\"" << kHttpErrorNames[error] << "\"");
+  if (error != HttpError::kBroken) return;
+  boost::asio::co_spawn(parts_.client->executor(), LogReachability(choice.endpoint),
+                        boost::asio::detached);
+}
+
+Task<void> RelayHandler::LogReachability(FleetEndpoint endpoint) {
+  const Reachability reachability =
+      co_await parts_.client->Probe(endpoint.address, kConnectTimeout);
+  LOG4CPLUS_INFO(
+      Log(), "after a break, endpoint=" << endpoint.id << " started_ms=" << endpoint.started_ms
+                                        << " new connections=" << kReachabilityNames[reachability]);
+}
+
 // Gives the final answer of a request that is not tried again.
 Task<void> RelayHandler::GiveUp(ContextPtr context) {
   if (context->caller_gone) {
@@ -366,8 +395,8 @@
                                         : std::int64_t{-1};
   LOG4CPLUS_INFO(
       Log(),
-      "request id=" << context.relay.id << " outcome=" << kRelayOutcomeNames[context.outcome]
-                    << " status=" << context.status
+      "request id=" << context.relay.id << " content=" << Hex64(context.fingerprint) << " outcome="
+                    << kRelayOutcomeNames[context.outcome] << " status=" << context.status
                     << " route=" << (context.route == nullptr ? "-" : context.route->name)
                     << " config=" << (context.config == nullptr ? 0 : context.config->version)
                     << " model=" << context.relay.model << "/" << context.relay.adapter
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -109,6 +109,8 @@
   milliseconds RetryAfter(const Context& context);
   void NoteHeaders(const EndpointChoice& choice, int status, const HttpHeaders& headers);
   void NoteFailure(Context* context, const EndpointChoice& choice, HttpError error);
+  void NoteBreak(const Context& context, const EndpointChoice& choice, HttpError error);
+  Task<void> LogReachability(FleetEndpoint endpoint);
   HttpCall MakeCall(Context* context, const EndpointChoice& choice, MonotonicTime deadline) const;
   std::string PickService(const Route& route, const std::string& request_id) const;
   bool HasEngine(const Context& context, MonotonicTime now) const;
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -34,6 +34,8 @@
       registry_.AddCounter("repeats_denied_total", "Repeats that the budget refused.");
   stream_resumes_total =
       registry_.AddCounter("stream_resumes_total", "Streams resumed after a break.");
+  endpoint_breaks_total = registry_.AddCounter(
+      "endpoint_breaks_total", "Requests whose endpoint broke off without a whole answer.");
   model_waits_total =
       registry_.AddCounter("model_waits_total", "Requests that waited for a model.");
   adapter_waits_total =
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -48,6 +48,7 @@
   prometheus::Counter* repeats_total;
   prometheus::Counter* repeats_denied_total;
   prometheus::Counter* stream_resumes_total;
+  prometheus::Counter* endpoint_breaks_total;
   prometheus::Counter* model_waits_total;
   prometheus::Counter* adapter_waits_total;
   prometheus::Counter* connections_opened_total;
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -273,7 +273,10 @@
     context->step = RelayStep::kEvents;
     auto bytes = co_await stream->Read(limit);
     if (!bytes || context->caller_gone) {
-      if (!bytes) context->reason = "stream: " + std::string(kHttpErrorNames[bytes.error()]);
+      if (!bytes) {
+        context->reason = "stream: " + std::string(kHttpErrorNames[bytes.error()]);
+        NoteBreak(*context, choice, bytes.error());
+      }
       co_return Next::kTryAgain;
     }
     if (bytes.value().empty()) break;
