--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -35,6 +35,14 @@
   return std::string(MIMOSABEND_BUILD_DIRECTORY) + "/" + name;
 }
 
+std::filesystem::path MakeTemporaryDirectory() {
+  std::string pattern = (std::filesystem::temp_directory_path() / "mimosabend-XXXXXX").string();
+  if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("mkdtemp failed");
+  return pattern;
+}
+
+}  // namespace
+
 // Ports that are free now, at random below the range that the system gives to outgoing connections:
 // a port of that range may be taken before the daemon binds it. All sockets are held until the last
 // was found, so that none is named twice.
@@ -58,18 +66,12 @@
   return ports;
 }
 
-std::filesystem::path MakeTemporaryDirectory() {
-  std::string pattern = (std::filesystem::temp_directory_path() / "mimosabend-XXXXXX").string();
-  if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("mkdtemp failed");
-  return pattern;
-}
-
-}  // namespace
-
 Process::Process(const std::string& program, const std::vector<std::string>& arguments,
                  const std::string& log_file, bool wait_for_port)
-    : child_(bp::exe = program, bp::args = arguments, bp::std_out > output_,
-             bp::std_err > log_file) {
+    : child_(wait_for_port ? bp::child(bp::exe = program, bp::args = arguments,
+                                       bp::std_out > output_, bp::std_err > log_file)
+                           : bp::child(bp::exe = program, bp::args = arguments,
+                                       (bp::std_out & bp::std_err) > log_file)) {
   if (!wait_for_port) return;
   std::string word;
   if (!(output_ >> word >> port_) || word != "listening") {
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -15,10 +15,14 @@
 
 namespace mimosabend::testing {
 
+// Ports that are free now on 127.0.0.1.
+std::vector<std::uint16_t> FreePorts(std::size_t count);
+
 // A program that runs beside the test. It is killed by its process id when the object dies.
 class Process {
  public:
-  // Starts a program. With `wait_for_port` it returns once the program has printed its port.
+  // Starts a program. With `wait_for_port` it returns once the program has printed its port;
+  // without, its standard output goes to the log file, too.
   Process(const std::string& program, const std::vector<std::string>& arguments,
           const std::string& log_file, bool wait_for_port);
   Process(const Process&) = delete;
--- /dev/null
+++ b/tests/platform_fleet.cpp
@@ -0,0 +1,252 @@
+#include "platform_fleet.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <fstream>
+#include <optional>
+#include <sstream>
+#include <stdexcept>
+
+#include "base64.h"
+#include "digest.h"
+#include "json.h"
+
+namespace mimosabend::testing {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr milliseconds kStartTimeout{10000};
+constexpr milliseconds kKeepPeriod{10};
+constexpr milliseconds kCallTimeout{15000};
+// Gateways listen at the same ports of addresses of their own, as on hosts of their own.
+constexpr int kFirstHost = 21;
+
+std::string HostOf(int index) { return "127.0.0." + std::to_string(kFirstHost + index); }
+
+std::string Program(const std::string& name) {
+  return std::string(MIMOSABEND_BUILD_DIRECTORY) + "/" + name;
+}
+
+json::object RouteObject(const std::string& prefix, const std::string& kind, int attempts,
+                         const std::string& service) {
+  return {{"name", prefix},      {"host", "a.example"},
+          {"prefix", prefix},    {"route-type", kind},
+          {"timeout-ms", 10000}, {"target-latency-ms", 1000},
+          {"gap-aim-ms", 400},   {"max-attempts", attempts},
+          {"service", service},  {"resumable", kind == "streaming"}};
+}
+
+json::object ConfigObject() {
+  json::object model{{"name", "m"},        {"weights-mb", 100}, {"adapters", 0}, {"adapter-mb", 1},
+                     {"load-time-s", 6.0}, {"disk-s", 0.8},     {"warm-s", 0.4}};
+  json::object engine{{"slots", 64},        {"kv-capacity", 200000},
+                      {"weights-mb", 1000}, {"adapter-slots", 8},
+                      {"loads-per-s", 2},   {"models", json::array{model}}};
+  return {{"version", 1},
+          {"routes", json::array{RouteObject("/chat/", "streaming", 2, "models"),
+                                 RouteObject("/read/", "idempotent", 2, "plain"),
+                                 RouteObject("/order/", "non_idempotent", 1, "plain")}},
+          {"services", json::array{json::object{{"name", "models"}, {"engine", engine}},
+                                   json::object{{"name", "plain"}}}}};
+}
+
+HttpCall StoreCall(const Address& store, const std::string& method, const std::string& target,
+                   const json::value& body) {
+  HttpCall call;
+  call.address = store;
+  call.method = method;
+  call.target = target;
+  call.body = json::serialize(body);
+  call.deadline = MonotonicNow() + kCallTimeout;
+  return call;
+}
+
+}  // namespace
+
+std::vector<Result<HttpReply, HttpError>> CallAll(std::vector<HttpCall> calls) {
+  asio::io_context io(1);
+  HttpClient client(io.get_executor());
+  std::vector<std::optional<Result<HttpReply, HttpError>>> found(calls.size());
+  const auto send = [&](HttpCall call, std::size_t index) -> Task<void> {
+    auto reply = co_await client.Call(std::move(call));
+    found[index] = std::move(reply);
+  };
+  for (std::size_t i = 0; i < calls.size(); ++i) {
+    asio::co_spawn(io, send(std::move(calls[i]), i), asio::detached);
+  }
+  io.run();
+  std::vector<Result<HttpReply, HttpError>> replies;
+  for (auto& reply : found) replies.push_back(std::move(*reply));
+  return replies;
+}
+
+Result<HttpReply, HttpError> CallOne(HttpCall call) {
+  std::vector<HttpCall> calls;
+  calls.push_back(std::move(call));
+  return std::move(CallAll(std::move(calls)).front());
+}
+
+PlatformFleet::PlatformFleet(PlatformFleetOptions options)
+    : options_(std::move(options)), ports_(FreePorts(4)) {
+  std::string pattern = (std::filesystem::temp_directory_path() / "mimosabend-XXXXXX").string();
+  if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("mkdtemp failed");
+  directory_ = pattern;
+  store_ = std::make_unique<Process>(Program("tests/platform_store_standin"),
+                                     std::vector<std::string>{}, Log("store"), true);
+  WriteConfig();
+  const int count = options_.engines + options_.plain_endpoints;
+  const std::vector<std::uint16_t> ports = FreePorts(count);
+  for (int i = 0; i < count; ++i) {
+    Endpoint endpoint;
+    endpoint.service = i < options_.engines ? "models" : "plain";
+    endpoint.port = ports[i];
+    StartEndpoint(&endpoint);
+    endpoints_.push_back(std::move(endpoint));
+  }
+  keeper_ = std::thread([this] { KeepEndpoints(); });
+  gateways_.resize(options_.gateways);
+  for (int i = 0; i < options_.gateways; ++i) StartGateway(i);
+  WaitFor(kStartTimeout, [this] { return Leader() >= 0; });
+}
+
+PlatformFleet::~PlatformFleet() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  keeper_.join();
+  gateways_.clear();
+  endpoints_.clear();
+  store_.reset();
+  std::error_code ignored;
+  std::filesystem::remove_all(directory_, ignored);
+}
+
+void PlatformFleet::WriteConfig() {
+  const json::object put{{"key", "op/config"},
+                         {"value", EncodeBase64(json::serialize(ConfigObject()))}};
+  const json::object body{{"expected", json::array()}, {"puts", json::array{put}}};
+  auto reply = CallOne(StoreCall(store_->address(), "POST", "/mimosabend/kv-txn", body));
+  if (!reply || reply.value().status != 200) throw std::runtime_error("no configuration");
+}
+
+void PlatformFleet::StartEndpoint(Endpoint* endpoint) {
+  ++endpoint->starts;
+  const std::string id = endpoint->service + "-" + std::to_string(endpoint->port) + "-" +
+                         std::to_string(endpoint->starts);
+  std::vector<std::string> flags{"--port=" + std::to_string(endpoint->port), "--id=" + id,
+                                 "--service=" + endpoint->service,
+                                 "--store=" + ToString(store_->address())};
+  if (endpoint->service == "models") {
+    flags.emplace_back("--model=m");
+    flags.insert(flags.end(), options_.engine_flags.begin(), options_.engine_flags.end());
+  }
+  endpoint->process =
+      std::make_unique<Process>(Program("tests/platform_endpoint_standin"), flags, Log(id), true);
+}
+
+// Starts endpoints again that have ended, until the fleet ends.
+void PlatformFleet::KeepEndpoints() {
+  for (;;) {
+    {
+      const std::lock_guard lock(mutex_);
+      if (stopping_) return;
+      const MonotonicTime now = MonotonicNow();
+      for (Endpoint& endpoint : endpoints_) {
+        if (endpoint.process != nullptr && !endpoint.process->running()) {
+          endpoint.process.reset();
+          endpoint.ended_at = now;
+          ends_.push_back(now);
+        }
+        const bool due = now - endpoint.ended_at >= options_.restart_time;
+        if (endpoint.process == nullptr && due) StartEndpoint(&endpoint);
+      }
+    }
+    std::this_thread::sleep_for(kKeepPeriod);
+  }
+}
+
+std::vector<MonotonicTime> PlatformFleet::Ends() const {
+  const std::lock_guard lock(mutex_);
+  return ends_;
+}
+
+Address PlatformFleet::caller_address(int index) const { return {HostOf(index), ports_[0]}; }
+
+void PlatformFleet::WriteSettings(int index) {
+  std::ofstream file(directory_ / ("gateway-" + std::to_string(index) + ".ini"));
+  const std::string host = HostOf(index);
+  file << "[gateway]\nname = g" << index << "\nregion = north\nfailure_domain = a\n"
+       << "seeds = " << HostOf(0) << ":1, " << HostOf(1) << ":1\ndomains = a:north\n"
+       << "[listen]\ncaller = " << host << ":" << ports_[0] << "\nreadiness = " << host << ":"
+       << ports_[1] << "\npeer = " << host << ":" << ports_[2] << "\nmetrics = " << host << ":"
+       << ports_[3] << "\n[platform]\nstore = " << ToString(store_->address())
+       << "\n[bounds]\nretry_extra = 200\n[log]\nlevel = info\nformat = logfmt\n";
+}
+
+void PlatformFleet::StartGateway(int index) {
+  WriteSettings(index);
+  const std::string name = "gateway-" + std::to_string(index);
+  gateways_.at(index).reset();
+  const std::string config = (directory_ / (name + ".ini")).string();
+  gateways_.at(index) = std::make_unique<Process>(
+      Program("mimosabend"), std::vector<std::string>{"gateway", "--config=" + config}, Log(name),
+      false);
+  HttpCall ready;
+  ready.address = {HostOf(index), ports_[1]};
+  ready.target = "/mimosabend/ready";
+  const bool started = WaitFor(kStartTimeout, [&] {
+    ready.deadline = MonotonicNow() + kCallTimeout;
+    const auto reply = CallOne(ready);
+    return reply && reply.value().status == 200;
+  });
+  if (!started) throw std::runtime_error(name + " is not ready");
+}
+
+double PlatformFleet::Metric(int index, const std::string& name) {
+  HttpCall call;
+  call.address = {HostOf(index), ports_[3]};
+  call.target = "/metrics";
+  call.deadline = MonotonicNow() + kCallTimeout;
+  const auto reply = CallOne(std::move(call));
+  if (!reply) return 0;
+  std::istringstream lines(reply.value().body);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with(name + " ")) return std::stod(line.substr(name.size() + 1));
+  }
+  return 0;
+}
+
+int PlatformFleet::Leader() {
+  for (int i = 0; i < options_.gateways; ++i) {
+    if (Metric(i, "mimosabend_gateway_leads_placement") > 0) return i;
+  }
+  return -1;
+}
+
+void PlatformFleet::RefuseStoreCalls(bool refuse) {
+  const json::object body{{"refuse", refuse}};
+  const auto reply = CallOne(StoreCall(store_->address(), "PUT", "/fault", body));
+  if (!reply) throw std::runtime_error("the store did not answer");
+}
+
+HttpCall PlatformFleet::MakeCall(int gateway, const std::string& target, const std::string& body) {
+  HttpCall call;
+  call.address = caller_address(gateway);
+  call.method = "POST";
+  call.target = target;
+  call.body = body;
+  call.headers = {{"Host", "a.example"},
+                  {"Request-Id", Hex64(Hash64(target, ++next_request_))},
+                  {"Deadline-Ms", "10000"},
+                  {"Model", "m"},
+                  {"Token-Count", "100,10"}};
+  call.deadline = MonotonicNow() + kCallTimeout;
+  return call;
+}
+
+}  // namespace mimosabend::testing
--- /dev/null
+++ b/tests/standins/platform_endpoint_standin.cpp
@@ -0,0 +1,140 @@
+// An endpoint of the users' platform: an engine that streams events, or a plain service. It
+// registers itself in the store under a lease and keeps that. A request whose body contains "crash"
+// ends the process once it begins to run, as a faulty request does.
+#include <gflags/gflags.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "http_client.h"
+#include "platform/platform_store.h"
+#include "standin.h"
+#include "supervisor.h"
+
+DEFINE_int32(port, 0, "port, 0 for a free one");
+DEFINE_string(id, "", "key under which the endpoint registers");
+DEFINE_string(service, "", "service of the endpoint");
+DEFINE_string(store, "", "address of the store");
+DEFINE_string(model, "", "model that an engine holds; empty for a plain service");
+DEFINE_int32(events, 10, "events of a stream");
+DEFINE_int32(event_gap_ms, 20, "time between two events of a stream");
+DEFINE_int32(start_ms, 20, "time until a request begins to run");
+DEFINE_int32(lapse_ms, 1200, "time to live of the entry in the store");
+
+namespace mimosabend::standin {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr int kRenewalsPerLapse = 3;
+
+class PlatformEndpointStandin {
+ public:
+  explicit PlatformEndpointStandin(boost::asio::io_context* io)
+      : client_(io->get_executor()), store_(&client_, ParseAddress(FLAGS_store).value()) {}
+
+  Task<void> Handle(HttpExchange& exchange) {
+    const std::string path(TargetPath(exchange.request().target));
+    if (path == "/mimosabend/report") {
+      co_await ReplyJson(&exchange, 200, Description());
+      co_return;
+    }
+    if (path == "/mimosabend/order") {
+      co_await ReplyJson(&exchange, 200, json::object());
+      co_return;
+    }
+    const std::string expected(exchange.request().header("Expect-Instance"));
+    if (!expected.empty() && expected != FLAGS_id) {
+      co_await ReplyJson(&exchange, 421, json::object());
+      co_return;
+    }
+    co_await Sleep(milliseconds(FLAGS_start_ms));
+    if (exchange.request().body.find("crash") != std::string::npos) std::_Exit(1);
+    co_await Run(&exchange);
+  }
+
+  // Registers the endpoint, and again whenever its lease has lapsed.
+  Task<void> Register() {
+    const milliseconds time_to_live(FLAGS_lapse_ms);
+    for (;;) {
+      auto lease = co_await store_.GrantLease(time_to_live);
+      if (lease) {
+        const std::string key = platform::PlatformStore::endpoint_prefix() + FLAGS_id;
+        auto known = co_await store_.Read(key);
+        if (known) {
+          std::vector<KvItem> expected{{key, {"", known.value().version}}};
+          std::vector<KvPut> puts{{key, json::serialize(Description()), lease.value()}};
+          auto swap = co_await store_.Claim(std::move(expected), std::move(puts));
+          if (swap && swap.value().swapped) co_await Keep(lease.value(), time_to_live);
+        }
+      }
+      co_await Sleep(time_to_live / kRenewalsPerLapse);
+    }
+  }
+
+  void set_address(const Address& address) { address_ = address; }
+
+ private:
+  Task<void> Keep(LeaseId lease, milliseconds time_to_live) {
+    for (;;) {
+      co_await Sleep(time_to_live / kRenewalsPerLapse);
+      auto kept = co_await store_.RenewLease(lease);
+      if (kept && !kept.value()) co_return;
+    }
+  }
+
+  json::object Description() const {
+    json::object description{
+        {"service", FLAGS_service}, {"address", ToString(address_)},  {"zone", "a"}, {"slots", 64},
+        {"state", "ready"},         {"born", ToUnixMillis(started_)}, {"seq-no", 0}};
+    json::array models;
+    if (!FLAGS_model.empty()) {
+      models.push_back(json::object{{"name", FLAGS_model}, {"adapters", json::array()}});
+    }
+    description["models"] = std::move(models);
+    return description;
+  }
+
+  Task<void> Run(HttpExchange* exchange) {
+    HttpHeaders headers{{"Request-Id", std::string(exchange->request().header("Request-Id"))},
+                        {"Response-Stamp", FLAGS_id}};
+    if (FLAGS_model.empty()) {
+      co_await exchange->Reply(200, std::move(headers), "done");
+      co_return;
+    }
+    headers.emplace_back("Content-Type", "text/event-stream");
+    std::int64_t first = 1;
+    const std::string resumed(exchange->request().header("Last-Event-Id"));
+    if (!resumed.empty()) first = std::stoll(resumed) + 1;
+    bool open = co_await exchange->StartStream(200, std::move(headers));
+    for (std::int64_t id = first; open && id <= FLAGS_events; ++id) {
+      open = co_await exchange->Write("id: " + std::to_string(id) + "\ndata: e\n\n");
+      co_await Sleep(milliseconds(FLAGS_event_gap_ms));
+    }
+    if (open) co_await exchange->FinishStream();
+  }
+
+  HttpClient client_;
+  platform::PlatformStore store_;
+  Address address_;
+  WallTime started_ = WallNow();
+};
+
+}  // namespace
+
+}  // namespace mimosabend::standin
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  boost::asio::io_context io(1);
+  mimosabend::standin::PlatformEndpointStandin standin(&io);
+  // The port is known before it is bound, so that the endpoint keeps its address over restarts.
+  standin.set_address({"127.0.0.1", static_cast<std::uint16_t>(FLAGS_port)});
+  boost::asio::co_spawn(io, standin.Register(), boost::asio::detached);
+  return mimosabend::standin::RunStandin(
+      &io, static_cast<std::uint16_t>(FLAGS_port),
+      [&](mimosabend::HttpExchange& exchange) { return standin.Handle(exchange); });
+}
--- /dev/null
+++ b/tests/standins/platform_store_standin.cpp
@@ -0,0 +1,180 @@
+// The users' platform store: keys with revisions, leases that lapse, watches on prefixes. PUT
+// /fault
+// {"refuse": true} makes it turn every other call away with 503.
+#include <gflags/gflags.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <charconv>
+#include <map>
+
+#include "base64.h"
+#include "fake_fleet_store.h"
+#include "standin.h"
+
+DEFINE_int32(port, 0, "port, 0 for a free one");
+
+namespace mimosabend::standin {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr milliseconds kLeaseCheckPeriod{20};
+constexpr std::string_view kCalls = "/mimosabend/";
+
+std::uint64_t NumberParameter(std::string_view target, std::string_view name) {
+  const std::string text = QueryParameter(target, name);
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+json::object ItemObject(const KvItem& item) {
+  if (!item.entry.exists()) return {{"key", item.key}, {"revision", 1}, {"tombstone", true}};
+  return {{"key", item.key},
+          {"revision", item.entry.version},
+          {"value", EncodeBase64(item.entry.value)}};
+}
+
+json::array ItemArray(const std::vector<KvItem>& items) {
+  json::array array;
+  for (const KvItem& item : items) array.push_back(ItemObject(item));
+  return array;
+}
+
+const json::array& Rows(const json::value& body, std::string_view name) {
+  static const json::array kNone;
+  const json::value* member = JsonMember(body, name);
+  return member != nullptr && member->is_array() ? member->get_array() : kNone;
+}
+
+class PlatformStoreStandin {
+ public:
+  Task<void> Handle(HttpExchange& exchange) {
+    const std::string target = exchange.request().target;
+    if (target == "/fault") {
+      refuse_ = FlagMember(BodyOf(exchange), "refuse");
+      co_await ReplyJson(&exchange, 200, "ok");
+      co_return;
+    }
+    if (refuse_) {
+      co_await ReplyJson(&exchange, 503, "refused");
+      co_return;
+    }
+    const std::string path(TargetPath(target));
+    if (!path.starts_with(kCalls)) {
+      co_await ReplyJson(&exchange, 404, "no such call");
+      co_return;
+    }
+    const std::string call = path.substr(kCalls.size());
+    if (call == "kv-key") co_await Read(&exchange, QueryParameter(target, "key"));
+    if (call == "kv-range") co_await List(&exchange, QueryParameter(target, "prefix"));
+    if (call == "kv-watch") co_await Watch(&exchange, target);
+    if (call == "kv-txn") co_await Write(&exchange);
+    if (call == "kv-lease") co_await Grant(&exchange);
+    if (call.starts_with("kv-keep/")) co_await Renew(&exchange, call.substr(8));
+    if (call.starts_with("kv-lease-end/")) co_await End(&exchange, call.substr(13));
+  }
+
+  Task<void> EndLapsedLeases() {
+    for (;;) {
+      co_await Sleep(kLeaseCheckPeriod);
+      for (auto it = leases_.begin(); it != leases_.end();) {
+        const bool lapsed = MonotonicNow() >= it->second.ends_at;
+        if (lapsed) store_.EndLease(it->first);
+        it = lapsed ? leases_.erase(it) : std::next(it);
+      }
+    }
+  }
+
+ private:
+  struct Lease {
+    milliseconds time_to_live{0};
+    MonotonicTime ends_at;
+  };
+
+  Task<void> Read(HttpExchange* exchange, std::string key) {
+    const KvEntry entry = store_.Get(key);
+    json::value body = ItemObject({key, entry});
+    co_await ReplyJson(exchange, entry.exists() ? 200 : 404, std::move(body));
+  }
+
+  Task<void> List(HttpExchange* exchange, std::string prefix) {
+    auto snapshot = co_await store_.Snapshot(prefix);
+    json::object body{{"items", ItemArray(snapshot.value().items)},
+                      {"truncated", false},
+                      {"store-revision", snapshot.value().revision}};
+    co_await ReplyJson(exchange, 200, std::move(body));
+  }
+
+  Task<void> Watch(HttpExchange* exchange, std::string target) {
+    const milliseconds wait(NumberParameter(target, "wait-ms"));
+    auto changes = co_await store_.WatchPrefix(QueryParameter(target, "prefix"),
+                                               NumberParameter(target, "after"), wait);
+    json::object body{{"events", ItemArray(changes.value().items)},
+                      {"store-revision", changes.value().revision}};
+    co_await ReplyJson(exchange, 200, std::move(body));
+  }
+
+  Task<void> Write(HttpExchange* exchange) {
+    const json::value body = BodyOf(*exchange);
+    std::vector<KvItem> expected;
+    for (const json::value& row : Rows(body, "expected")) {
+      const auto revision = static_cast<std::uint64_t>(IntegerMember(row, "revision").value_or(0));
+      expected.push_back({TextMember(row, "key"), {"", revision}});
+    }
+    std::vector<KvPut> puts;
+    for (const json::value& row : Rows(body, "puts")) {
+      const std::int64_t lease = IntegerMember(row, "lease").value_or(0);
+      puts.push_back({TextMember(row, "key"), DecodeBase64(TextMember(row, "value")).value_or(""),
+                      lease == 0 ? LeaseId() : std::to_string(lease)});
+    }
+    auto swap = co_await store_.Claim(expected, puts);
+    if (swap.value().swapped) {
+      for (const json::value& key : Rows(body, "remove")) {
+        store_.Erase(std::string(key.get_string()));
+      }
+    }
+    json::object answer{{"revision", swap.value().version}};
+    co_await ReplyJson(exchange, swap.value().swapped ? 200 : 412, std::move(answer));
+  }
+
+  Task<void> Grant(HttpExchange* exchange) {
+    const milliseconds time_to_live(IntegerMember(BodyOf(*exchange), "ttl-ms").value_or(1000));
+    auto lease = co_await store_.GrantLease(time_to_live);
+    leases_[lease.value()] = {time_to_live, MonotonicNow() + time_to_live};
+    json::object body{{"lease", std::stoll(lease.value())}, {"ttl-ms", time_to_live.count()}};
+    co_await ReplyJson(exchange, 200, std::move(body));
+  }
+
+  Task<void> Renew(HttpExchange* exchange, std::string lease) {
+    const auto it = leases_.find(lease);
+    if (it != leases_.end()) it->second.ends_at = MonotonicNow() + it->second.time_to_live;
+    co_await ReplyJson(exchange, it == leases_.end() ? 404 : 200, json::object());
+  }
+
+  Task<void> End(HttpExchange* exchange, std::string lease) {
+    store_.EndLease(lease);
+    leases_.erase(lease);
+    co_await ReplyJson(exchange, 200, json::object());
+  }
+
+  testing::FakeFleetStore store_;
+  std::map<LeaseId, Lease> leases_;
+  bool refuse_ = false;
+};
+
+}  // namespace
+
+}  // namespace mimosabend::standin
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  boost::asio::io_context io(1);
+  mimosabend::standin::PlatformStoreStandin standin;
+  boost::asio::co_spawn(io, standin.EndLapsedLeases(), boost::asio::detached);
+  return mimosabend::standin::RunStandin(
+      &io, static_cast<std::uint16_t>(FLAGS_port),
+      [&](mimosabend::HttpExchange& exchange) { return standin.Handle(exchange); });
+}
