Contain requests that end their endpoints, over all gateways

Cause: the relay knew a request only by its id, which is new with each repeat, and forgot an endpoint's end with the request that saw it. No message between daemons could tell of it.

Change: a fingerprint of host, method, path and body. A run without a whole answer, joined with the end of that incarnation in either order, is blamed (crash_watch); a refused connection, another incarnation at the address or id, or a lapsed entry show the end, and an announced leave never counts (break_examiner, fleet_directory). Records add up over all daemons and go with the reports, their answers and requests for views, once over each link (crash_evidence, evidence_exchange). After three crashes the request is refused for an hour with 503 and Retry-After, or 502 if this attempt ran. From two crashes on it starts only where no other such request waits for its first event; whoever is served is cleared. Why it works: a crash is named by its incarnation, so no daemon has to agree or to live on.

--- /dev/null
+++ b/src/crash_evidence.cpp
@@ -0,0 +1,190 @@
+#include "crash_evidence.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace mimosabend {
+
+namespace {
+
+// From this number of crashes on, a request runs beside no other such request that has not begun.
+constexpr std::size_t kLoneCrashes = 2;
+
+}  // namespace
+
+void CrashEvidence::NoteCrash(std::uint32_t crash, const std::vector<std::uint64_t>& fingerprints,
+                              MonotonicTime now) {
+  const auto is_lone = [&](std::uint64_t fingerprint) {
+    return Crashes(fingerprint, now) >= kLoneCrashes;
+  };
+  const bool explained = std::any_of(fingerprints.begin(), fingerprints.end(), is_lone);
+  bool news = false;
+  for (std::uint64_t fingerprint : fingerprints) {
+    if (explained && !is_lone(fingerprint)) continue;
+    if (AddCrash(fingerprint, crash, now)) news = true;
+  }
+  if (news) on_news_();
+}
+
+void CrashEvidence::NoteServed(std::uint64_t fingerprint, MonotonicTime now) {
+  RememberServed(fingerprint, now);
+  const auto it = suspects_.find(fingerprint);
+  if (it == suspects_.end() || it->second.crashes.empty()) return;
+  if (AddServed(fingerprint, now)) on_news_();
+}
+
+CrashVerdict CrashEvidence::Judge(std::uint64_t fingerprint, MonotonicTime now) const {
+  const std::size_t crashes = Crashes(fingerprint, now);
+  if (crashes == 0) return CrashVerdict::kClean;
+  if (crashes < kLoneCrashes) return CrashVerdict::kSuspect;
+  if (crashes < kMaxCrashes) return CrashVerdict::kLone;
+  const bool ambiguous =
+      crashes == kMaxCrashes && IsAmbiguous(fingerprint, suspects_.at(fingerprint));
+  return ambiguous ? CrashVerdict::kLone : CrashVerdict::kContained;
+}
+
+// Whether another request was there at each crash of this one, so that either may be the cause.
+bool CrashEvidence::IsAmbiguous(std::uint64_t fingerprint, const Suspect& suspect) const {
+  return std::any_of(suspects_.begin(), suspects_.end(), [&](const auto& other) {
+    if (other.first == fingerprint) return false;
+    return std::all_of(suspect.crashes.begin(), suspect.crashes.end(), [&](const auto& crash) {
+      return other.second.crashes.contains(crash.first);
+    });
+  });
+}
+
+std::size_t CrashEvidence::Crashes(std::uint64_t fingerprint, MonotonicTime now) const {
+  const auto it = suspects_.find(fingerprint);
+  if (it == suspects_.end()) return 0;
+  const auto& crashes = it->second.crashes;
+  return std::count_if(crashes.begin(), crashes.end(),
+                       [&](const auto& crash) { return now - crash.second.at < kRetention; });
+}
+
+MonotonicTime CrashEvidence::ForgottenAt(std::uint64_t fingerprint) const {
+  MonotonicTime last;
+  for (const auto& [crash, note] : suspects_.at(fingerprint).crashes) {
+    last = std::max(last, note.at);
+  }
+  return last + kRetention;
+}
+
+bool CrashEvidence::WasServed(std::uint64_t fingerprint, MonotonicTime at) const {
+  const auto served = served_.find(fingerprint);
+  if (served != served_.end() && at - served->second < kInnocence) return true;
+  const auto suspect = suspects_.find(fingerprint);
+  return suspect != suspects_.end() && suspect->second.served &&
+         at - suspect->second.served->at < kInnocence;
+}
+
+CrashEvidence::Note CrashEvidence::Log(std::uint64_t fingerprint, std::uint32_t crash,
+                                       MonotonicTime at) {
+  log_[++last_position_] = {fingerprint, crash};
+  return {at, last_position_};
+}
+
+// True if the crash was not known and counts.
+bool CrashEvidence::AddCrash(std::uint64_t fingerprint, std::uint32_t crash, MonotonicTime at) {
+  if (WasServed(fingerprint, at)) return false;
+  if (!suspects_.contains(fingerprint)) MakeRoom();
+  Suspect& suspect = suspects_[fingerprint];
+  if (suspect.crashes.contains(crash)) return false;
+  // A further crash would change nothing.
+  if (suspect.crashes.size() > kMaxCrashes) return false;
+  suspect.crashes[crash] = Log(fingerprint, crash, at);
+  return true;
+}
+
+// True if the request was not known to have been served since.
+bool CrashEvidence::AddServed(std::uint64_t fingerprint, MonotonicTime at) {
+  if (!suspects_.contains(fingerprint)) MakeRoom();
+  Suspect& suspect = suspects_[fingerprint];
+  if (suspect.served && suspect.served->at >= at) return false;
+  const bool known = suspect.served && suspect.crashes.empty();
+  for (const auto& [crash, note] : suspect.crashes) Unlog(note);
+  suspect.crashes.clear();
+  if (suspect.served) Unlog(*suspect.served);
+  suspect.served = Log(fingerprint, CrashRecord::kServed, at);
+  return !known;
+}
+
+void CrashEvidence::RememberServed(std::uint64_t fingerprint, MonotonicTime now) {
+  const auto [it, first] = served_.try_emplace(fingerprint, now);
+  it->second = now;
+  if (!first) return;
+  served_order_.push_back(fingerprint);
+  if (served_order_.size() <= kMaxServed) return;
+  served_.erase(served_order_.front());
+  served_order_.pop_front();
+}
+
+std::vector<CrashRecord> CrashEvidence::Since(std::uint64_t position, MonotonicTime now,
+                                              std::uint64_t* next) const {
+  std::vector<CrashRecord> records;
+  *next = last_position_;
+  for (auto it = log_.upper_bound(position); it != log_.end(); ++it) {
+    if (records.size() == kMaxRecords) {
+      *next = std::prev(it)->first;
+      break;
+    }
+    const Suspect& suspect = suspects_.at(it->second.fingerprint);
+    const bool served = it->second.crash == CrashRecord::kServed;
+    const Note& note = served ? *suspect.served : suspect.crashes.at(it->second.crash);
+    const auto age = std::max<std::int64_t>(0, ToMillis(now - note.at).count());
+    records.push_back({it->second.fingerprint, it->second.crash, static_cast<std::uint32_t>(age)});
+  }
+  return records;
+}
+
+void CrashEvidence::Merge(const std::vector<CrashRecord>& records, MonotonicTime now) {
+  bool news = false;
+  for (const CrashRecord& record : records) {
+    const milliseconds age(record.age_ms);
+    if (age >= kRetention) continue;
+    const MonotonicTime at = now - age;
+    const bool added = record.crash == CrashRecord::kServed
+                           ? AddServed(record.fingerprint, at)
+                           : AddCrash(record.fingerprint, record.crash, at);
+    if (added) news = true;
+  }
+  if (news) on_news_();
+}
+
+void CrashEvidence::Erase(std::map<std::uint64_t, Suspect>::iterator it) {
+  for (const auto& [crash, note] : it->second.crashes) Unlog(note);
+  if (it->second.served) Unlog(*it->second.served);
+  suspects_.erase(it);
+}
+
+// Makes room for one more suspect: the one with the fewest crashes goes, of these the oldest.
+void CrashEvidence::MakeRoom() {
+  if (suspects_.size() < kMaxSuspects) return;
+  const auto rank = [](const Suspect& suspect) {
+    MonotonicTime last = suspect.served ? suspect.served->at : MonotonicTime();
+    for (const auto& [crash, note] : suspect.crashes) last = std::max(last, note.at);
+    return std::pair(suspect.crashes.size(), last);
+  };
+  Erase(std::min_element(suspects_.begin(), suspects_.end(), [&](const auto& a, const auto& b) {
+    return rank(a.second) < rank(b.second);
+  }));
+}
+
+void CrashEvidence::Tick(MonotonicTime now) {
+  const auto is_old = [&](const Note& note) { return now - note.at >= kRetention; };
+  for (auto it = suspects_.begin(); it != suspects_.end();) {
+    Suspect& suspect = it->second;
+    std::erase_if(suspect.crashes, [&](const auto& crash) {
+      if (!is_old(crash.second)) return false;
+      Unlog(crash.second);
+      return true;
+    });
+    if (suspect.served && is_old(*suspect.served)) {
+      Unlog(*suspect.served);
+      suspect.served.reset();
+    }
+    const bool empty = suspect.crashes.empty() && !suspect.served;
+    it = empty ? suspects_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace mimosabend
--- a/src/fleet_directory.cpp
+++ b/src/fleet_directory.cpp
@@ -17,12 +17,26 @@
   return true;
 }
 
+void FleetDirectory::NoteEnd(const DirectoryEntry& entry) const {
+  const bool announced = entry.endpoint.state == EndpointState::kDraining || entry.said_leaving;
+  if (!announced) end_listener_(entry.endpoint);
+}
+
+// An endpoint that comes at the address of others shows that these have ended.
+void FleetDirectory::EndOthersAt(const FleetEndpoint& endpoint) const {
+  for (const auto& [id, entry] : entries_) {
+    if (id != endpoint.id && entry.endpoint.address == endpoint.address) NoteEnd(entry);
+  }
+}
+
 bool FleetDirectory::Put(FleetEndpoint endpoint, MonotonicTime read_at) {
   const auto it = entries_.find(endpoint.id);
   const bool restarted =
       it != entries_.end() && (it->second.endpoint.started_ms != endpoint.started_ms ||
                                it->second.endpoint.address != endpoint.address);
   if (it == entries_.end() || restarted) {
+    if (restarted) NoteEnd(it->second);
+    EndOthersAt(endpoint);
     DirectoryEntry entry;
     entry.endpoint = std::move(endpoint);
     entry.read_at = read_at;
@@ -58,7 +72,9 @@
 void FleetDirectory::Tick(MonotonicTime now) {
   std::erase_if(entries_, [&](const auto& item) {
     const auto& since = item.second.missing_since;
-    return since && now - *since >= reappear_time_;
+    const bool gone = since && now - *since >= reappear_time_;
+    if (gone) NoteEnd(item.second);
+    return gone;
   });
   for (auto& [id, entry] : entries_) {
     std::erase_if(entry.refused,
@@ -104,6 +120,14 @@
   return leaving;
 }
 
+bool FleetDirectory::IsExpectedToStay(const std::string& id, std::int64_t started_ms) const {
+  const auto it = entries_.find(id);
+  if (it == entries_.end() || it->second.endpoint.started_ms != started_ms) return false;
+  const DirectoryEntry& entry = it->second;
+  return entry.endpoint.state == EndpointState::kReady && !entry.said_leaving &&
+         !entry.missing_since;
+}
+
 Usability FleetDirectory::UsabilityOf(const DirectoryEntry& entry, MonotonicTime now) const {
   if (entry.endpoint.state == EndpointState::kDraining || entry.said_leaving) {
     return Usability::kUnusable;
--- a/src/fleet_directory.h
+++ b/src/fleet_directory.h
@@ -2,6 +2,7 @@
 #define MIMOSABEND_FLEET_DIRECTORY_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -69,6 +70,10 @@
 
   void set_reappear_time(milliseconds time) { reappear_time_ = time; }
 
+  // Called when an incarnation has ended that had not said that it would leave.
+  using EndListener = std::function<void(const FleetEndpoint&)>;
+  void set_end_listener(EndListener listener) { end_listener_ = std::move(listener); }
+
   // Takes a configuration into force unless it is older than the one in force.
   bool Adopt(FleetConfig config);
   std::shared_ptr<const FleetConfig> config() const { return config_; }
@@ -97,6 +102,9 @@
   // Endpoints that have said that they leave.
   std::vector<std::string> Leaving() const;
 
+  // Whether an incarnation is registered and has not said that it leaves.
+  bool IsExpectedToStay(const std::string& id, std::int64_t started_ms) const;
+
   Usability UsabilityOf(const DirectoryEntry& entry, MonotonicTime now) const;
 
   const std::map<std::string, DirectoryEntry>& entries() const { return entries_; }
@@ -105,7 +113,11 @@
   std::vector<const DirectoryEntry*> OfService(const std::string& service, MonotonicTime now) const;
 
  private:
+  void NoteEnd(const DirectoryEntry& entry) const;
+  void EndOthersAt(const FleetEndpoint& endpoint) const;
+
   milliseconds reappear_time_;
+  EndListener end_listener_ = [](const FleetEndpoint&) {};
   std::shared_ptr<const FleetConfig> config_;
   std::map<std::string, DirectoryEntry> entries_;
 };
--- a/src/fleet_usage.h
+++ b/src/fleet_usage.h
@@ -8,6 +8,7 @@
 #include "codec.h"
 #include "directory_log.h"
 #include "endpoint_stats.h"
+#include "evidence_exchange.h"
 #include "fleet_endpoint.h"
 #include "holdings_log.h"
 #include "peer_message.h"
@@ -143,6 +144,7 @@
   // Numbers of endpoints that a daemon can't reach, and of those that have said that they leave.
   std::vector<std::uint32_t> unreachable;
   std::vector<std::uint32_t> leaving;
+  EvidenceMessage evidence;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -154,6 +156,7 @@
     SerializeList(archive, models);
     SerializeList(archive, loads);
     SerializeList(archive, runs);
+    evidence.serialize(archive);
   }
 };
 
@@ -197,7 +200,8 @@
 
 struct UsageAnswer {
   static constexpr PeerMessageType kType = PeerMessageType::kUsageAnswer;
-  // False if the answering daemon neither leads nor is a relay; the rest is empty then.
+  // False if the answering daemon neither leads nor is a relay; the rest, but for the leaving
+  // endpoints and the evidence, is empty then.
   bool accepted = false;
   LeaderNotice leader;
   // Daemons that report to the leader.
@@ -210,6 +214,7 @@
   std::vector<PendingLoad> loads;
   // Numbers of endpoints that have said that they leave.
   std::vector<std::uint32_t> leaving;
+  EvidenceMessage evidence;
   // Without domains if the reporting daemon knows the plan.
   RelayPlan plan;
   // The leader is about to give the lead up and sends no more orders. The next two members are set
@@ -231,6 +236,7 @@
     SerializeList(archive, others);
     SerializeList(archive, loads);
     SerializeNumbers(archive, leaving);
+    evidence.serialize(archive);
     plan.serialize(archive);
   }
 };
@@ -265,10 +271,12 @@
 struct ViewRequest {
   static constexpr PeerMessageType kType = PeerMessageType::kViewRequest;
   std::uint64_t directory_revision = 0;
+  EvidenceMessage evidence;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(directory_revision);
+    evidence.serialize(archive);
   }
 };
 
@@ -276,11 +284,13 @@
   static constexpr PeerMessageType kType = PeerMessageType::kViewAnswer;
   StoreView view;
   LeaderNotice leader;
+  EvidenceMessage evidence;
 
   template <class Archive>
   void serialize(Archive& archive) {
     view.serialize(archive);
     leader.serialize(archive);
+    evidence.serialize(archive);
   }
 };
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -10,8 +10,12 @@
 #include <iostream>
 
 #include "bounded_appender.h"
+#include "break_examiner.h"
+#include "crash_evidence.h"
+#include "crash_watch.h"
 #include "digest.h"
 #include "document_parts.h"
+#include "evidence_exchange.h"
 #include "fleet_follower.h"
 #include "fleet_state.h"
 #include "leader_finder.h"
@@ -159,6 +163,10 @@
   PrefixIndex prefixes_;
   EndpointSelector selector_;
   UsageBoard board_;
+  CrashEvidence evidence_;
+  CrashWatch crash_watch_;
+  BreakExaminer breaks_;
+  EvidenceExchange exchange_;
   LeaseKeeper<PlatformStore> lease_;
   Leader leader_;
   PeerClient peer_client_;
@@ -198,6 +206,9 @@
       selector_({settings.region, settings.domain_regions}, &directory_, &stats_, &prefixes_,
                 RandomId()),
       board_(io->get_executor()),
+      crash_watch_(&evidence_),
+      breaks_(&endpoint_client_, &directory_, &crash_watch_),
+      exchange_(&evidence_, RandomId()),
       lease_(&store_, LeaseTimings()),
       leader_(io->get_executor(), &store_, &orders_, &lease_, &directory_, &state_,
               PlacementLeaderSettings{
@@ -207,14 +218,16 @@
       peer_client_(io->get_executor(), {settings.name, fleet_key_, {}}, &metrics_),
       peer_server_(io->get_executor(), {settings.name, fleet_key_, {}}, &metrics_,
                    [this](Envelope request) { return HandlePeer(std::move(request)); }),
-      sync_(io->get_executor(), &peer_client_, &state_, &directory_, &board_, MakeStateHooks()),
+      sync_(io->get_executor(), &peer_client_, &state_, &directory_, &board_, &exchange_,
+            MakeStateHooks()),
       finder_(&store_, &lease_, &peer_client_, &leader_, &state_, InfoOf(settings).capacity,
               RandomId()),
       link_(MakeLinkSettings(),
-            {&peer_client_, &leader_, &finder_, &state_, &sync_, &directory_, &stats_, &board_},
+            {&peer_client_, &leader_, &finder_, &state_, &sync_, &directory_, &stats_, &board_,
+             &exchange_},
             RandomId()),
       relay_({&endpoint_client_, &directory_, &stats_, &prefixes_, &selector_, &board_,
-              &relay_metrics_, MakeHooks()},
+              &relay_metrics_, &evidence_, &breaks_, MakeHooks()},
              RandomId()),
       config_follower_(io->get_executor(), &store_, PlatformStore::config_key(), kConfigBatch,
                        ConfigHandlers()),
@@ -227,7 +240,13 @@
       metrics_server_(io->get_executor(), kInternalLimits,
                       [this](HttpExchange& exchange) { return HandleMetrics(exchange); }),
       termination_(*io, SIGTERM, SIGINT),
-      reload_(*io, SIGHUP) {}
+      reload_(*io, SIGHUP) {
+  directory_.set_end_listener([this](const FleetEndpoint& endpoint) {
+    crash_watch_.NoteEnd(EndpointNumber(endpoint.id, endpoint.started_ms), MonotonicNow());
+  });
+  // What is new goes to others with the next report, which need not wait for its turn.
+  evidence_.set_on_news([this] { board_.waiting_began().NotifyAll(); });
+}
 
 PlacementHooks Gateway::MakeHooks() {
   PlacementHooks hooks;
@@ -404,7 +423,7 @@
     if (!message) co_return outcome::failure(message.error());
     const MonotonicTime now = MonotonicNow();
     const ViewAnswer answer{state_.ViewSince(message.value().directory_revision, now),
-                            state_.Notice(now)};
+                            state_.Notice(now), exchange_.Answer(message.value().evidence, now)};
     co_return Wrap(answer, settings_.name, 0, WallNow());
   }
   if (request.type == PeerMessageType::kDocumentRequest) {
@@ -424,6 +443,8 @@
 Task<void> Gateway::Tick() {
   for (;;) {
     directory_.Tick(MonotonicNow());
+    crash_watch_.Tick(MonotonicNow());
+    evidence_.Tick(MonotonicNow());
     state_.holdings().KeepIf(
         [this](std::uint32_t number) { return state_.directory().KnowsNumber(number); });
     ConfirmReading();
@@ -459,6 +480,7 @@
     calls = store_.calls();
     errors = store_.errors();
     connections = endpoint_client_.connections_opened();
+    relay_metrics_.crash_suspects->Set(static_cast<double>(evidence_.suspects()));
     relay_metrics_.endpoints->Set(static_cast<double>(directory_.entries().size()));
     relay_metrics_.requests_in_flight->Set(static_cast<double>(relay_.in_flight()));
     relay_metrics_.leads_placement->Set(leader_.IsLeader(MonotonicNow()) ? 1 : 0);
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -60,6 +60,7 @@
     FleetDirectory* directory;
     EndpointStats* stats;
     UsageBoard* board;
+    EvidenceExchange* evidence;
   };
 
   LeaderLink(LinkSettings settings, Parts parts, std::uint64_t seed)
@@ -106,6 +107,7 @@
                              ? parts_.leader->HandleReport(sender, report, now)
                              : RelayReport(sender, report, now);
     answer.leaving = LeavingNumbers();
+    answer.evidence = parts_.evidence->Answer(report.evidence, now);
     return answer;
   }
 
@@ -270,9 +272,11 @@
       desk_.Return(report.models);
       co_return false;
     }
+    report.evidence = parts_.evidence->Request(*uplink, sent_at);
     auto answer =
         co_await parts_.peers->template Call<UsageAnswer>(*uplink, report, kReportTimeout);
     const MonotonicTime now = MonotonicNow();
+    if (answer) parts_.evidence->NoteAnswer(*uplink, answer.value().evidence, now);
     const bool accepted = answer && answer.value().accepted &&
                           answer.value().leader.fence >= parts_.state->leader_fence();
     if (!accepted) {
--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -14,6 +14,9 @@
 
 namespace mimosabend {
 
+// Longest wait before the state is looked at again.
+inline constexpr milliseconds kWaitStep{100};
+
 // What a request waits for.
 enum class RelayStep : std::uint8_t { kChoice, kModel, kAdapter, kEndpoint, kEvents, kCaller };
 
@@ -38,6 +41,10 @@
   // When what the request waited for should be there, if that is known.
   std::optional<MonotonicTime> ready_at;
   bool caller_gone = false;
+  // When the try in progress was sent.
+  MonotonicTime sent_at;
+  // The try in progress has not begun to answer, and no other suspect may start beside it.
+  std::optional<SuspectTrials::Trial> trial;
   // Breaks off the try in progress.
   std::shared_ptr<HttpCanceller> canceller;
   // Endpoints that are not tried again.
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -1,8 +1,6 @@
 #include "relay_handler.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <cmath>
 
 #include "digest.h"
@@ -199,8 +197,14 @@
 
 Task<void> RelayHandler::ServePlain(ContextPtr context) {
   while (!context->caller_gone) {
-    const auto choice =
-        parts_.selector->ChoosePlain(context->service_name, context->excluded, MonotonicNow());
+    const MonotonicTime now = MonotonicNow();
+    if (IsContained(*context, now)) break;
+    const auto choice = ChoosePlain(*context, now);
+    const bool alone = MustRunAlone(*context, now) && !trials_.busy().empty();
+    if (!choice && alone && MayWait(*context, now)) {
+      co_await WaitForTrials(context);
+      continue;
+    }
     if (!choice) {
       if (context->reason.empty()) context->reason = "no endpoint";
       context->ready_at = parts_.selector->HeldOffUntil(context->service_name, "", MonotonicNow());
@@ -221,15 +225,13 @@
   if (may_repeat) {
     deadline = now + (context->deadline - now) / kTriesToLeaveTimeFor;
   }
-  ++context->tries;
-  parts_.metrics->tries_total->Increment();
-  context->endpoint = choice.endpoint.id;
-  context->expected_ms = choice.expected_ms;
+  BeginTry(context.get(), choice);
   const EndpointWork work{1, 0, 0};
   parts_.stats->Start(choice.endpoint.id, work);
   context->step = RelayStep::kEndpoint;
   auto reply = co_await parts_.client->Call(MakeCall(context.get(), choice, deadline));
   context->step = RelayStep::kChoice;
+  context->trial.reset();
   context->excluded.insert(choice.endpoint.id);
   TryVerdict verdict = TryVerdict::kGood;
   AnswerKind kind = AnswerKind::kForeign;
@@ -246,7 +248,7 @@
   if (context->caller_gone) verdict = TryVerdict::kNeutral;
   parts_.stats->End(choice.endpoint.id, work, verdict, MonotonicNow());
   if (!reply) {
-    NoteFailure(context.get(), choice, reply.error());
+    co_await NoteFailure(context, choice.endpoint, reply.error());
     co_return Next::kTryAgain;
   }
   if (kind == AnswerKind::kNotRun || kind == AnswerKind::kMisdirected) {
@@ -258,6 +260,7 @@
     context->reason = "the answer is not to this request";
     co_return Next::kTryAgain;
   }
+  NoteServed(context.get());
   co_return co_await PassWhole(context, std::move(reply).value());
 }
 
@@ -289,38 +292,82 @@
 }
 
 // Notes a try that brought no answer.
-void RelayHandler::NoteFailure(Context* context, const EndpointChoice& choice, HttpError error) {
+Task<void> RelayHandler::NoteFailure(ContextPtr context, FleetEndpoint endpoint, HttpError error) {
   context->reason = std::string(kHttpErrorNames[error]);
   if (error != HttpError::kNotSent) {
     ++context->runs;
-    NoteBreak(*context, choice, error);
-    return;
+    co_await NoteBreak(context, std::move(endpoint), error);
+    co_return;
   }
-  parts_.client->Forget(choice.endpoint.address);
+  parts_.client->Forget(endpoint.address);
 }
 
-// Logs that an endpoint broke off a request that it may have run, and whether the endpoint itself
-// has ended.
-void RelayHandler::NoteBreak(const Context& context, const EndpointChoice& choice,
-                             HttpError error) {
-  if (context.caller_gone) return;
+// Notes that an endpoint broke off a request that it may have run, and waits until it is known
+// whether the endpoint has ended, so that the next try heeds that.
+Task<void> RelayHandler::NoteBreak(ContextPtr context, FleetEndpoint endpoint, HttpError error) {
+  const MonotonicTime now = MonotonicNow();
+  parts_.breaks->NoteBreak(endpoint, context->fingerprint, context->sent_at, now);
+  if (context->caller_gone) co_return;
   parts_.metrics->endpoint_breaks_total->Increment();
-  LOG4CPLUS_INFO(Log(), "endpoint broke off id=" << context.relay.id
-                                                 << " content=" << Hex64(context.fingerprint)
-                                                 << " endpoint=" << choice.endpoint.id
-                                                 << " started_ms=" << choice.endpoint.started_ms
-                                                 << " error=\"" << kHttpErrorNames[error] << "\"");
-  if (error != HttpError::kBroken) return;
-  boost::asio::co_spawn(parts_.client->executor(), LogReachability(choice.endpoint),
-                        boost::asio::detached);
-}
-
-Task<void> RelayHandler::LogReachability(FleetEndpoint endpoint) {
-  const Reachability reachability =
-      co_await parts_.client->Probe(endpoint.address, kConnectTimeout);
-  LOG4CPLUS_INFO(
-      Log(), "after a break, endpoint=" << endpoint.id << " started_ms=" << endpoint.started_ms
-                                        << " new connections=" << kReachabilityNames[reachability]);
+  LOG4CPLUS_INFO(Log(), "endpoint broke off id="
+                            << context->relay.id << " content=" << Hex64(context->fingerprint)
+                            << " endpoint=" << endpoint.id << " started_ms=" << endpoint.started_ms
+                            << " error=\"" << kHttpErrorNames[error] << "\"");
+  if (error == HttpError::kBroken) co_await parts_.breaks->Examine(std::move(endpoint));
+}
+
+// A request that an endpoint has run to its end does not end endpoints.
+void RelayHandler::NoteServed(Context* context) {
+  context->trial.reset();
+  parts_.evidence->NoteServed(context->fingerprint, MonotonicNow());
+}
+
+bool RelayHandler::IsContained(const Context& context, MonotonicTime now) const {
+  return parts_.evidence->Judge(context.fingerprint, now) == CrashVerdict::kContained;
+}
+
+bool RelayHandler::MustRunAlone(const Context& context, MonotonicTime now) const {
+  return parts_.evidence->Judge(context.fingerprint, now) == CrashVerdict::kLone;
+}
+
+// Endpoints that are not to be tried at `now`, and those at which a trial has not begun to answer.
+std::set<std::string> RelayHandler::WithoutTrials(const Context& context, MonotonicTime now) const {
+  std::set<std::string> avoided = context.Avoided(now);
+  avoided.insert(trials_.busy().begin(), trials_.busy().end());
+  return avoided;
+}
+
+// Endpoints that are not to be tried at `now`.
+std::set<std::string> RelayHandler::Avoided(const Context& context, MonotonicTime now) const {
+  return MustRunAlone(context, now) ? WithoutTrials(context, now) : context.Avoided(now);
+}
+
+// An endpoint for a plain request, one without a trial if there is one.
+std::optional<EndpointChoice> RelayHandler::ChoosePlain(const Context& context, MonotonicTime now) {
+  const auto choose = [&](const std::set<std::string>& avoided) {
+    return parts_.selector->ChoosePlain(context.service_name, avoided, now);
+  };
+  auto choice = trials_.busy().empty() ? std::nullopt : choose(WithoutTrials(context, now));
+  return choice ? choice : choose(Avoided(context, now));
+}
+
+// Counts a try that is about to be sent.
+void RelayHandler::BeginTry(Context* context, const EndpointChoice& choice) {
+  const MonotonicTime now = MonotonicNow();
+  ++context->tries;
+  parts_.metrics->tries_total->Increment();
+  context->endpoint = choice.endpoint.id;
+  context->expected_ms = choice.expected_ms;
+  context->sent_at = now;
+  if (MustRunAlone(*context, now)) context->trial = trials_.Begin(choice.endpoint.id);
+}
+
+// Waits until a trial of another request has ended, or for a short time.
+Task<void> RelayHandler::WaitForTrials(ContextPtr context) {
+  const MonotonicTime began = MonotonicNow();
+  context->reason = "endpoints are busy with requests under which others have ended";
+  co_await parts_.board->changed().WaitUntil(std::min(WaitLimit(*context), began + kWaitStep));
+  context->waited += ToMillis(MonotonicNow() - began);
 }
 
 // Gives the final answer of a request that is not tried again.
@@ -340,8 +387,10 @@
     co_await Deliver(context, reply.status, platform::ReturnedHeaders(reply.headers), reply.body);
     co_return;
   }
+  const bool contained = IsContained(*context, MonotonicNow());
   if (context->runs == 0) {
-    co_await Refuse(context, context->reason);
+    if (contained) co_await RefuseContained(context);
+    if (!contained) co_await Refuse(context, context->reason);
     co_return;
   }
   const bool timed_out = !HasTimeLeft(*context, MonotonicNow());
@@ -355,10 +404,26 @@
 Task<void> RelayHandler::Refuse(ContextPtr context, std::string reason) {
   context->outcome = RelayOutcome::kRefused;
   context->reason = std::move(reason);
-  const double retry_after = ToSeconds(RetryAfter(*context));
+  const milliseconds retry_after = RetryAfter(*context);
+  co_await DeliverRefusal(context, retry_after);
+}
+
+// Tells the caller that its request is not run since endpoints ended under it, and when that will
+// be forgotten.
+Task<void> RelayHandler::RefuseContained(ContextPtr context) {
+  context->outcome = RelayOutcome::kContained;
+  context->reason = "endpoints ended under this request";
+  const MonotonicTime forgotten = parts_.evidence->ForgottenAt(context->fingerprint);
+  co_await DeliverRefusal(context, ToMillis(forgotten - MonotonicNow()));
+}
+
+Task<void> RelayHandler::DeliverRefusal(ContextPtr context, milliseconds retry_after) {
   HttpHeaders headers{{"Content-Type", "application/json"},
-                      {"Retry-After", std::to_string(retry_after)}};
-  co_await Deliver(context, 503, std::move(headers), R"({"error":"not run, try again later"})");
+                      {"Retry-After", std::to_string(ToSeconds(retry_after))}};
+  std::string body = context->outcome == RelayOutcome::kContained
+                         ? R"({"error":"not run, since endpoints ended under this request"})"
+                         : R"({"error":"not run, try again later"})";
+  co_await Deliver(context, 503, std::move(headers), std::move(body));
 }
 
 // When to come back: once what the request waited for is there, if that is known. Spread, so that
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "break_examiner.h"
+#include "crash_evidence.h"
 #include "endpoint_selector.h"
 #include "event_stream.h"
 #include "fleet_directory.h"
@@ -17,6 +19,7 @@
 #include "http_server.h"
 #include "relay_metrics.h"
 #include "retry_budget.h"
+#include "suspect_trials.h"
 #include "usage_board.h"
 
 namespace mimosabend {
@@ -47,10 +50,15 @@
     EndpointSelector* selector;
     UsageBoard* board;
     RelayMetrics* metrics;
+    CrashEvidence* evidence;
+    BreakExaminer* breaks;
     PlacementHooks placement;
   };
 
-  RelayHandler(Parts parts, std::uint64_t seed) : parts_(std::move(parts)), random_(seed) {}
+  RelayHandler(Parts parts, std::uint64_t seed)
+      : parts_(std::move(parts)),
+        random_(seed),
+        trials_([this] { parts_.board->changed().NotifyAll(); }) {}
 
   // Answers one request.
   Task<void> Handle(HttpExchange& exchange);
@@ -90,13 +98,14 @@
   Task<void> ServeStream(ContextPtr context);
   Task<Next> TryStream(ContextPtr context, EndpointChoice choice);
   Task<Next> Pump(ContextPtr context, const EndpointChoice& choice,
-                  std::unique_ptr<HttpStream> stream, MonotonicTime sent_at);
+                  std::unique_ptr<HttpStream> stream);
   Task<bool> WaitForModel(ContextPtr context);
   Task<bool> PlaceAdapter(ContextPtr context, EndpointChoice* choice);
   Task<void> AskForAdapter(std::shared_ptr<AdapterPlacement> placement, AdapterRequest request);
   Task<Next> PassWhole(ContextPtr context, HttpReply reply);
   Task<void> GiveUp(ContextPtr context);
   Task<void> Refuse(ContextPtr context, std::string reason);
+  Task<void> DeliverRefusal(ContextPtr context, milliseconds retry_after);
   Task<void> Deliver(ContextPtr context, int status, HttpHeaders headers, std::string body);
 
   MonotonicTime FirstConfigTime(MonotonicTime now) const;
@@ -108,9 +117,19 @@
                                              MonotonicTime now) const;
   milliseconds RetryAfter(const Context& context);
   void NoteHeaders(const EndpointChoice& choice, int status, const HttpHeaders& headers);
-  void NoteFailure(Context* context, const EndpointChoice& choice, HttpError error);
-  void NoteBreak(const Context& context, const EndpointChoice& choice, HttpError error);
-  Task<void> LogReachability(FleetEndpoint endpoint);
+  Task<void> NoteFailure(ContextPtr context, FleetEndpoint endpoint, HttpError error);
+  Task<void> NoteBreak(ContextPtr context, FleetEndpoint endpoint, HttpError error);
+  void NoteServed(Context* context);
+  bool IsContained(const Context& context, MonotonicTime now) const;
+  bool IsBusyWithTrials(const Context& context, MonotonicTime now) const;
+  bool MustRunAlone(const Context& context, MonotonicTime now) const;
+  std::set<std::string> WithoutTrials(const Context& context, MonotonicTime now) const;
+  std::set<std::string> Avoided(const Context& context, MonotonicTime now) const;
+  std::optional<EndpointChoice> ChoosePlain(const Context& context, MonotonicTime now);
+  std::optional<EndpointChoice> ChooseEngine(const Context& context, MonotonicTime now);
+  void BeginTry(Context* context, const EndpointChoice& choice);
+  Task<void> WaitForTrials(ContextPtr context);
+  Task<void> RefuseContained(ContextPtr context);
   HttpCall MakeCall(Context* context, const EndpointChoice& choice, MonotonicTime deadline) const;
   std::string PickService(const Route& route, const std::string& request_id) const;
   bool HasEngine(const Context& context, MonotonicTime now) const;
@@ -120,6 +139,7 @@
 
   Parts parts_;
   std::mt19937_64 random_;
+  SuspectTrials trials_;
   RetryLimits retry_limits_;
   std::map<std::string, RetryBudget> budgets_;
   std::size_t in_flight_ = 0;
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -19,16 +19,17 @@
 enum class RelayOutcome : std::uint8_t {
   kAnswered,
   kRefused,
+  kContained,
   kUnknownRoute,
   kEndpointFailed,
   kTimedOut,
   kBrokenOff,
   kCallerGone
 };
-inline constexpr std::size_t kRelayOutcomeCount = 7;
+inline constexpr std::size_t kRelayOutcomeCount = 8;
 inline constexpr NameTable<RelayOutcome, kRelayOutcomeCount> kRelayOutcomeNames{
-    {"answered", "refused", "unknown_route", "endpoint_failed", "timed_out", "broken_off",
-     "caller_gone"}};
+    {"answered", "refused", "contained", "unknown_route", "endpoint_failed", "timed_out",
+     "broken_off", "caller_gone"}};
 
 // Metrics of a gateway. Label sets are bounded. Thread-safe.
 class RelayMetrics {
@@ -55,6 +56,7 @@
   prometheus::Counter* store_calls_total;
   prometheus::Counter* store_errors_total;
   prometheus::Counter* log_lines_dropped_total;
+  prometheus::Gauge* crash_suspects;
   prometheus::Gauge* config_version;
   prometheus::Gauge* endpoints;
   prometheus::Gauge* requests_in_flight;
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -20,8 +20,6 @@
 constexpr milliseconds kDecisionTime{1000};
 // Typical time until another leader may order.
 constexpr milliseconds kLeaderlessTime{2500};
-// Longest wait before the state is looked at again.
-constexpr milliseconds kWaitStep{100};
 // An engine that did not run a request is not tried again for this long.
 constexpr milliseconds kNotRunPause{300};
 // Pause after an engine said that it does not hold the model or adapter yet.
@@ -50,7 +48,14 @@
 };
 
 bool RelayHandler::HasEngine(const Context& context, MonotonicTime now) const {
-  return parts_.selector->HasEngine(context.service_name, context.relay.model, context.Avoided(now),
+  return parts_.selector->HasEngine(context.service_name, context.relay.model,
+                                    Avoided(context, now), now);
+}
+
+// Whether the engines that the request could use are busy with other suspects only.
+bool RelayHandler::IsBusyWithTrials(const Context& context, MonotonicTime now) const {
+  return MustRunAlone(context, now) &&
+         parts_.selector->HasEngine(context.service_name, context.relay.model, context.Avoided(now),
                                     now);
 }
 
@@ -59,11 +64,22 @@
 bool RelayHandler::MayMove(const Context& context, const std::string& endpoint) {
   const MonotonicTime now = MonotonicNow();
   if (!context.route->repeatable() || !BudgetOf(context.service_name).HasRetry(now)) return false;
-  std::set<std::string> avoided = context.Avoided(now);
+  std::set<std::string> avoided = Avoided(context, now);
   avoided.insert(endpoint);
   return parts_.selector->HasEngine(context.service_name, context.relay.model, avoided, now);
 }
 
+// An engine for a stream, one without a trial if there is one.
+std::optional<EndpointChoice> RelayHandler::ChooseEngine(const Context& context,
+                                                         MonotonicTime now) {
+  const auto choose = [&](const std::set<std::string>& avoided) {
+    return parts_.selector->ChooseEngine(context.service_name, *context.service->engine,
+                                         context.relay, context.hashes, avoided, now);
+  };
+  auto choice = trials_.busy().empty() ? std::nullopt : choose(WithoutTrials(context, now));
+  return choice ? choice : choose(Avoided(context, now));
+}
+
 Task<void> RelayHandler::ServeStream(ContextPtr context) {
   const RelayRequest& relay = context->relay;
   context->hashes = PrefixHashes(relay.model, relay.adapter, relay.prompt);
@@ -71,8 +87,12 @@
   context->patience_end = context->arrival + FirstEventPatience(*context->route);
   while (!context->caller_gone && MayWait(*context, MonotonicNow())) {
     const MonotonicTime now = MonotonicNow();
-    auto choice = parts_.selector->ChooseEngine(context->service_name, *context->service->engine,
-                                                relay, context->hashes, context->Avoided(now), now);
+    if (IsContained(*context, now)) break;
+    auto choice = ChooseEngine(*context, now);
+    if (!choice && IsBusyWithTrials(*context, now)) {
+      co_await WaitForTrials(context);
+      continue;
+    }
     if (!choice) {
       const bool found = co_await WaitForModel(context);
       if (!found) break;
@@ -178,11 +198,8 @@
 Task<RelayHandler::Next> RelayHandler::TryStream(ContextPtr context, EndpointChoice choice) {
   const std::string id = choice.endpoint.id;
   const RelayRequest& relay = context->relay;
-  ++context->tries;
-  parts_.metrics->tries_total->Increment();
+  BeginTry(context.get(), choice);
   if (context->stream_open) parts_.metrics->stream_resumes_total->Increment();
-  context->endpoint = id;
-  context->expected_ms = choice.expected_ms;
   const EndpointWork work{
       1, choice.unread_tokens,
       static_cast<std::uint64_t>(relay.prompt_tokens) + relay.max_output_tokens};
@@ -191,11 +208,11 @@
   parts_.board->NoteRequest(context->service_name, relay.model, relay.adapter,
                             context->route->target_latency,
                             parts_.stats->MillisPerToken(id, relay.model) * choice.unread_tokens);
-  const MonotonicTime sent_at = MonotonicNow();
   HttpCall call = MakeCall(context.get(), choice, context->deadline);
   // An engine that fell silent may leave the header or even the request waiting.
   if (context->runs + 1 < context->route->max_attempts && MayMove(*context, id)) {
-    call.deadline = std::min(call.deadline, sent_at + FirstEventLimit(*context->route, choice));
+    call.deadline =
+        std::min(call.deadline, context->sent_at + FirstEventLimit(*context->route, choice));
   }
   context->step = RelayStep::kEndpoint;
   auto stream = co_await parts_.client->Open(std::move(call));
@@ -203,7 +220,7 @@
   TryVerdict verdict = TryVerdict::kFailed;
   const std::uint64_t events_before = context->events;
   if (!stream) {
-    NoteFailure(context.get(), choice, stream.error());
+    co_await NoteFailure(context, choice.endpoint, stream.error());
     context->excluded.insert(id);
     if (stream.error() == HttpError::kNotSent) verdict = TryVerdict::kUnreachable;
   } else {
@@ -229,7 +246,7 @@
       context->reason = "the answer is not to this request";
     } else if (success) {
       ++context->runs;
-      next = co_await Pump(context, choice, std::move(stream).value(), sent_at);
+      next = co_await Pump(context, choice, std::move(stream).value());
       verdict = next == Next::kDone ? TryVerdict::kGood : TryVerdict::kFailed;
       context->excluded.insert(id);
     } else {
@@ -241,11 +258,13 @@
         reply.body += body.value();
         body = co_await stream.value()->Read(context->deadline);
       }
+      if (body) NoteServed(context.get());
       if (body && !context->stream_open) {
         next = co_await PassWhole(context, std::move(reply));
       }
     }
   }
+  context->trial.reset();
   if (context->caller_gone) verdict = TryVerdict::kNeutral;
   EndpointWork left = work;
   if (context->events > events_before) left.unread_tokens = 0;
@@ -256,8 +275,7 @@
 
 // Passes the events of one engine on until its stream ends or breaks.
 Task<RelayHandler::Next> RelayHandler::Pump(ContextPtr context, const EndpointChoice& choice,
-                                            std::unique_ptr<HttpStream> stream,
-                                            MonotonicTime sent_at) {
+                                            std::unique_ptr<HttpStream> stream) {
   const RelayRequest& relay = context->relay;
   EventSplitter splitter;
   const milliseconds silence =
@@ -275,7 +293,7 @@
     if (!bytes || context->caller_gone) {
       if (!bytes) {
         context->reason = "stream: " + std::string(kHttpErrorNames[bytes.error()]);
-        NoteBreak(*context, choice, bytes.error());
+        co_await NoteBreak(context, choice.endpoint, bytes.error());
       }
       co_return Next::kTryAgain;
     }
@@ -285,12 +303,13 @@
     const MonotonicTime now = MonotonicNow();
     if (first) {
       first = false;
+      context->trial.reset();
       parts_.stats->NoteFirstEvent(choice.endpoint.id, choice.unread_tokens);
       parts_.prefixes->Note(choice.endpoint.id, context->hashes, relay.prompt,
                             context->service->engine->cache_tokens);
       if (choice.requests == 0) {
         parts_.stats->NoteReading(choice.endpoint.id, relay.model, choice.unread_tokens,
-                                  now - sent_at);
+                                  now - context->sent_at);
       }
     }
     if (!context->stream_open) {
@@ -314,6 +333,7 @@
     context->reason = "the stream ended within an event";
     co_return Next::kTryAgain;
   }
+  NoteServed(context.get());
   context->outcome = RelayOutcome::kAnswered;
   co_await context->exchange->FinishStream();
   co_return Next::kDone;
--- a/src/state_sync.cpp
+++ b/src/state_sync.cpp
@@ -54,8 +54,10 @@
   ViewRequest request;
   request.directory_revision = state_->directory().revision();
   const MonotonicTime asked = MonotonicNow();
+  request.evidence = evidence_->Request(daemon, asked);
   auto answer = co_await peers_->Call<ViewAnswer>(daemon, request, kAskTimeout);
   if (!answer) co_return;
+  evidence_->NoteAnswer(daemon, answer.value().evidence, MonotonicNow());
   state_->NoteLeader(answer.value().leader, asked);
   Apply(answer.value().view, daemon, asked);
 }
--- a/src/state_sync.h
+++ b/src/state_sync.h
@@ -28,12 +28,14 @@
  public:
   // Precondition: all pointers outlive this object.
   StateSync(boost::asio::any_io_executor executor, PeerClient* peers, FleetState* state,
-            FleetDirectory* directory, UsageBoard* board, StateHooks hooks)
+            FleetDirectory* directory, UsageBoard* board, EvidenceExchange* evidence,
+            StateHooks hooks)
       : executor_(std::move(executor)),
         peers_(peers),
         state_(state),
         directory_(directory),
         board_(board),
+        evidence_(evidence),
         hooks_(std::move(hooks)) {}
 
   // Takes over the view of a daemon that was asked at `asked`.
@@ -50,6 +52,7 @@
   FleetState* state_;
   FleetDirectory* directory_;
   UsageBoard* board_;
+  EvidenceExchange* evidence_;
   StateHooks hooks_;
   bool fetching_ = false;
 };
--- a/tests/test_containment.cpp
+++ b/tests/test_containment.cpp
@@ -1,7 +1,10 @@
+#include <signal.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <thread>
 
+#include "http_types.h"
 #include "platform_fleet.h"
 
 namespace mimosabend::testing {
@@ -51,4 +54,43 @@
   CHECK(LateEnds(ends) <= kTriesAfterwards);
 }
 
+// Guards against containment that works only if all repeats reach the daemon that saw the crashes.
+TEST_CASE("what one gateway has seen holds at the others, and after it has died", "[containment]") {
+  const bool store_refuses = GENERATE(false, true);
+  CAPTURE(store_refuses);
+  PlatformFleet fleet;
+  const int leader = fleet.Leader();
+  REQUIRE(leader >= 0);
+  const int second = (leader + 1) % 3;
+  const int third = (leader + 2) % 3;
+  fleet.RefuseStoreCalls(store_refuses);
+  // Each gateway sees one end; the first to see one is the leader, which dies then.
+  const auto end_one = [&](int gateway) {
+    const std::size_t before = fleet.Ends().size();
+    const auto reply = CallOne(fleet.MakeCall(gateway, "/order/1", "please crash"));
+    REQUIRE(reply);
+    CHECK(reply.value().status == 502);
+    CHECK(WaitFor(seconds(2), [&] { return fleet.Ends().size() == before + 1; }));
+    std::this_thread::sleep_for(milliseconds(1000));
+  };
+  end_one(leader);
+  fleet.gateway(leader).Signal(SIGKILL);
+  end_one(second);
+  end_one(third);
+  std::this_thread::sleep_for(kContactTime);
+  fleet.RefuseStoreCalls(false);
+  fleet.StartGateway(leader);
+  fleet.RefuseStoreCalls(store_refuses);
+  Repeat(&fleet, {leader, second, third}, "/order/1", milliseconds(4000));
+  CHECK(static_cast<int>(fleet.Ends().size()) <=
+        static_cast<int>(kEndsToLearnFrom) + kTriesAfterwards);
+  // The refusal is true and says when to come back.
+  const auto reply = CallOne(fleet.MakeCall(second, "/order/1", "please crash"));
+  REQUIRE(reply);
+  CHECK(reply.value().status == 503);
+  CHECK(std::stod(std::string(FindHeader(reply.value().headers, "Retry-After"))) > 3000);
+  // Others are served as before.
+  CHECK(CallOne(fleet.MakeCall(second, "/order/1", "an order")).value().status == 200);
+}
+
 }  // namespace mimosabend::testing
--- a/tests/test_decoders.cpp
+++ b/tests/test_decoders.cpp
@@ -133,6 +133,8 @@
   return kTexts;
 }
 
+EvidenceMessage Evidence() { return {{1, 2}, {3, 4}, {{5, 6, 7}, {8, CrashRecord::kServed, 9}}}; }
+
 UsageReport Report() {
   UsageReport report;
   report.sender = {{"10.0.0.1", 7380}, "north-a", 100};
@@ -141,6 +143,7 @@
   report.loads.emplace_back(3, EndpointWork{2, 100, 300});
   report.runs.push_back({3, {{"m", 2, {"a", "b"}}}});
   report.unreachable = {4, 5};
+  report.evidence = Evidence();
   return report;
 }
 
@@ -153,6 +156,7 @@
   answer.news.push_back({3, 5, {{"m", {"a", "b"}}}});
   answer.loads.push_back({"m", 4000});
   answer.recent_orders.push_back({3, 700});
+  answer.evidence = Evidence();
   return answer;
 }
 
@@ -213,7 +217,9 @@
   });
   Fuzz("usage report", {Encode(Report())}, CheckStable<UsageReport>);
   Fuzz("usage answer", {Encode(ReportAnswer())}, CheckStable<UsageAnswer>);
-  const ViewAnswer view{ReportAnswer().view, ReportAnswer().leader};
+  const ViewAnswer view{ReportAnswer().view, ReportAnswer().leader, Evidence()};
+  Fuzz("evidence", {Encode(Evidence())}, CheckStable<EvidenceMessage>);
+  Fuzz("view request", {Encode(ViewRequest{7, Evidence()})}, CheckStable<ViewRequest>);
   Fuzz("view answer", {Encode(view)}, CheckStable<ViewAnswer>);
   Fuzz("adapter request", {Encode(AdapterRequest{"e1", "m", "a"})}, CheckStable<AdapterRequest>);
   RequestRecord record;
--- a/tests/test_leader_link.cpp
+++ b/tests/test_leader_link.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include "digest.h"
 #include "fake_fleet_engines.h"
 #include "fake_fleet_store.h"
 #include "leader_link.h"
@@ -36,14 +37,15 @@
         client(io->get_executor(), {host, kKey, {}}, &metrics),
         server(io->get_executor(), {host, kKey, {}}, &metrics,
                [this](Envelope request) { return Answer(std::move(request)); }),
-        sync(io->get_executor(), &client, &state, &directory, &board, Hooks()),
+        sync(io->get_executor(), &client, &state, &directory, &board, &exchange, Hooks()),
         finder(store, &lease, &client, &leader, &state, 100, port),
         link({host,
               {{"127.0.0.1", port}, "a", 100},
               seeds,
               milliseconds(1000),
               [this](MonotonicTime until) { suspended_until = until; }},
-             {&client, &leader, &finder, &state, &sync, &directory, &stats, &board}, port) {
+             {&client, &leader, &finder, &state, &sync, &directory, &stats, &board, &exchange},
+             port) {
     if (seeds.empty()) Read(1, {});
     lease.SetWanted(false);
     REQUIRE(server.Listen({"127.0.0.1", port}));
@@ -82,7 +84,7 @@
       const auto message = Unwrap<ViewRequest>(request);
       const MonotonicTime now = MonotonicNow();
       const ViewAnswer answer{state.ViewSince(message.value().directory_revision, now),
-                              state.Notice(now)};
+                              state.Notice(now), exchange.Answer(message.value().evidence, now)};
       co_return Wrap(answer, host, 0, WallNow());
     }
     if (request.type == PeerMessageType::kStandDownRequest) {
@@ -121,6 +123,8 @@
   EndpointStats stats;
   LeaseKeeper<FakeFleetStore> lease;
   UsageBoard board;
+  CrashEvidence evidence;
+  EvidenceExchange exchange{&evidence, RandomId()};
   PlacementLeader<FakeFleetStore, FakeFleetEngines> leader;
   PeerClient client;
   PeerServer server;
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -113,7 +113,10 @@
         caller(io.get_executor()),
         selector({"north", {{"a", "north"}}}, &directory, &stats, &prefixes, 3),
         board(io.get_executor()),
-        handler({&client, &directory, &stats, &prefixes, &selector, &board, &metrics, Hooks()}, 5),
+        breaks(&client, &directory, &crash_watch),
+        handler({&client, &directory, &stats, &prefixes, &selector, &board, &metrics, &evidence,
+                 &breaks, Hooks()},
+                5),
         server(io.get_executor(), HttpLimits(),
                [this](HttpExchange& exchange) { return handler.Handle(exchange); }) {
     if (configured) directory.Adopt(Config());
@@ -205,6 +208,9 @@
   EndpointSelector selector;
   UsageBoard board;
   RelayMetrics metrics;
+  CrashEvidence evidence;
+  CrashWatch crash_watch{&evidence};
+  BreakExaminer breaks;
   bool adapters_placed = true;
   milliseconds placing_time{0};
   bool has_leader = true;
