Ask callers for their customers' keys on the platform's path

Nothing on this path read a key.

Change: customers with the digests of their keys are part of the configuration (customer, platform/decode); a route that is not public needs a known key, else 401 at once, or 503 while the configuration is so old that keys may have been added. Every request is checked by itself, so a revoked key ends with the next request of a kept connection. The customer's name is set on each try and the caller's own is dropped, as is the key, also where no key is needed. The customer's priority goes before the route's. Keys are replaced by their digests before the configuration is kept or passed on to other daemons. Configurations with a key of two customers, an empty key or an impossible quota are refused, and the last good one stays.

--- /dev/null
+++ b/src/customer.cpp
@@ -0,0 +1,32 @@
+#include "customer.h"
+
+#include <cassert>
+
+#include "digest.h"
+
+namespace mimosabend {
+
+bool CustomerDirectory::Add(Customer customer) {
+  std::string name = customer.name;
+  return customers_.try_emplace(std::move(name), std::move(customer)).second;
+}
+
+bool CustomerDirectory::AddKey(const std::string& customer, std::string digest) {
+  assert(customers_.contains(customer));
+  const auto [it, first] = keys_.try_emplace(std::move(digest), customer);
+  return first || it->second == customer;
+}
+
+const Customer* CustomerDirectory::FindByKey(std::string_view key) const {
+  const auto it = keys_.find(KeyDigest(key));
+  return it == keys_.end() ? nullptr : Find(it->second);
+}
+
+const Customer* CustomerDirectory::Find(const std::string& name) const {
+  const auto it = customers_.find(name);
+  return it == customers_.end() ? nullptr : &it->second;
+}
+
+std::string KeyDigest(std::string_view key) { return Sha256Hex(key); }
+
+}  // namespace mimosabend
--- a/src/fleet_config.h
+++ b/src/fleet_config.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "clock.h"
+#include "customer.h"
 #include "name_table.h"
 #include "settings.h"
 
@@ -42,6 +43,8 @@
   // Endpoints to which one request may be sent.
   std::uint32_t max_attempts = 1;
   bool resumable = false;
+  // Requests need no key.
+  bool is_public = false;
   std::vector<RouteTarget> targets;
 
   // Whether a request of the route may run more than once.
@@ -85,6 +88,8 @@
   std::vector<Route> routes;
   std::map<std::string, RoutedService> services;
   HttpLimits limits;
+  // Set if requests need the key of a customer.
+  std::optional<CustomerDirectory> customers;
 
   // The route of that host with the longest prefix of the path; nullptr if there is none. The
   // query of `target` is not looked at. Thread-safe.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -128,7 +128,7 @@
   ItemHandlers ConfigHandlers();
   ItemHandlers EndpointHandlers();
   PlacementHooks MakeHooks();
-  bool AdoptConfig(const std::string& text, const std::string& source);
+  bool AdoptConfig(const std::string& raw_text, const std::string& source);
   void PutItem(const KvItem& item, MonotonicTime now);
   void PutEndpoint(FleetEndpoint endpoint, MonotonicTime read_at);
   void ConfirmReading();
@@ -301,7 +301,8 @@
 }
 
 // Takes a configuration into force. False if it can't be used or is not newer.
-bool Gateway::AdoptConfig(const std::string& text, const std::string& source) {
+bool Gateway::AdoptConfig(const std::string& raw_text, const std::string& source) {
+  const std::string text = platform::HideKeys(raw_text);
   auto config = platform::DecodeConfig(text);
   if (!config) {
     LOG4CPLUS_ERROR(Log(), "configuration of " << source << " is not used: " << config.error());
--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -33,6 +33,8 @@
   // Keeps `route` and `service` alive.
   std::shared_ptr<const FleetConfig> config;
   const Route* route = nullptr;
+  // nullptr if the request needs no key.
+  const Customer* customer = nullptr;
   const RoutedService* service = nullptr;
   std::string service_name;
   MonotonicTime arrival;
@@ -97,6 +99,11 @@
     return route->max_attempts - std::min(route->max_attempts, counted);
   }
 
+  // 0 is the most urgent.
+  std::uint32_t priority() const {
+    return customer == nullptr ? route->priority : customer->priority.value_or(route->priority);
+  }
+
   const HttpRequest& request() const { return exchange->request(); }
 };
 
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -85,7 +85,6 @@
   auto context = std::make_shared<Context>();
   context->exchange = &exchange;
   context->relay = platform::ReadRelayRequest(exchange.request());
-  context->fingerprint = RequestFingerprint(exchange.request());
   context->arrival = exchange.request().arrival;
   context->config = parts_.directory->config();
   ++in_flight_;
@@ -126,6 +125,10 @@
     co_await Deliver(context, 404, std::move(headers), R"({"error":"no route"})");
     co_return;
   }
+  const bool authenticated = co_await Authenticate(context);
+  if (!authenticated) co_return;
+  const std::string customer = context->customer == nullptr ? "" : context->customer->name;
+  context->fingerprint = RequestFingerprint(request, customer);
   const Route& route = *context->route;
   context->service_name = PickService(route, context->relay.id);
   context->service = context->config->FindService(context->service_name);
@@ -144,6 +147,24 @@
   }
 }
 
+// Finds the customer of a request by its key. False if the request has been refused.
+Task<bool> RelayHandler::Authenticate(ContextPtr context) {
+  if (!context->config->customers || context->route->is_public) co_return true;
+  const std::string_view key = platform::CustomerKey(context->request());
+  context->customer = context->config->customers->FindByKey(key);
+  if (context->customer != nullptr) co_return true;
+  // A key may have been added since.
+  if (parts_.placement.may_lack_routes(MonotonicNow())) {
+    co_await Refuse(context, "no such key in an old configuration");
+    co_return false;
+  }
+  context->outcome = RelayOutcome::kUnknownKey;
+  context->reason = key.empty() ? "no key" : "unknown key";
+  HttpHeaders headers{{"Content-Type", "application/json"}};
+  co_await Deliver(context, 401, std::move(headers), R"({"error":"unknown key"})");
+  co_return false;
+}
+
 bool RelayHandler::HasTimeLeft(const Context& context, MonotonicTime now) const {
   return now + kLeastTime < std::min(context.deadline, end_);
 }
@@ -189,7 +210,8 @@
   platform::ForwardOptions options;
   options.endpoint_id = choice.endpoint.id;
   options.time_left = std::max(milliseconds(1), ToMillis(deadline - now));
-  if (context->service->engine) options.priority = std::min(9U, context->route->priority);
+  if (context->service->engine) options.priority = std::min(9U, context->priority());
+  if (context->customer != nullptr) options.customer = context->customer->name;
   options.last_event_id = context->last_event_id;
   call.headers = platform::ForwardedHeaders(request, options);
   return call;
@@ -466,6 +488,7 @@
       "request id=" << context.relay.id << " content=" << Hex64(context.fingerprint) << " outcome="
                     << kRelayOutcomeNames[context.outcome] << " status=" << context.status
                     << " route=" << (context.route == nullptr ? "-" : context.route->name)
+                    << " customer=" << (context.customer == nullptr ? "-" : context.customer->name)
                     << " config=" << (context.config == nullptr ? 0 : context.config->version)
                     << " model=" << context.relay.model << "/" << context.relay.adapter
                     << " endpoint=" << context.endpoint << " tries=" << context.tries
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -93,6 +93,7 @@
   enum class Next : std::uint8_t { kDone, kTryAgain };
 
   Task<void> Serve(ContextPtr context);
+  Task<bool> Authenticate(ContextPtr context);
   Task<void> ServePlain(ContextPtr context);
   Task<Next> TryPlain(ContextPtr context, EndpointChoice choice);
   Task<void> ServeStream(ContextPtr context);
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -115,7 +115,7 @@
 Task<bool> RelayHandler::WaitForModel(ContextPtr context) {
   const MonotonicTime began = MonotonicNow();
   const std::string& model = context->relay.model;
-  const std::uint32_t priority = context->route->priority;
+  const std::uint32_t priority = context->priority();
   if (!context->service->engine->models.contains(model)) {
     context->reason = "unknown model";
     co_return false;
--- a/src/request_fingerprint.cpp
+++ b/src/request_fingerprint.cpp
@@ -6,8 +6,9 @@
 
 namespace mimosabend {
 
-std::uint64_t RequestFingerprint(const HttpRequest& request) {
-  std::uint64_t hash = Hash64(request.header("Host"));
+std::uint64_t RequestFingerprint(const HttpRequest& request, std::string_view customer) {
+  std::uint64_t hash = Hash64(customer);
+  hash = Hash64(request.header("Host"), hash);
   hash = Hash64(request.method, hash);
   hash = Hash64(request.target, hash);
   hash = Hash64(request.body, hash);
--- a/tests/test_crash_evidence.cpp
+++ b/tests/test_crash_evidence.cpp
@@ -24,18 +24,19 @@
 // Guards against repeats of one request that look like different ones, and the other way round.
 TEST_CASE("a request is known by what it asks for, not by its id", "[crash]") {
   HttpRequest request{"POST", "/chat/1", {{"Host", "a.example"}, {"Request-Id", "1"}}, "body", {}};
-  const std::uint64_t first = RequestFingerprint(request);
+  const std::uint64_t first = RequestFingerprint(request, "a");
   CHECK(first != 0);
   HttpRequest repeat = request;
   repeat.headers[1].second = "2";
-  CHECK(RequestFingerprint(repeat) == first);
+  CHECK(RequestFingerprint(repeat, "a") == first);
+  CHECK(RequestFingerprint(request, "b") != first);
   for (auto change : {+[](HttpRequest* other) { other->method = "PUT"; },
                       +[](HttpRequest* other) { other->target = "/chat/2"; },
                       +[](HttpRequest* other) { other->body = "bodz"; },
                       +[](HttpRequest* other) { other->headers[0].second = "b.example"; }}) {
     HttpRequest other = request;
     change(&other);
-    CHECK(RequestFingerprint(other) != first);
+    CHECK(RequestFingerprint(other, "a") != first);
   }
 }
 
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -66,6 +66,56 @@
   }
 }
 
+// Guards against keys that stay in memory or travel between daemons, and against customers that are
+// read wrongly.
+TEST_CASE("customers are known by the digests of their keys", "[platform]") {
+  const std::string text = R"({"version":1,"routes":[],"services":[],"tenants":[
+      {"name":"cook","api-keys":["secret-1","secret-2"],"priority":1,"unit":"token_rate",
+       "plain-tokens":200,"rate-per-s":900,"burst":50.5},{"name":"shop","api-keys":["secret-3"]}]})";
+  const std::string hidden = platform::HideKeys(text);
+  CHECK(hidden.find("secret") == std::string::npos);
+  CHECK(platform::HideKeys(hidden) == hidden);
+  for (const std::string& source : {text, hidden}) {
+    const auto config = platform::DecodeConfig(source);
+    REQUIRE((config && config.value().customers));
+    const CustomerDirectory& customers = *config.value().customers;
+    const Customer* cook = customers.FindByKey("secret-2");
+    REQUIRE(cook != nullptr);
+    CHECK(cook->name == "cook");
+    CHECK(cook->priority == 1);
+    CHECK(cook->quota == QuotaLimit{900, 50.5, QuotaUnit::kTokens, 200});
+    CHECK(cook->quota.CostOf(1540) == 1540);
+    CHECK(cook->quota.CostOf(0) == 200);
+    REQUIRE(customers.FindByKey("secret-3") != nullptr);
+    CHECK(customers.FindByKey("secret-3")->quota.CostOf(1540) == 1);
+    CHECK_FALSE(customers.FindByKey("secret-3")->quota.is_limited());
+    for (const char* key : {"", "secret", "secret-1 ", "SECRET-1"}) {
+      CHECK(customers.FindByKey(key) == nullptr);
+    }
+  }
+  // Without customers a configuration stays as it is, and requests need no keys.
+  CHECK(platform::HideKeys(kConfig) == kConfig);
+  CHECK_FALSE(platform::DecodeConfig(kConfig).value().customers);
+}
+
+// Guards against a configuration in which a key leads to the wrong customer or a quota to none.
+TEST_CASE("customers that can't be right are refused with a reason", "[platform]") {
+  for (const char* customers :
+       {R"([{"name":"a","api-keys":["k"]},{"name":"b","api-keys":["k"]}])",
+        R"([{"name":"a","api-keys":[""]}])", R"([{"name":"a"},{"name":"a"}])", R"([{}])",
+        R"([{"name":"a","rate-per-s":-1}])", R"([{"name":"a","rate-per-s":"9"}])",
+        R"([{"name":"a","rate-per-s":1e300}])", R"([{"name":"a","burst":-0.5}])"}) {
+    CAPTURE(customers);
+    const std::string text =
+        R"({"version":1,"routes":[],"services":[],"tenants":)" + std::string(customers) + "}";
+    for (const std::string& source : {text, platform::HideKeys(text)}) {
+      const auto config = platform::DecodeConfig(source);
+      CHECK_FALSE(config);
+      if (!config) CHECK_FALSE(config.error().empty());
+    }
+  }
+}
+
 // Guards against foreign entries that name an endpoint, or that break the reading of others.
 TEST_CASE("an entry that is not an endpoint's names none", "[platform]") {
   const std::string good =
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -333,6 +333,107 @@
   CHECK(relay.Send("/read/1").value().status == 200);
 }
 
+namespace {
+
+// A configuration with the customers "cook" (key "k1", priority 0) and "shop" (key "k2").
+FleetConfig ConfigWithCustomers() {
+  FleetConfig config = Config();
+  config.version = 2;
+  config.customers.emplace();
+  config.customers->Add({"cook", 0, {}});
+  config.customers->Add({"shop", std::nullopt, {}});
+  config.customers->AddKey("cook", KeyDigest("k1"));
+  config.customers->AddKey("shop", KeyDigest("k2"));
+  config.routes.push_back(config.routes.front());
+  config.routes.back().prefix = "/open/";
+  config.routes.back().is_public = true;
+  return config;
+}
+
+HttpCall CallWithKey(const Relay& relay, const std::string& path, const std::string& key) {
+  HttpCall call = relay.MakeCall(path);
+  if (!key.empty()) call.headers.emplace_back("X-Api-Key", key);
+  return call;
+}
+
+// Whether an endpoint got the key, or another customer's name than `customer`, in its last request.
+bool IsCleanFor(const TestEndpoint& endpoint, const std::string& customer) {
+  return endpoint.last.header("X-Api-Key").empty() && endpoint.last.header("Tenant") == customer;
+}
+
+}  // namespace
+
+// Guards against requests that run without a key, and against keys that are unknown and served.
+TEST_CASE("a request needs the key of a customer", "[relay]") {
+  Relay relay;
+  relay.directory.Adopt(ConfigWithCustomers());
+  for (const char* path : {"/read/1", "/order/1", "/resumable/1"}) {
+    for (const char* key : {"", "k3", "K1", "k1 k2", "k"}) {
+      auto reply = relay.Send(CallWithKey(relay, path, key));
+      REQUIRE(reply);
+      CHECK(reply.value().status == 401);
+    }
+  }
+  CHECK(relay.plain_arrivals() + relay.engine_arrivals() == 0);
+  // An old configuration may lack a key that has been added since.
+  relay.old_config = true;
+  CHECK(relay.Send(CallWithKey(relay, "/read/1", "k3")).value().status == 503);
+  CHECK(relay.Send(CallWithKey(relay, "/read/1", "k2")).value().status == 200);
+  CHECK(relay.Send(CallWithKey(relay, "/open/1", "")).value().status == 200);
+  // A key that was taken away is refused with the next request on the same connection.
+  relay.old_config = false;
+  FleetConfig revoked = ConfigWithCustomers();
+  revoked.version = 3;
+  revoked.customers.emplace();
+  relay.directory.Adopt(revoked);
+  CHECK(relay.Send(CallWithKey(relay, "/read/1", "k2")).value().status == 401);
+}
+
+// Guards against keys that reach endpoints and against customers that callers make up, on each way
+// on which a request is sent: first try, repeat, resumed stream, and routes without keys.
+TEST_CASE("an endpoint gets the customer's name and never the key", "[relay]") {
+  Relay relay;
+  relay.directory.Adopt(ConfigWithCustomers());
+  const auto check_all = [&](const std::string& customer) {
+    for (const TestEndpoint* endpoint : {&relay.p1, &relay.p2, &relay.e1, &relay.e2}) {
+      if (endpoint->arrivals > 0) CHECK(IsCleanFor(*endpoint, customer));
+    }
+  };
+  const auto send = [&](const std::string& path, const std::string& key) {
+    HttpCall call = CallWithKey(relay, path, key);
+    call.headers.emplace_back("Tenant", "forged");
+    CHECK(relay.Send(std::move(call)).value().status == 200);
+  };
+  relay.Behave(Break, Answer(200));
+  send("/read/1", "k1");
+  CHECK(relay.plain_arrivals() == 2);
+  relay.Behave(Stream(1, 2, false), Stream(3, 4, true));
+  send("/resumable/1", "k1");
+  CHECK(relay.engine_arrivals() == 2);
+  check_all("cook");
+  relay.Behave(Answer(200), Answer(200));
+  const int arrivals = relay.p1.arrivals;
+  while (relay.p1.arrivals == arrivals) send("/open/1", "k1");
+  CHECK(IsCleanFor(relay.p1, ""));
+}
+
+// Guards against a customer's priority that is not heeded.
+TEST_CASE("the priority of a customer goes before that of the route", "[relay]") {
+  Relay relay;
+  FleetConfig config = ConfigWithCustomers();
+  for (Route& route : config.routes) route.priority = 3;
+  relay.directory.Adopt(config);
+  relay.Behave(Stream(1, 1, true), Stream(1, 1, true));
+  const auto priority_for = [&](const std::string& key) {
+    const int before = relay.e1.arrivals;
+    CHECK(relay.Send(CallWithKey(relay, "/resumable/1", key)).value().status == 200);
+    const TestEndpoint& used = relay.e1.arrivals > before ? relay.e1 : relay.e2;
+    return std::string(used.last.header("Request-Priority"));
+  };
+  CHECK(priority_for("k1") == "0");
+  CHECK(priority_for("k2") == "3");
+}
+
 // Guards against a refusal that says "not run" of a request that may have run.
 TEST_CASE("a request is refused as not run only if that is true", "[relay]") {
   Relay relay;
