--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <cstdlib>
-#include <ctime>
 #include <iostream>
 
 #include "bounded_appender.h"
@@ -31,6 +30,7 @@
 #include "relay_handler.h"
 #include "state_sync.h"
 #include "supervisor.h"
+#include "suspension.h"
 #include "view_age.h"
 
 namespace mimosabend {
@@ -96,17 +96,6 @@
           HostCapacity(settings.cores, settings.link_mbps)};
 }
 
-// How long the host has been suspended since it started.
-milliseconds SuspendedTime() {
-  timespec with_suspension{};
-  timespec without{};
-  ::clock_gettime(CLOCK_BOOTTIME, &with_suspension);
-  ::clock_gettime(CLOCK_MONOTONIC, &without);
-  const auto difference = seconds(with_suspension.tv_sec - without.tv_sec) +
-                          std::chrono::nanoseconds(with_suspension.tv_nsec - without.tv_nsec);
-  return std::chrono::duration_cast<milliseconds>(difference);
-}
-
 // All parts of a gateway, built in the order of their dependencies.
 class Gateway {
  public:
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -152,45 +152,6 @@
   }
 }
 
-// Finds the customer of a request by its key. False if the request has been refused.
-Task<bool> RelayHandler::Authenticate(ContextPtr context) {
-  if (!context->config->customers || context->route->is_public) co_return true;
-  const std::string_view key = platform::CustomerKey(context->request());
-  context->customer = context->config->customers->FindByKey(key);
-  if (context->customer != nullptr) co_return true;
-  // A key may have been added since.
-  if (parts_.placement.may_lack_routes(MonotonicNow())) {
-    co_await Refuse(context, "no such key in an old configuration");
-    co_return false;
-  }
-  context->outcome = RelayOutcome::kUnknownKey;
-  context->reason = key.empty() ? "no key" : "unknown key";
-  HttpHeaders headers{{"Content-Type", "application/json"}};
-  co_await Deliver(context, 401, std::move(headers), R"({"error":"unknown key"})");
-  co_return false;
-}
-
-// Takes the request's part of its customer's quota. False if the request has been refused.
-Task<bool> RelayHandler::TakeQuota(ContextPtr context) {
-  const Customer* customer = context->customer;
-  if (customer == nullptr || !customer->quota.is_limited()) co_return true;
-  const RelayRequest& relay = context->relay;
-  const double cost =
-      customer->quota.CostOf(std::uint64_t{relay.prompt_tokens} + relay.max_output_tokens);
-  const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
-  const auto retry_after = parts_.quota->Admit(*customer, cost, draw, MonotonicNow());
-  if (!retry_after) {
-    context->quota_cost = cost;
-    co_return true;
-  }
-  context->outcome = RelayOutcome::kOverQuota;
-  context->reason = "the customer's quota of " + std::to_string(std::lround(customer->quota.rate)) +
-                    " a second is used up, asked for " + std::to_string(std::lround(cost));
-  co_await DeliverRefusal(context, 429, *retry_after,
-                          R"({"error":"not run, the quota is used up, try again later"})");
-  co_return false;
-}
-
 bool RelayHandler::HasTimeLeft(const Context& context, MonotonicTime now) const {
   return now + kLeastTime < std::min(context.deadline, end_);
 }
@@ -348,49 +309,6 @@
   parts_.client->Forget(endpoint.address);
 }
 
-// Notes that an endpoint broke off a request that it may have run, and waits until it is known
-// whether the endpoint has ended, so that the next try heeds that.
-Task<void> RelayHandler::NoteBreak(ContextPtr context, FleetEndpoint endpoint, HttpError error) {
-  const MonotonicTime now = MonotonicNow();
-  const CrashedRun run{context->fingerprint, context->begun};
-  parts_.breaks->NoteBreak(endpoint, run, context->sent_at, now);
-  if (context->caller_gone) co_return;
-  parts_.metrics->endpoint_breaks_total->Increment();
-  LOG4CPLUS_INFO(Log(), "endpoint broke off id="
-                            << context->relay.id << " content=" << Hex64(context->fingerprint)
-                            << " endpoint=" << endpoint.id << " started_ms=" << endpoint.started_ms
-                            << " error=\"" << kHttpErrorNames[error] << "\"");
-  if (error != HttpError::kBroken) co_return;
-  const bool ended = co_await parts_.breaks->HasEnded(std::move(endpoint));
-  if (ended) ++context->runs_at_ended;
-}
-
-// A request that an endpoint has run to its end does not end endpoints.
-void RelayHandler::NoteServed(Context* context) {
-  context->trial.reset();
-  parts_.evidence->NoteServed(context->fingerprint, MonotonicNow());
-}
-
-bool RelayHandler::IsContained(const Context& context, MonotonicTime now) const {
-  return parts_.evidence->Judge(context.fingerprint, now) == CrashVerdict::kContained;
-}
-
-bool RelayHandler::MustRunAlone(const Context& context, MonotonicTime now) const {
-  return parts_.evidence->Judge(context.fingerprint, now) == CrashVerdict::kLone;
-}
-
-// Endpoints that are not to be tried at `now`, and those at which a trial has not begun to answer.
-std::set<std::string> RelayHandler::WithoutTrials(const Context& context, MonotonicTime now) const {
-  std::set<std::string> avoided = context.Avoided(now);
-  avoided.insert(trials_.busy().begin(), trials_.busy().end());
-  return avoided;
-}
-
-// Endpoints that are not to be tried at `now`.
-std::set<std::string> RelayHandler::Avoided(const Context& context, MonotonicTime now) const {
-  return MustRunAlone(context, now) ? WithoutTrials(context, now) : context.Avoided(now);
-}
-
 // An endpoint for a plain request, one without a trial if there is one.
 std::optional<EndpointChoice> RelayHandler::ChoosePlain(const Context& context, MonotonicTime now) {
   const std::uint64_t spread_key = MustRunAlone(context, now) ? context.fingerprint : 0;
@@ -401,26 +319,6 @@
   return choice ? choice : choose(Avoided(context, now));
 }
 
-// Counts a try that is about to be sent.
-void RelayHandler::BeginTry(Context* context, const EndpointChoice& choice) {
-  const MonotonicTime now = MonotonicNow();
-  ++context->tries;
-  parts_.metrics->tries_total->Increment();
-  context->endpoint = choice.endpoint.id;
-  context->expected_ms = choice.expected_ms;
-  context->sent_at = now;
-  context->begun = false;
-  if (MustRunAlone(*context, now)) context->trial = trials_.Begin(choice.endpoint.id);
-}
-
-// Waits until a trial of another request has ended, or for a short time.
-Task<void> RelayHandler::WaitForTrials(ContextPtr context) {
-  const MonotonicTime began = MonotonicNow();
-  context->reason = "endpoints are busy with requests under which others have ended";
-  co_await parts_.board->changed().WaitUntil(std::min(WaitLimit(*context), began + kWaitStep));
-  context->waited += ToMillis(MonotonicNow() - began);
-}
-
 // Gives the final answer of a request that is not tried again.
 Task<void> RelayHandler::GiveUp(ContextPtr context) {
   if (context->caller_gone) {
@@ -459,16 +357,6 @@
   co_await DeliverRefusal(context, 503, retry_after, R"({"error":"not run, try again later"})");
 }
 
-// Tells the caller that its request is not run since endpoints ended under it, and when that will
-// be forgotten.
-Task<void> RelayHandler::RefuseContained(ContextPtr context) {
-  context->outcome = RelayOutcome::kContained;
-  context->reason = "endpoints ended under this request";
-  const MonotonicTime forgotten = parts_.evidence->ForgottenAt(context->fingerprint);
-  co_await DeliverRefusal(context, 503, ToMillis(forgotten - MonotonicNow()),
-                          R"({"error":"not run, since endpoints ended under this request"})");
-}
-
 Task<void> RelayHandler::DeliverRefusal(ContextPtr context, int status, milliseconds retry_after,
                                         std::string body) {
   HttpHeaders headers{{"Content-Type", "application/json"},
