Cut off endpoints whose bytes never end, and streams that stall byte by byte

What callers would see: a daemon that runs out of memory, or a stream that never ends.

Cause: an event without end, a line between chunks without end and the body of a failed stream had no bound; the deadline of a read did not count while bytes were always there (chunks of one byte went on for 5 s against a deadline of 2 s); and each byte of a stalled engine began its time of silence anew.

Change: bounds for an event (1 MB), the read buffer (256 KB) and any whole body (8 MB, now read in one place); a read past its deadline fails; only whole events end a silence.

Tests: 'bytes without end are cut off at a bound' (12 kinds, heads, chunks, trailers, events) and 'a byte now and then does not keep a stalled stream'; both failed before.

--- a/src/event_stream.h
+++ b/src/event_stream.h
@@ -18,6 +18,9 @@
   // Whether bytes of an unfinished event are left.
   bool has_partial() const { return !rest_.empty(); }
 
+  // Bytes that wait for the end of their event.
+  std::size_t partial_bytes() const { return rest_.size(); }
+
   // The id of the last whole event that had one.
   std::optional<std::uint64_t> last_id() const { return last_id_; }
 
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t kReadBytes = 16 * 1024;
 constexpr std::uint64_t kMaxBodyBytes = 8 * 1024 * 1024;
 constexpr std::uint32_t kMaxHeaderBytes = 32 * 1024;
+// Bounds what has no limit of its own, such as a line between two chunks that never ends.
+constexpr std::size_t kMaxBufferBytes = 256 * 1024;
 
 HttpError TranslateError(const boost::system::error_code& error) {
   if (error == beast::error::timeout) return HttpError::kTimedOut;
@@ -106,7 +108,7 @@
   }
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxBufferBytes};
   std::optional<http::response_parser<http::buffer_body>> parser;
   MonotonicTime idle_since;
   // How long the peer keeps the connection open while it is idle.
@@ -146,6 +148,8 @@
   auto& parser = *connection_->parser;
   std::string bytes;
   while (bytes.empty() && !parser.is_done()) {
+    // The timer does not get its turn while bytes are always there.
+    if (MonotonicNow() >= deadline) co_return outcome::failure(HttpError::kTimedOut);
     bytes.resize(kReadBytes);
     parser.get().body().data = bytes.data();
     parser.get().body().size = bytes.size();
@@ -161,6 +165,17 @@
   co_return bytes;
 }
 
+Task<Result<std::string, HttpError>> HttpStream::ReadAll(MonotonicTime deadline) {
+  std::string body;
+  for (;;) {
+    auto bytes = co_await Read(deadline);
+    if (!bytes) co_return outcome::failure(bytes.error());
+    if (bytes.value().empty()) co_return body;
+    body += bytes.value();
+    if (body.size() > kMaxBodyBytes) co_return outcome::failure(HttpError::kTooLarge);
+  }
+}
+
 HttpClient::HttpClient(asio::any_io_executor executor, HttpClientOptions options)
     : executor_(std::move(executor)), options_(options) {}
 
@@ -267,13 +282,9 @@
   HttpReply reply;
   reply.status = stream.value()->status();
   reply.headers = stream.value()->headers();
-  for (;;) {
-    auto bytes = co_await stream.value()->Read(deadline);
-    if (!bytes) co_return outcome::failure(bytes.error());
-    if (bytes.value().empty()) break;
-    reply.body += bytes.value();
-    if (reply.body.size() > kMaxBodyBytes) co_return outcome::failure(HttpError::kTooLarge);
-  }
+  auto body = co_await stream.value()->ReadAll(deadline);
+  if (!body) co_return outcome::failure(body.error());
+  reply.body = std::move(body).value();
   co_return reply;
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -98,6 +98,9 @@
   // The next bytes of the body; empty at its end.
   Task<Result<std::string, HttpError>> Read(MonotonicTime deadline);
 
+  // The rest of the body. One of more than 8 MB is refused, and its connection is closed.
+  Task<Result<std::string, HttpError>> ReadAll(MonotonicTime deadline);
+
  private:
   HttpClient* client_;
   Address address_;
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -30,6 +30,8 @@
 // A stream is taken for broken after a silence of this many times its longest pause.
 constexpr int kSilenceFactor = 4;
 constexpr milliseconds kLeastSilence{1000};
+// An event that grows beyond this is none.
+constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 
 // How long the first event is waited for before another engine is tried.
 milliseconds FirstEventLimit(const Route& route, const EndpointChoice& choice) {
@@ -253,14 +255,11 @@
     } else {
       ++context->runs;
       context->excluded.insert(id);
-      HttpReply reply{status, headers, ""};
-      auto body = co_await stream.value()->Read(context->deadline);
-      while (body && !body.value().empty()) {
-        reply.body += body.value();
-        body = co_await stream.value()->Read(context->deadline);
-      }
+      auto body = co_await stream.value()->ReadAll(context->deadline);
       if (body) NoteServed(context.get());
+      if (!body) context->reason = std::string(kHttpErrorNames[body.error()]);
       if (body && !context->stream_open) {
+        HttpReply reply{status, headers, std::move(body).value()};
         next = co_await PassWhole(context, std::move(reply));
       }
     }
@@ -284,10 +283,12 @@
   const milliseconds first_limit = FirstEventLimit(*context->route, choice);
   const bool attempts_left = context->AttemptsLeft() > 0;
   bool first = true;
+  // Only whole events count: a stalled engine may still send a byte now and then.
+  MonotonicTime last_event = MonotonicNow();
   for (;;) {
     MonotonicTime limit = context->deadline;
     if (attempts_left && MayMove(*context, choice.endpoint.id)) {
-      limit = std::min(limit, MonotonicNow() + (first ? first_limit : silence));
+      limit = std::min(limit, last_event + (first ? first_limit : silence));
     }
     context->step = RelayStep::kEvents;
     auto bytes = co_await stream->Read(limit);
@@ -300,8 +301,13 @@
     }
     if (bytes.value().empty()) break;
     const std::string events = splitter.Add(bytes.value());
+    if (splitter.partial_bytes() > kMaxEventBytes) {
+      context->reason = "stream: an event without end";
+      co_return Next::kTryAgain;
+    }
     if (events.empty()) continue;
     const MonotonicTime now = MonotonicNow();
+    last_event = now;
     if (first) {
       first = false;
       context->begun = true;
