Let a new leader's quota accounts begin empty, with the rate allowed at once

Change: accounts begin empty again, and until they have filled the rate is allowed, which keeps calm customers from being refused.

--- a/src/quota_ledger.cpp
+++ b/src/quota_ledger.cpp
@@ -20,8 +20,7 @@
 
 void QuotaLedger::Note(const std::vector<QuotaUse>& uses, MonotonicTime now) {
   for (const QuotaUse& use : uses) {
-    Account& account =
-        accounts_.try_emplace(use.customer, Account{std::nullopt, now}).first->second;
+    Account& account = accounts_.try_emplace(use.customer, Account{0, true, now}).first->second;
     account.asked += use.asked;
     account.spent += use.spent;
   }
@@ -33,8 +32,8 @@
   account->updated = now;
   const double fade = std::exp(-elapsed / kDemandSeconds);
   account->demand = account->demand * fade + account->asked / elapsed * (1 - fade);
-  const double before = account->level.value_or(kTargetLevel * burst);
-  account->level = std::min(before + rate * elapsed - account->spent, burst);
+  account->level = std::min(account->level + rate * elapsed - account->spent, burst);
+  if (account->level >= kTargetLevel * burst) account->filling = false;
   account->asked = 0;
   account->spent = 0;
 }
@@ -50,9 +49,9 @@
     Account& account = it->second;
     const double burst = limit.burst + kUsedTolerance * tolerance;
     Update(limit.rate, burst, &account, now);
-    const double level = account.level.value_or(kTargetLevel * burst);
-    const double surplus = (level - kTargetLevel * burst) / kLevelSeconds;
-    const double allowed = std::max(0.0, limit.rate + surplus);
+    const double surplus =
+        account.filling ? std::min(0.0, account.level) : account.level - kTargetLevel * burst;
+    const double allowed = std::max(0.0, limit.rate + surplus / kLevelSeconds);
     if (account.demand <= allowed) continue;
     const double share = allowed / account.demand;
     shares.push_back({number, static_cast<std::uint16_t>(share * QuotaShare::kWhole)});
--- a/src/quota_ledger.h
+++ b/src/quota_ledger.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <vector>
 
 #include "clock.h"
@@ -26,14 +25,16 @@
   std::vector<QuotaShare> Shares(const CustomerDirectory& customers, double tolerance,
                                  MonotonicTime now);
 
-  // Forgets everything, for a new leader: what was used before is not known, so accounts begin at
-  // the level to which they are led, not with the whole burst.
+  // Forgets everything, for a new leader: what was used before is not known, so accounts begin
+  // empty. The rate is allowed while they fill.
   void Reset() { accounts_.clear(); }
 
  private:
   struct Account {
-    // Units that may be used at once; below zero if more were used. Empty until the first update.
-    std::optional<double> level;
+    // Units that may be used at once; below zero if more were used.
+    double level = 0;
+    // The account has not yet reached the level to which it is led.
+    bool filling = true;
     MonotonicTime updated;
     // Used since the last update.
     double asked = 0;
