Wait for trials on plain routes only where an endpoint is left

Cause, by reading: a plain request that has to run apart waited to its end while any trial was running, also if it had tried all endpoints. One function for both kinds of route now asks whether one is left.

Tests: relay and containment as before; no test showed the wait, which only such requests meet.

--- a/src/relay_containment.cpp
+++ b/src/relay_containment.cpp
@@ -50,6 +50,13 @@
   return MustRunAlone(context, now) ? WithoutTrials(context, now) : context.Avoided(now);
 }
 
+// Whether the endpoints that the request could use are busy with other suspects only.
+bool RelayHandler::IsBusyWithTrials(const Context& context, MonotonicTime now) const {
+  if (!MustRunAlone(context, now)) return false;
+  const std::string model = context.service->engine ? context.relay.model : "";
+  return parts_.selector->HasEngine(context.service_name, model, context.Avoided(now), now);
+}
+
 // Counts a try that is about to be sent.
 void RelayHandler::BeginTry(Context* context, const EndpointChoice& choice) {
   const MonotonicTime now = MonotonicNow();
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -209,8 +209,7 @@
     const MonotonicTime now = MonotonicNow();
     if (IsContained(*context, now)) break;
     const auto choice = ChoosePlain(*context, now);
-    const bool alone = MustRunAlone(*context, now) && !trials_.busy().empty();
-    if (!choice && alone && MayWait(*context, now)) {
+    if (!choice && IsBusyWithTrials(*context, now) && MayWait(*context, now)) {
       co_await WaitForTrials(context);
       continue;
     }
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -54,13 +54,6 @@
                                     Avoided(context, now), now);
 }
 
-// Whether the engines that the request could use are busy with other suspects only.
-bool RelayHandler::IsBusyWithTrials(const Context& context, MonotonicTime now) const {
-  return MustRunAlone(context, now) &&
-         parts_.selector->HasEngine(context.service_name, context.relay.model, context.Avoided(now),
-                                    now);
-}
-
 // Whether a try at an endpoint that has run the request could be broken off for one elsewhere. An
 // engine that is only slow is not left where nothing better is at hand.
 bool RelayHandler::MayMove(const Context& context, const std::string& endpoint) {
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -862,7 +862,8 @@
     const int status = reply.value().status;
     CHECK((status == 502 || status == 504));
     CHECK(FindHeader(reply.value().headers, "Response-Stamp").empty());
-    // 8 MB of a body, and the system's buffers on both sides. Chunks of one byte are six on the wire.
+    // 8 MB of a body, and the system's buffers on both sides. Chunks of one byte are six on the
+    // wire.
     CHECK(endless.sent() < (plain ? 6 : 1) * 16 * 1024 * 1024);
     for (int i = 0; i < 50 && !endless.closed(); ++i) relay.io.run_for(milliseconds(10));
     CHECK(endless.closed());
