--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -407,7 +407,8 @@
   const auto send = [&](const std::string& path, const std::string& key) {
     HttpCall call = CallWithKey(relay, path, key);
     call.headers.emplace_back("Tenant", "forged");
-    CHECK(relay.Send(std::move(call)).value().status == 200);
+    const auto reply = relay.Send(std::move(call));
+    CHECK(reply.value().status == 200);
   };
   relay.Behave(Break, Answer(200));
   send("/read/1", "k1");
