Keep the logs of a platform fleet on demand

Cause: a test that fails once leaves nothing to trace, since the harness removes its directory. Ruled out: keeping them always, about 2 MB a run. Change: MIMOSABEND_KEEP_LOGS in the environment keeps them.

--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <cstdlib>
 #include <fstream>
 #include <optional>
 #include <sstream>
@@ -24,6 +25,8 @@
 constexpr milliseconds kCallTimeout{15000};
 // Gateways listen at the same ports of addresses of their own, as on hosts of their own.
 constexpr int kFirstHost = 21;
+// Set in the environment, it keeps the logs of all processes in the temporary directory.
+constexpr const char* kKeepLogs = "MIMOSABEND_KEEP_LOGS";
 
 std::string HostOf(int index) { return "127.0.0." + std::to_string(kFirstHost + index); }
 
@@ -122,6 +125,7 @@
   gateways_.clear();
   endpoints_.clear();
   store_.reset();
+  if (std::getenv(kKeepLogs) != nullptr) return;
   std::error_code ignored;
   std::filesystem::remove_all(directory_, ignored);
 }
