Hold back requests at three crashes until all crashes are known

Callers saw: a request that ran beside one that ends its endpoints was refused for an hour (503), or failed (502) on both of its attempts.

A gateway judged a request as soon as it had seen three crashes of it, though the records that the real cause was at the same crashes, at another gateway, were still on their way. And two gateways tried the cause and its companion at the same engine within 60 ms, so that both were at a fourth crash, which contains either.

Ruled out: load or a slow machine; the logs of each failing run have the same three or four incarnations under both contents. A higher limit of crashes: the pair may meet again, and the users' bound is 3 and 3 more.

Change: CrashEvidence::HeldUntil. From three crashes on, a request is neither run nor refused for 1 s after its last one, which is the time that records need at 195 daemons; if it may not wait that long, it is told when to come back. Requests at the same three crashes then take turns of 150 ms in the order of their fingerprints, which all daemons know.

The two new cases of crash_evidence need HeldUntil and do not build without it.

--- a/src/crash_evidence.cpp
+++ b/src/crash_evidence.cpp
@@ -17,6 +17,20 @@
 
 }  // namespace
 
+// Whether too many endpoints ended before they began to answer the request.
+bool CrashEvidence::HasEndedAtStart(const Suspect& suspect) {
+  const auto at_start = std::count_if(suspect.crashes.begin(), suspect.crashes.end(),
+                                      [](const auto& crash) { return !crash.second.begun; });
+  return at_start >= static_cast<std::ptrdiff_t>(kMaxAtStart);
+}
+
+// Precondition: the suspect has crashes.
+MonotonicTime CrashEvidence::LastCrash(const Suspect& suspect) {
+  MonotonicTime last;
+  for (const auto& [crash, note] : suspect.crashes) last = std::max(last, note.at);
+  return last;
+}
+
 void CrashEvidence::NoteCrash(std::uint32_t crash, const std::vector<CrashedRun>& runs,
                               MonotonicTime now) {
   const auto is_lone = [&](const CrashedRun& run) {
@@ -46,12 +60,32 @@
   if (crashes < kLoneCrashes) return CrashVerdict::kSuspect;
   if (crashes < kMaxCrashes) return CrashVerdict::kLone;
   const Suspect& suspect = suspects_.at(fingerprint);
-  const std::size_t at_start = std::count_if(suspect.crashes.begin(), suspect.crashes.end(),
-                                             [](const auto& crash) { return !crash.second.begun; });
-  const bool contained = at_start >= kMaxAtStart || !IsAmbiguous(fingerprint, suspect);
+  const bool contained = HasEndedAtStart(suspect) || !IsAmbiguous(fingerprint, suspect);
   return contained ? CrashVerdict::kContained : CrashVerdict::kLone;
 }
 
+std::optional<MonotonicTime> CrashEvidence::HeldUntil(std::uint64_t fingerprint,
+                                                      MonotonicTime now) const {
+  if (Crashes(fingerprint, now) < kMaxCrashes) return std::nullopt;
+  const Suspect& suspect = suspects_.at(fingerprint);
+  if (HasEndedAtStart(suspect)) return std::nullopt;
+  const MonotonicTime until = LastCrash(suspect) + kNewsTime + TurnOf(fingerprint, suspect) * kTurn;
+  return now < until ? std::optional(until) : std::nullopt;
+}
+
+// The place of a request among those that were at the same crashes and may still run.
+int CrashEvidence::TurnOf(std::uint64_t fingerprint, const Suspect& suspect) const {
+  const auto goes_before = [&](const auto& other) {
+    if (HasEndedAtStart(other.second)) return false;
+    const auto shared = std::count_if(
+        suspect.crashes.begin(), suspect.crashes.end(),
+        [&](const auto& crash) { return other.second.crashes.contains(crash.first); });
+    return shared >= static_cast<std::ptrdiff_t>(kMaxCrashes);
+  };
+  return static_cast<int>(
+      std::count_if(suspects_.begin(), suspects_.lower_bound(fingerprint), goes_before));
+}
+
 void CrashEvidence::LogIfContained(std::uint64_t fingerprint, MonotonicTime now) const {
   if (Judge(fingerprint, now) != CrashVerdict::kContained) return;
   LOG4CPLUS_WARN(Log(), "request is contained content=" << Hex64(fingerprint) << " endpoints_ended="
@@ -77,11 +111,7 @@
 }
 
 MonotonicTime CrashEvidence::ForgottenAt(std::uint64_t fingerprint) const {
-  MonotonicTime last;
-  for (const auto& [crash, note] : suspects_.at(fingerprint).crashes) {
-    last = std::max(last, note.at);
-  }
-  return last + kRetention;
+  return LastCrash(suspects_.at(fingerprint)) + kRetention;
 }
 
 bool CrashEvidence::WasServed(std::uint64_t fingerprint, MonotonicTime at) const {
--- a/src/crash_evidence.h
+++ b/src/crash_evidence.h
@@ -60,6 +60,10 @@
   static constexpr std::size_t kMaxAtStart = 4;
   // How long a crash counts against a request.
   static constexpr seconds kRetention{3600};
+  // Records of a crash have reached all daemons after this time.
+  static constexpr milliseconds kNewsTime{1000};
+  // By then, a request has begun to be answered or has ended its endpoint, as a rule.
+  static constexpr milliseconds kTurn{150};
   // A request that was served is not blamed for crashes for this long.
   static constexpr seconds kInnocence{60};
   static constexpr std::size_t kMaxSuspects = 1024;
@@ -79,6 +83,11 @@
 
   CrashVerdict Judge(std::uint64_t fingerprint, MonotonicTime now) const;
 
+  // Until when a request that was at kMaxCrashes crashes is neither run nor refused: other daemons
+  // may report that another request was there, too, and of such requests one runs after the other,
+  // in the same order at all daemons. std::nullopt if it is not held back at `now`.
+  std::optional<MonotonicTime> HeldUntil(std::uint64_t fingerprint, MonotonicTime now) const;
+
   // Crashes that count against a request.
   std::size_t Crashes(std::uint64_t fingerprint, MonotonicTime now) const;
 
@@ -114,11 +123,14 @@
     std::uint32_t crash = 0;
   };
 
+  static bool HasEndedAtStart(const Suspect& suspect);
+  static MonotonicTime LastCrash(const Suspect& suspect);
   bool AddCrash(const CrashedRun& run, std::uint32_t crash, MonotonicTime at);
   bool AddServed(std::uint64_t fingerprint, MonotonicTime at);
   bool WasServed(std::uint64_t fingerprint, MonotonicTime at) const;
   void LogIfContained(std::uint64_t fingerprint, MonotonicTime now) const;
   bool IsAmbiguous(std::uint64_t fingerprint, const Suspect& suspect) const;
+  int TurnOf(std::uint64_t fingerprint, const Suspect& suspect) const;
   Note Append(std::uint64_t fingerprint, std::uint32_t crash, MonotonicTime at);
   void Unlog(const Note& note) { log_.erase(note.position); }
   void Erase(std::map<std::uint64_t, Suspect>::iterator it);
--- a/src/relay_containment.cpp
+++ b/src/relay_containment.cpp
@@ -34,6 +34,27 @@
   return parts_.evidence->Judge(context.fingerprint, now) == CrashVerdict::kContained;
 }
 
+// Until when a request that could run is held back, since it is not clear whether it ends
+// endpoints.
+std::optional<MonotonicTime> RelayHandler::HeldUntil(const Context& context,
+                                                     MonotonicTime now) const {
+  const bool may_repeat = context.route->repeatable() && context.AttemptsLeft() > 0;
+  if (context.runs > 0 && !may_repeat) return std::nullopt;
+  return parts_.evidence->HeldUntil(context.fingerprint, now);
+}
+
+// Waits until more is known of what ended the endpoints of a request. False if that takes longer
+// than the request may wait.
+Task<bool> RelayHandler::WaitForEvidence(ContextPtr context, MonotonicTime until) {
+  const MonotonicTime began = MonotonicNow();
+  context->reason = "not known yet whether endpoints end under it";
+  context->ready_at = until;
+  if (until >= WaitLimit(*context)) co_return false;
+  co_await parts_.board->changed().WaitUntil(std::min(until, began + kWaitStep));
+  context->waited += ToMillis(MonotonicNow() - began);
+  co_return true;
+}
+
 bool RelayHandler::MustRunAlone(const Context& context, MonotonicTime now) const {
   return parts_.evidence->Judge(context.fingerprint, now) == CrashVerdict::kLone;
 }
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -207,6 +207,11 @@
 Task<void> RelayHandler::ServePlain(ContextPtr context) {
   while (!context->caller_gone) {
     const MonotonicTime now = MonotonicNow();
+    if (const auto until = HeldUntil(*context, now)) {
+      const bool waited = co_await WaitForEvidence(context, *until);
+      if (!waited) break;
+      continue;
+    }
     if (IsContained(*context, now)) break;
     const auto choice = ChoosePlain(*context, now);
     if (!choice && IsBusyWithTrials(*context, now) && MayWait(*context, now)) {
@@ -335,7 +340,8 @@
     co_await Deliver(context, reply.status, platform::ReturnedHeaders(reply.headers), reply.body);
     co_return;
   }
-  const bool contained = IsContained(*context, MonotonicNow());
+  const MonotonicTime now = MonotonicNow();
+  const bool contained = IsContained(*context, now) && !HeldUntil(*context, now);
   if (context->runs == 0) {
     if (contained) co_await RefuseContained(context);
     if (!contained) co_await Refuse(context, context->reason);
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -134,6 +134,8 @@
   std::optional<EndpointChoice> ChooseEngine(const Context& context, MonotonicTime now);
   void BeginTry(Context* context, const EndpointChoice& choice);
   Task<void> WaitForTrials(ContextPtr context);
+  std::optional<MonotonicTime> HeldUntil(const Context& context, MonotonicTime now) const;
+  Task<bool> WaitForEvidence(ContextPtr context, MonotonicTime until);
   Task<void> RefuseContained(ContextPtr context);
   HttpCall MakeCall(Context* context, const EndpointChoice& choice, MonotonicTime deadline) const;
   std::string PickService(const Route& route, const std::string& request_id) const;
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -83,6 +83,11 @@
   context->patience_end = context->arrival + FirstEventPatience(*context->route);
   while (!context->caller_gone && MayWait(*context, MonotonicNow())) {
     const MonotonicTime now = MonotonicNow();
+    if (const auto until = HeldUntil(*context, now)) {
+      const bool waited = co_await WaitForEvidence(context, *until);
+      if (!waited) break;
+      continue;
+    }
     if (IsContained(*context, now)) break;
     auto choice = ChooseEngine(*context, now);
     if (!choice && IsBusyWithTrials(*context, now)) {
--- a/tests/test_crash_evidence.cpp
+++ b/tests/test_crash_evidence.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "crash_evidence.h"
@@ -106,6 +107,45 @@
   CHECK(evidence.Judge(8, kStart) != CrashVerdict::kContained);
 }
 
+// Guards against an innocent request that is contained by a daemon that has not heard yet that the
+// cause was at the same crashes, at another daemon.
+TEST_CASE("a request is not contained before the news of other daemons", "[crash]") {
+  CrashEvidence evidence;
+  for (std::uint32_t crash : {1, 2, 3}) evidence.NoteCrash(crash, {{8}}, kStart);
+  const auto until = evidence.HeldUntil(8, kStart);
+  REQUIRE(until);
+  CHECK(*until >= kStart + CrashEvidence::kNewsTime);
+  evidence.Merge({{kGuilty, 1, false, 300}, {kGuilty, 2, false, 300}, {kGuilty, 3, false, 300}},
+                 kStart + milliseconds(300));
+  const MonotonicTime later = *until + CrashEvidence::kTurn;
+  CHECK_FALSE(evidence.HeldUntil(8, later));
+  CHECK(evidence.Judge(8, later) == CrashVerdict::kLone);
+}
+
+// Guards against an innocent request that meets the cause at a fourth endpoint, since two daemons
+// try them at the same time.
+TEST_CASE("requests that were at the same three crashes run one after another", "[crash]") {
+  CrashEvidence a, b;
+  for (std::uint32_t crash : {1, 2, 3}) {
+    a.NoteCrash(crash, {{kGuilty}, {8}, {9}}, kStart);
+    b.Merge({{8, crash, false, 0}, {kGuilty, crash, false, 0}, {9, crash, false, 0}}, kStart);
+  }
+  std::vector<MonotonicTime> turns;
+  for (std::uint64_t request : {kGuilty, std::uint64_t{8}, std::uint64_t{9}}) {
+    const auto turn = a.HeldUntil(request, kStart);
+    REQUIRE(turn);
+    CHECK(b.HeldUntil(request, kStart) == turn);
+    turns.push_back(*turn);
+  }
+  std::sort(turns.begin(), turns.end());
+  CHECK(turns[1] - turns[0] >= CrashEvidence::kTurn);
+  CHECK(turns[2] - turns[1] >= CrashEvidence::kTurn);
+  // What is known to end endpoints takes no turn, and is refused without a wait.
+  a.NoteCrash(4, {{kGuilty}}, kStart);
+  CHECK_FALSE(a.HeldUntil(kGuilty, kStart));
+  CHECK(a.HeldUntil(8, kStart) == turns[0]);
+}
+
 // Guards against requests that ran for a while beside several trials of the cause, also at other
 // daemons, and are contained with it.
 TEST_CASE("what had begun beside a trial is not contained with it", "[crash]") {
