Admit nothing of a limited customer before its use is known

Cause: a process that starts takes itself for the only daemon, and each customer's burst for unused. The new leader then counts demand from zero and names shares that are too high.

Change: a process counts what limited customers ask for, but admits nothing before it has heard shares; such requests wait up to 1.5 s and are refused with 503 then. A new leader names no shares for its first 0.4 s, in which all daemons report, and allows for an average that has begun at zero.

--- a/src/fleet_usage.h
+++ b/src/fleet_usage.h
@@ -222,6 +222,8 @@
   std::vector<std::uint32_t> leaving;
   EvidenceMessage evidence;
   std::vector<QuotaShare> quota;
+  // False if the answering daemon does not know yet what the customers ask for.
+  bool quota_known = false;
   // Without domains if the reporting daemon knows the plan.
   RelayPlan plan;
   // The leader is about to give the lead up and sends no more orders. The next two members are set
@@ -245,6 +247,7 @@
     SerializeNumbers(archive, leaving);
     evidence.serialize(archive);
     SerializeList(archive, quota);
+    SerializeFlag(archive, quota_known);
     plan.serialize(archive);
   }
 };
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -248,12 +248,13 @@
     UsageAnswer answer = parts_.leader->HandleReport(sender, report, now);
     if (quota_fence_ != parts_.leader->fence()) {
       quota_fence_ = parts_.leader->fence();
-      quota_ledger_.Reset();
+      quota_ledger_.Reset(now);
     }
     quota_ledger_.Note(report.quota, now);
     const auto config = parts_.directory->config();
     if (config == nullptr || !config->customers) return answer;
     answer.quota = quota_ledger_.Shares(*config->customers, settings_.quota_tolerance, now);
+    answer.quota_known = quota_ledger_.IsKnown(now);
     return answer;
   }
 
@@ -344,7 +345,11 @@
     daemons_ = std::max(1U, answer.daemons);
     period_ = milliseconds(std::max(1U, answer.next_report_ms));
     parts_.directory->RefreshKnown(parts_.state->leader_heard());
-    parts_.quota->SetShares(answer.quota, daemons_, parts_.state->leader_heard());
+    if (answer.quota_known) {
+      const bool first = !parts_.quota->informed();
+      parts_.quota->SetShares(answer.quota, daemons_, parts_.state->leader_heard());
+      if (first) parts_.board->changed().NotifyAll();
+    }
     for (const EndpointNews& news : answer.news) parts_.state->holdings().Note(news);
     ApplyNews(now);
     NoteLeaving(answer.leaving);
@@ -394,6 +399,7 @@
     if (report.urgent || desk_.HasWaiting(now)) parts_.board->waiting_began().NotifyAll();
     answer.accepted = true;
     answer.quota = parts_.quota->Shares();
+    answer.quota_known = parts_.quota->IsLed(now);
     answer.leader = state.Notice(now);
     answer.daemons = daemons_;
     answer.next_report_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(
--- a/src/quota_ledger.cpp
+++ b/src/quota_ledger.cpp
@@ -26,6 +26,11 @@
   }
 }
 
+void QuotaLedger::Reset(MonotonicTime now) {
+  accounts_.clear();
+  reset_at_ = now;
+}
+
 void QuotaLedger::Update(double rate, double burst, Account* account, MonotonicTime now) {
   const double elapsed = ToSeconds(now - account->updated);
   if (elapsed <= 0) return;
@@ -52,8 +57,11 @@
     const double surplus =
         account.filling ? std::min(0.0, account.level) : account.level - kTargetLevel * burst;
     const double allowed = std::max(0.0, limit.rate + surplus / kLevelSeconds);
-    if (account.demand <= allowed) continue;
-    const double share = allowed / account.demand;
+    // The average has begun at zero with the last reset.
+    const auto measured = std::max<MonotonicTime::duration>(now - reset_at_, kMeasureTime);
+    const double demand = account.demand / (1 - std::exp(-ToSeconds(measured) / kDemandSeconds));
+    if (demand <= allowed) continue;
+    const double share = allowed / demand;
     shares.push_back({number, static_cast<std::uint16_t>(share * QuotaShare::kWhole)});
   }
   return shares;
--- a/src/quota_ledger.h
+++ b/src/quota_ledger.h
@@ -16,6 +16,9 @@
 // wherever the requests arrive. Not thread-safe.
 class QuotaLedger {
  public:
+  // All daemons find a new leader and report to it within this time, as a rule.
+  static constexpr milliseconds kMeasureTime{400};
+
   // Takes in what daemons have used.
   void Note(const std::vector<QuotaUse>& uses, MonotonicTime now);
 
@@ -26,8 +29,11 @@
                                  MonotonicTime now);
 
   // Forgets everything, for a new leader: what was used before is not known, so accounts begin
-  // empty. The rate is allowed while they fill.
-  void Reset() { accounts_.clear(); }
+  // empty. The rate is allowed while they fill. What is asked for is not known either for a while.
+  void Reset(MonotonicTime now);
+
+  // Whether enough daemons have reported since the last reset for shares to be named.
+  bool IsKnown(MonotonicTime now) const { return now - reset_at_ >= kMeasureTime; }
 
  private:
   struct Account {
@@ -46,6 +52,7 @@
   void Update(double rate, double burst, Account* account, MonotonicTime now);
 
   std::map<std::uint32_t, Account> accounts_;
+  MonotonicTime reset_at_;
 };
 
 }  // namespace mimosabend
--- a/src/quota_meter.cpp
+++ b/src/quota_meter.cpp
@@ -1,6 +1,7 @@
 #include "quota_meter.h"
 
 #include <algorithm>
+#include <cassert>
 #include <cmath>
 
 namespace mimosabend {
@@ -32,13 +33,15 @@
 
 std::optional<milliseconds> QuotaMeter::Admit(const Customer& customer, double cost, double draw,
                                               MonotonicTime now) {
+  assert(informed_);
   Bucket& bucket = FilledBucket(customer, now);
-  const bool led = now - shares_at_ < kNewsLifetime;
+  const bool led = IsLed(now);
   // A part is small beside a single request, so it gives only the chance of one.
   const double share = led ? ShareOf(CustomerNumber(customer.name)) : bucket.level / cost;
   const bool admitted = draw < share || share >= 1;
-  Count(customer, cost, admitted);
   if (admitted) {
+    const std::uint32_t number = CustomerNumber(customer.name);
+    AddQuotaUse(&uses_[number], {number, 0, ToUnits(cost)});
     bucket.level -= cost;
     return std::nullopt;
   }
@@ -61,11 +64,10 @@
   return bucket;
 }
 
-void QuotaMeter::Count(const Customer& customer, double cost, bool admitted) {
+void QuotaMeter::Ask(const Customer& customer, double cost) {
   const std::uint32_t number = CustomerNumber(customer.name);
-  const std::int32_t units = ToUnits(cost);
   QuotaUse& use = uses_[number];
-  AddQuotaUse(&use, {number, static_cast<std::uint32_t>(units), admitted ? units : 0});
+  AddQuotaUse(&use, {number, static_cast<std::uint32_t>(ToUnits(cost)), 0});
   if (use.asked > customer.quota.rate * kUrgentPart) on_urgent_();
 }
 
@@ -91,6 +93,7 @@
 void QuotaMeter::SetShares(const std::vector<QuotaShare>& shares, std::uint32_t daemons,
                            MonotonicTime at) {
   daemons_ = std::max(1U, daemons);
+  informed_ = true;
   if (at < shares_at_) return;
   shares_at_ = at;
   shares_.clear();
--- a/src/quota_meter.h
+++ b/src/quota_meter.h
@@ -26,9 +26,19 @@
   // should know at once.
   explicit QuotaMeter(std::function<void()> on_urgent) : on_urgent_(std::move(on_urgent)) {}
 
-  // Asks for a request of `cost` units. `draw` is a random number from 0 to 1. std::nullopt if the
-  // request is admitted; else when it may be asked for again. Precondition: the customer's quota is
-  // limited.
+  // Whether the leader has ever been heard. Before, nothing is known of what other daemons use, nor
+  // of what this one used before it started, so nothing may be admitted.
+  bool informed() const { return informed_; }
+
+  // Whether what the leader has said still counts.
+  bool IsLed(MonotonicTime now) const { return informed_ && now - shares_at_ < kNewsLifetime; }
+
+  // Counts a request of `cost` units, whether it will be admitted or not.
+  void Ask(const Customer& customer, double cost);
+
+  // Asks for a request that has been counted. `draw` is a random number from 0 to 1. std::nullopt
+  // if the request is admitted; else when it may be asked for again. Preconditions: the customer's
+  // quota is limited; informed().
   std::optional<milliseconds> Admit(const Customer& customer, double cost, double draw,
                                     MonotonicTime now);
 
@@ -54,13 +64,13 @@
 
   double ShareOf(std::uint32_t customer) const;
   Bucket& FilledBucket(const Customer& customer, MonotonicTime now);
-  void Count(const Customer& customer, double cost, bool admitted);
 
   std::function<void()> on_urgent_;
   std::map<std::uint32_t, QuotaUse> uses_;
   std::map<std::uint32_t, QuotaShare> shares_;
   std::map<std::uint32_t, Bucket> buckets_;
   std::uint32_t daemons_ = 1;
+  bool informed_ = false;
   MonotonicTime shares_at_;
 };
 
--- a/src/relay_customers.cpp
+++ b/src/relay_customers.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cmath>
 
 #include "platform/request_headers.h"
@@ -6,6 +7,13 @@
 
 namespace mimosabend {
 
+namespace {
+
+// A process that has just started hears from the placement leader within this time, as a rule.
+constexpr milliseconds kQuotaWait{1500};
+
+}  // namespace
+
 // Finds the customer of a request by its key. False if the request has been refused.
 Task<bool> RelayHandler::Authenticate(ContextPtr context) {
   if (!context->config->customers || context->route->is_public) co_return true;
@@ -24,6 +32,18 @@
   co_return false;
 }
 
+// Waits until this process has heard what all daemons use of the quotas. False if that takes too
+// long.
+Task<bool> RelayHandler::WaitForQuota(ContextPtr context) {
+  const MonotonicTime began = MonotonicNow();
+  const MonotonicTime limit = std::min({began + kQuotaWait, context->deadline, end_});
+  while (!parts_.quota->informed() && !context->caller_gone && MonotonicNow() < limit) {
+    co_await parts_.board->changed().WaitUntil(limit);
+  }
+  context->waited += ToMillis(MonotonicNow() - began);
+  co_return parts_.quota->informed();
+}
+
 // Takes the request's part of its customer's quota. False if the request has been refused.
 Task<bool> RelayHandler::TakeQuota(ContextPtr context) {
   const Customer* customer = context->customer;
@@ -31,6 +51,13 @@
   const RelayRequest& relay = context->relay;
   const double cost =
       customer->quota.CostOf(std::uint64_t{relay.prompt_tokens} + relay.max_output_tokens);
+  parts_.quota->Ask(*customer, cost);
+  const bool known = co_await WaitForQuota(context);
+  if (!known) {
+    context->ready_at = MonotonicNow() + kQuotaWait;
+    co_await Refuse(context, "what all daemons use of the quota is not known yet");
+    co_return false;
+  }
   const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
   const auto retry_after = parts_.quota->Admit(*customer, cost, draw, MonotonicNow());
   if (!retry_after) {
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -132,14 +132,14 @@
   if (!authenticated) co_return;
   const std::string customer = context->customer == nullptr ? "" : context->customer->name;
   context->fingerprint = RequestFingerprint(request, customer);
-  const bool within_quota = co_await TakeQuota(context);
-  if (!within_quota) co_return;
   const Route& route = *context->route;
-  context->service_name = PickService(route, context->relay.id);
-  context->service = context->config->FindService(context->service_name);
   milliseconds limit = route.timeout.count() > 0 ? route.timeout : kTimeoutOfRoutesWithout;
   if (context->relay.time_limit) limit = std::min(limit, *context->relay.time_limit);
   context->deadline = context->arrival + limit;
+  const bool within_quota = co_await TakeQuota(context);
+  if (!within_quota) co_return;
+  context->service_name = PickService(route, context->relay.id);
+  context->service = context->config->FindService(context->service_name);
   BudgetOf(context->service_name).NoteRequest(MonotonicNow());
   if (context->service == nullptr) {
     co_await Refuse(context, "the route's service is not configured");
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -96,6 +96,7 @@
 
   Task<void> Serve(ContextPtr context);
   Task<bool> Authenticate(ContextPtr context);
+  Task<bool> WaitForQuota(ContextPtr context);
   Task<bool> TakeQuota(ContextPtr context);
   Task<void> ServePlain(ContextPtr context);
   Task<Next> TryPlain(ContextPtr context, EndpointChoice choice);
--- a/tests/quota_world.h
+++ b/tests/quota_world.h
@@ -23,17 +23,17 @@
   return {"cook", std::nullopt, {rate, rate, QuotaUnit::kTokens, 200}};
 }
 
-// Daemons that report to a leader through nothing but time: each report and its answer take effect
-// at once, as often as real reports do. Requests come at random.
+// Daemons that report to a leader as often as real ones do, either straight or through relays. A
+// report and its answer take effect at once, but a relay answers with the shares that it knows and
+// passes the report on with its own next one. Requests come at random.
 class QuotaWorld {
  public:
-  QuotaWorld(int daemons, double rate, std::uint64_t seed) : random_(seed) {
+  QuotaWorld(int daemons, double rate, std::uint64_t seed, int relays = 0) : random_(seed) {
     customers_.Add(MakeCustomer(rate));
     for (int i = 0; i < daemons; ++i) {
       auto daemon = std::make_unique<Daemon>();
-      Daemon* raw = daemon.get();
-      daemon->meter = std::make_unique<QuotaMeter>([raw] { raw->urgent = true; });
-      daemon->next_report = kStart + milliseconds(random_() % 400);
+      Start(daemon.get(), kStart);
+      if (i >= relays && relays > 0) daemon->relay = daemons_[i % relays].get();
       daemons_.push_back(std::move(daemon));
     }
   }
@@ -49,13 +49,23 @@
     }
   }
 
+  // All processes are lost and start anew, after half a second or somewhat more. A leader is found
+  // some time later.
+  void LoseAll() {
+    ledger_.Reset(now_ + milliseconds(800) + kSearchTime);
+    leader_found_ = now_ + milliseconds(800) + kSearchTime;
+    for (const auto& daemon : daemons_) {
+      Start(daemon.get(), now_ + milliseconds(500 + random_() % 300));
+    }
+  }
+
   // Cuts daemons off from the leader, from the first on.
   void Cut(std::size_t count) {
     for (std::size_t i = 0; i < daemons_.size(); ++i) daemons_[i]->cut = i < count;
   }
   // Nobody leads, or a new leader does.
   void set_led(bool led) {
-    if (led && !led_) ledger_.Reset();
+    if (led && !led_) ledger_.Reset(now_);
     led_ = led;
   }
 
@@ -81,32 +91,89 @@
 
  private:
   static constexpr milliseconds kReportPeriod{400};
+  static constexpr milliseconds kSearchTime{200};
+
+  // How long requests wait for a daemon to be informed.
+  static constexpr milliseconds kHeld{1500};
+
+  struct Request {
+    MonotonicTime at;
+    double cost = 0;
+    double draw = 0;
+  };
 
   struct Daemon {
     std::unique_ptr<QuotaMeter> meter;
+    MonotonicTime started;
     MonotonicTime next_report;
     bool urgent = false;
     bool cut = false;
+    // Empty for those that report to the leader.
+    Daemon* relay = nullptr;
+    // Use that others have reported and that has not been passed on.
+    std::vector<QuotaUse> relayed;
+    MonotonicTime heard;
+    std::vector<Request> held;
   };
 
+  // A process starts, with nothing known of other daemons.
+  void Start(Daemon* daemon, MonotonicTime at) {
+    daemon->meter = std::make_unique<QuotaMeter>([daemon] { daemon->urgent = true; });
+    daemon->urgent = false;
+    daemon->started = at;
+    daemon->next_report = at + milliseconds(random_() % 400);
+    daemon->relayed.clear();
+    daemon->held.clear();
+  }
+
   void Ask(double cost) {
     Daemon& daemon = *daemons_[random_() % daemons_.size()];
+    if (now_ < daemon.started) return;
     const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
     const Customer& customer = *customers_.Find("cook");
     asked_ += cost;
-    if (daemon.meter->Admit(customer, cost, draw, now_)) return;
-    served_ += cost;
-    spent_.emplace_back(now_, cost);
+    daemon.meter->Ask(customer, cost);
+    daemon.held.push_back({now_, cost, draw});
+    Answer(&daemon);
+  }
+
+  // Decides on the requests that have been held back until the daemon is informed.
+  void Answer(Daemon* daemon) {
+    if (!daemon->meter->informed()) return;
+    const Customer& customer = *customers_.Find("cook");
+    for (const Request& request : daemon->held) {
+      if (now_ - request.at > kHeld) continue;
+      if (daemon->meter->Admit(customer, request.cost, request.draw, now_)) continue;
+      served_ += request.cost;
+      spent_.emplace_back(now_, request.cost);
+    }
+    daemon->held.clear();
   }
 
   void MaybeReport(Daemon* daemon) {
+    if (now_ < daemon->started) return;
     if (!daemon->urgent && now_ < daemon->next_report) return;
-    daemon->urgent = false;
+    const bool urgent = std::exchange(daemon->urgent, false);
     daemon->next_report = now_ + kReportPeriod;
-    if (daemon->cut || !led_) return;
-    ledger_.Note(daemon->meter->Take(), now_);
-    daemon->meter->SetShares(ledger_.Shares(customers_, kSlack, now_),
-                             static_cast<std::uint32_t>(daemons_.size()), now_);
+    if (daemon->cut || !led_ || now_ < leader_found_) return;
+    const auto count = static_cast<std::uint32_t>(daemons_.size());
+    std::vector<QuotaUse> uses = daemon->meter->Take();
+    if (Daemon* relay = daemon->relay) {
+      relay->relayed.insert(relay->relayed.end(), uses.begin(), uses.end());
+      relay->urgent |= urgent;
+      if (relay->meter->IsLed(now_)) {
+        daemon->meter->SetShares(relay->meter->Shares(), count, relay->heard);
+      }
+      Answer(daemon);
+      return;
+    }
+    uses.insert(uses.end(), daemon->relayed.begin(), daemon->relayed.end());
+    daemon->relayed.clear();
+    ledger_.Note(uses, now_);
+    daemon->heard = now_;
+    const std::vector<QuotaShare> shares = ledger_.Shares(customers_, kSlack, now_);
+    if (ledger_.IsKnown(now_)) daemon->meter->SetShares(shares, count, now_);
+    Answer(daemon);
   }
 
   std::mt19937_64 random_;
@@ -115,6 +182,7 @@
   QuotaLedger ledger_;
   bool led_ = true;
   MonotonicTime now_ = kStart;
+  MonotonicTime leader_found_ = kStart;
   std::deque<std::pair<MonotonicTime, double>> spent_;
   double asked_ = 0;
   double served_ = 0;
--- a/tests/test_quota.cpp
+++ b/tests/test_quota.cpp
@@ -28,6 +28,40 @@
   CHECK(world.WorstWindow() <= 1);
 }
 
+// Guards against a customer that exceeds its quota since daemons behind relays go on with an old
+// share when its demand jumps a second time within one window.
+TEST_CASE("daemons behind relays together keep to a quota", "[quota]") {
+  const double rate = GENERATE(264000.0, 900000.0);
+  const int daemons = GENERATE(66, 195);
+  const std::uint64_t seed = GENERATE(range(1, 31));
+  CAPTURE(rate, daemons, seed);
+  QuotaWorld world(daemons, rate, seed, daemons / 11);
+  std::mt19937_64 random(seed);
+  world.Run(5, 0.55 * rate, 9000);
+  for (int i = 0; i < 8; ++i) {
+    const double factor = std::uniform_real_distribution<double>(0.5, 8)(random);
+    world.Run(1 + random() % 4, 0.55 * rate * factor, 9000);
+  }
+  CHECK(world.WorstWindow() <= 1);
+}
+
+// Guards against processes that start anew after all were lost, and each of which takes a
+// customer's whole quota for its own before it has heard of the others.
+TEST_CASE("daemons that were all lost together keep to a quota", "[quota]") {
+  const double rate = GENERATE(264000.0, 900000.0);
+  const int daemons = GENERATE(6, 66, 195);
+  const std::uint64_t seed = GENERATE(range(1, 31));
+  CAPTURE(rate, daemons, seed);
+  QuotaWorld world(daemons, rate, seed);
+  std::mt19937_64 random(seed);
+  const double factor = std::uniform_real_distribution<double>(0.5, 10)(random);
+  world.Run(5, 0.55 * rate, 9000);
+  world.Run(9, factor * rate, 9000);
+  world.LoseAll();
+  world.Run(9, factor * rate, 9000);
+  CHECK(world.WorstWindow() <= 1);
+}
+
 // Guards against a quota that is not used up while callers ask for more, and against requests
 // below it that are refused.
 TEST_CASE("a quota is used up and not undercut", "[quota]") {
@@ -51,8 +85,10 @@
   const Customer customer = MakeCustomer(1000);
   QuotaMeter meter([] {});
   meter.SetShares({}, 1, kStart);
-  CHECK_FALSE(meter.Admit(customer, 300, 0.5, kStart));
-  CHECK_FALSE(meter.Admit(customer, 200, 0.5, kStart));
+  for (double cost : {300.0, 200.0}) {
+    meter.Ask(customer, cost);
+    CHECK_FALSE(meter.Admit(customer, cost, 0.5, kStart));
+  }
   meter.GiveBack(customer, 200);
   const std::vector<QuotaUse> taken = meter.Take();
   REQUIRE(taken.size() == 1);
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -457,6 +457,37 @@
   CHECK(relay.quota.Take().front().spent == 110);
 }
 
+// Guards against a process that has just started and takes a customer's whole quota for its own,
+// and against requests that are refused for a wait of a moment.
+TEST_CASE("a request waits until the use of its customer's quota is known", "[relay]") {
+  Relay relay;
+  FleetConfig config = ConfigWithCustomers();
+  config.customers->Add({"mint", std::nullopt, {100, 100, QuotaUnit::kTokens, 0}});
+  config.customers->AddKey("mint", KeyDigest("k4"));
+  relay.directory.Adopt(config);
+  SECTION("news come") {
+    const auto inform = [&]() -> Task<void> {
+      co_await Sleep(milliseconds(150));
+      // What is asked for is reported before it is admitted.
+      CHECK(relay.quota.Take().front().asked == 110);
+      relay.quota.SetShares({}, 1, MonotonicNow());
+      relay.board.changed().NotifyAll();
+    };
+    boost::asio::co_spawn(relay.io, inform(), boost::asio::detached);
+    CHECK(relay.Send(CallWithKey(relay, "/read/1", "k4")).value().status == 200);
+  }
+  SECTION("no news come") {
+    const auto refused = relay.Send(CallWithKey(relay, "/read/1", "k4"));
+    CHECK(refused.value().status == 503);
+    CHECK(std::stod(std::string(FindHeader(refused.value().headers, "Retry-After"))) >= 1);
+    CHECK(relay.plain_arrivals() == 0);
+  }
+  // Those without a limit don't wait.
+  const MonotonicTime before = MonotonicNow();
+  CHECK(relay.Send(CallWithKey(relay, "/read/1", "k2")).value().status == 200);
+  CHECK(MonotonicNow() - before < seconds(1));
+}
+
 // Guards against a customer's priority that is not heeded.
 TEST_CASE("the priority of a customer goes before that of the route", "[relay]") {
   Relay relay;
