Close a connection whose answer is not to the request

Callers saw: after an endpoint had sent a second copy of an answer in place of the next one, each later request on that connection failed with 502, and orders that had run looked failed.

Cause: an answer with another request's id was refused, but its connection went back to the idle ones. The answer to the request itself was still to come, so the next request read that one, and so on.

Ruled out: streams, whose refused answer is not read to its end, so that the connection is closed; copies that come right behind the answer or while the connection is idle, which the client sees before it uses the connection again.

Change: the relay forgets the idle connections to an endpoint that has answered another request.

Before: in the new test, four of four requests after the first failed, for plain and chunked answers, in one piece and two. After: only the one in whose place the copy came.

--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -270,6 +270,8 @@
   ++context->runs;
   if (kind == AnswerKind::kForeign) {
     context->reason = "the answer is not to this request";
+    // The answer to this request may still follow on that connection.
+    parts_.client->Forget(choice.endpoint.address);
     co_return Next::kTryAgain;
   }
   NoteServed(context.get());
--- a/tests/test_faulty_endpoints.cpp
+++ b/tests/test_faulty_endpoints.cpp
@@ -1,10 +1,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <sstream>
 
 #include "relay_world.h"
 
@@ -52,8 +54,148 @@
   bool closed_ = false;
 };
 
+// An endpoint that writes its answers as bytes.
+class ScriptedEndpoint {
+ public:
+  using Socket = boost::asio::ip::tcp::socket;
+  // Answers one request, the nth of the endpoint, from 0 on, with the given id.
+  using Script = std::function<Task<void>(Socket* socket, int n, std::string id)>;
+
+  ScriptedEndpoint(boost::asio::io_context* io, Script script)
+      : io_(io),
+        script_(std::move(script)),
+        acceptor_(*io, {boost::asio::ip::address_v4::loopback(), 0}) {
+    boost::asio::co_spawn(*io, Accept(), boost::asio::detached);
+  }
+
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+ private:
+  Task<void> Accept() {
+    for (;;) {
+      auto socket = co_await acceptor_.async_accept(boost::asio::use_awaitable);
+      boost::asio::co_spawn(*io_, Serve(std::move(socket)), boost::asio::detached);
+    }
+  }
+
+  Task<void> Serve(Socket socket) {
+    std::string bytes;
+    boost::system::error_code error;
+    while (socket.is_open()) {
+      // The requests of these tests have no body.
+      const std::size_t size = co_await boost::asio::async_read_until(
+          socket, boost::asio::dynamic_buffer(bytes), "\r\n\r\n",
+          boost::asio::redirect_error(boost::asio::use_awaitable, error));
+      if (error) co_return;
+      constexpr std::string_view kName = "Request-Id: ";
+      const std::size_t start = bytes.find(kName) + kName.size();
+      std::string id = bytes.substr(start, bytes.find('\r', start) - start);
+      bytes.erase(0, size);
+      co_await script_(&socket, requests_++, std::move(id));
+    }
+  }
+
+  boost::asio::io_context* io_;
+  Script script_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  int requests_ = 0;
+};
+
+Task<void> WriteBytes(boost::asio::ip::tcp::socket* socket, std::string bytes) {
+  boost::system::error_code ignored;
+  co_await boost::asio::async_write(
+      *socket, boost::asio::buffer(bytes),
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
+// Makes all endpoints of one kind this one.
+void UseEndpoint(Relay* relay, const ScriptedEndpoint& endpoint) {
+  for (TestEndpoint* each : {&relay->p1, &relay->p2, &relay->e1, &relay->e2}) {
+    each->port = endpoint.port();
+    relay->Add(*each, each == &relay->p1 || each == &relay->p2 ? "plain" : "models");
+  }
+}
+
+HttpCall CallWithId(const Relay& relay, const std::string& path, const std::string& id) {
+  HttpCall call = relay.MakeCall(path);
+  call.headers[1].second = id;
+  return call;
+}
+
+enum class Framing { kLength, kChunks };
+
+// An answer to the request `id`, with a body that names it.
+std::string AnswerTo(const std::string& id, const std::string& body, Framing framing,
+                     const std::string& content_type) {
+  std::string answer = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Stamp: s\r\n" +
+                       "Content-Type: " + content_type + "\r\n";
+  if (framing == Framing::kLength) {
+    return answer + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  answer += "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& chunk : {body.substr(0, body.size() / 2), body.substr(body.size() / 2)}) {
+    std::ostringstream size;
+    size << std::hex << chunk.size();
+    answer += size.str() + "\r\n" + chunk + "\r\n";
+  }
+  return answer + "0\r\n\r\n";
+}
+
 }  // namespace
 
+// Guards against a second copy of an answer that reaches the next caller, and against a connection
+// that goes on one answer behind, so that each caller after that fails as well.
+TEST_CASE("a late copy of an answer reaches nobody and spoils one request at most", "[relay]") {
+  const std::string path = GENERATE("/order/1", "/once/1");
+  const Framing framing = GENERATE(Framing::kLength, Framing::kChunks);
+  // When the copy comes: right behind the answer, while the connection is idle, or in place of the
+  // next answer, which follows some time later.
+  enum class Moment { kAtOnce, kIdle, kNext };
+  const Moment moment = GENERATE(Moment::kAtOnce, Moment::kIdle, Moment::kNext);
+  const bool in_pieces = GENERATE(false, true);
+  CAPTURE(path, static_cast<int>(framing), static_cast<int>(moment), in_pieces);
+  Relay relay;
+  const std::string type = path == "/once/1" ? "text/event-stream" : "text/plain";
+  const auto answer = [&](const std::string& id) {
+    return AnswerTo(id, path == "/once/1" ? Event(1) + "id: 2\ndata: " + id + "\n\n" : id, framing,
+                    type);
+  };
+  ScriptedEndpoint endpoint(
+      &relay.io, [&](ScriptedEndpoint::Socket* socket, int n, const std::string& id) -> Task<void> {
+        const auto copy = [&, socket]() -> Task<void> {
+          const std::string bytes = answer("first");
+          const std::size_t half = in_pieces ? bytes.size() / 2 : 0;
+          co_await WriteBytes(socket, bytes.substr(0, half));
+          if (in_pieces) co_await Sleep(milliseconds(5));
+          co_await WriteBytes(socket, bytes.substr(half));
+        };
+        if (n == 1 && moment == Moment::kNext) {
+          co_await copy();
+          co_await Sleep(milliseconds(60));
+        }
+        co_await WriteBytes(socket, answer(id));
+        if (n == 0 && moment == Moment::kIdle) co_await Sleep(milliseconds(20));
+        if (n == 0 && moment != Moment::kNext) co_await copy();
+      });
+  UseEndpoint(&relay, endpoint);
+  int failed = 0;
+  for (const std::string id : {"first", "second", "third", "fourth", "fifth"}) {
+    CAPTURE(id);
+    const auto reply = relay.Send(CallWithId(relay, path, id));
+    REQUIRE(reply);
+    if (reply.value().status == 200) {
+      CHECK(FindHeader(reply.value().headers, "Request-Id") == id);
+      CHECK(reply.value().body.find(id) != std::string::npos);
+    } else {
+      // The request may have run.
+      CHECK(reply.value().status == 502);
+      ++failed;
+    }
+    if (id == "first" && moment == Moment::kIdle) relay.io.run_for(milliseconds(60));
+  }
+  CHECK(failed == (moment == Moment::kNext ? 1 : 0));
+}
+
 // Guards against an endpoint whose bytes without end fill the memory of a daemon.
 TEST_CASE("bytes without end are cut off at a bound", "[relay]") {
   const std::string head =
