Test answers that break off at each byte

Cause: the users' list names an answer that broke off halfway and reached its caller as a complete success; no test cut an answer at each place. Ruled out: that it can happen here with a length or chunks, which end by a close, or without either, which ends by a reset. An answer without length that ends by a close is complete by the users' rules. Change: a test of the relay, for plain answers and streams. Before: no test.

--- a/tests/test_faulty_endpoints.cpp
+++ b/tests/test_faulty_endpoints.cpp
@@ -122,13 +122,14 @@
   return call;
 }
 
-enum class Framing { kLength, kChunks };
+enum class Framing { kLength, kChunks, kEnd };
 
 // An answer to the request `id`, with a body that names it.
 std::string AnswerTo(const std::string& id, const std::string& body, Framing framing,
                      const std::string& content_type) {
   std::string answer = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Stamp: s\r\n" +
                        "Content-Type: " + content_type + "\r\n";
+  if (framing == Framing::kEnd) return answer + "\r\n" + body;
   if (framing == Framing::kLength) {
     return answer + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
@@ -196,6 +197,44 @@
   CHECK(failed == (moment == Moment::kNext ? 1 : 0));
 }
 
+// Guards against an answer that broke off at any place and reaches its caller as a whole one, and
+// against a caller that learns only at its deadline that its request has failed.
+TEST_CASE("an answer that breaks off at any byte is never passed on as whole", "[relay]") {
+  const std::string path = GENERATE("/order/1", "/once/1");
+  const Framing framing = GENERATE(Framing::kLength, Framing::kChunks, Framing::kEnd);
+  CAPTURE(path, static_cast<int>(framing));
+  const bool stream = path == "/once/1";
+  const std::string body = stream ? Event(1) + Event(2) : "whole body";
+  const std::string whole =
+      AnswerTo("9c41", body, framing, stream ? "text/event-stream" : "text/plain");
+  for (std::size_t sent = 0; sent <= whole.size(); ++sent) {
+    CAPTURE(sent);
+    // A relay that has seen many failures would leave the endpoint alone for a while.
+    Relay relay;
+    ScriptedEndpoint endpoint(
+        &relay.io,
+        [&](ScriptedEndpoint::Socket* socket, int /*n*/, const std::string& /*id*/) -> Task<void> {
+          co_await WriteBytes(socket, whole.substr(0, sent));
+          // An answer that ends with its connection breaks off by a reset, else by a close.
+          const bool reset = framing == Framing::kEnd && sent < whole.size();
+          if (reset) co_await Sleep(milliseconds(2));
+          boost::system::error_code ignored;
+          if (reset) socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
+          socket->close(ignored);
+        });
+    UseEndpoint(&relay, endpoint);
+    const MonotonicTime began = MonotonicNow();
+    const auto reply = relay.Send(path);
+    CHECK(MonotonicNow() - began < milliseconds(1000));
+    if (sent == whole.size()) {
+      REQUIRE(reply);
+      CHECK(reply.value().body == body);
+    } else if (reply) {
+      CHECK(reply.value().status == 502);
+    }
+  }
+}
+
 // Guards against an endpoint whose bytes without end fill the memory of a daemon.
 TEST_CASE("bytes without end are cut off at a bound", "[relay]") {
   const std::string head =
