Fail a stream that may not run again without a wait

Callers saw: a stream that must not repeat, whose engine broke it off before its first event, got its answer at its deadline (504 after 1.5 s in the test) where no other engine had the model.

Cause: the loop of a stream looked for the next engine, and waited for one, before it asked whether the route allows another run.

Ruled out: plain requests, which do not wait for endpoints; streams with another engine at hand, whose next try was refused at once.

Change: MayRunAgain is asked before anything is waited for. It takes the place of two copies of the same condition.

Before: "a stream that may not run again does not wait for an engine" got 504 after 1,504 ms. After: 502, below the 500 ms of the test.

--- a/src/relay_containment.cpp
+++ b/src/relay_containment.cpp
@@ -38,8 +38,7 @@
 // endpoints.
 std::optional<MonotonicTime> RelayHandler::HeldUntil(const Context& context,
                                                      MonotonicTime now) const {
-  const bool may_repeat = context.route->repeatable() && context.AttemptsLeft() > 0;
-  if (context.runs > 0 && !may_repeat) return std::nullopt;
+  if (!MayRunAgain(context)) return std::nullopt;
   return parts_.evidence->HeldUntil(context.fingerprint, now);
 }
 
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -166,14 +166,18 @@
   return now + kLeastTime < WaitLimit(context);
 }
 
+// Whether a further endpoint may run the request, as far as its route is concerned.
+bool RelayHandler::MayRunAgain(const Context& context) {
+  if (context.runs > 0 && !context.route->repeatable()) return false;
+  return context.AttemptsLeft() > 0;
+}
+
 // Whether the next try may start. The first is free; each further one takes from the budget.
 bool RelayHandler::MayTryAgain(Context* context) {
   const MonotonicTime now = MonotonicNow();
   if (context->caller_gone || !HasTimeLeft(*context, now)) return false;
   if (context->tries == 0) return true;
-  const bool repeatable = context->route->repeatable();
-  if (context->runs > 0 && !repeatable) return false;
-  if (context->AttemptsLeft() == 0) return false;
+  if (!MayRunAgain(*context)) return false;
   const bool allowed =
       BudgetOf(context->service_name).TryRetry(now, context->deadline, milliseconds(0));
   (allowed ? parts_.metrics->repeats_total : parts_.metrics->repeats_denied_total)->Increment();
@@ -205,7 +209,7 @@
 }
 
 Task<void> RelayHandler::ServePlain(ContextPtr context) {
-  while (!context->caller_gone) {
+  while (!context->caller_gone && MayRunAgain(*context)) {
     const MonotonicTime now = MonotonicNow();
     if (const auto until = HeldUntil(*context, now)) {
       const bool waited = co_await WaitForEvidence(context, *until);
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -115,6 +115,7 @@
   Task<void> Deliver(ContextPtr context, int status, HttpHeaders headers, std::string body);
 
   MonotonicTime FirstConfigTime(MonotonicTime now) const;
+  static bool MayRunAgain(const Context& context);
   bool MayTryAgain(Context* context);
   bool HasTimeLeft(const Context& context, MonotonicTime now) const;
   MonotonicTime WaitLimit(const Context& context) const;
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -81,7 +81,8 @@
   context->hashes = PrefixHashes(relay.model, relay.adapter, relay.prompt);
   context->last_event_id = relay.last_event_id;
   context->patience_end = context->arrival + FirstEventPatience(*context->route);
-  while (!context->caller_gone && MayWait(*context, MonotonicNow())) {
+  // A request that may not run again does not wait for another engine.
+  while (!context->caller_gone && MayWait(*context, MonotonicNow()) && MayRunAgain(*context)) {
     const MonotonicTime now = MonotonicNow();
     if (const auto until = HeldUntil(*context, now)) {
       const bool waited = co_await WaitForEvidence(context, *until);
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -237,6 +237,19 @@
 
 // Guards against callers that come back, and are refused for good, while all daemons have just
 // started and the store is still away.
+// Guards against a caller that learns only at its deadline that its request has failed, since no
+// other engine has the model.
+TEST_CASE("a stream that may not run again does not wait for an engine", "[relay]") {
+  Relay relay;
+  for (TestEndpoint* engine : {&relay.e1, &relay.e2}) engine->behaviour = Break;
+  relay.directory.NoteRefused(relay.e2.id, "m", MonotonicNow());
+  const MonotonicTime began = MonotonicNow();
+  const auto reply = relay.Send("/once/1");
+  REQUIRE(reply);
+  CHECK(reply.value().status == 502);
+  CHECK(MonotonicNow() - began < milliseconds(500));
+}
+
 TEST_CASE("without a configuration callers are told to stay away for a while", "[relay]") {
   Relay relay(false);
   auto reply = relay.Send("/read/1");
