Draw random numbers in statements of their own

Cause: RunReservations drew two random numbers among the arguments of one call. The order in which arguments are evaluated is unspecified, and the compilers for x86-64 and arm64 choose different ones.

Change: one draw a statement, in the order that GCC uses on x86-64, so the recorded signature stays as it is. All calls and expressions with two draws were searched for by a script over all C++ files; the rest are assignments, whose order is defined, or symmetric.

Behaviour of the product is unchanged.

--- a/src/bench.cpp
+++ b/src/bench.cpp
@@ -293,8 +293,10 @@
   RecordSlot slot;
   for (int i = 0; i < kReservations; ++i) {
     const WallTime now = TimeAt(20 * i).wall;
-    RequestRecord record =
-        MakeRecord(numbers.Below(400), 1 + numbers.Below(3000), ToUnixMillis(now) + 2000);
+    // Draws that are arguments of one call would be made in an unspecified order.
+    const std::uint64_t nonce = 1 + numbers.Below(3000);
+    const std::uint64_t key = numbers.Below(400);
+    RequestRecord record = MakeRecord(key, nonce, ToUnixMillis(now) + 2000);
     if (numbers.Chance(2)) ++record.fingerprint;
     const SlotChange change = ReserveInSlot(record, now, &slot);
     signature->Add(kReserveStatusNames[change.status]);
--- a/tests/test_admission.cpp
+++ b/tests/test_admission.cpp
@@ -187,8 +187,8 @@
       AdmissionDecisions decisions;
       const auto action = random() % 10;
       if (action < 5) {
-        AdmissionRequest request =
-            Request(kAllRanks[random() % 3], "caller" + std::to_string(random() % 4));
+        const std::string caller = "caller" + std::to_string(random() % 4);
+        AdmissionRequest request = Request(kAllRanks[random() % 3], caller);
         request.queue = "model" + std::to_string(random() % 3);
         request.first_token = milliseconds(random() % 3000);
         request.deadline = now + milliseconds(random() % 6000);
--- a/tests/test_idle.cpp
+++ b/tests/test_idle.cpp
@@ -68,7 +68,8 @@
     std::vector<std::int64_t> gaps;
     gaps.reserve(10);
     for (int j = 0; j < 10; ++j) {
-      gaps.push_back(static_cast<std::int64_t>(random() % (random() % 2 == 0 ? 100 : 20000)));
+      const std::uint64_t limit = random() % 2 == 0 ? 100 : 20000;
+      gaps.push_back(static_cast<std::int64_t>(random() % limit));
     }
     const UseHistory history = HistoryOf(gaps, 3);
     milliseconds last = IdleTimeout(history, 0);
--- a/tests/test_model_planner.cpp
+++ b/tests/test_model_planner.cpp
@@ -329,8 +329,11 @@
     }
     DemandRates demand;
     for (int i = 0; i < kModels; ++i) {
-      AddUsage(&demand, Model(i), random() % 5, random() % 3000, random() % 3,
-               random() % 2 == 0 ? kTight : kLoose);
+      const auto target = random() % 2 == 0 ? kTight : kLoose;
+      const auto waiting = random() % 3;
+      const auto prefill_ms = random() % 3000;
+      const auto requests = random() % 5;
+      AddUsage(&demand, Model(i), requests, prefill_ms, waiting, target);
     }
     std::map<std::string, int> orders;
     for (const PlannedLoad& load : PlanLoads(profile, engines, demand, random() % 3, kStart)) {
--- a/tests/test_placement.cpp
+++ b/tests/test_placement.cpp
@@ -390,9 +390,11 @@
       case 5:
         Spawn(ReplaceHost());
         break;
-      case 6:
-        Spawn(CutLink(&daemon, RandomHost().address.port, RandomTime(20, 400)));
+      case 6: {
+        const milliseconds time = RandomTime(20, 400);
+        Spawn(CutLink(&daemon, RandomHost().address.port, time));
         break;
+      }
       case 7:
         Spawn(UnlistHost(&daemon, RandomHost()));
         break;
