Log the shared parts of prompts and whether a response had started

The logs could not tell which requests share a part of their prompts, nor whether an engine had begun to answer a request when it broke off.

Change: parts= in the lines `request` and `incomplete response` (ids of the first eight shared parts) and started= in the latter.

No decision changes. Test platform checks the new text and passes.

--- a/src/relay_containment.cpp
+++ b/src/relay_containment.cpp
@@ -19,6 +19,8 @@
   deps_.metrics->endpoint_breaks_total->Increment();
   LOG4CPLUS_INFO(Log(), "incomplete response id="
                             << context->params.id << " content=" << Hex64(context->fingerprint)
+                            << " parts=" << SharedPartsText(context->params.prompt)
+                            << " started=" << context->response_started
                             << " endpoint=" << endpoint.id << " started_ms=" << endpoint.started_ms
                             << " error=\"" << kHttpErrorNames[error] << "\"");
   if (error != HttpError::kBroken) co_return;
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -423,7 +423,8 @@
                                         : std::int64_t{-1};
   LOG4CPLUS_INFO(
       Log(),
-      "request id=" << context.params.id << " content=" << Hex64(context.fingerprint) << " outcome="
+      "request id=" << context.params.id << " content=" << Hex64(context.fingerprint)
+                    << " parts=" << SharedPartsText(context.params.prompt) << " outcome="
                     << kRelayOutcomeNames[context.outcome] << " status=" << context.status
                     << " route=" << (context.route == nullptr ? "-" : context.route->name)
                     << " customer=" << (context.customer == nullptr ? "-" : context.customer->name)
--- a/src/relay_request.h
+++ b/src/relay_request.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,13 @@
   std::uint32_t tokens = 0;
 };
 
+// The parts of a prompt that other requests may share: all but the last one, which belongs to the
+// request itself or to its session. Precondition: `prompt` outlives the result. Thread-safe.
+std::span<const PromptPart> SharedParts(const std::vector<PromptPart>& prompt);
+
+// The ids of the first shared parts for log lines, or "-" if there are none. Thread-safe.
+std::string SharedPartsText(const std::vector<PromptPart>& prompt);
+
 // Parameters of a request, decoded from the caller's headers.
 struct RelayRequest {
   std::string id;
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -167,6 +167,8 @@
   REQUIRE(relay.prompt.size() == 2);
   CHECK(relay.prompt[0].id == 0x5c1e07a2);
   CHECK(relay.prompt[1].tokens == 410);
+  CHECK(SharedPartsText(relay.prompt) == "000000005c1e07a2");
+  CHECK(SharedPartsText({}) == "-");
   CHECK(relay.last_event_id == 12);
   const RelayRequest odd = platform::ReadRelayRequest(
       RequestWith({{"Deadline-Ms", "soon"}, {"Prompt-Prefix", "zz:1"}, {"Token-Count", ""}}));
