--- a/tests/standins/platform_endpoint_standin.cpp
+++ b/tests/standins/platform_endpoint_standin.cpp
@@ -1,6 +1,7 @@
 // Stand-in for an endpoint of the users' platform: an engine that streams events, or a plain
 // service. It registers itself in the store under a lease and renews that. A request whose body
-// contains "crash" ends the process when it starts to run, like a request that crashes an engine.
+// contains "crash" ends the process when it starts to run, like a request that crashes an engine;
+// so does a request whose prompt has a part with an id that begins with "dead".
 #include <gflags/gflags.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -52,7 +53,10 @@
       co_return;
     }
     co_await Sleep(milliseconds(FLAGS_start_ms));
-    if (exchange.request().body.find("crash") != std::string::npos) std::_Exit(1);
+    const std::string prompt(exchange.request().header("Prompt-Prefix"));
+    const bool deadly = exchange.request().body.find("crash") != std::string::npos ||
+                        prompt.starts_with("dead") || prompt.find(",dead") != std::string::npos;
+    if (deadly) std::_Exit(1);
     co_await Run(&exchange);
   }
 
