Contain parts of prompts that crash the endpoints that run them

Cause: evidence of crashes was kept by the hash of the whole request. Each new request with the part was unknown and had to end three engines of its own. Class of fault: what is known to hurt is recognised by a key that the next occurrence does not have.

Change: PartEvidence keeps, for each shared part of a prompt, the crashes since a request with it was last served, and spreads them over all daemons as CrashEvidence does. A request is checked once more after its adapter was placed, which may take 600 ms.

--- a/src/crash_correlator.cpp
+++ b/src/crash_correlator.cpp
@@ -2,13 +2,19 @@
 
 namespace mimosabend {
 
+void CrashCorrelator::RecordCrash(std::uint32_t endpoint, const std::vector<CrashedRun>& runs,
+                                  MonotonicTime now) {
+  evidence_->RecordCrash(endpoint, runs, now);
+  part_evidence_->RecordCrash(endpoint, runs, now);
+}
+
 void CrashCorrelator::RecordBreak(std::uint32_t endpoint, const CrashedRun& run,
-                                  MonotonicTime sent_at, MonotonicTime now) {
+                                  MonotonicTime now) {
   EndpointHistory& record = endpoints_[endpoint];
   if (!record.ended) {
     record.broken_requests.push_back({run, now});
-  } else if (sent_at < *record.ended) {
-    evidence_->RecordCrash(endpoint, {run}, now);
+  } else if (run.sent_at < *record.ended) {
+    RecordCrash(endpoint, {run}, now);
   }
 }
 
@@ -21,7 +27,7 @@
     if (now - broken.at < kMaxReportDelay) runs.push_back(broken.run);
   }
   record.broken_requests.clear();
-  if (!runs.empty()) evidence_->RecordCrash(endpoint, runs, now);
+  if (!runs.empty()) RecordCrash(endpoint, runs, now);
 }
 
 bool CrashCorrelator::HasEnded(std::uint32_t endpoint) const {
--- a/src/crash_correlator.h
+++ b/src/crash_correlator.h
@@ -8,6 +8,7 @@
 
 #include "clock.h"
 #include "crash_evidence.h"
+#include "part_evidence.h"
 
 namespace mimosabend {
 
@@ -20,13 +21,13 @@
   // expires only after several missed heartbeats, and the store may be slow.
   static constexpr seconds kMaxReportDelay{10};
 
-  // Precondition: `evidence` outlives this object.
-  explicit CrashCorrelator(CrashEvidence* evidence) : evidence_(evidence) {}
+  // Precondition: both pointers outlive this object.
+  CrashCorrelator(CrashEvidence* evidence, PartEvidence* part_evidence)
+      : evidence_(evidence), part_evidence_(part_evidence) {}
 
-  // Records that a request sent at `sent_at` got no complete response. It isn't blamed if it was
-  // sent after the end was reported. Precondition: the endpoint had not announced that it leaves.
-  void RecordBreak(std::uint32_t endpoint, const CrashedRun& run, MonotonicTime sent_at,
-                   MonotonicTime now);
+  // Records that a request got no complete response. It isn't blamed if it was sent after the end
+  // was reported. Precondition: the endpoint had not announced that it leaves.
+  void RecordBreak(std::uint32_t endpoint, const CrashedRun& run, MonotonicTime now);
 
   // Records that an endpoint has ended without announcing that it leaves.
   void RecordEnd(std::uint32_t endpoint, MonotonicTime now);
@@ -47,7 +48,10 @@
     std::optional<MonotonicTime> ended;
   };
 
+  void RecordCrash(std::uint32_t endpoint, const std::vector<CrashedRun>& runs, MonotonicTime now);
+
   CrashEvidence* evidence_;
+  PartEvidence* part_evidence_;
   std::map<std::uint32_t, EndpointHistory> endpoints_;
 };
 
--- a/src/crash_evidence.h
+++ b/src/crash_evidence.h
@@ -28,6 +28,9 @@
   std::uint64_t fingerprint = 0;
   // Whether the endpoint had started to respond to it.
   bool response_started = false;
+  MonotonicTime sent_at{};
+  // Ids of the parts of its prompt that other requests may share.
+  std::vector<std::uint64_t> parts{};
 };
 
 // Sent between daemons: a request was running when an endpoint crashed, or was served later.
--- a/src/endpoint_prober.cpp
+++ b/src/endpoint_prober.cpp
@@ -20,12 +20,12 @@
 }  // namespace
 
 void EndpointProber::RecordBreak(const FleetEndpoint& endpoint, const CrashedRun& run,
-                                 MonotonicTime sent_at, MonotonicTime now) {
+                                 MonotonicTime now) {
   const std::uint32_t number = EndpointNumber(endpoint.id, endpoint.started_ms);
   // The entry of an endpoint that is known to have ended may have been removed already.
   const bool expected_to_stay = directory_->IsExpectedToStay(endpoint.id, endpoint.started_ms);
   if (!expected_to_stay && !correlator_->HasEnded(number)) return;
-  correlator_->RecordBreak(number, run, sent_at, now);
+  correlator_->RecordBreak(number, run, now);
 }
 
 Task<bool> EndpointProber::HasEnded(FleetEndpoint endpoint) {
--- a/src/endpoint_prober.h
+++ b/src/endpoint_prober.h
@@ -22,10 +22,9 @@
   EndpointProber(HttpClient* client, const FleetDirectory* directory, CrashCorrelator* correlator)
       : client_(client), directory_(directory), correlator_(correlator) {}
 
-  // Records that a request sent at `sent_at` got no complete response, unless the endpoint
-  // announced that it leaves: then its end is no crash.
-  void RecordBreak(const FleetEndpoint& endpoint, const CrashedRun& run, MonotonicTime sent_at,
-                   MonotonicTime now);
+  // Records that a request got no complete response, unless the endpoint announced that it leaves:
+  // then its end is no crash.
+  void RecordBreak(const FleetEndpoint& endpoint, const CrashedRun& run, MonotonicTime now);
 
   // Probes an endpoint that has closed a connection. False if it has not ended or if the probe
   // takes longer than the next attempt of the request should wait. A probe that takes longer
--- a/src/evidence_exchange.cpp
+++ b/src/evidence_exchange.cpp
@@ -2,10 +2,13 @@
 
 namespace mimosabend {
 
-EvidenceMessage EvidenceExchange::MessageAfter(std::uint64_t position, const LogPosition& received,
+EvidenceMessage EvidenceExchange::MessageAfter(const LogPosition& position,
+                                               const LogPosition& received,
                                                MonotonicTime now) const {
   EvidenceMessage message;
-  message.records = evidence_->RecordsSince(position, now, &message.sent.position);
+  message.records = evidence_->RecordsSince(position.position, now, &message.sent.position);
+  message.part_records =
+      part_evidence_->RecordsSince(position.part_position, now, &message.sent.part_position);
   message.sent.process = process_;
   message.received = received;
   return message;
@@ -20,20 +23,25 @@
 EvidenceMessage EvidenceExchange::HandleRequest(const EvidenceMessage& request, MonotonicTime now) {
   const bool has_position = request.received.process == process_;
   EvidenceMessage answer =
-      MessageAfter(has_position ? request.received.position : 0, request.sent, now);
-  evidence_->Merge(request.records, now);
+      MessageAfter(has_position ? request.received : LogPosition(), request.sent, now);
+  Merge(request, now);
   return answer;
 }
 
 void EvidenceExchange::HandleAnswer(const Address& daemon, const EvidenceMessage& answer,
                                     MonotonicTime now) {
-  evidence_->Merge(answer.records, now);
+  Merge(answer, now);
   Peer& peer = peers_[daemon];
   // A restarted daemon has lost the records that its previous process acknowledged.
   const bool restarted = peer.received.process != 0 && peer.received.process != answer.sent.process;
   const bool acknowledges = answer.received.process == process_ && !restarted;
   peer.received = answer.sent;
-  peer.acknowledged = acknowledges ? answer.received.position : 0;
+  peer.acknowledged = acknowledges ? answer.received : LogPosition();
+}
+
+void EvidenceExchange::Merge(const EvidenceMessage& message, MonotonicTime now) {
+  evidence_->Merge(message.records, now);
+  part_evidence_->Merge(message.part_records, now);
 }
 
 }  // namespace mimosabend
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -159,6 +159,7 @@
   UsageCollector usage_;
   QuotaMeter quota_;
   CrashEvidence evidence_;
+  PartEvidence part_evidence_;
   CrashCorrelator crash_correlator_;
   EndpointProber prober_;
   EvidenceExchange exchange_;
@@ -203,9 +204,10 @@
                 RandomId()),
       usage_(io->get_executor()),
       quota_([this] { link_.ReportAtOnce(); }),
-      crash_correlator_(&evidence_),
+      part_evidence_(RandomId()),
+      crash_correlator_(&evidence_, &part_evidence_),
       prober_(&endpoint_client_, &directory_, &crash_correlator_),
-      exchange_(&evidence_, RandomId()),
+      exchange_(&evidence_, &part_evidence_, RandomId()),
       lease_(&store_, LeaseTimings()),
       leader_(io->get_executor(), &store_, &orders_, &lease_, &directory_, &state_,
               PlacementLeaderSettings{
@@ -223,9 +225,10 @@
             {&peer_client_, &leader_, &finder_, &state_, &sync_, &directory_, &stats_, &usage_,
              &exchange_, &quota_},
             RandomId()),
-      relay_({&endpoint_client_, &directory_, &stats_, &prefixes_, &selector_, &usage_,
-              &relay_metrics_, &evidence_, &prober_, &quota_, MakePlacementHooks()},
-             RandomId()),
+      relay_(
+          {&endpoint_client_, &directory_, &stats_, &prefixes_, &selector_, &usage_,
+           &relay_metrics_, &evidence_, &part_evidence_, &prober_, &quota_, MakePlacementHooks()},
+          RandomId()),
       config_watcher_(io->get_executor(), &store_, PlatformStore::config_key(), kConfigBatchDelay,
                       ConfigHandlers()),
       endpoint_watcher_(io->get_executor(), &store_, PlatformStore::endpoint_prefix(),
@@ -244,6 +247,7 @@
   });
   // Wakes the report loop, so that new crash records reach other daemons without delay.
   evidence_.set_on_records_added([this] { usage_.waiting_began().NotifyAll(); });
+  part_evidence_.set_on_records_added([this] { usage_.waiting_began().NotifyAll(); });
 }
 
 PlacementHooks Gateway::MakePlacementHooks() {
@@ -447,6 +451,7 @@
     directory_.PruneExpired(MonotonicNow());
     crash_correlator_.PruneExpired(MonotonicNow());
     evidence_.PruneExpired(MonotonicNow());
+    part_evidence_.PruneExpired(MonotonicNow());
     state_.holdings().KeepIf(
         [this](std::uint32_t number) { return state_.directory().KnowsNumber(number); });
     ConfirmReading();
@@ -483,6 +488,7 @@
     errors = store_.errors();
     connections = endpoint_client_.connections_opened();
     relay_metrics_.crash_suspects->Set(static_cast<double>(evidence_.suspects()));
+    relay_metrics_.contained_parts->Set(static_cast<double>(part_evidence_.contained()));
     relay_metrics_.endpoints->Set(static_cast<double>(directory_.entries().size()));
     relay_metrics_.requests_in_flight->Set(static_cast<double>(relay_.in_flight()));
     relay_metrics_.leads_placement->Set(leader_.IsLeader(MonotonicNow()) ? 1 : 0);
--- a/src/relay_containment.cpp
+++ b/src/relay_containment.cpp
@@ -13,8 +13,8 @@
 Task<void> RelayHandler::HandleIncompleteResponse(ContextPtr context, FleetEndpoint endpoint,
                                                   HttpError error) {
   const MonotonicTime now = MonotonicNow();
-  const CrashedRun run{context->fingerprint, context->response_started};
-  deps_.prober->RecordBreak(endpoint, run, context->sent_at, now);
+  CrashedRun run{context->fingerprint, context->response_started, context->sent_at, context->parts};
+  deps_.prober->RecordBreak(endpoint, run, now);
   if (context->caller_gone) co_return;
   deps_.metrics->endpoint_breaks_total->Increment();
   LOG4CPLUS_INFO(Log(), "incomplete response id="
@@ -28,14 +28,31 @@
   if (ended) ++context->terminated_runs;
 }
 
-// Records that an endpoint ran the request to completion, which clears it of suspicion.
+// Records that an endpoint ran the request to completion, which clears it and the parts of its
+// prompt of suspicion.
 void RelayHandler::RecordServed(Context* context) {
+  const MonotonicTime now = MonotonicNow();
   context->trial.reset();
-  deps_.evidence->RecordServed(context->fingerprint, MonotonicNow());
+  deps_.evidence->RecordServed(context->fingerprint, now);
+  const MonotonicTime started =
+      context->response_started ? context->response_started_at : context->sent_at;
+  deps_.part_evidence->RecordServed(context->parts, started, now);
+}
+
+// How the request is treated because of its content and the parts of its prompt.
+CrashVerdict RelayHandler::Classify(const Context& context, MonotonicTime now) const {
+  return std::max(deps_.evidence->Classify(context.fingerprint, now),
+                  deps_.part_evidence->Classify(context.parts, now));
 }
 
-bool RelayHandler::IsContained(const Context& context, MonotonicTime now) const {
-  return deps_.evidence->Classify(context.fingerprint, now) == CrashVerdict::kContained;
+// When the request may be sent to an endpoint again; std::nullopt if it is not contained.
+std::optional<MonotonicTime> RelayHandler::ContainedUntil(const Context& context,
+                                                          MonotonicTime now) const {
+  if (const auto until = deps_.part_evidence->ContainedUntil(context.parts, now)) return until;
+  if (HeldUntil(context, now)) return std::nullopt;
+  const CrashVerdict verdict = deps_.evidence->Classify(context.fingerprint, now);
+  if (verdict != CrashVerdict::kContained) return std::nullopt;
+  return deps_.evidence->ExpiresAt(context.fingerprint);
 }
 
 // Until when a request that may run is held back because it is not known yet whether it crashes
@@ -43,7 +60,8 @@
 std::optional<MonotonicTime> RelayHandler::HeldUntil(const Context& context,
                                                      MonotonicTime now) const {
   if (!RouteAllowsAttempt(context)) return std::nullopt;
-  return deps_.evidence->HeldUntil(context.fingerprint, now);
+  return std::max(deps_.evidence->HeldUntil(context.fingerprint, now),
+                  deps_.part_evidence->HeldUntil(context.parts, now));
 }
 
 // Waits for more evidence on which request crashed the endpoints. Returns false if `until` is later
@@ -61,7 +79,7 @@
 // Whether the request is a crash suspect that must not start at an endpoint together with another
 // suspect.
 bool RelayHandler::MustRunIsolated(const Context& context, MonotonicTime now) const {
-  return deps_.evidence->Classify(context.fingerprint, now) == CrashVerdict::kLone;
+  return Classify(context, now) == CrashVerdict::kLone;
 }
 
 // Endpoints that must not be chosen at `now`, plus those at which a suspect's response has not
@@ -98,6 +116,7 @@
   context->sent_at = now;
   context->response_started = false;
   if (MustRunIsolated(*context, now)) context->trial = trials_.Begin(choice.endpoint.id);
+  deps_.part_evidence->BeginTrial(context->parts, now);
 }
 
 // Waits until the fleet state changes, for example because another suspect releases its endpoint,
@@ -110,13 +129,12 @@
   context->waited += ToMillis(MonotonicNow() - start);
 }
 
-// Refuses a request that is contained because it crashed endpoints. Retry-After tells the caller
-// when the evidence expires.
-Task<void> RelayHandler::RefuseContained(ContextPtr context) {
+// Refuses a request that is contained because endpoints crashed. Retry-After tells the caller when
+// it may be tried again.
+Task<void> RelayHandler::RefuseContained(ContextPtr context, MonotonicTime until) {
   context->outcome = RelayOutcome::kContained;
   context->reason = "contained: endpoints crashed while running this request";
-  const MonotonicTime forgotten = deps_.evidence->ExpiresAt(context->fingerprint);
-  co_await SendRefusal(context, 503, ToMillis(forgotten - MonotonicNow()),
+  co_await SendRefusal(context, 503, ToMillis(until - MonotonicNow()),
                        R"({"error":"not run, since endpoints ended under this request"})");
 }
 
--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -30,6 +30,8 @@
   RelayRequest params;
   // See RequestFingerprint.
   std::uint64_t fingerprint = 0;
+  // Ids of the shared parts of the prompt.
+  std::vector<std::uint64_t> parts;
   // Owns `route`, `customer` and `service`.
   std::shared_ptr<const FleetConfig> config;
   const Route* route = nullptr;
@@ -49,8 +51,9 @@
   bool caller_gone = false;
   // When the current attempt was sent.
   MonotonicTime sent_at;
-  // The first event of the current attempt has arrived.
+  // Whether and when the first event of the current attempt has arrived.
   bool response_started = false;
+  MonotonicTime response_started_at;
   // Reserves the endpoint for the current attempt of a suspect request until its response starts.
   std::optional<SuspectTrials::Trial> trial;
   // Cancels the current attempt.
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -136,6 +136,9 @@
   if (!authenticated) co_return;
   const std::string customer = context->customer == nullptr ? "" : context->customer->name;
   context->fingerprint = RequestFingerprint(request, customer);
+  for (const PromptPart& part : SharedParts(context->params.prompt)) {
+    context->parts.push_back(part.id);
+  }
   const Route& route = *context->route;
   milliseconds limit = route.timeout.count() > 0 ? route.timeout : kDefaultRouteTimeout;
   if (context->params.time_limit) limit = std::min(limit, *context->params.time_limit);
@@ -216,12 +219,12 @@
 Task<void> RelayHandler::ServePlain(ContextPtr context) {
   while (!context->caller_gone && RouteAllowsAttempt(*context)) {
     const MonotonicTime now = MonotonicNow();
+    if (ContainedUntil(*context, now)) break;
     if (const auto until = HeldUntil(*context, now)) {
       const bool waited = co_await WaitForEvidence(context, *until);
       if (!waited) break;
       continue;
     }
-    if (IsContained(*context, now)) break;
     const auto choice = ChoosePlain(*context, now);
     if (!choice && IsBusyWithTrials(*context, now) && MayWait(*context, now)) {
       co_await WaitForTrials(context);
@@ -360,10 +363,10 @@
     co_return;
   }
   const MonotonicTime now = MonotonicNow();
-  const bool contained = IsContained(*context, now) && !HeldUntil(*context, now);
   if (context->runs == 0) {
-    if (contained) co_await RefuseContained(context);
-    if (!contained) co_await Refuse(context, context->reason);
+    const auto contained_until = ContainedUntil(*context, now);
+    if (contained_until) co_await RefuseContained(context, *contained_until);
+    if (!contained_until) co_await Refuse(context, context->reason);
     co_return;
   }
   const bool timed_out = !HasTimeLeft(*context, MonotonicNow());
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -17,6 +17,7 @@
 #include "fleet_directory.h"
 #include "http_client.h"
 #include "http_server.h"
+#include "part_evidence.h"
 #include "quota_meter.h"
 #include "relay_metrics.h"
 #include "retry_budget.h"
@@ -52,6 +53,7 @@
     UsageCollector* usage;
     RelayMetrics* metrics;
     CrashEvidence* evidence;
+    PartEvidence* part_evidence;
     EndpointProber* prober;
     QuotaMeter* quota;
     PlacementHooks placement;
@@ -129,7 +131,8 @@
   Task<void> HandleFailedAttempt(ContextPtr context, FleetEndpoint endpoint, HttpError error);
   Task<void> HandleIncompleteResponse(ContextPtr context, FleetEndpoint endpoint, HttpError error);
   void RecordServed(Context* context);
-  bool IsContained(const Context& context, MonotonicTime now) const;
+  CrashVerdict Classify(const Context& context, MonotonicTime now) const;
+  std::optional<MonotonicTime> ContainedUntil(const Context& context, MonotonicTime now) const;
   bool IsBusyWithTrials(const Context& context, MonotonicTime now) const;
   bool MustRunIsolated(const Context& context, MonotonicTime now) const;
   std::set<std::string> AvoidedWithTrials(const Context& context, MonotonicTime now) const;
@@ -140,7 +143,7 @@
   Task<void> WaitForTrials(ContextPtr context);
   std::optional<MonotonicTime> HeldUntil(const Context& context, MonotonicTime now) const;
   Task<bool> WaitForEvidence(ContextPtr context, MonotonicTime until);
-  Task<void> RefuseContained(ContextPtr context);
+  Task<void> RefuseContained(ContextPtr context, MonotonicTime until);
   HttpCall MakeCall(Context* context, const EndpointChoice& choice, MonotonicTime deadline) const;
   std::string PickService(const Route& route, const std::string& request_id) const;
   bool HasEngine(const Context& context, MonotonicTime now) const;
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -50,6 +50,8 @@
       registry_.AddCounter("log_lines_dropped_total", "Log lines that were left out.");
   crash_suspects = registry_.AddGauge(
       "crash_suspects", "Requests that were running when an endpoint crashed, and since served.");
+  contained_parts = registry_.AddGauge(
+      "contained_parts", "Parts of prompts that are contained because endpoints crashed.");
   config_version = registry_.AddGauge("config_version", "Version of the configuration in force.");
   endpoints = registry_.AddGauge("endpoints", "Endpoints in the directory.");
   requests_in_flight = registry_.AddGauge("requests_in_flight", "Requests that have not ended.");
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -62,6 +62,7 @@
   prometheus::Counter* store_errors_total;
   prometheus::Counter* log_lines_dropped_total;
   prometheus::Gauge* crash_suspects;
+  prometheus::Gauge* contained_parts;
   prometheus::Gauge* config_version;
   prometheus::Gauge* endpoints;
   prometheus::Gauge* requests_in_flight;
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -90,12 +90,12 @@
   while (!context->caller_gone && MayWait(*context, MonotonicNow()) &&
          RouteAllowsAttempt(*context)) {
     const MonotonicTime now = MonotonicNow();
+    if (ContainedUntil(*context, now)) break;
     if (const auto until = HeldUntil(*context, now)) {
       const bool waited = co_await WaitForEvidence(context, *until);
       if (!waited) break;
       continue;
     }
-    if (IsContained(*context, now)) break;
     auto choice = ChooseEngine(*context, now);
     if (!choice && IsBusyWithTrials(*context, now)) {
       co_await WaitForTrials(context);
@@ -109,6 +109,8 @@
     if (!choice->has_adapter) {
       const bool placed = co_await PlaceAdapter(context, &*choice);
       if (!placed) continue;
+      // More evidence may have arrived while the adapter was placed.
+      if (Classify(*context, MonotonicNow()) == CrashVerdict::kContained) continue;
     }
     if (!ReserveAttempt(context.get())) break;
     const NextStep next_step = co_await AttemptStream(context, *choice);
@@ -319,6 +321,7 @@
     if (first) {
       first = false;
       context->response_started = true;
+      context->response_started_at = now;
       context->trial.reset();
       deps_.stats->RecordFirstEvent(choice.endpoint.id, choice.prefill_tokens);
       deps_.prefixes->Insert(choice.endpoint.id, context->prefix_hashes, params.prompt,
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -99,7 +99,8 @@
   UsageCollector usage;
   RelayMetrics metrics;
   CrashEvidence evidence;
-  CrashCorrelator crash_correlator{&evidence};
+  PartEvidence part_evidence{1};
+  CrashCorrelator crash_correlator{&evidence, &part_evidence};
   EndpointProber prober;
   QuotaMeter quota{[] {}};
   bool adapter_placement_succeeds = true;
--- a/tests/test_crash_evidence.cpp
+++ b/tests/test_crash_evidence.cpp
@@ -191,8 +191,9 @@
 // against ignoring a report of the end that arrives seconds later.
 TEST_CASE("a broken request is blamed only if its endpoint has ended", "[crash]") {
   CrashEvidence evidence;
-  CrashCorrelator correlator(&evidence);
-  correlator.RecordBreak(1, {kCause}, kStart, kStart);
+  PartEvidence parts(1);
+  CrashCorrelator correlator(&evidence, &parts);
+  correlator.RecordBreak(1, {kCause, false, kStart, {}}, kStart);
   CHECK(evidence.CrashCount(kCause, kStart) == 0);
   SECTION("the report arrives seconds later") {
     correlator.RecordEnd(1, kStart + seconds(6));
@@ -214,11 +215,12 @@
 TEST_CASE("a request that breaks after the report of the end is blamed if it was sent before",
           "[crash]") {
   CrashEvidence evidence;
-  CrashCorrelator correlator(&evidence);
+  PartEvidence parts(1);
+  CrashCorrelator correlator(&evidence, &parts);
   correlator.RecordEnd(1, kStart);
   CHECK(correlator.HasEnded(1));
-  correlator.RecordBreak(1, {kCause}, kStart - seconds(1), kStart + seconds(2));
-  correlator.RecordBreak(1, {8}, kStart + milliseconds(1), kStart + seconds(2));
+  correlator.RecordBreak(1, {kCause, false, kStart - seconds(1), {}}, kStart + seconds(2));
+  correlator.RecordBreak(1, {8, false, kStart + milliseconds(1), {}}, kStart + seconds(2));
   CHECK(evidence.CrashCount(kCause, kStart + seconds(2)) == 1);
   CHECK(evidence.CrashCount(8, kStart + seconds(2)) == 0);
 }
@@ -243,7 +245,8 @@
 // sent again with each message.
 TEST_CASE("records reach all daemons through a relay, once over each link", "[crash]") {
   CrashEvidence a, b, relay;
-  EvidenceExchange from_a(&a, 1), from_b(&b, 2), at_relay(&relay, 3);
+  PartEvidence parts(1);
+  EvidenceExchange from_a(&a, &parts, 1), from_b(&b, &parts, 2), at_relay(&relay, &parts, 3);
   a.RecordCrash(1, {{kCause}}, kStart);
   b.RecordCrash(2, {{kCause}}, kStart);
   Report(&from_a, &at_relay, kStart, true);
@@ -267,18 +270,19 @@
 // against a restarted daemon that gets none.
 TEST_CASE("records reach restarted processes", "[crash]") {
   CrashEvidence daemon, relay;
-  EvidenceExchange from_daemon(&daemon, 1), at_relay(&relay, 3);
+  PartEvidence parts(1);
+  EvidenceExchange from_daemon(&daemon, &parts, 1), at_relay(&relay, &parts, 3);
   AddCrashes(&daemon, kCause, 3);
   const MonotonicTime now = kStart + seconds(5);
   Report(&from_daemon, &at_relay, now);
   Report(&from_daemon, &at_relay, now);
   CrashEvidence new_relay;
-  EvidenceExchange at_new_relay(&new_relay, 4);
+  EvidenceExchange at_new_relay(&new_relay, &parts, 4);
   Report(&from_daemon, &at_new_relay, now);
   Report(&from_daemon, &at_new_relay, now);
   CHECK(new_relay.Classify(kCause, now) == CrashVerdict::kContained);
   CrashEvidence new_daemon;
-  EvidenceExchange from_new_daemon(&new_daemon, 5);
+  EvidenceExchange from_new_daemon(&new_daemon, &parts, 5);
   Report(&from_new_daemon, &at_new_relay, now);
   CHECK(new_daemon.Classify(kCause, now) == CrashVerdict::kContained);
 }
@@ -286,7 +290,8 @@
 // Guards against dropping records that don't fit into one message.
 TEST_CASE("many records take several messages", "[crash]") {
   CrashEvidence daemon, relay;
-  EvidenceExchange from_daemon(&daemon, 1), at_relay(&relay, 3);
+  PartEvidence parts(1);
+  EvidenceExchange from_daemon(&daemon, &parts, 1), at_relay(&relay, &parts, 3);
   for (std::uint32_t i = 1; i <= 600; ++i) daemon.RecordCrash(i, {{i}}, kStart);
   CHECK(Report(&from_daemon, &at_relay, kStart) == CrashEvidence::kMaxRecords);
   Report(&from_daemon, &at_relay, kStart);
--- a/tests/test_decoders.cpp
+++ b/tests/test_decoders.cpp
@@ -134,7 +134,10 @@
 }
 
 EvidenceMessage Evidence() {
-  return {{1, 2}, {3, 4}, {{5, 6, true, 7}, {8, CrashRecord::kServed, false, 9}}};
+  return {{1, 2, 3},
+          {4, 5, 6},
+          {{7, 8, true, 9}, {10, CrashRecord::kServed, false, 11}},
+          {{12, 13, 14, true, 15, 16}, {17, PartRecord::kServed, 0, false, 18, 0}}};
 }
 
 UsageReport Report() {
--- a/tests/test_leader_link.cpp
+++ b/tests/test_leader_link.cpp
@@ -127,7 +127,8 @@
   LeaseKeeper<FakeFleetStore> lease;
   UsageCollector usage;
   CrashEvidence evidence;
-  EvidenceExchange exchange{&evidence, RandomId()};
+  PartEvidence part_evidence{RandomId()};
+  EvidenceExchange exchange{&evidence, &part_evidence, RandomId()};
   QuotaMeter quota{[this] { link.ReportAtOnce(); }};
   PlacementLeader<FakeFleetStore, FakeFleetEngines> leader;
   PeerClient client;
