Count a stream that ends inside an event as a possible crash

A stream may come with neither a length nor chunks and end with its connection. When an engine crashes, the system closes its connections, and to such a stream that looks like its end.

Cause: a stream that ended inside or before its first event was broken off and resumed, but the break was not reported to the crash correlator, nor was one in the body of an error response. Crashes under such streams went unnoticed, and a deadly request or part was never contained.

Change: both breaks are reported like every other one.

That such a stream is never returned as complete held before.

--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -266,7 +266,10 @@
       context->excluded.insert(id);
       auto body = co_await stream.value()->ReadAll(context->deadline);
       if (body) RecordServed(context.get());
-      if (!body) context->reason = std::string(kHttpErrorNames[body.error()]);
+      if (!body) {
+        context->reason = std::string(kHttpErrorNames[body.error()]);
+        co_await HandleIncompleteResponse(context, choice.endpoint, body.error());
+      }
       if (body && !context->stream_open) {
         HttpReply reply{status, headers, std::move(body).value()};
         next_step = co_await RelayResponse(context, std::move(reply));
@@ -350,6 +353,8 @@
   }
   if (splitter.has_partial() || first) {
     context->reason = "stream ended before an event was complete";
+    // A stream without a length ends with its connection, also when the engine crashes.
+    co_await HandleIncompleteResponse(context, choice.endpoint, HttpError::kBroken);
     co_return NextStep::kRetry;
   }
   RecordServed(context.get());
--- a/tests/test_faulty_endpoints.cpp
+++ b/tests/test_faulty_endpoints.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <memory>
+#include <set>
 #include <sstream>
 
 #include "relay_fixture.h"
@@ -70,10 +72,16 @@
 
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
+  // From now on, new connections are refused, as if the process had ended.
+  void StopListening() { acceptor_.close(); }
+
  private:
   Task<void> Accept() {
     for (;;) {
-      auto socket = co_await acceptor_.async_accept(boost::asio::use_awaitable);
+      boost::system::error_code error;
+      auto socket = co_await acceptor_.async_accept(
+          boost::asio::redirect_error(boost::asio::use_awaitable, error));
+      if (error) co_return;
       boost::asio::co_spawn(*io_, Serve(std::move(socket)), boost::asio::detached);
     }
   }
@@ -236,6 +244,35 @@
   }
 }
 
+// Guards against a stream without length and chunks that ends inside an event and is taken as
+// complete, and against a crash that goes unnoticed since the connection was closed, not reset.
+TEST_CASE("a stream that ends with its connection inside an event is broken off", "[relay]") {
+  const std::string whole =
+      ResponseTo("9c41", Event(1) + Event(2), Framing::kEnd, "text/event-stream");
+  const std::size_t head = whole.find("\r\n\r\n") + 4;
+  const std::set<std::size_t> complete{head + Event(1).size(), whole.size()};
+  for (std::size_t sent = head; sent <= whole.size(); ++sent) {
+    CAPTURE(sent - head);
+    RelayFixture relay;
+    std::unique_ptr<RawEndpoint> endpoint;
+    endpoint = std::make_unique<RawEndpoint>(
+        &relay.io,
+        [&](RawEndpoint::Socket* socket, int /*n*/, const std::string& /*id*/) -> Task<void> {
+          co_await WriteBytes(socket, whole.substr(0, sent));
+          if (!complete.contains(sent)) endpoint->StopListening();
+          boost::system::error_code ignored;
+          socket->close(ignored);
+        });
+    UseEndpoint(&relay, *endpoint);
+    HttpCall call = relay.MakeCall("/once/1");
+    call.headers.emplace_back("Prompt-Prefix", "a1:10,b2:10");
+    const auto reply = relay.Send(std::move(call));
+    const bool looks_complete = reply && reply.value().status == 200;
+    CHECK(looks_complete == complete.contains(sent));
+    CHECK(relay.part_evidence.CrashCount(0xa1) == (complete.contains(sent) ? 0 : 1));
+  }
+}
+
 // Guards against an endpoint that fills a daemon's memory with an unbounded response.
 TEST_CASE("an unbounded response is cut off at a limit", "[relay]") {
   const std::string head =
