Pass a record of being served on once, and keep later crashes

What callers saw: none reported; the fleet sent records without end.

Cause: a message gives the age of a record without its time on the way, so each hop makes the record look younger. CrashEvidence took every younger record that a request had been served as news and sent it on, also back to its sender: two daemons exchanged it with each report for an hour, and its time crept forward. Such a record also cleared all crashes of the request, later ones too.

Change: a record of being served clears the crashes until its time, and is passed on only if it clears one or is the first.

Evidence: two new cases of test crash_evidence failed before (1 record in a report six seconds later; 0 instead of 1 crash left) and pass now.

--- a/src/crash_evidence.cpp
+++ b/src/crash_evidence.cpp
@@ -146,17 +146,23 @@
   return true;
 }
 
-// Records that a request was served and drops its crashes. True if other daemons should be told.
+// Records that a request was served and drops its crashes until then. True if other daemons should
+// be told. A record that changes nothing is not passed on, since it would circulate for ever.
 bool CrashEvidence::AddServed(std::uint64_t fingerprint, MonotonicTime at) {
   if (!suspects_.contains(fingerprint)) EvictIfFull();
   Suspect& suspect = suspects_[fingerprint];
-  if (suspect.served && suspect.served->at >= at) return false;
-  const bool known = suspect.served && suspect.crashes.empty();
-  for (const auto& [crash, observation] : suspect.crashes) EraseLogEntry(observation);
-  suspect.crashes.clear();
+  const std::size_t cleared = std::erase_if(suspect.crashes, [&](const auto& crash) {
+    if (crash.second.at > at) return false;
+    EraseLogEntry(crash.second);
+    return true;
+  });
+  if (suspect.served && cleared == 0) {
+    suspect.served->at = std::max(suspect.served->at, at);
+    return false;
+  }
   if (suspect.served) EraseLogEntry(*suspect.served);
   suspect.served = Append(fingerprint, CrashRecord::kServed, at);
-  return !known;
+  return true;
 }
 
 void CrashEvidence::RememberServed(std::uint64_t fingerprint, MonotonicTime now) {
--- a/tests/test_crash_evidence.cpp
+++ b/tests/test_crash_evidence.cpp
@@ -229,13 +229,15 @@
 
 const Address kRelay{"10.0.0.1", 7380};
 
-// Sends a report of one daemon to another and its answer, encoded as on the wire. Returns the
-// number of records in both messages.
+constexpr milliseconds kTransit{30};
+
+// Sends a report of one daemon to another and its answer, encoded as on the wire. Each takes
+// `transit`. Returns the number of records in both messages.
 std::size_t Report(EvidenceExchange* from, EvidenceExchange* to, MonotonicTime now,
-                   bool answer_lost = false) {
+                   bool answer_lost = false, milliseconds transit = milliseconds(0)) {
   const auto request = Decode<EvidenceMessage>(Encode(from->MakeRequest(kRelay, now)));
-  const auto answer = Decode<EvidenceMessage>(Encode(to->HandleRequest(*request, now)));
-  if (!answer_lost) from->HandleAnswer(kRelay, *answer, now);
+  const auto answer = Decode<EvidenceMessage>(Encode(to->HandleRequest(*request, now + transit)));
+  if (!answer_lost) from->HandleAnswer(kRelay, *answer, now + 2 * transit);
   return request->records.size() + answer->records.size();
 }
 
@@ -266,6 +268,33 @@
   CHECK(a.Classify(kCause, kStart) == CrashVerdict::kClean);
 }
 
+// Guards against a request that is cleared of a crash that came after it was served, by a record
+// that arrives late.
+TEST_CASE("a record of being served clears only earlier crashes", "[crash]") {
+  CrashEvidence evidence;
+  evidence.RecordCrash(1, {{kCause}}, kStart + seconds(1));
+  evidence.RecordCrash(2, {{kCause}}, kStart + seconds(5));
+  evidence.Merge({{kCause, CrashRecord::kServed, false, 3000}}, kStart + seconds(6));
+  CHECK(evidence.CrashCount(kCause, kStart + seconds(6)) == 1);
+}
+
+// Guards against records of being served that daemons send each other for ever: the age in a
+// message does not include its time on the way, so each hop makes a record look younger.
+TEST_CASE("a record of being served is passed on once", "[crash]") {
+  CrashEvidence a, relay;
+  PartEvidence parts(1);
+  EvidenceExchange from_a(&a, &parts, 1), at_relay(&relay, &parts, 3);
+  MonotonicTime now = kStart;
+  a.RecordCrash(1, {{kCause}}, now);
+  Report(&from_a, &at_relay, now);
+  a.RecordServed(kCause, now + seconds(1));
+  for (int i = 2; i < 6; ++i) {
+    Report(&from_a, &at_relay, kStart + seconds(i), false, kTransit);
+  }
+  CHECK(relay.Classify(kCause, kStart + seconds(6)) == CrashVerdict::kClean);
+  CHECK(Report(&from_a, &at_relay, kStart + seconds(7), false, kTransit) == 0);
+}
+
 // Guards against a restarted relay that never gets the records that its previous process had, and
 // against a restarted daemon that gets none.
 TEST_CASE("records reach restarted processes", "[crash]") {
