Send later attempts of a request on connections of their own

Cause: an endpoint that refused a request with Not-Executed may send a second copy of that refusal late. It has the same request id.

Class: an answer is matched by an id that two attempts share.

Change: a further attempt of a request at an address that had one before opens a new connection.

Not shown to be what the users saw; they kept no logs.

--- a/src/relay_containment.cpp
+++ b/src/relay_containment.cpp
@@ -114,6 +114,9 @@
   context->endpoint = choice.endpoint.id;
   context->expected_ms = choice.expected_ms;
   context->sent_at = now;
+  // A second copy of the answer to an earlier attempt could arrive on its connection, with the same
+  // request id.
+  context->may_reuse_connection = context->attempted.insert(choice.endpoint.address).second;
   context->response_started = false;
   if (MustRunIsolated(*context, now)) context->trial = trials_.Begin(choice.endpoint.id);
   deps_.part_evidence->BeginTrial(context->parts, now);
--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -58,6 +58,10 @@
   std::optional<SuspectTrials::Trial> trial;
   // Cancels the current attempt.
   std::shared_ptr<HttpCanceller> canceller;
+  // Addresses that earlier attempts were sent to.
+  std::set<Address> attempted;
+  // Whether the current attempt may use a kept-alive connection.
+  bool may_reuse_connection = true;
   // Endpoints that are not used again for this request.
   std::set<std::string> excluded;
   // Endpoints that did not run the request, with the end of their backoff.
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -204,6 +204,7 @@
   call.body = request.body;
   call.deadline = deadline;
   call.connect_timeout = kConnectTimeout;
+  call.reuse_connection = context->may_reuse_connection;
   if (!context->route->repeatable()) call.max_idle = kNoRetryMaxIdle;
   call.canceller = context->canceller;
   platform::ForwardOptions options;
--- a/tests/test_faulty_endpoints.cpp
+++ b/tests/test_faulty_endpoints.cpp
@@ -206,6 +206,40 @@
   CHECK(failed == (timing == DuplicateTiming::kBeforeNextResponse ? 1 : 0));
 }
 
+// Guards against a second copy of a refusal that is taken for the answer to the next attempt of the
+// same request: the request would run again, or its caller would be told that it has not run.
+TEST_CASE("a late copy of a refusal does not answer a later attempt of the request", "[relay]") {
+  const int status = GENERATE(503, 429);
+  const milliseconds delay = GENERATE(milliseconds(0), milliseconds(20));
+  CAPTURE(status, delay.count());
+  RelayFixture relay;
+  int runs = 0;
+  const std::string refusal = "HTTP/1.1 " + std::to_string(status) +
+                              " Refused\r\nRequest-Id: 9c41\r\nNot-Executed: 1\r\n"
+                              "Content-Length: 0\r\n\r\n";
+  RawEndpoint::Socket* refused_on = nullptr;
+  RawEndpoint endpoint(
+      &relay.io, [&](RawEndpoint::Socket* socket, int n, const std::string& id) -> Task<void> {
+        if (n == 0) {
+          refused_on = socket;
+          co_await WriteBytes(socket, refusal);
+          co_return;
+        }
+        ++runs;
+        co_await Sleep(delay);
+        if (runs == 1) co_await WriteBytes(refused_on, refusal);
+        co_await Sleep(milliseconds(60));
+        co_await WriteBytes(socket,
+                            ResponseTo(id, Event(1), Framing::kLength, "text/event-stream"));
+      });
+  UseEndpoint(&relay, endpoint);
+  relay.directory.Remove("e2", MonotonicNow());
+  const auto reply = relay.Send("/once/1");
+  REQUIRE(reply);
+  CHECK(runs == 1);
+  CHECK(reply.value().status == 200);
+}
+
 // Guards against a truncated response that is returned as a complete one, and against a caller that
 // learns only at its deadline that its request has failed.
 TEST_CASE("a response truncated at any byte is never returned as complete", "[relay]") {
