Don't pass on a status that promises "not run" for a request that ran

Cause: callers take these statuses as a promise that a request has not run. An endpoint states that with the header Not-Executed; without it, its answer means that it may have run the request. The relay counted it as run, but handed the status on unchanged, and so turned it into a promise of its own.

Change: for requests that must not run again, such an answer becomes 502, which promises nothing, without the endpoint's stamp. Requests that may be repeated get the endpoint's answer as before.

--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -303,6 +303,11 @@
     context->error_response = std::move(reply);
     co_return NextStep::kRetry;
   }
+  if (!context->route->repeatable() && platform::PromisesNotRun(reply.status)) {
+    context->reason = "endpoint ran the request, status " + std::to_string(reply.status);
+    co_await FailAfterRun(context, 502);
+    co_return NextStep::kDone;
+  }
   context->outcome = reply.status < 500 ? RelayOutcome::kAnswered : RelayOutcome::kEndpointFailed;
   co_await SendResponse(context, reply.status, platform::ReturnedHeaders(reply.headers),
                         std::move(reply.body));
@@ -370,10 +375,14 @@
     if (!contained_until) co_await Refuse(context, context->reason);
     co_return;
   }
-  const bool timed_out = !HasTimeLeft(*context, MonotonicNow());
-  context->outcome = timed_out ? RelayOutcome::kTimedOut : RelayOutcome::kEndpointFailed;
+  co_await FailAfterRun(context, HasTimeLeft(*context, now) ? 502 : 504);
+}
+
+// Ends a request that may have run with an error that promises nothing.
+Task<void> RelayHandler::FailAfterRun(ContextPtr context, int status) {
+  context->outcome = status == 504 ? RelayOutcome::kTimedOut : RelayOutcome::kEndpointFailed;
   HttpHeaders headers{{"Content-Type", "application/json"}};
-  co_await SendResponse(context, timed_out ? 504 : 502, std::move(headers),
+  co_await SendResponse(context, status, std::move(headers),
                         R"({"error":"the endpoint gave no whole answer"})");
 }
 
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -113,6 +113,7 @@
   Task<void> RequestAdapter(std::shared_ptr<AdapterPlacement> placement, AdapterRequest request);
   Task<NextStep> RelayResponse(ContextPtr context, HttpReply reply);
   Task<void> FinishUnserved(ContextPtr context);
+  Task<void> FailAfterRun(ContextPtr context, int status);
   Task<void> Refuse(ContextPtr context, std::string reason);
   Task<void> SendRefusal(ContextPtr context, int status, milliseconds retry_after,
                          std::string body);
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -129,6 +129,23 @@
   CHECK(relay.Send("/order/1").value().status == 503);
 }
 
+// Guards against a caller that repeats its order because the endpoint that ran it answered with a
+// status that promises "not run", without the header that states it.
+TEST_CASE("an endpoint's status does not become a promise that the request has not run",
+          "[relay]") {
+  const int status = GENERATE(408, 429, 503);
+  const std::string path = GENERATE("/order/1", "/once/1");
+  CAPTURE(status, path);
+  RelayFixture relay;
+  relay.SetBehavior(Respond(status), Respond(status));
+  const auto reply = relay.Send(path);
+  CHECK(reply.value().status == 502);
+  CHECK(FindHeader(reply.value().headers, "Response-Stamp").empty());
+  CHECK(relay.plain_arrivals() + relay.engine_arrivals() == 1);
+  // A request that may be repeated gets the endpoint's answer unchanged.
+  CHECK(relay.Send("/read/1").value().status == status);
+}
+
 TEST_CASE("an idempotent request is retried at another endpoint after a failure", "[relay]") {
   RelayFixture relay;
   relay.SetBehavior(Respond(500), Respond(200));
