Trust a refusal only if it has the id of the request

Cause: an answer with Not-Executed, or 421, was taken as being about the request just sent also if it had no request id. Endpoints return the id with each answer; a late copy of an earlier refusal, or bytes of another request, need not have one.

Change: such an answer counts as one to another request: the request may have run, so an order gets 502 and is not sent again. As on the path of plain requests, the idle connections to that endpoint are closed.

Tests: the fixture's refusals, one in test relay and the 421 of the endpoint stand-in now have the id, as the protocol says; two expectations of test platform that accepted refusals without an id were wrong, and stand with the id beside stricter ones without.

--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -256,6 +256,8 @@
       ++context->runs;
       context->excluded.insert(id);
       context->reason = "response does not belong to this request";
+      // The response to this request may still follow on that connection.
+      deps_.client->CloseIdle(choice.endpoint.address);
     } else if (success) {
       ++context->runs;
       next_step = co_await RelayEvents(context, choice, std::move(stream).value());
--- a/tests/relay_fixture.cpp
+++ b/tests/relay_fixture.cpp
@@ -19,7 +19,7 @@
 EndpointBehavior Respond(int status, bool not_run) {
   return [status, not_run](HttpExchange& exchange) -> Task<void> {
     HttpHeaders headers = StampedHeaders(exchange);
-    if (not_run) headers = {{"Not-Executed", "1"}};
+    if (not_run) headers.back() = {"Not-Executed", "1"};
     std::string body = "status " + std::to_string(status);
     co_await exchange.Reply(status, std::move(headers), std::move(body));
   };
--- a/tests/standins/platform_endpoint_standin.cpp
+++ b/tests/standins/platform_endpoint_standin.cpp
@@ -49,7 +49,8 @@
     }
     const std::string expected(exchange.request().header("Expect-Instance"));
     if (!expected.empty() && expected != FLAGS_id) {
-      co_await ReplyJson(&exchange, 421, json::object());
+      HttpHeaders headers{{"Request-Id", std::string(exchange.request().header("Request-Id"))}};
+      co_await exchange.Reply(421, std::move(headers), "{}");
       co_return;
     }
     co_await Sleep(milliseconds(FLAGS_start_ms));
--- a/tests/test_faulty_endpoints.cpp
+++ b/tests/test_faulty_endpoints.cpp
@@ -240,6 +240,30 @@
   CHECK(reply.value().status == 200);
 }
 
+// Guards against a late copy of another request's refusal that is taken for the answer to an order,
+// since it has no request id: the order would run again.
+TEST_CASE("a refusal without a request id does not show that a request has not run", "[relay]") {
+  const int status = GENERATE(503, 421);
+  const std::string path = GENERATE("/order/1", "/once/1");
+  CAPTURE(status, path);
+  RelayFixture relay;
+  int requests = 0;
+  RawEndpoint endpoint(
+      &relay.io, [&](RawEndpoint::Socket* socket, int, const std::string& id) -> Task<void> {
+        ++requests;
+        co_await WriteBytes(socket, "HTTP/1.1 " + std::to_string(status) +
+                                        " Refused\r\nNot-Executed: 1\r\n"
+                                        "Content-Length: 0\r\n\r\n");
+        co_await Sleep(milliseconds(20));
+        co_await WriteBytes(socket, ResponseTo(id, "done", Framing::kLength, "text/plain"));
+      });
+  UseEndpoint(&relay, endpoint);
+  const auto reply = relay.Send(path);
+  REQUIRE(reply);
+  CHECK(reply.value().status == 502);
+  CHECK(requests == 1);
+}
+
 // Guards against a truncated response that is returned as a complete one, and against a caller that
 // learns only at its deadline that its request has failed.
 TEST_CASE("a response truncated at any byte is never returned as complete", "[relay]") {
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -220,9 +220,13 @@
       classify(200, {{"Request-Id", "9c41"}, {"Response-Stamp", "s"}, {"Content-Encoding", "x"}}) ==
       ResponseKind::kWrongRequest);
   CHECK(classify(500, {{"Request-Id", "9c41"}, {"Response-Stamp", "s"}}) == ResponseKind::kRan);
-  CHECK(classify(503, {{"Not-Executed", "1"}}) == ResponseKind::kNotRun);
+  CHECK(classify(503, {{"Request-Id", "9c41"}, {"Not-Executed", "1"}}) == ResponseKind::kNotRun);
+  CHECK(classify(503, {{"Request-Id", "9c41"}}) == ResponseKind::kRan);
   CHECK(classify(503, {}) == ResponseKind::kRan);
-  CHECK(classify(421, {}) == ResponseKind::kMisdirected);
+  CHECK(classify(421, {{"Request-Id", "9c41"}}) == ResponseKind::kMisdirected);
+  // Without an id it may be a late copy of the refusal of another request.
+  CHECK(classify(503, {{"Not-Executed", "1"}}) == ResponseKind::kWrongRequest);
+  CHECK(classify(421, {}) == ResponseKind::kWrongRequest);
 }
 
 // Guards against a Retry-After of an endpoint that keeps it out of use forever, or is ignored.
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -82,7 +82,9 @@
   RelayFixture relay;
   const auto refusing = [](const std::string& retry_after) -> EndpointBehavior {
     return [retry_after](HttpExchange& exchange) -> Task<void> {
-      HttpHeaders headers{{"Not-Executed", "1"}, {"Retry-After", retry_after}};
+      HttpHeaders headers = StampedHeaders(exchange);
+      headers.back() = {"Not-Executed", "1"};
+      headers.emplace_back("Retry-After", retry_after);
       co_await exchange.Reply(503, std::move(headers), "full");
     };
   };
