Test refusals and single runs with processes that are paused and killed

Change: test refusals runs three gateways and six endpoint stand-ins as processes. 60 callers send orders and streams that must not run again, and repeat them only after a promise. Meanwhile endpoints and gateways are paused, killed, told to stop and restarted, and the store refuses calls, in random series that overlap. The stand-ins write down what they begin to run themselves. Checked: no refused id ran, no id and no order ran twice.

--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -38,11 +38,11 @@
 
 json::object RouteObject(const std::string& prefix, const std::string& kind, int attempts,
                          const std::string& service) {
-  return {{"name", prefix},      {"host", "a.example"},
-          {"prefix", prefix},    {"route-type", kind},
-          {"timeout-ms", 10000}, {"target-latency-ms", 1000},
-          {"gap-aim-ms", 400},   {"max-attempts", attempts},
-          {"service", service},  {"resumable", kind == "streaming"}};
+  const bool resumable = kind == "streaming" && attempts > 1;
+  return {{"name", prefix},        {"host", "a.example"},      {"prefix", prefix},
+          {"route-type", kind},    {"timeout-ms", 10000},      {"target-latency-ms", 1000},
+          {"gap-aim-ms", 400},     {"max-attempts", attempts}, {"service", service},
+          {"resumable", resumable}};
 }
 
 json::object ConfigObject() {
@@ -53,6 +53,7 @@
                       {"loads-per-s", 2},   {"models", json::array{model}}};
   return {{"version", 1},
           {"routes", json::array{RouteObject("/chat/", "streaming", 2, "models"),
+                                 RouteObject("/once/", "streaming", 1, "models"),
                                  RouteObject("/read/", "idempotent", 2, "plain"),
                                  RouteObject("/order/", "non_idempotent", 1, "plain")}},
           {"services", json::array{json::object{{"name", "models"}, {"engine", engine}},
@@ -152,6 +153,8 @@
     flags.emplace_back("--model=m");
     flags.insert(flags.end(), options_.engine_flags.begin(), options_.engine_flags.end());
   }
+  flags.insert(flags.end(), options_.endpoint_flags.begin(), options_.endpoint_flags.end());
+  if (options_.log_runs) flags.push_back("--run_log=" + RunLog());
   endpoint->process =
       std::make_unique<Process>(Program("tests/platform_endpoint_standin"), flags, Log(id), true);
 }
@@ -177,6 +180,22 @@
   }
 }
 
+void PlatformFleet::SignalEndpoint(int index, int signal_number) {
+  const std::lock_guard lock(mutex_);
+  Endpoint& endpoint = endpoints_.at(index);
+  if (endpoint.process != nullptr) endpoint.process->Signal(signal_number);
+}
+
+std::vector<std::pair<std::string, std::string>> PlatformFleet::Runs() const {
+  std::vector<std::pair<std::string, std::string>> runs;
+  std::ifstream file(RunLog());
+  for (std::string line; std::getline(file, line);) {
+    const std::size_t space = line.find(' ');
+    runs.emplace_back(line.substr(0, space), line.substr(space + 1));
+  }
+  return runs;
+}
+
 std::vector<MonotonicTime> PlatformFleet::ExitTimes() const {
   const std::lock_guard lock(mutex_);
   return exit_times_;
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -21,8 +21,11 @@
   int plain_endpoints = 4;
   // Time between the exit of an endpoint and its restart. Nothing listens at its address meanwhile.
   milliseconds restart_time{300};
-  // Added to the command line of each engine.
+  // Added to the command line of each engine, and of each endpoint.
   std::vector<std::string> engine_flags;
+  std::vector<std::string> endpoint_flags;
+  // Whether endpoints add the requests that they run to a file.
+  bool log_runs = false;
 };
 
 // Runs gateways as processes, with stand-ins for the platform: its store, engines that hold the
@@ -48,11 +51,18 @@
   // Makes the store refuse all calls, or accept them again.
   void RefuseStoreCalls(bool refuse);
 
+  // Sends a signal to an endpoint. `index` counts from 0, engines first.
+  void SignalEndpoint(int index, int signal_number);
+  int endpoints() const { return options_.engines + options_.plain_endpoints; }
+
+  // The requests that endpoints began to run: id and body, in order. Precondition: `log_runs`.
+  std::vector<std::pair<std::string, std::string>> Runs() const;
+
   // When endpoints exited, in order.
   std::vector<MonotonicTime> ExitTimes() const;
 
-  // Creates a caller's request to a gateway. The routes are /chat/ (resumable streams), /read/
-  // (idempotent) and /order/ (not idempotent).
+  // Creates a caller's request to a gateway. The routes are /chat/ and /once/ (streams that may and
+  // may not be resumed), /read/ (idempotent) and /order/ (not idempotent).
   HttpCall MakeCall(int gateway, const std::string& target, const std::string& body);
 
  private:
@@ -68,6 +78,7 @@
   void WriteSettings(int index);
   void StartEndpoint(Endpoint* endpoint);
   void RestartEndpoints();
+  std::string RunLog() const { return (directory_ / "runs").string(); }
   std::string Log(const std::string& name) const { return (directory_ / (name + ".log")).string(); }
 
   PlatformFleetOptions options_;
--- a/tests/standins/platform_endpoint_standin.cpp
+++ b/tests/standins/platform_endpoint_standin.cpp
@@ -2,7 +2,9 @@
 // service. It registers itself in the store under a lease and renews that. A request whose body
 // contains "crash" ends the process when it starts to run, like a request that crashes an engine;
 // so does a request whose prompt has a part with an id that begins with "dead".
+#include <fcntl.h>
 #include <gflags/gflags.h>
+#include <unistd.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -23,6 +25,9 @@
 DEFINE_int32(event_gap_ms, 20, "time between two events of a stream");
 DEFINE_int32(start_ms, 20, "time until a request starts to run");
 DEFINE_int32(lapse_ms, 1200, "time to live of the lease");
+DEFINE_int32(max_running, 0, "requests that run at the same time, others wait; 0 for no limit");
+DEFINE_int32(max_waiting, 2, "requests that wait at the same time, others are refused");
+DEFINE_string(run_log, "", "file to which the id and body of each request are added when it runs");
 
 namespace mimosabend::standin {
 
@@ -31,6 +36,8 @@
 namespace {
 
 constexpr int kRenewalsPerLease = 3;
+constexpr milliseconds kSlotPollInterval{2};
+constexpr std::int64_t kDefaultDeadlineMillis = 10000;
 
 class PlatformEndpointStandin {
  public:
@@ -53,12 +60,22 @@
       co_await exchange.Reply(421, std::move(headers), "{}");
       co_return;
     }
+    const bool admitted = co_await WaitForSlot(exchange.request());
+    if (!admitted) {
+      HttpHeaders headers{{"Request-Id", std::string(exchange.request().header("Request-Id"))},
+                          {"Not-Executed", "1"}};
+      co_await exchange.Reply(503, std::move(headers), "");
+      co_return;
+    }
+    ++running_;
+    LogRun(exchange.request());
     co_await Sleep(milliseconds(FLAGS_start_ms));
     const std::string prompt(exchange.request().header("Prompt-Prefix"));
     const bool deadly = exchange.request().body.find("crash") != std::string::npos ||
                         prompt.starts_with("dead") || prompt.find(",dead") != std::string::npos;
     if (deadly) std::_Exit(1);
     co_await Run(&exchange);
+    --running_;
   }
 
   // Registers the endpoint under a new lease, and again whenever the lease expires.
@@ -83,6 +100,29 @@
   void set_address(const Address& address) { address_ = address; }
 
  private:
+  // Waits until the request may run. Returns false if too many wait, or its deadline passes first.
+  Task<bool> WaitForSlot(const HttpRequest& request) {
+    const std::string limit(request.header("Deadline-Ms"));
+    const MonotonicTime deadline =
+        MonotonicNow() + milliseconds(limit.empty() ? kDefaultDeadlineMillis : std::stoll(limit));
+    const auto is_full = [&] { return FLAGS_max_running > 0 && running_ >= FLAGS_max_running; };
+    if (is_full() && waiting_ >= FLAGS_max_waiting) co_return false;
+    ++waiting_;
+    while (is_full() && MonotonicNow() < deadline) co_await Sleep(kSlotPollInterval);
+    --waiting_;
+    co_return !is_full();
+  }
+
+  // Records a run where the test can count it, whatever becomes of the response.
+  static void LogRun(const HttpRequest& request) {
+    if (FLAGS_run_log.empty()) return;
+    const std::string line = std::string(request.header("Request-Id")) + " " + request.body + "\n";
+    const int file = ::open(FLAGS_run_log.c_str(), O_WRONLY | O_APPEND | O_CREAT, 0644);
+    const ssize_t written = ::write(file, line.data(), line.size());
+    if (written != static_cast<ssize_t>(line.size())) std::abort();
+    ::close(file);
+  }
+
   Task<void> RenewUntilExpired(LeaseId lease, milliseconds time_to_live) {
     for (;;) {
       co_await Sleep(time_to_live / kRenewalsPerLease);
@@ -126,6 +166,8 @@
   platform::PlatformStore store_;
   Address address_;
   WallTime started_ = WallNow();
+  int running_ = 0;
+  int waiting_ = 0;
 };
 
 }  // namespace
--- /dev/null
+++ b/tests/test_refusals.cpp
@@ -0,0 +1,227 @@
+#include <signal.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <map>
+#include <random>
+#include <set>
+#include <thread>
+
+#include "platform_fleet.h"
+#include "supervisor.h"
+
+namespace mimosabend::testing {
+
+namespace {
+
+constexpr int kGateways = 3;
+constexpr int kCallers = 60;
+constexpr int kMaxCallerAttempts = 5;
+constexpr milliseconds kTrafficTime{7000};
+// Longer than any pause, so that requests in socket buffers are read before the runs are counted.
+constexpr milliseconds kSettleTime{3000};
+constexpr milliseconds kOrderTimeout{800};
+constexpr int kDefaultSeeds = 2;
+
+std::int64_t FromEnvironment(const char* name, std::int64_t fallback) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? fallback : std::atoll(text);
+}
+
+// Whether a status promises that the request has not run and never will.
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+// What callers were told: the ids of refused requests, and how often each status came.
+struct Answers {
+  std::set<std::string> refused;
+  std::map<int, int> statuses;
+};
+
+// Callers that send orders and streams that must not run again, and repeat them only if they were
+// promised that they have not run. Runs in a thread of its own.
+class Callers {
+ public:
+  Callers(PlatformFleet* fleet, std::uint64_t seed)
+      : fleet_(fleet), random_(seed), client_(io_.get_executor()) {}
+
+  Answers Run() {
+    end_ = MonotonicNow() + kTrafficTime;
+    for (int i = 0; i < kCallers; ++i) {
+      boost::asio::co_spawn(io_, RunCaller(i), boost::asio::detached);
+    }
+    io_.run();
+    return answers_;
+  }
+
+ private:
+  Task<void> RunCaller(int caller) {
+    for (int order = 0; MonotonicNow() < end_; ++order) {
+      const std::string key = std::to_string(caller) + "-" + std::to_string(order);
+      const std::string path = caller % 4 == 0 ? "/once/1" : "/order/1";
+      for (int attempt = 0; attempt < kMaxCallerAttempts; ++attempt) {
+        HttpCall call = fleet_->MakeCall(static_cast<int>(random_() % kGateways), path, key);
+        const std::string id = std::string(FindHeader(call.headers, "Request-Id"));
+        for (auto& [name, value] : call.headers) {
+          if (name == "Deadline-Ms") value = std::to_string(kOrderTimeout.count());
+        }
+        call.deadline = MonotonicNow() + kOrderTimeout + milliseconds(200);
+        auto reply = co_await client_.Call(std::move(call));
+        const int status = reply ? reply.value().status : 0;
+        ++answers_.statuses[status];
+        if (!PromisesNotRun(status)) break;
+        answers_.refused.insert(id);
+        co_await Sleep(milliseconds(random_() % 200));
+      }
+      co_await Sleep(milliseconds(random_() % 60));
+    }
+  }
+
+  PlatformFleet* fleet_;
+  std::mt19937_64 random_;
+  boost::asio::io_context io_{1};
+  HttpClient client_;
+  MonotonicTime end_;
+  Answers answers_;
+};
+
+// Injects faults into the processes of a fleet, in series and overlapping.
+class FaultInjector {
+ public:
+  FaultInjector(PlatformFleet* fleet, std::uint64_t seed) : fleet_(fleet), random_(seed) {}
+
+  void Run(milliseconds time) {
+    const MonotonicTime end = MonotonicNow() + time;
+    while (MonotonicNow() < end) {
+      InjectOne();
+      std::this_thread::sleep_for(milliseconds(Below(400)));
+      ResumePaused(false);
+    }
+    ResumePaused(true);
+    fleet_->RefuseStoreCalls(false);
+  }
+
+ private:
+  // A paused process: its index, and whether it is a gateway.
+  struct Paused {
+    int index = 0;
+    bool is_gateway = false;
+    MonotonicTime until;
+  };
+
+  int Below(int limit) { return static_cast<int>(random_() % limit); }
+
+  void Signal(const Paused& paused, int signal_number) {
+    if (paused.is_gateway) {
+      fleet_->gateway(paused.index).Signal(signal_number);
+    } else {
+      fleet_->SignalEndpoint(paused.index, signal_number);
+    }
+  }
+
+  void Pause(int index, bool is_gateway) {
+    const Paused paused{index, is_gateway, MonotonicNow() + milliseconds(100 + Below(2000))};
+    Signal(paused, SIGSTOP);
+    paused_.push_back(paused);
+  }
+
+  void ResumePaused(bool all) {
+    std::erase_if(paused_, [&](const Paused& paused) {
+      if (!all && MonotonicNow() < paused.until) return false;
+      Signal(paused, SIGCONT);
+      return true;
+    });
+  }
+
+  // Replaces a gateway, which is told to stop or killed.
+  void ReplaceGateway(int index, int signal_number) {
+    std::erase_if(paused_, [&](const Paused& paused) {
+      if (!paused.is_gateway || paused.index != index) return false;
+      Signal(paused, SIGCONT);
+      return true;
+    });
+    fleet_->gateway(index).Signal(signal_number);
+    if (signal_number == SIGTERM && Below(2) == 0) {
+      std::this_thread::sleep_for(milliseconds(Below(1500)));
+      fleet_->gateway(index).Signal(SIGTERM);
+    }
+    fleet_->gateway(index).WaitForExit(seconds(10));
+    fleet_->StartGateway(index);
+  }
+
+  void InjectOne() {
+    switch (Below(8)) {
+      case 0:
+      case 1:
+      case 2:
+        Pause(Below(fleet_->endpoints()), false);
+        break;
+      case 3:
+        Pause(Below(kGateways), true);
+        break;
+      case 4:
+        fleet_->SignalEndpoint(Below(fleet_->endpoints()), SIGKILL);
+        break;
+      case 5:
+        ReplaceGateway(Below(kGateways), SIGTERM);
+        break;
+      case 6:
+        ReplaceGateway(Below(kGateways), SIGKILL);
+        break;
+      default:
+        fleet_->RefuseStoreCalls(Below(2) == 0);
+    }
+  }
+
+  PlatformFleet* fleet_;
+  std::mt19937_64 random_;
+  std::vector<Paused> paused_;
+};
+
+}  // namespace
+
+// Guards against a refusal whose promise is false, and against an order that runs twice, with real
+// processes that are paused, killed, stopped and restarted. The endpoints count what they run.
+TEST_CASE("what was refused has not run, and orders run once", "[refusals]") {
+  const auto first = FromEnvironment("MIMOSABEND_REFUSALS_SEED", 1);
+  const auto count = FromEnvironment("MIMOSABEND_REFUSALS_SEEDS", kDefaultSeeds);
+  for (std::int64_t seed = first; seed < first + count; ++seed) {
+    PlatformFleetOptions options;
+    options.engines = 3;
+    options.plain_endpoints = 3;
+    options.endpoint_flags = {"--max_running=3", "--start_ms=30", "--events=5"};
+    options.log_runs = true;
+    PlatformFleet fleet(options);
+    Answers answers;
+    std::thread callers([&] { answers = Callers(&fleet, static_cast<std::uint64_t>(seed)).Run(); });
+    FaultInjector(&fleet, static_cast<std::uint64_t>(seed) + 1000).Run(kTrafficTime);
+    callers.join();
+    std::this_thread::sleep_for(kSettleTime);
+    std::map<std::string, int> runs_of_id;
+    std::map<std::string, int> runs_of_order;
+    for (const auto& [id, body] : fleet.Runs()) {
+      ++runs_of_id[id];
+      ++runs_of_order[body];
+    }
+    const auto runs_twice = [](const auto& item) { return item.second > 1; };
+    CAPTURE(seed, answers.statuses, runs_of_id.size());
+    CHECK(std::count_if(runs_of_id.begin(), runs_of_id.end(), runs_twice) == 0);
+    CHECK(std::count_if(runs_of_order.begin(), runs_of_order.end(), runs_twice) == 0);
+    CHECK(std::count_if(answers.refused.begin(), answers.refused.end(),
+                        [&](const auto& id) { return runs_of_id.contains(id); }) == 0);
+    CHECK(answers.refused.size() >= 10);
+    CHECK(answers.statuses[200] >= 100);
+    std::string statuses;
+    for (const auto& [status, times] : answers.statuses) {
+      statuses += " " + std::to_string(status) + ":" + std::to_string(times);
+    }
+    WARN("seed " << seed << ", ran " << runs_of_id.size() << ", answers" << statuses);
+  }
+}
+
+}  // namespace mimosabend::testing
