--- a/src/ownership.h
+++ b/src/ownership.h
@@ -50,7 +50,7 @@
   // Releases all groups; returns when all owners have finished.
   Task<void> Stop() {
     stopping_ = true;
-    // Adjust removes finished owners from owners_ while this coroutine waits.
+    // UpdateOwners removes finished owners from owners_ while this coroutine waits.
     const std::map<std::string, std::shared_ptr<Owner>> owners = owners_;
     for (const auto& [group, owner] : owners) owner->Stop();
     for (const auto& [group, owner] : owners) {
--- a/tests/quota_simulation.h
+++ b/tests/quota_simulation.h
@@ -51,8 +51,8 @@
     }
   }
 
-  // Restarts all processes, which takes 500 to 800 ms. A leader is found kSearchTime after the
-  // last.
+  // Restarts all processes, which takes 500 to 800 ms. A leader is found kElectionTime after
+  // the last one.
   void LoseAll() {
     allocator_.Reset(now_ + milliseconds(800) + kElectionTime);
     leader_found_ = now_ + milliseconds(800) + kElectionTime;
