--- a/src/http_client.h
+++ b/src/http_client.h
@@ -56,9 +56,9 @@
   HttpHeaders headers;
   std::string body;
   MonotonicTime deadline;
-  // False if the request needs a connection of its own. On a reused one, the peer may close it while
-  // the request is being sent, and then it is unknown whether the request was executed; or a second
-  // copy of an earlier answer may arrive.
+  // False if the request needs a connection of its own. On a reused one, the peer may close it
+  // while the request is being sent, and then it is unknown whether the request was executed; or a
+  // second copy of an earlier answer may arrive.
   bool reuse_connection = true;
   // Connections that were idle for longer are not reused.
   milliseconds max_idle{10000};
