--- a/src/part_evidence.cpp
+++ b/src/part_evidence.cpp
@@ -175,15 +175,26 @@
   return verdict;
 }
 
-std::optional<MonotonicTime> PartEvidence::ContainedUntil(std::span<const std::uint64_t> parts,
-                                                          MonotonicTime now) const {
-  std::optional<MonotonicTime> until;
+// The parts for which a request with these parts is contained.
+std::vector<const PartEvidence::Culprit*> PartEvidence::CulpritsOf(
+    std::span<const std::uint64_t> parts, MonotonicTime now) const {
+  std::vector<const Culprit*> found;
+  if (culprits_.empty()) return found;
   parts = Limit(parts);
   for (std::uint64_t part : parts) {
     const auto culprit = culprits_.find(part);
-    if (culprit == culprits_.end() || !IsContained(culprit->second, parts, now)) continue;
-    if (now < culprit->second.found_at + kPropagationTime) continue;
-    until = std::max(until.value_or(now), culprit->second.trial_at);
+    if (culprit == culprits_.end()) continue;
+    if (IsContained(culprit->second, parts, now)) found.push_back(&culprit->second);
+  }
+  return found;
+}
+
+std::optional<MonotonicTime> PartEvidence::ContainedUntil(std::span<const std::uint64_t> parts,
+                                                          MonotonicTime now) const {
+  std::optional<MonotonicTime> until;
+  for (const Culprit* culprit : CulpritsOf(parts, now)) {
+    if (now < culprit->found_at + kPropagationTime) continue;
+    until = std::max(until.value_or(now), culprit->trial_at);
   }
   return until;
 }
@@ -191,11 +202,8 @@
 std::optional<MonotonicTime> PartEvidence::HeldUntil(std::span<const std::uint64_t> parts,
                                                      MonotonicTime now) const {
   std::optional<MonotonicTime> until;
-  parts = Limit(parts);
-  for (std::uint64_t part : parts) {
-    const auto culprit = culprits_.find(part);
-    if (culprit == culprits_.end() || !IsContained(culprit->second, parts, now)) continue;
-    const MonotonicTime end = culprit->second.found_at + kPropagationTime;
+  for (const Culprit* culprit : CulpritsOf(parts, now)) {
+    const MonotonicTime end = culprit->found_at + kPropagationTime;
     if (now < end) until = std::max(until.value_or(now), end);
   }
   return until;
@@ -281,9 +289,7 @@
 bool PartEvidence::AddServed(std::uint64_t part, MonotonicTime at) {
   RememberServed(part, at);
   Suspect& suspect = SuspectOf(part);
-  const bool clears = std::any_of(suspect.crashes.begin(), suspect.crashes.end(),
-                                  [&](const auto& crash) { return crash.second.at <= at; });
-  if (suspect.served && !clears) return false;
+  if (suspect.served && !HasCrashUntil(suspect, at)) return false;
   SetServed(part, &suspect, at);
   return true;
 }
--- a/src/part_evidence.h
+++ b/src/part_evidence.h
@@ -58,8 +58,8 @@
   // For a part that was served before its crashes. A part that all requests of a route share is in
   // nearly every crash, and is served again between them.
   static constexpr Threshold kKnownPart{4, 4, 2};
-  // Crashes after the start of a response count for so little: the endpoint had run the request
-  // without a crash until then.
+  // This many crashes after the start of a response count as one before it, since the endpoint had
+  // run the request without a crash until then.
   static constexpr int kStartedCrashesPerCrash = 2;
   // Time within which the records of a crash reach all daemons. A part is not contained before the
   // records of another part in the same crashes can have arrived.
@@ -69,8 +69,8 @@
   // further crash in sequence.
   static constexpr seconds kMinTrialDelay{8};
   static constexpr int kTrialDelayFactor = 4;
-  // A part that was never served is tried again only after kMaxTrialDelay once it has crashed this
-  // many endpoints.
+  // A part that was never served is tried again only after kMaxTrialDelay if it has crashed more
+  // endpoints than this.
   static constexpr std::size_t kMaxEarlyTrialCrashes = 4;
   static constexpr seconds kMaxTrialDelay{1800};
   static constexpr std::size_t kMaxSuspects = 1024;
@@ -110,8 +110,8 @@
   std::optional<MonotonicTime> HeldUntil(std::span<const std::uint64_t> parts,
                                          MonotonicTime now) const;
 
-  // A request with these parts is about to be sent. Until its outcome is known, this daemon sends
-  // no other one with a part that is on trial.
+  // A request with these parts is about to be sent. If that is a trial of a contained part, this
+  // daemon sends no other request with the part until the next trial is due.
   void BeginTrial(std::span<const std::uint64_t> parts, MonotonicTime now);
 
   // Returns at most kMaxRecords records that were added after a position of the log, and sets
@@ -183,6 +183,8 @@
   std::map<std::uint64_t, Culprit> FindCulprits(MonotonicTime now) const;
   void UpdateCulprits(MonotonicTime now);
   MonotonicTime TrialTime(std::uint64_t part, const Suspect& suspect) const;
+  std::vector<const Culprit*> CulpritsOf(std::span<const std::uint64_t> parts,
+                                         MonotonicTime now) const;
   static bool IsContained(const Culprit& culprit, std::span<const std::uint64_t> parts,
                           MonotonicTime now);
   static bool HasCrashUntil(const Suspect& suspect, MonotonicTime at);
