--- a/tests/test_containment_parts.cpp
+++ b/tests/test_containment_parts.cpp
@@ -82,8 +82,7 @@
   for (int gateway : {0, 1, 2}) {
     CHECK(IsServed(CallOne(MakeStream(&fleet, gateway, kSoundParts))));
   }
-  const SoundRequests sound =
-      SendDeadly(&fleet, {0, 1, 2}, milliseconds(12000), milliseconds(2 * kContactTime));
+  const SoundRequests sound = SendDeadly(&fleet, {0, 1, 2}, milliseconds(12000), 2 * kContactTime);
   CAPTURE(fleet.ExitTimes().size(), sound.sent, sound.served);
   CHECK(LateEnds(fleet.ExitTimes()) <= kMaxAttemptsAfterwards);
   CHECK(sound.sent >= 20);
