--- a/src/relay_containment.cpp
+++ b/src/relay_containment.cpp
@@ -13,7 +13,8 @@
 Task<void> RelayHandler::HandleIncompleteResponse(ContextPtr context, FleetEndpoint endpoint,
                                                   HttpError error) {
   const MonotonicTime now = MonotonicNow();
-  CrashedRun run{context->fingerprint, context->response_started, context->sent_at, context->parts};
+  const CrashedRun run{context->fingerprint, context->response_started, context->sent_at,
+                       context->parts};
   deps_.prober->RecordBreak(endpoint, run, now);
   if (context->caller_gone) co_return;
   deps_.metrics->endpoint_breaks_total->Increment();
--- a/tests/containment_simulation.h
+++ b/tests/containment_simulation.h
@@ -36,7 +36,7 @@
   bool relay_dies = false;
   // One daemon exchanges no messages for some seconds.
   bool cut = false;
-  // A tenth of the engines crash at the same time for another reason, twice.
+  // Half of the engines crash at the same time for another reason, twice.
   bool mass_crash = false;
 };
 
