--- a/review/common/harness.cpp
+++ b/review/common/harness.cpp
@@ -220,6 +220,7 @@
 bool Connection::ReadHead(std::string* start, Message* message, double deadline) {
   *message = Message();
   if (!ReadLine(start, deadline)) return false;
+  last_start_ = *start;
   std::string line;
   for (;;) {
     if (!ReadLine(&line, deadline)) return false;
@@ -807,7 +808,7 @@
 }
 
 std::string Configuration(const std::vector<std::string>& routes,
-                          const std::vector<std::string>& models) {
+                          const std::vector<std::string>& models, int version) {
   json::array route_list;
   for (const std::string& route : routes) route_list.push_back(json::parse(route));
   json::array model_list;
@@ -824,7 +825,7 @@
                             {"adapter-slots", 8},  {"loads-per-s", 2.1},    {"pin-ms", 4000},
                             {"models", model_list}};
   const json::object configuration{
-      {"version", 3},
+      {"version", version},
       {"routes", route_list},
       {"services",
        json::array{json::object{{"name", "models"},
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -67,6 +67,8 @@
   // Ends the connection from this side, properly or with a reset.
   void Close();
   void Reset();
+  // The line at which the last head began, also if it was no head.
+  const std::string& LastStart() const { return last_start_; }
   // Whether the peer has closed or reset the connection.
   bool PeerHasClosed() const;
 
@@ -79,6 +81,7 @@
 
   int socket_;
   std::string buffer_;
+  std::string last_start_;
   bool ended_ = false;
 };
 
@@ -237,7 +240,7 @@
 // The operator's configuration: `routes`, the service "models" with an engine that has these
 // models, and the service "plain".
 std::string Configuration(const std::vector<std::string>& routes,
-                          const std::vector<std::string>& models);
+                          const std::vector<std::string>& models, int version = 3);
 
 // Ends the gateways and the driver. Exit codes: 1 if the rule was broken, 0 if it held, 2 if the
 // case could not run.
