--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -81,8 +81,8 @@
                            {{"Deadline-Ms", "15000"},
                             {"Model", "m1"},
                             {"Token-Count", "9190,50"},
-                            {"Prompt-Prefix", "aa:6300,b" + outcome->id + ":2890"}},
-                           "prompt"));
+                            {"Prompt-Prefix", "aa:6300,b" + outcome->id.substr(9) + ":2890"}},
+                           "prompt of " + outcome->id));
   Message answer;
   if (connection->ReadResponseHead(&answer, deadline)) {
     outcome->status = answer.status;
--- a/review/common/harness.cpp
+++ b/review/common/harness.cpp
@@ -148,7 +148,7 @@
 }
 
 Connection::~Connection() {
-  if (socket_ >= 0) ::close(socket_);
+  if (owned_ && socket_ >= 0) ::close(socket_);
 }
 
 std::unique_ptr<Connection> Connection::Open(const std::string& address, double deadline) {
@@ -273,16 +273,7 @@
   return ended_;
 }
 
-void Connection::Close() {
-  ::close(socket_);
-  socket_ = -1;
-}
-
-void Connection::Reset() {
-  const linger at_once{1, 0};
-  ::setsockopt(socket_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-  Close();
-}
+void Connection::Close() { ::shutdown(socket_, SHUT_RDWR); }
 
 bool Connection::PeerHasClosed() const {
   char byte;
@@ -290,9 +281,16 @@
   return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-Listener::Listener(const std::string& ip, std::function<void(Connection*)> serve) {
+Listener::Listener(const std::string& ip, std::function<void(Connection*)> serve)
+    : serve_(std::move(serve)), address_(ip + ":0") {
+  Open();
+}
+
+void Listener::Open() {
   const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in own = ParseAddress(ip + ":0");
+  const int on = 1;
+  ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in own = ParseAddress(address_);
   if (::bind(socket, reinterpret_cast<const sockaddr*>(&own), sizeof own) != 0 ||
       ::listen(socket, 512) != 0) {
     std::perror("listen");
@@ -300,22 +298,47 @@
   }
   socklen_t size = sizeof own;
   ::getsockname(socket, reinterpret_cast<sockaddr*>(&own), &size);
-  address_ = ip + ":" + std::to_string(ntohs(own.sin_port));
-  std::thread([socket, serve = std::move(serve)] {
-    for (;;) {
-      const int accepted = ::accept4(socket, nullptr, nullptr, SOCK_CLOEXEC);
-      if (accepted < 0) {
-        SleepFor(0.01);
-        continue;
-      }
-      const int on = 1;
-      ::setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-      std::thread([accepted, serve] {
-        Connection connection(accepted);
-        serve(&connection);
-      }).detach();
+  address_ = address_.substr(0, address_.find(':') + 1) + std::to_string(ntohs(own.sin_port));
+  {
+    const std::lock_guard lock(mutex_);
+    socket_ = socket;
+  }
+  std::thread([this, socket] { Accept(socket); }).detach();
+}
+
+void Listener::Accept(int socket) {
+  for (;;) {
+    const int accepted = ::accept4(socket, nullptr, nullptr, SOCK_CLOEXEC);
+    const std::lock_guard lock(mutex_);
+    if (socket_ != socket) {
+      if (accepted >= 0) ::close(accepted);
+      ::close(socket);
+      return;
     }
-  }).detach();
+    if (accepted < 0) continue;
+    const int on = 1;
+    ::setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    connections_.insert(accepted);
+    std::thread([this, accepted] { Handle(accepted); }).detach();
+  }
+}
+
+void Listener::Handle(int socket) {
+  {
+    Connection connection(socket, false);
+    serve_(&connection);
+  }
+  const std::lock_guard lock(mutex_);
+  connections_.erase(socket);
+  ::close(socket);
+}
+
+void Listener::Break() {
+  const std::lock_guard lock(mutex_);
+  // Ends the wait in Accept, which closes the socket.
+  ::shutdown(socket_, SHUT_RDWR);
+  socket_ = -1;
+  for (const int connection : connections_) ::shutdown(connection, SHUT_RDWR);
 }
 
 std::string Response(int status, const std::vector<std::pair<std::string, std::string>>& headers,
@@ -572,18 +595,57 @@
 void Replica::Register() {
   std::string written;
   for (;;) {
-    std::string description;
     {
       const std::lock_guard lock(mutex_);
       FinishOrders();
-      description = DescriptionLocked(true);
+      const std::string description = DescriptionLocked(true);
+      if (!down_ && description != written) store_->Put("servers/" + options_.id, description);
+      written = description;
     }
-    if (description != written) store_->Put("servers/" + options_.id, description);
-    written = description;
     SleepFor(kHeartbeat);
   }
 }
 
+void Replica::Crash(double down_s) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (down_) return;
+    down_ = true;
+    Log("replica " + options_.id + " crashes");
+  }
+  listener_->Break();
+  std::thread([this, down_s] { Restart(down_s); }).detach();
+}
+
+void Replica::Restart(double down_s) {
+  SleepFor(down_s);
+  // Three heartbeats of silence.
+  std::thread([this, key = "servers/" + options_.id, wait = 3 * kHeartbeat - down_s] {
+    SleepFor(wait);
+    store_->Remove(key);
+  }).detach();
+  {
+    const std::lock_guard lock(mutex_);
+    ++starts_;
+    options_.id = options_.id.substr(0, options_.id.find('.')) + "." + std::to_string(starts_);
+    for (const std::string& model : options_.models) {
+      const auto& disk = options_.on_disk;
+      if (std::find(disk.begin(), disk.end(), model) == disk.end()) {
+        options_.on_disk.push_back(model);
+      }
+    }
+    options_.models.clear();
+    loading_.clear();
+    sequence_ = 0;
+    fence_ = 0;
+    busy_until_ = 0;
+    born_ = UnixMillis();
+    down_ = false;
+    store_->Put("servers/" + options_.id, DescriptionLocked(true));
+  }
+  listener_->Open();
+}
+
 std::string Replica::Report() {
   const std::lock_guard lock(mutex_);
   FinishOrders();
@@ -627,7 +689,12 @@
   while (connection->ReadRequest(&request, Now() + 3600)) {
     const std::string id = request.Header("Request-Id");
     const std::string expected = request.Header("Expect-Instance");
-    if (!expected.empty() && expected != options_.id) {
+    bool other = false;
+    {
+      const std::lock_guard lock(mutex_);
+      other = !expected.empty() && expected != options_.id;
+    }
+    if (other) {
       if (!connection->Send(Response(421, {{"Request-Id", id}}, ""))) return;
       continue;
     }
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -48,7 +49,7 @@
 // A TCP connection. Reads time out at a time of Now().
 class Connection {
  public:
-  explicit Connection(int socket) : socket_(socket) {}
+  explicit Connection(int socket, bool owned = true) : socket_(socket), owned_(owned) {}
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
   ~Connection();
@@ -64,9 +65,8 @@
   // Reads the body of a response, also one that has no length. False if it is incomplete. What was
   // read is in `body` in either case.
   bool ReadResponseBody(Message* message, double deadline);
-  // Ends the connection from this side, properly or with a reset.
+  // Ends the connection from this side.
   void Close();
-  void Reset();
   // The line at which the last head began, also if it was no head.
   const std::string& LastStart() const { return last_start_; }
   // Whether the peer has closed or reset the connection.
@@ -80,6 +80,8 @@
   bool ReadChunks(std::string* body, double deadline);
 
   int socket_;
+  // Whether the destructor closes the socket.
+  bool owned_;
   std::string buffer_;
   std::string last_start_;
   bool ended_ = false;
@@ -90,9 +92,19 @@
  public:
   Listener(const std::string& ip, std::function<void(Connection*)> serve);
   const std::string& address() const { return address_; }
+  // Ends all connections and refuses new ones, as when a process ends, until Open.
+  void Break();
+  void Open();
 
  private:
+  void Accept(int socket);
+  void Handle(int socket);
+
+  std::function<void(Connection*)> serve_;
   std::string address_;
+  std::mutex mutex_;
+  int socket_ = -1;
+  std::set<int> connections_;
 };
 
 std::string Response(int status, const std::vector<std::pair<std::string, std::string>>& headers,
@@ -168,8 +180,12 @@
   Replica(Store* store, Options options, Handler run);
   const std::string& id() const { return options_.id; }
   const std::string& address() const { return listener_->address(); }
+  // Ends like a process that crashes, and starts again `down_s` later: with a new id, empty, with
+  // its models on its disk. Returns at once.
+  void Crash(double down_s);
 
  private:
+  void Restart(double down_s);
   void Serve(Connection* connection);
   void Register();
   std::string Report();
@@ -186,6 +202,8 @@
   std::string loading_;
   double busy_until_ = 0;
   std::int64_t born_ = 0;
+  int starts_ = 0;
+  bool down_ = false;
   std::unique_ptr<Listener> listener_;
 };
 
