--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -20,7 +20,7 @@
 // The replica preempts the request for so long in the middle of its stream.
 constexpr double kPause = 3.5;
 constexpr double kGraceSeconds = 8;
-constexpr int kStreams = 2;
+constexpr int kStreams = 1;
 
 // Times of Now(): when the replicas are full, and when SIGTERM was sent.
 double full_from = 1e9;
