--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,4 +1,6 @@
-// HEAD requests on kept connections, and a configuration that removes their route. See claim.txt.
+// Prompts with a deadly part behind many others. See claim.txt.
+#include <cstdio>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -11,93 +13,166 @@
 
 namespace {
 
-constexpr int kClients = 6;
-constexpr double kChangeAt = 3;
-constexpr double kPlayTime = 10;
-constexpr double kPause = 0.2;
+constexpr int kReplicas = 12;
+constexpr int kGateways = 3;
+constexpr int kSharedParts = 68;
+// The deadly part stands behind so many others.
+constexpr int kPartsBeforeDeadly = 66;
+constexpr double kContact = 3;
+constexpr double kDownTime = 3;
+constexpr double kCalmTime = 6;
+constexpr double kPlayTime = 60;
+constexpr double kDeadlyPeriod = 2;
+constexpr double kSoundPeriod = 0.15;
+constexpr int kEvents = 10;
 
-struct Totals {
-  std::mutex mutex;
-  int heads = 0;
-  int gets = 0;
-  int wrong = 0;
+std::mutex totals_mutex;
+std::vector<double> crashes;
+std::vector<double> deadly_arrivals;
+int sound_whole = 0;
+
+// A sound request, and whether a replica began to answer it.
+struct Sound {
+  double sent_at = 0;
+  bool begun = false;
 };
 
-// Answers GET and HEAD alike, but HEAD without the body, as HTTP/1.1 asks.
-void RunRead(const std::string& name, Connection* connection, const Message& request) {
+std::map<std::string, Sound> sound;
+
+// Sound requests sent in a time, and how many of them were begun.
+struct Share {
+  int sent = 0;
+  int begun = 0;
+
+  double value() const { return sent == 0 ? 0 : static_cast<double>(begun) / sent; }
+  std::string text() const { return std::to_string(begun) + " of " + std::to_string(sent); }
+};
+
+Share BegunBetween(double from, double to) {
+  Share share;
+  for (const auto& [id, request] : sound) {
+    if (request.sent_at < from || request.sent_at >= to) continue;
+    ++share.sent;
+    if (request.begun) ++share.begun;
+  }
+  return share;
+}
+
+std::string Prompt(bool deadly, const std::string& id) {
+  std::string prompt;
+  for (int i = 0; i < kSharedParts; ++i) {
+    if (deadly && i == kPartsBeforeDeadly) prompt += "dead01:40,";
+    char part[32];
+    std::snprintf(part, sizeof part, "c%02x:90,", i);
+    prompt += part;
+  }
+  return prompt + "b" + id.substr(id.size() - 7) + ":400";
+}
+
+void RunStream(Replica* replica, const std::string& name, Connection* connection,
+               const Message& request) {
   const std::string id = request.Header("Request-Id");
-  Log("replica " + name + " runs " + request.method + " " + request.target + " " + id);
-  std::string answer = Response(200, {{"Request-Id", id}, {"Response-Stamp", name}},
-                                "order " + id + " is on its way");
-  if (request.method == "HEAD") answer.erase(answer.find("\r\n\r\n") + 4);
-  connection->Send(answer);
+  const std::string last = request.Header("Last-Event-Id");
+  const bool deadly = request.Header("Prompt-Prefix").find("dead01") != std::string::npos;
+  if (deadly) {
+    Log("replica " + name + " gets the deadly request " + id);
+    {
+      const std::lock_guard lock(totals_mutex);
+      deadly_arrivals.push_back(Now());
+      crashes.push_back(Now());
+    }
+    replica->Crash(kDownTime);
+    return;
+  }
+  {
+    const std::lock_guard lock(totals_mutex);
+    sound[id].begun = true;
+  }
+  Log("replica " + name + " runs the sound request " + id);
+  connection->Send("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Stamp: " + name +
+                   "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (int event = last.empty() ? 1 : std::stoi(last) + 1; event <= kEvents; ++event) {
+    SleepFor(0.03);
+    const std::string data = "id: " + std::to_string(event) + "\ndata: e\n\n";
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", data.size());
+    if (connection->PeerHasClosed() || !connection->Send(size + data + "\r\n")) return;
+  }
+  connection->Send("0\r\n\r\n");
 }
 
-// Sends HEAD and GET in turn on one connection until it ends.
-void AskOnConnection(const std::string& front, double end, Totals* totals) {
+void Ask(const std::string& front, bool deadly) {
+  const std::string id = NewId();
   auto connection = Connection::Open(front, Now() + 1);
-  while (connection != nullptr && Now() < end) {
-    const std::string head_id = NewId();
-    Message answer;
-    connection->Send("HEAD /status/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + head_id +
-                     "\r\nDeadline-Ms: 800\r\n\r\n");
-    // An answer to HEAD ends with its head, whatever length that names.
-    if (!connection->ReadResponseHead(&answer, Now() + 2)) return;
-    const int head_status = answer.status;
-    SleepFor(kPause);
-    const std::string get_id = NewId();
-    connection->Send("GET /read/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + get_id +
-                     "\r\nDeadline-Ms: 800\r\n\r\n");
-    const bool is_answer = connection->ReadResponseHead(&answer, Now() + 2);
-    const bool whole = is_answer && connection->ReadResponseBody(&answer, Now() + 2);
-    const bool right =
-        whole && answer.status == 200 && answer.body == "order " + get_id + " is on its way";
-    Log("client: HEAD " + head_id + " got " + std::to_string(head_status) + ", GET " + get_id +
-        (right ? " got its answer"
-               : " got bytes that are no answer, beginning \"" +
-                     connection->LastStart().substr(0, 60) + "\""));
-    const std::lock_guard lock(totals->mutex);
-    ++totals->heads;
-    ++totals->gets;
-    if (!right) ++totals->wrong;
-    if (!right) return;
-    SleepFor(kPause);
+  if (connection == nullptr) return;
+  const double limit = Now() + 5;
+  if (!deadly) {
+    const std::lock_guard lock(totals_mutex);
+    sound[id].sent_at = Now();
   }
+  connection->Send(Request(id, "POST", "/chat/x",
+                           {{"Deadline-Ms", "5000"},
+                            {"Model", "m1"},
+                            {"Token-Count", "6500,50"},
+                            {"Prompt-Prefix", Prompt(deadly, id)}},
+                           "prompt of " + id));
+  Message answer;
+  const bool whole = connection->ReadResponseHead(&answer, limit) &&
+                     connection->ReadResponseBody(&answer, limit) && answer.status == 200;
+  Log("client: " + std::string(deadly ? "deadly" : "sound") + " request " + id + " got " +
+      std::to_string(answer.status) + (whole ? ", whole" : ", not whole"));
+  const std::lock_guard lock(totals_mutex);
+  if (deadly) return;
+  if (whole) ++sound_whole;
 }
 
 [[noreturn]] void Play(const std::string& root) {
   Store store;
-  const std::string read = Route("/read/", "idempotent", "plain", 2, 800, 120, 0, false);
-  const std::string status = Route("/status/", "idempotent", "plain", 2, 800, 120, 0, false);
-  store.Put("op/config", Configuration({read, status}, {}, 3));
-  std::vector<std::unique_ptr<Replica>> replicas;
-  for (const std::string name : {"i-one", "i-two", "i-three"}) {
-    replicas.push_back(
-        std::make_unique<Replica>(&store, Replica::Options{name, "plain", "nordeste-a", {}, {}, 0},
-                                  [name](Connection* connection, const Message& request) {
-                                    RunRead(name, connection, request);
-                                  }));
+  store.Put(
+      "op/config",
+      Configuration({Route("/chat/", "streaming", "models", 2, 5000, 800, 400, true)}, {"m1"}));
+  std::vector<std::unique_ptr<Replica>> replicas(kReplicas);
+  for (int i = 0; i < kReplicas; ++i) {
+    const std::string name = "i" + std::to_string(i);
+    std::unique_ptr<Replica>& slot = replicas[i];
+    slot = std::make_unique<Replica>(
+        &store, Replica::Options{name, "models", "nordeste-a", {"m1"}, {}, 0.76},
+        [&slot, name](Connection* connection, const Message& request) {
+          RunStream(slot.get(), name, connection, request);
+        });
   }
-  Fleet fleet(root, store.address(), 3);
+  Fleet fleet(root, store.address(), kGateways);
   if (!fleet.WaitUntilReady(15)) GiveUp(&fleet, "gateways are not ready");
   SleepFor(4);
-  Totals totals;
-  const double end = Now() + kPlayTime;
-  std::vector<std::thread> clients;
-  for (int i = 0; i < kClients; ++i) {
-    clients.emplace_back([&, i] {
-      while (Now() < end) AskOnConnection(fleet.front(i % 3), end, &totals);
-    });
+  const double deadly_from = Now() + kCalmTime;
+  const double end = deadly_from + kPlayTime;
+  double next_deadly = deadly_from;
+  for (int turn = 0; Now() < end; ++turn) {
+    const std::string front = fleet.front(turn % kGateways);
+    const bool deadly = TroubleIsOn() && Now() >= next_deadly;
+    if (deadly) next_deadly += kDeadlyPeriod;
+    std::thread([front, deadly] { Ask(front, deadly); }).detach();
+    SleepFor(kSoundPeriod);
   }
-  SleepFor(kChangeAt);
-  if (TroubleIsOn()) {
-    Log("operator writes a configuration without the route /status/");
-    store.Put("op/config", Configuration({read}, {}, 9));
+  SleepFor(6);
+  const std::lock_guard lock(totals_mutex);
+  const bool crashed = crashes.size() >= 5;
+  const double fifth = crashed ? crashes[4] : deadly_from;
+  int late = 0;
+  for (const double arrival : deadly_arrivals) {
+    if (crashed && arrival > fifth + kContact) ++late;
   }
-  for (std::thread& client : clients) client.join();
-  Finish(&fleet, totals.wrong > 0,
-         std::to_string(totals.wrong) + " of " + std::to_string(totals.gets) +
-             " requests got bytes that are no answer in the protocol");
+  const Share calm = BegunBetween(0, deadly_from);
+  const Share after = BegunBetween(fifth + 2 * kContact, end);
+  const bool lost = calm.sent >= 20 && after.sent >= 20 && after.value() < calm.value() / 2;
+  Log("LOST is " + std::string(lost ? "broken" : "kept") + ": sound requests were begun in " +
+      calm.text() + " cases before, and in " + after.text() +
+      " later than 2 x contact-ms after the fifth crash; " + std::to_string(sound_whole) + " of " +
+      std::to_string(sound.size()) + " were answered whole in all");
+  Finish(&fleet, late > 3,
+         std::to_string(crashes.size()) + " replicas crashed, " + std::to_string(late) +
+             " requests with the part reached replicas later than contact-ms after the fifth "
+             "crash (BUDGET allows 3)");
 }
 
 }  // namespace
