--- a/review/build.sh
+++ b/review/build.sh
@@ -4,8 +4,14 @@
 cd "$(dirname "$0")"
 mkdir -p bin
 flags=(-std=c++20 -O1 -g -Wall -Wextra -pthread)
-g++ "${flags[@]}" -c common/harness.cpp -o bin/harness.o
+objects=()
+for source in common/*.cpp; do
+  object=bin/$(basename "$source" .cpp).o
+  g++ "${flags[@]}" -c "$source" -o "$object" &
+  objects+=("$object")
+done
+wait
 for source in */case.cpp; do
   name=${source%/case.cpp}
-  g++ "${flags[@]}" "$source" bin/harness.o -lboost_json -o "bin/case$name"
+  g++ "${flags[@]}" "$source" "${objects[@]}" -lboost_json -o "bin/case$name"
 done
