--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -53,16 +53,19 @@
   return false;
 }
 
+[[noreturn]] void Run(const std::string& root, const std::string& folder) {
+  BeginRecord(folder);
+  OrderDay day(root, kGateways, SendAnswer);
+  day.Play(kClients, kPause, kPlayTime);
+  day.End(std::to_string(spoilt) + " of " + std::to_string(answers) +
+          " answers of the faulty replica spoilt");
+}
+
 }  // namespace
 
 }  // namespace mimosabend::review
 
 int main(int argc, char** argv) {
-  using namespace mimosabend::review;
   if (argc != 3) return 2;
-  BeginRecord(argv[2]);
-  OrderDay day(argv[1], kGateways, SendAnswer);
-  day.Play(kClients, kPause, kPlayTime);
-  day.End(std::to_string(spoilt) + " of " + std::to_string(answers) +
-          " answers of the faulty replica spoilt");
+  mimosabend::review::Run(argv[1], argv[2]);
 }
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -57,15 +57,9 @@
   }
 }
 
-}  // namespace
-
-}  // namespace mimosabend::review
-
-int main(int argc, char** argv) {
-  using namespace mimosabend::review;
-  if (argc != 3) return 2;
-  BeginRecord(argv[2]);
-  OrderDay day(argv[1], kGateways, SendAnswer);
+[[noreturn]] void Run(const std::string& root, const std::string& folder) {
+  BeginRecord(folder);
+  OrderDay day(root, kGateways, SendAnswer);
   const double end = Now() + kPlayTime;
   std::thread slow([&day, end] { RunSlowClients(&day.fleet(), end); });
   day.Play(kClients, kPause, kPlayTime);
@@ -73,3 +67,12 @@
   day.End(std::to_string(slow_answers) + " of " + std::to_string(slow_orders) +
           " orders over the slow link answered");
 }
+
+}  // namespace
+
+}  // namespace mimosabend::review
+
+int main(int argc, char** argv) {
+  if (argc != 3) return 2;
+  mimosabend::review::Run(argv[1], argv[2]);
+}
