--- a/review/common/harness.cpp
+++ b/review/common/harness.cpp
@@ -7,6 +7,7 @@
 #include <poll.h>
 #include <strings.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -789,6 +790,9 @@
   if (process == 0) {
     // It must not outlive the driver, however that ends.
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    // One that aborts leaves no core file behind.
+    const rlimit no_core{0, 0};
+    ::setrlimit(RLIMIT_CORE, &no_core);
     const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(output, 1);
     ::dup2(output, 2);
