--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,5 +1,6 @@
 // A replica whose answers don't end: what follows the last chunk goes on. See claim.txt.
 #include <atomic>
+#include <cmath>
 #include <cstdio>
 #include <string>
 
@@ -13,7 +14,10 @@
 constexpr int kClients = 12;
 constexpr double kPause = 0.2;
 constexpr double kPlayTime = 75;
-// One answer in so many of the faulty replica is spoilt: 3%.
+// The disruption lasts five seconds and comes again five seconds later. One answer in so many of
+// the faulty replica is spoilt meanwhile: 3%.
+constexpr double kDisruption = 5;
+constexpr double kPeriod = 10;
 constexpr int kAnswersPerSpoiltOne = 33;
 constexpr std::size_t kLineBytes = 70000;
 // The caller should have closed the connection by then.
@@ -39,7 +43,7 @@
   const std::string answer = "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
                              "\r\nResponse-Stamp: " + replica +
                              "\r\nTransfer-Encoding: chunked\r\n\r\n" + size + body + "\r\n0\r\n";
-  const bool faulty = replica == "i-one";
+  const bool faulty = replica == "i-one" && std::fmod(Now(), kPeriod) < kDisruption;
   const bool due = faulty && ++answers % kAnswersPerSpoiltOne == 0;
   const bool spoil = due && TroubleIsOn();
   if (!spoil) {
@@ -58,7 +62,7 @@
   OrderDay day(root, kGateways, SendAnswer);
   day.Play(kClients, kPause, kPlayTime);
   day.End(std::to_string(spoilt) + " of " + std::to_string(answers) +
-          " answers of the faulty replica spoilt");
+          " answers of the faulty replica in that time spoilt");
 }
 
 }  // namespace
