Limit what surrounds a chunked body, and fail one message instead of the process

Cause: no limit covered the size lines, chunk extensions and trailers of a body in chunks, in either direction. The HTTP parser throws std::length_error for such a field. It ran in a completion handler of the library's composed read, outside of the coroutine that waited for it, so nothing could catch the exception and io.run ended the process. Requests of callers took the same way, and their read buffer had no limit at all.

Change: HttpReader reads the messages of both sides. It calls the parser in the reading coroutine, turns what the parser throws into an error of that message, and limits framing to 16 KiB per line or trailer section (callers: the configured header size) and to 16 bytes for each byte of the body. Trailers no longer count as headers. Malformed and oversized messages have their own errors, log lines and the counters invalid_responses_total and invalid_requests_total.

Tests: "the framing of a request without end", "the framing of a response without end", "a trailer is not taken for a header" (test http_messages), and two more cases of "an unbounded response is cut off at a limit". All pass now.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -476,6 +476,7 @@
   std::uint64_t errors = 0;
   std::uint64_t connections = 0;
   std::uint64_t dropped_lines = 0;
+  std::uint64_t rejected = 0;
   for (;;) {
     relay_metrics_.store_calls_total->Increment(static_cast<double>(store_.calls() - calls));
     relay_metrics_.store_errors_total->Increment(static_cast<double>(store_.errors() - errors));
@@ -483,6 +484,9 @@
         static_cast<double>(endpoint_client_.connections_opened() - connections));
     relay_metrics_.log_lines_dropped_total->Increment(
         static_cast<double>(BoundedAppender::dropped_lines_total() - dropped_lines));
+    relay_metrics_.invalid_requests_total->Increment(
+        static_cast<double>(caller_server_.rejected_requests() - rejected));
+    rejected = caller_server_.rejected_requests();
     dropped_lines = BoundedAppender::dropped_lines_total();
     calls = store_.calls();
     errors = store_.errors();
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -9,6 +9,8 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 
+#include "http_reader.h"
+
 namespace mimosabend {
 
 namespace asio = boost::asio;
@@ -24,13 +26,26 @@
 constexpr std::size_t kReadBytes = 16 * 1024;
 constexpr std::uint64_t kMaxBodyBytes = 8 * 1024 * 1024;
 constexpr std::uint32_t kMaxHeaderBytes = 32 * 1024;
-// Bounds input that the parser does not limit, such as an endless chunk-size line.
-constexpr std::size_t kMaxBufferBytes = 256 * 1024;
+// Longest size line of a chunk with its extensions, and longest trailers.
+constexpr std::size_t kMaxFramingBytes = 16 * 1024;
+
+HttpError TranslateWriteError(const boost::system::error_code& error) {
+  return error == beast::error::timeout ? HttpError::kTimedOut : HttpError::kBroken;
+}
 
-HttpError TranslateError(const boost::system::error_code& error) {
-  if (error == beast::error::timeout) return HttpError::kTimedOut;
-  if (error == http::error::body_limit || error == http::error::header_limit) {
-    return HttpError::kTooLarge;
+HttpError TranslateReadError(HttpReadError error) {
+  switch (error) {
+    case HttpReadError::kTimedOut:
+      return HttpError::kTimedOut;
+    case HttpReadError::kHeaderTooLarge:
+    case HttpReadError::kBodyTooLarge:
+    case HttpReadError::kFramingTooLarge:
+      return HttpError::kTooLarge;
+    case HttpReadError::kMalformed:
+      return HttpError::kMalformed;
+    case HttpReadError::kClosed:
+    case HttpReadError::kBroken:
+      break;
   }
   return HttpError::kBroken;
 }
@@ -106,12 +121,12 @@
 
   // True if the response was read to its end, allows keep-alive, and no bytes followed it.
   bool IsReusable() const {
-    return parser && parser->is_done() && parser->get().keep_alive() && buffer.size() == 0;
+    return parser && parser->is_done() && parser->get().keep_alive() && reader.empty();
   }
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer{kMaxBufferBytes};
-  std::optional<http::response_parser<http::buffer_body>> parser;
+  HttpReader reader{kMaxFramingBytes};
+  std::optional<HttpResponseParser> parser;
   MonotonicTime idle_since;
   // How long the peer keeps the connection open while idle.
   milliseconds peer_idle_timeout{kMaxIdleTimeout};
@@ -156,12 +171,8 @@
     parser.get().body().data = bytes.data();
     parser.get().body().size = bytes.size();
     connection_->stream.expires_at(deadline);
-    boost::system::error_code error;
-    co_await http::async_read_some(connection_->stream, connection_->buffer, parser,
-                                   asio::redirect_error(asio::use_awaitable, error));
-    if (error && error != http::error::need_buffer) {
-      co_return outcome::failure(TranslateError(error));
-    }
+    auto read = co_await connection_->reader.ReadSome(&connection_->stream, &parser);
+    if (!read) co_return outcome::failure(TranslateReadError(read.error()));
     bytes.resize(kReadBytes - parser.get().body().size);
   }
   co_return bytes;
@@ -260,14 +271,13 @@
   connection->stream.expires_at(call.deadline);
   co_await http::async_write(connection->stream, request,
                              asio::redirect_error(asio::use_awaitable, error));
-  if (error) co_return outcome::failure(TranslateError(error));
+  if (error) co_return outcome::failure(TranslateWriteError(error));
   connection->parser.emplace();
   connection->parser->header_limit(kMaxHeaderBytes);
   connection->parser->body_limit(boost::none);
   if (call.method == "HEAD") connection->parser->skip(true);
-  co_await http::async_read_header(connection->stream, connection->buffer, *connection->parser,
-                                   asio::redirect_error(asio::use_awaitable, error));
-  if (error) co_return outcome::failure(TranslateError(error));
+  auto read = co_await connection->reader.ReadHeader(&connection->stream, &*connection->parser);
+  if (!read) co_return outcome::failure(TranslateReadError(read.error()));
   co_return connection;
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -17,9 +17,9 @@
 namespace mimosabend {
 
 // Why a request failed. Only kNotSent guarantees that the peer has received no part of the request.
-enum class HttpError : std::uint8_t { kNotSent, kTimedOut, kBroken, kTooLarge };
-inline constexpr NameTable<HttpError, 4> kHttpErrorNames{
-    {"not sent", "timed out", "connection broken", "answer too large"}};
+enum class HttpError : std::uint8_t { kNotSent, kTimedOut, kBroken, kTooLarge, kMalformed };
+inline constexpr NameTable<HttpError, 5> kHttpErrorNames{
+    {"not sent", "timed out", "connection broken", "answer too large", "malformed answer"}};
 
 // Result of opening a TCP connection to an address. kSilent stands for every failure other than a
 // refusal, such as a timeout.
--- a/src/http_engine.cpp
+++ b/src/http_engine.cpp
@@ -23,6 +23,7 @@
     case HttpError::kTimedOut:
       return EngineError::kTimedOut;
     case HttpError::kBroken:
+    case HttpError::kMalformed:
       return EngineError::kBroken;
     case HttpError::kTooLarge:
       return EngineError::kBadAnswer;
--- a/src/http_kv_store.cpp
+++ b/src/http_kv_store.cpp
@@ -22,6 +22,7 @@
       return KvError::kBadAnswer;
     case HttpError::kTimedOut:
     case HttpError::kBroken:
+    case HttpError::kMalformed:
       return KvError::kOutcomeUnknown;
   }
   return KvError::kOutcomeUnknown;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -10,6 +10,8 @@
 #include <boost/beast/http.hpp>
 #include <cassert>
 
+#include "http_reader.h"
+#include "log.h"
 #include "tcp_listener.h"
 #include "timer.h"
 
@@ -28,26 +30,34 @@
 constexpr std::size_t kMaxRejectingConnections = 64;
 constexpr char kRejectionRetryAfterSeconds[] = "2";
 
-HttpRequest ConvertRequest(http::request<http::string_body> message) {
+// The request without its body.
+HttpRequest ConvertHeader(const HttpRequestParser::value_type& message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
   for (const auto& field : message) {
     request.headers.emplace_back(field.name_string(), field.value());
   }
-  request.body = std::move(message.body());
   return request;
 }
 
 // HTTP status for a request that could not be read; 0 if the connection is closed without a
 // response.
-int ReadErrorStatus(const boost::system::error_code& error) {
-  if (error == http::error::header_limit) return 431;
-  if (error == http::error::body_limit) return 413;
-  const bool closed = error == http::error::end_of_stream || error == http::error::partial_message;
-  const bool malformed =
-      error.category() == http::make_error_code(http::error::bad_method).category();
-  return malformed && !closed ? 400 : 0;
+int ReadErrorStatus(HttpReadError error) {
+  switch (error) {
+    case HttpReadError::kMalformed:
+      return 400;
+    case HttpReadError::kBodyTooLarge:
+      return 413;
+    case HttpReadError::kHeaderTooLarge:
+    case HttpReadError::kFramingTooLarge:
+      return 431;
+    case HttpReadError::kClosed:
+    case HttpReadError::kBroken:
+    case HttpReadError::kTimedOut:
+      break;
+  }
+  return 0;
 }
 
 std::string ReadErrorBody(int status) {
@@ -65,13 +75,16 @@
  public:
   // With `reject`, the first request gets a 503 response because too many connections are open.
   ServerConnection(HttpServer* server, asio::ip::tcp::socket socket, bool reject)
-      : server_(server), stream_(std::move(socket)), reject_(reject) {}
+      : server_(server),
+        stream_(std::move(socket)),
+        reader_(server->limits_.header_bytes),
+        reject_(reject) {}
 
   Task<void> Run();
 
   // Cancels the wait for the next request unless a part of it has been received.
   void CloseIfIdle() {
-    if (buffer_.size() == 0 && Peek() <= 0) stream_.cancel();
+    if (reader_.empty() && Peek() <= 0) stream_.cancel();
   }
 
   // A peer that has closed only its sending side does not count as gone: it may still wait for the
@@ -169,10 +182,11 @@
   }
 
   Task<bool> ReadRequest(std::optional<HttpRequest>* request);
+  Task<Result<HttpRequest, HttpReadError>> ReadMessage();
 
   HttpServer* server_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  HttpReader reader_;
   bool reject_;
   bool keep_alive_ = true;
   bool chunked_open_ = false;
@@ -180,45 +194,57 @@
   std::shared_ptr<std::function<void()>> peer_watch_;
 };
 
-// Reads the next request. Returns false if the connection is to be closed.
-Task<bool> ServerConnection::ReadRequest(std::optional<HttpRequest>* request) {
-  http::request_parser<http::string_body> parser;
+// Reads the next message. Its headers are those of its header section: fields in the trailers could
+// otherwise replace what the request has been checked for.
+Task<Result<HttpRequest, HttpReadError>> ServerConnection::ReadMessage() {
+  HttpRequestParser parser;
   parser.header_limit(server_->limits_.header_bytes);
   parser.body_limit(server_->limits_.body_bytes);
-  boost::system::error_code error;
+  reader_.set_max_framing_bytes(server_->limits_.header_bytes);
   // A response whose header was sent before StopAccepting did not carry "Connection: close", so the
   // client may keep the connection open.
   const bool short_wait = server_->stopping() || reject_;
   stream_.expires_after(short_wait ? kDrainIdleTimeout : server_->limits_.idle_timeout);
   server_->idle_.insert(this);
-  co_await http::async_read_header(stream_, buffer_, parser,
-                                   asio::redirect_error(asio::use_awaitable, error));
+  auto header = co_await reader_.ReadHeader(&stream_, &parser);
   server_->idle_.erase(this);
-  const MonotonicTime arrival = MonotonicNow();
-  if (!error) {
-    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-      http::response<http::empty_body> interim{http::status::continue_, 11};
-      co_await http::async_write(stream_, interim,
-                                 asio::redirect_error(asio::use_awaitable, error));
-    }
-    stream_.expires_after(server_->limits_.idle_timeout);
-    co_await http::async_read(stream_, buffer_, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
+  if (!header) co_return outcome::failure(header.error());
+  HttpRequest request = ConvertHeader(parser.get());
+  request.arrival = MonotonicNow();
+  keep_alive_ = parser.keep_alive();
+  if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+    http::response<http::empty_body> interim{http::status::continue_, 11};
+    boost::system::error_code error;
+    co_await http::async_write(stream_, interim, asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return outcome::failure(HttpReadError::kBroken);
   }
-  if (error) {
-    const int status = ReadErrorStatus(error);
-    keep_alive_ = false;
-    if (status != 0) {
-      ++server_->rejected_requests_;
-      HttpHeaders headers{{"Content-Type", "application/json"}};
-      co_await WriteWhole(status, headers, ReadErrorBody(status));
-    }
-    co_return false;
+  stream_.expires_after(server_->limits_.idle_timeout);
+  while (!parser.is_done()) {
+    auto read = co_await reader_.ReadSome(&stream_, &parser);
+    if (!read) co_return outcome::failure(read.error());
+  }
+  request.body = std::move(parser.get().body());
+  co_return request;
+}
+
+// Reads the next request, and rejects one that is not valid. Returns false if the connection is to
+// be closed.
+Task<bool> ServerConnection::ReadRequest(std::optional<HttpRequest>* request) {
+  auto message = co_await ReadMessage();
+  if (message) {
+    *request = std::move(message).value();
+    co_return true;
   }
-  keep_alive_ = parser.get().keep_alive();
-  *request = ConvertRequest(parser.release());
-  (*request)->arrival = arrival;
-  co_return true;
+  keep_alive_ = false;
+  const int status = ReadErrorStatus(message.error());
+  if (status == 0) co_return false;
+  ++server_->rejected_requests_;
+  LOG4CPLUS_INFO(Log(), "request rejected, status=" << status << " error=\""
+                                                    << kHttpReadErrorNames[message.error()]
+                                                    << "\"");
+  HttpHeaders headers{{"Content-Type", "application/json"}};
+  co_await WriteWhole(status, headers, ReadErrorBody(status));
+  co_return false;
 }
 
 Task<void> ServerConnection::Run() {
--- a/src/relay_containment.cpp
+++ b/src/relay_containment.cpp
@@ -24,7 +24,10 @@
                             << " started=" << context->response_started
                             << " endpoint=" << endpoint.id << " started_ms=" << endpoint.started_ms
                             << " error=\"" << kHttpErrorNames[error] << "\"");
-  if (error != HttpError::kBroken) co_return;
+  if (error == HttpError::kMalformed || error == HttpError::kTooLarge) {
+    deps_.metrics->invalid_responses_total->Increment();
+  }
+  if (error != HttpError::kBroken && error != HttpError::kMalformed) co_return;
   const bool ended = co_await deps_.prober->HasEnded(std::move(endpoint));
   if (ended) ++context->terminated_runs;
 }
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -36,6 +36,11 @@
       registry_.AddCounter("stream_resumes_total", "Streams resumed after a break.");
   endpoint_breaks_total = registry_.AddCounter(
       "endpoint_breaks_total", "Requests whose endpoint broke off without a whole answer.");
+  invalid_responses_total = registry_.AddCounter(
+      "invalid_responses_total", "Responses of endpoints that are malformed or exceed a limit.");
+  invalid_requests_total = registry_.AddCounter(
+      "invalid_requests_total",
+      "Requests that are malformed or exceed a limit, and connections above their limit.");
   model_waits_total =
       registry_.AddCounter("model_waits_total", "Requests that waited for a model.");
   adapter_waits_total =
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -55,6 +55,8 @@
   prometheus::Counter* repeats_denied_total;
   prometheus::Counter* stream_resumes_total;
   prometheus::Counter* endpoint_breaks_total;
+  prometheus::Counter* invalid_responses_total;
+  prometheus::Counter* invalid_requests_total;
   prometheus::Counter* model_waits_total;
   prometheus::Counter* adapter_waits_total;
   prometheus::Counter* connections_opened_total;
--- a/tests/test_faulty_endpoints.cpp
+++ b/tests/test_faulty_endpoints.cpp
@@ -344,6 +344,7 @@
     std::string filler;
   };
   const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string long_trailer = "X: " + std::string(70000, 'y') + "\r\n\r\n";
   const std::vector<Case> cases{
       {"status line", "/order/1", "HTTP/1.1 200 ", "x"},
       {"header", "/order/1", "HTTP/1.1 200 OK\r\nX: ", "x"},
@@ -352,6 +353,9 @@
       {"chunks", "/order/1", head + chunked, "1\r\nx\r\n"},
       {"chunk extension", "/order/1", head + chunked + "1;", "x"},
       {"trailers", "/order/1", head + chunked + "0\r\n", "X: y\r\n"},
+      // The HTTP library throws for a field of more than 64 KiB.
+      {"long trailer", "/order/1", head + chunked + "0\r\n", long_trailer},
+      {"long trailer of a stream", "/once/1", head + chunked + "0\r\n", long_trailer},
       {"event", "/once/1", head + "\r\ndata: ", "x"},
       {"event in chunks", "/once/1", head + chunked, "1\r\nx\r\n"},
       {"head of a stream", "/once/1", "HTTP/1.1 200 OK\r\nX: ", "x"},
--- /dev/null
+++ b/tests/test_http_messages.cpp
@@ -0,0 +1,266 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "http_client.h"
+#include "http_server.h"
+#include "supervisor.h"
+
+namespace mimosabend::testing {
+
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+// Long enough for the peer to read a piece before the next one is written.
+constexpr milliseconds kPieceInterval{1};
+constexpr milliseconds kTestTimeout{5000};
+
+// A message that arrives in pieces.
+using Pieces = std::vector<std::string>;
+
+Task<void> WritePieces(Tcp::socket* socket, Pieces pieces) {
+  boost::system::error_code error;
+  for (const std::string& piece : pieces) {
+    co_await boost::asio::async_write(
+        *socket, boost::asio::buffer(piece),
+        boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    if (error) co_return;
+    if (pieces.size() > 1) co_await Sleep(kPieceInterval);
+  }
+}
+
+// Writes `filler` until the peer closes the connection, and counts the bytes.
+Task<void> WriteWithoutEnd(Tcp::socket* socket, std::string filler, std::size_t* written) {
+  std::string block;
+  while (block.size() < 16 * 1024) block += filler;
+  boost::system::error_code error;
+  while (!error) {
+    *written += co_await boost::asio::async_write(
+        *socket, boost::asio::buffer(block),
+        boost::asio::redirect_error(boost::asio::use_awaitable, error));
+  }
+}
+
+// A server that responds with the method, the path, the header "X" and the body that it received.
+class EchoServer {
+ public:
+  EchoServer()
+      : server_(io_.get_executor(), HttpLimits(), [this](HttpExchange& exchange) -> Task<void> {
+          ++requests_;
+          const HttpRequest& request = exchange.request();
+          std::string body = request.method + " " + request.target + " " +
+                             std::string(request.header("X")) + " [" + request.body + "]";
+          co_await exchange.Reply(200, {}, std::move(body));
+        }) {
+    port_ = server_.Listen({"127.0.0.1", 0}).value();
+  }
+
+  int requests() const { return requests_; }
+  const HttpServer& server() const { return server_; }
+
+  // Sends a message on a new connection, closes the sending side and returns all that is received.
+  std::string Send(const Pieces& pieces) {
+    std::string received;
+    bool done = false;
+    const auto run = [&]() -> Task<void> {
+      Tcp::socket socket(io_);
+      co_await socket.async_connect({boost::asio::ip::address_v4::loopback(), port_},
+                                    boost::asio::use_awaitable);
+      co_await WritePieces(&socket, pieces);
+      boost::system::error_code error;
+      socket.shutdown(Tcp::socket::shutdown_send, error);
+      co_await ReadToEnd(&socket, &received);
+      done = true;
+    };
+    RunUntil(run(), &done);
+    return received;
+  }
+
+  // Sends `prefix` and then `filler` without end. Returns what is received, and sets `written` to
+  // the number of bytes that the server let through.
+  std::string SendWithoutEnd(const std::string& prefix, const std::string& filler,
+                             std::size_t* written) {
+    std::string received;
+    bool done = false;
+    Tcp::socket socket(io_);
+    const auto run = [&]() -> Task<void> {
+      co_await socket.async_connect({boost::asio::ip::address_v4::loopback(), port_},
+                                    boost::asio::use_awaitable);
+      const Pieces pieces(1, prefix);
+      co_await WritePieces(&socket, pieces);
+      boost::asio::co_spawn(io_, WriteWithoutEnd(&socket, filler, written), boost::asio::detached);
+      co_await ReadToEnd(&socket, &received);
+      done = true;
+    };
+    RunUntil(run(), &done);
+    socket.close();
+    io_.run_for(milliseconds(10));
+    return received;
+  }
+
+ private:
+  static Task<void> ReadToEnd(Tcp::socket* socket, std::string* received) {
+    std::array<char, 4096> block;
+    boost::system::error_code error;
+    while (!error) {
+      const std::size_t size = co_await socket->async_read_some(
+          boost::asio::buffer(block),
+          boost::asio::redirect_error(boost::asio::use_awaitable, error));
+      received->append(block.data(), size);
+    }
+  }
+
+  void RunUntil(Task<void> task, const bool* done) {
+    io_.restart();
+    boost::asio::co_spawn(io_, std::move(task), boost::asio::detached);
+    const MonotonicTime limit = MonotonicNow() + kTestTimeout;
+    while (!*done && MonotonicNow() < limit) io_.run_one_for(milliseconds(100));
+    REQUIRE(*done);
+  }
+
+  boost::asio::io_context io_{1};
+  HttpServer server_;
+  std::uint16_t port_ = 0;
+  int requests_ = 0;
+};
+
+// A client, and an endpoint that sends given bytes in response to each request.
+class RawResponse {
+ public:
+  RawResponse() : acceptor_(io_, {boost::asio::ip::address_v4::loopback(), 0}) {}
+
+  // The result of a request to which the endpoint responds with `pieces`, and then with `filler`
+  // without end unless it is empty.
+  Result<HttpReply, HttpError> Receive(Pieces pieces, std::string filler = "") {
+    io_.restart();
+    boost::asio::co_spawn(io_, Respond(std::move(pieces), std::move(filler)),
+                          boost::asio::detached);
+    Result<HttpReply, HttpError> result = outcome::failure(HttpError::kNotSent);
+    bool done = false;
+    const auto run = [&]() -> Task<void> {
+      HttpCall call;
+      call.address = {"127.0.0.1", acceptor_.local_endpoint().port()};
+      call.deadline = MonotonicNow() + kTestTimeout;
+      result = co_await client_.Call(std::move(call));
+      done = true;
+    };
+    boost::asio::co_spawn(io_, run(), boost::asio::detached);
+    const MonotonicTime limit = MonotonicNow() + 2 * kTestTimeout;
+    while (!done && MonotonicNow() < limit) io_.run_one_for(milliseconds(100));
+    REQUIRE(done);
+    client_.CloseIdle({"127.0.0.1", acceptor_.local_endpoint().port()});
+    io_.run_for(milliseconds(2));
+    return result;
+  }
+
+  std::size_t written() const { return written_; }
+
+ private:
+  Task<void> Respond(Pieces pieces, std::string filler) {
+    auto socket = co_await acceptor_.async_accept(boost::asio::use_awaitable);
+    std::array<char, 4096> request;
+    co_await socket.async_read_some(boost::asio::buffer(request), boost::asio::use_awaitable);
+    co_await WritePieces(&socket, std::move(pieces));
+    written_ = 0;
+    if (!filler.empty()) co_await WriteWithoutEnd(&socket, std::move(filler), &written_);
+  }
+
+  boost::asio::io_context io_{1};
+  Tcp::acceptor acceptor_;
+  HttpClient client_{io_.get_executor()};
+  std::size_t written_ = 0;
+};
+
+const std::string kRequestLine = "POST /p HTTP/1.1\r\nHost: h\r\n";
+const std::string kStatusLine = "HTTP/1.1 200 OK\r\n";
+const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
+
+// A part of a message that no limit of the HTTP library covers.
+struct UnboundedPart {
+  std::string name;
+  std::string prefix;
+  std::string filler;
+};
+
+// Follows a header that announces chunks.
+std::vector<UnboundedPart> UnboundedParts() {
+  const std::string long_field = "T: " + std::string(70000, 'x') + "\r\n";
+  return {{"a trailer above the library's limit of 64 KiB", "0\r\n", long_field + "\r\n"},
+          {"one trailer without end", "0\r\nT: ", "x"},
+          {"trailers without end", "0\r\n", "T: x\r\n"},
+          {"an extension without end", "1;", "x"},
+          {"an extension of the last chunk without end", "0;", "x"},
+          {"long extensions of small chunks", "", "1;" + std::string(1000, 'x') + "\r\ny\r\n"},
+          {"a chunk size without end", "", "0"}};
+}
+
+}  // namespace
+
+// Guards against a field after the last chunk that ends the process: the parser throws for more
+// than 64 KiB. Also guards against an unbounded buffer for what follows or surrounds the chunks.
+TEST_CASE("the framing of a request without end is rejected and ends no other request", "[http]") {
+  for (const UnboundedPart& part : UnboundedParts()) {
+    CAPTURE(part.name);
+    EchoServer echo;
+    std::size_t written = 0;
+    const std::string response =
+        echo.SendWithoutEnd(kRequestLine + kChunked + part.prefix, part.filler, &written);
+    CHECK(response.substr(0, 9) == "HTTP/1.1 ");
+    CHECK((response.substr(9, 3) == "431" || response.substr(9, 3) == "400"));
+    CHECK(echo.requests() == 0);
+    // The system's buffers on both sides, and what the server discards before it closes.
+    CHECK(written < 64 * 1024 * 1024);
+    CHECK(echo.server().open_connections() == 0);
+    const std::string next = echo.Send({"GET /next HTTP/1.1\r\nHost: h\r\n\r\n"});
+    CHECK(next.find("GET /next  []") != std::string::npos);
+  }
+}
+
+// Guards against the same in a response: a gateway ended with all its requests when one endpoint
+// sent such a field.
+TEST_CASE("the framing of a response without end fails the request alone", "[http]") {
+  for (const UnboundedPart& part : UnboundedParts()) {
+    CAPTURE(part.name);
+    RawResponse endpoint;
+    const auto reply = endpoint.Receive({kStatusLine + kChunked + part.prefix}, part.filler);
+    REQUIRE(!reply);
+    CHECK((reply.error() == HttpError::kTooLarge || reply.error() == HttpError::kMalformed));
+    CHECK(endpoint.written() < 16 * 1024 * 1024);
+    const auto next = endpoint.Receive({kStatusLine + "Content-Length: 4\r\n\r\nbody"});
+    REQUIRE(next);
+    CHECK(next.value().body == "body");
+  }
+}
+
+// Guards against a limit on framing that fails sound messages: trailers, extensions and chunks of
+// one byte.
+TEST_CASE("sound framing passes the limits", "[http]") {
+  std::string chunks;
+  for (int i = 0; i < 20000; ++i) chunks += "1;a=b\r\nx\r\n";
+  chunks += "0;last\r\nT: " + std::string(8000, 'y') + "\r\n\r\n";
+  EchoServer echo;
+  const std::string response =
+      echo.Send({kRequestLine + "Connection: close\r\n" + kChunked + chunks});
+  CHECK(response.find("[" + std::string(20000, 'x') + "]") != std::string::npos);
+  RawResponse endpoint;
+  const auto reply = endpoint.Receive({kStatusLine + kChunked + chunks});
+  REQUIRE(reply);
+  CHECK(reply.value().body == std::string(20000, 'x'));
+}
+
+// Guards against a trailer that counts as a header although the header has been read before.
+TEST_CASE("a trailer is not taken for a header", "[http]") {
+  EchoServer echo;
+  const std::string response = echo.Send({kRequestLine + kChunked + "0\r\nX: trailer\r\n\r\n"});
+  CHECK(response.find("POST /p  []") != std::string::npos);
+}
+
+}  // namespace mimosabend::testing
