Count failed assertions of Boost instead of ending the process

Cause: BOOST_ASSERT in the HTTP parser (n >= 5 in parse_chunk_header) is stricter than the code behind it, which reads the remaining bytes properly. NDEBUG is never defined, for the sake of this project's own assertions, so those of the libraries were on in the deployed build as well.

Ruled out: an error of the parser itself. With the assertion passed over, each cut of each sound message gives the right request or response.

The project's own assertions still end the process. Disabling them all was weighed: then a failed assertion would leave no trace.

Tests (http_messages): requests and responses cut at each byte into two reads, and byte by byte, whole and truncated, with and without bodies, chunks, extensions and trailers.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -18,6 +18,7 @@
 #include "fleet_state.h"
 #include "leader_finder.h"
 #include "leader_link.h"
+#include "library_assertions.h"
 #include "log.h"
 #include "metrics.h"
 #include "placement_leader.h"
@@ -477,6 +478,7 @@
   std::uint64_t connections = 0;
   std::uint64_t dropped_lines = 0;
   std::uint64_t rejected = 0;
+  std::uint64_t failed_assertions = 0;
   for (;;) {
     relay_metrics_.store_calls_total->Increment(static_cast<double>(store_.calls() - calls));
     relay_metrics_.store_errors_total->Increment(static_cast<double>(store_.errors() - errors));
@@ -487,6 +489,9 @@
     relay_metrics_.invalid_requests_total->Increment(
         static_cast<double>(caller_server_.rejected_requests() - rejected));
     rejected = caller_server_.rejected_requests();
+    relay_metrics_.library_assertions_total->Increment(
+        static_cast<double>(FailedLibraryAssertions() - failed_assertions));
+    failed_assertions = FailedLibraryAssertions();
     dropped_lines = BoundedAppender::dropped_lines_total();
     calls = store_.calls();
     errors = store_.errors();
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -53,6 +53,8 @@
       registry_.AddCounter("store_errors_total", "Calls to the store that failed.");
   log_lines_dropped_total =
       registry_.AddCounter("log_lines_dropped_total", "Log lines that were left out.");
+  library_assertions_total =
+      registry_.AddCounter("library_assertions_total", "Failed assertions of the Boost libraries.");
   crash_suspects = registry_.AddGauge(
       "crash_suspects", "Requests that were running when an endpoint crashed, and since served.");
   contained_parts = registry_.AddGauge(
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -63,6 +63,7 @@
   prometheus::Counter* store_calls_total;
   prometheus::Counter* store_errors_total;
   prometheus::Counter* log_lines_dropped_total;
+  prometheus::Counter* library_assertions_total;
   prometheus::Gauge* crash_suspects;
   prometheus::Gauge* contained_parts;
   prometheus::Gauge* config_version;
--- a/tests/test_http_messages.cpp
+++ b/tests/test_http_messages.cpp
@@ -26,6 +26,21 @@
 // A message that arrives in pieces.
 using Pieces = std::vector<std::string>;
 
+Pieces ByteByByte(const std::string& message) {
+  Pieces pieces;
+  for (char byte : message) pieces.emplace_back(1, byte);
+  return pieces;
+}
+
+// The message cut into two pieces at each of its bytes, and into single bytes.
+std::vector<Pieces> AllCuts(const std::string& message) {
+  std::vector<Pieces> cuts{ByteByByte(message)};
+  for (std::size_t cut = 1; cut < message.size(); ++cut) {
+    cuts.push_back({message.substr(0, cut), message.substr(cut)});
+  }
+  return cuts;
+}
+
 Task<void> WritePieces(Tcp::socket* socket, Pieces pieces) {
   boost::system::error_code error;
   for (const std::string& piece : pieces) {
@@ -183,6 +198,22 @@
 const std::string kStatusLine = "HTTP/1.1 200 OK\r\n";
 const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
 
+// Sound messages with and without a body, in chunks and not, with extensions and trailers.
+std::vector<std::string> SoundBodies() {
+  return {"Content-Length: 0\r\n\r\n",
+          "Content-Length: 4\r\n\r\nbody",
+          kChunked + "0\r\n\r\n",
+          kChunked + "00;last\r\n\r\n",
+          kChunked + "0\r\nT: trailer\r\n\r\n",
+          kChunked + "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n",
+          kChunked + "2;a=\"b\"\r\nbo\r\n2\r\ndy\r\n0;last\r\nT: trailer\r\n\r\n"};
+}
+
+std::string BodyOf(const std::string& message) {
+  const bool has_body = message.find("bo") != std::string::npos;
+  return has_body ? "body" : "";
+}
+
 // A part of a message that no limit of the HTTP library covers.
 struct UnboundedPart {
   std::string name;
@@ -263,4 +294,56 @@
   CHECK(response.find("POST /p  []") != std::string::npos);
 }
 
+// Guards against a sound request that ends the process because of the pieces in which it arrives:
+// an assertion of the parser fails if an empty body in chunks is read after "0", CR, LF.
+TEST_CASE("a request is served however its bytes are cut", "[http]") {
+  for (const std::string& body : SoundBodies()) {
+    const std::string message = kRequestLine + "Connection: close\r\n" + body;
+    EchoServer echo;
+    for (const Pieces& pieces : AllCuts(message)) {
+      CAPTURE(body, pieces.size(), pieces.front().size());
+      const std::string response = echo.Send(pieces);
+      CHECK(response.find("POST /p  [" + BodyOf(body) + "]") != std::string::npos);
+    }
+  }
+}
+
+// Guards against the same in a response.
+TEST_CASE("a response is read however its bytes are cut", "[http]") {
+  std::vector<std::string> bodies = SoundBodies();
+  // Ends with its connection.
+  bodies.emplace_back("\r\nbody");
+  for (const std::string& body : bodies) {
+    RawResponse endpoint;
+    for (const Pieces& pieces : AllCuts(kStatusLine + body)) {
+      CAPTURE(body, pieces.size(), pieces.front().size());
+      const auto reply = endpoint.Receive(pieces);
+      REQUIRE(reply);
+      CHECK(reply.value().body == BodyOf(body));
+    }
+  }
+}
+
+// Guards against a truncated message that is taken for a whole one, or that ends the process.
+TEST_CASE("a message truncated at any byte is not taken for a whole one", "[http]") {
+  const bool in_pieces = GENERATE(false, true);
+  for (const std::string& body : SoundBodies()) {
+    EchoServer echo;
+    RawResponse endpoint;
+    const std::string request = kRequestLine + body;
+    for (std::size_t size = 1; size < request.size(); ++size) {
+      CAPTURE(body, size, in_pieces);
+      const std::string sent = request.substr(0, size);
+      echo.Send(in_pieces ? ByteByByte(sent) : Pieces(1, sent));
+      CHECK(echo.requests() == 0);
+    }
+    const std::string response = kStatusLine + body;
+    for (std::size_t size = 1; size < response.size(); ++size) {
+      CAPTURE(body, size, in_pieces);
+      const std::string sent = response.substr(0, size);
+      CHECK(!endpoint.Receive(in_pieces ? ByteByByte(sent) : Pieces(1, sent)));
+    }
+  }
+}
+
 }  // namespace mimosabend::testing
