Look at all parts of a prompt for what crashes endpoints

Cause: PartEvidence looked at the first 64 shared parts of a request only, when a crash was recorded, when a request was classified and when it was served.

Ruled out: late or lost records (the same part in an earlier place is contained after five crashes), and the evidence by content (no two requests are alike).

Change: no limit on the parts of a request, which the header limit bounds. Costs are bounded where they arise. For a crash, a daemon records at most 1,024 parts that were never served, those of earlier crashes and of responses that had not started first, and 64 that were served, the longest ago first: a part that all requests share is served all the time, a deadly one no more. So a shared part does not fill the table or delay the record that matters. Suspects are bounded to 4,096, and finding one to evict no longer scans the table each time. Records of the same run share their header in messages (8 bytes a part instead of 29). Groups of parts are counted, not compared pair by pair. Log lines tell the number of all parts, and that parts of a crash were left out.

Tests: "a part behind a thousand others is contained", "twelve running requests with a thousand unknown parts each hide no deadly part", simulated fleets with 1,000 common and 300 own parts, and 600 common parts with real processes (containment_parts).

--- a/src/evidence_exchange.h
+++ b/src/evidence_exchange.h
@@ -39,7 +39,7 @@
     sent.serialize(archive);
     received.serialize(archive);
     SerializeList(archive, records);
-    SerializeList(archive, part_records);
+    SerializePartRecords(archive, part_records);
   }
 };
 
--- a/src/part_evidence.cpp
+++ b/src/part_evidence.cpp
@@ -1,6 +1,7 @@
 #include "part_evidence.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 #include "digest.h"
 #include "log.h"
@@ -14,6 +15,7 @@
 // A part that was served before is run in isolation from this many crashes on, any other part from
 // the first one on.
 constexpr std::size_t kLoneCrashesIfServed = 3;
+constexpr std::ptrdiff_t kVictimsFoundAtOnce = PartEvidence::kMaxSuspects / 16;
 
 std::uint32_t MillisBetween(MonotonicTime from, MonotonicTime to) {
   return static_cast<std::uint32_t>(std::max<std::int64_t>(0, ToMillis(to - from).count()));
@@ -23,10 +25,6 @@
   return a.size() < b.size() && std::includes(b.begin(), b.end(), a.begin(), a.end());
 }
 
-std::span<const std::uint64_t> Limit(std::span<const std::uint64_t> parts) {
-  return parts.first(std::min(parts.size(), PartEvidence::kMaxPartsPerRequest));
-}
-
 }  // namespace
 
 // The crashes of a part without those in `explained`.
@@ -70,56 +68,57 @@
 
 // The parts that are blamed for crashes without `explained` ones: those that were served before
 // their crashes, or those that were not.
-std::vector<PartEvidence::Candidate> PartEvidence::Candidates(
+PartEvidence::Candidates PartEvidence::FindCandidates(
     bool served, const std::set<std::uint32_t>& explained) const {
-  std::vector<Candidate> candidates;
+  Candidates candidates;
   const Threshold& threshold = served ? kKnownPart : kUnknownPart;
   for (const auto& [part, suspect] : suspects_) {
     if (suspect.served.has_value() != served) continue;
     if (static_cast<int>(suspect.crashes.size()) < threshold.crashes) continue;
     if (!IsBlamed(UnexplainedCrashes(suspect, explained), threshold)) continue;
-    Candidate candidate{part, &suspect, {}};
+    std::set<std::uint32_t> crashes;
     for (const auto& [number, crash] : suspect.crashes) {
-      if (!explained.contains(number)) candidate.crashes.insert(number);
+      if (!explained.contains(number)) crashes.insert(number);
     }
-    candidates.push_back(std::move(candidate));
+    candidates[std::move(crashes)].push_back(part);
   }
   return candidates;
 }
 
 // Decides which parts are contained. Parts that were never served are blamed first. A part that was
 // in only some of the crashes of another one ran beside it or with it by chance.
-std::map<std::uint64_t, PartEvidence::Culprit> PartEvidence::FindCulprits(MonotonicTime now) const {
-  std::map<std::uint64_t, Culprit> culprits;
+PartEvidence::Culprits PartEvidence::FindCulprits(MonotonicTime now) const {
+  Culprits culprits;
   std::set<std::uint32_t> explained;
   for (const bool served : {false, true}) {
-    const std::vector<Candidate> candidates = Candidates(served, explained);
-    for (const Candidate& candidate : candidates) {
-      Culprit culprit;
-      bool is_explained = false;
-      for (const Candidate& other : candidates) {
-        is_explained = is_explained || IsStrictSubset(candidate.crashes, other.crashes);
-        if (other.crashes == candidate.crashes) culprit.group.insert(other.part);
-      }
+    const Candidates candidates = FindCandidates(served, explained);
+    for (const auto& [crashes, parts] : candidates) {
+      const bool is_explained =
+          std::any_of(candidates.begin(), candidates.end(),
+                      [&](const auto& other) { return IsStrictSubset(crashes, other.first); });
       if (is_explained) continue;
-      const auto known = culprits_.find(candidate.part);
-      culprit.found_at = known == culprits_.end() ? now : known->second.found_at;
-      culprit.trial_at = TrialTime(candidate.part, *candidate.suspect);
-      culprits[candidate.part] = std::move(culprit);
-      explained.insert(candidate.crashes.begin(), candidate.crashes.end());
+      const auto group = std::make_shared<const Group>(Group{parts.size()});
+      for (std::uint64_t part : parts) {
+        const auto known = culprits_.find(part);
+        Culprit& culprit = culprits[part];
+        culprit.group = group;
+        culprit.found_at = known == culprits_.end() ? now : known->second.found_at;
+        culprit.trial_at = TrialTime(part, suspects_.at(part));
+      }
+      explained.insert(crashes.begin(), crashes.end());
     }
   }
   return culprits;
 }
 
 void PartEvidence::UpdateCulprits(MonotonicTime now) {
-  std::map<std::uint64_t, Culprit> culprits = FindCulprits(now);
+  Culprits culprits = FindCulprits(now);
   for (const auto& [part, culprit] : culprits) {
     if (culprits_.contains(part)) continue;
     LOG4CPLUS_WARN(Log(), "prompt part is contained part="
                               << Hex64(part) << " endpoints_ended=" << CrashCount(part)
                               << " served_before=" << suspects_.at(part).served.has_value()
-                              << " parts_in_the_same_crashes=" << culprit.group.size() - 1);
+                              << " parts_in_the_same_crashes=" << culprit.group->parts - 1);
   }
   for (const auto& [part, culprit] : culprits_) {
     if (culprits.contains(part)) continue;
@@ -148,44 +147,37 @@
   return last + delay + milliseconds(offset);
 }
 
-bool PartEvidence::IsContained(const Culprit& culprit, std::span<const std::uint64_t> parts,
-                               MonotonicTime now) {
-  const bool has_all =
-      std::all_of(culprit.group.begin(), culprit.group.end(), [&](std::uint64_t part) {
-        return std::find(parts.begin(), parts.end(), part) != parts.end();
-      });
-  return has_all && now < culprit.trial_at;
-}
-
 CrashVerdict PartEvidence::Classify(std::span<const std::uint64_t> parts, MonotonicTime now) const {
   CrashVerdict verdict = CrashVerdict::kClean;
   if (suspects_.empty()) return verdict;
-  parts = Limit(parts);
   for (std::uint64_t part : parts) {
     const auto it = suspects_.find(part);
     if (it == suspects_.end() || it->second.crashes.empty()) continue;
     const Suspect& suspect = it->second;
-    const auto culprit = culprits_.find(part);
-    const bool lone = culprit != culprits_.end() || !suspect.served ||
+    const bool lone = culprits_.contains(part) || !suspect.served ||
                       suspect.crashes.size() >= kLoneCrashesIfServed;
     verdict = std::max(verdict, lone ? CrashVerdict::kLone : CrashVerdict::kSuspect);
-    if (culprit == culprits_.end()) continue;
-    if (IsContained(culprit->second, parts, now)) return CrashVerdict::kContained;
   }
-  return verdict;
+  if (verdict != CrashVerdict::kLone) return verdict;
+  return CulpritsOf(parts, now).empty() ? verdict : CrashVerdict::kContained;
 }
 
-// The parts for which a request with these parts is contained.
+// The parts for which a request with these parts is contained: it has all parts of their group, and
+// they are not due for a trial.
 std::vector<const PartEvidence::Culprit*> PartEvidence::CulpritsOf(
     std::span<const std::uint64_t> parts, MonotonicTime now) const {
   std::vector<const Culprit*> found;
   if (culprits_.empty()) return found;
-  parts = Limit(parts);
+  std::map<const Group*, std::size_t> present;
   for (std::uint64_t part : parts) {
     const auto culprit = culprits_.find(part);
     if (culprit == culprits_.end()) continue;
-    if (IsContained(culprit->second, parts, now)) found.push_back(&culprit->second);
+    found.push_back(&culprit->second);
+    ++present[culprit->second.group.get()];
   }
+  std::erase_if(found, [&](const Culprit* culprit) {
+    return present[culprit->group.get()] < culprit->group->parts || now >= culprit->trial_at;
+  });
   return found;
 }
 
@@ -211,7 +203,7 @@
 
 void PartEvidence::BeginTrial(std::span<const std::uint64_t> parts, MonotonicTime now) {
   bool changed = false;
-  for (std::uint64_t part : Limit(parts)) {
+  for (std::uint64_t part : parts) {
     const auto culprit = culprits_.find(part);
     if (culprit == culprits_.end() || now < culprit->second.trial_at) continue;
     LOG4CPLUS_WARN(Log(), "prompt part is tried again part=" << Hex64(part));
@@ -221,15 +213,60 @@
   if (changed) UpdateCulprits(now);
 }
 
+PartEvidence::CrashedPart PartEvidence::MakeCrashedPart(std::uint64_t part,
+                                                        const CrashedRun& run) const {
+  CrashedPart crashed{part, &run, 0, LastServed(part)};
+  const auto known = suspects_.find(part);
+  if (known == suspects_.end()) return crashed;
+  crashed.crashes = known->second.crashes.size();
+  if (known->second.served) {
+    crashed.served_at =
+        std::max(crashed.served_at.value_or(MonotonicTime::min()), known->second.served->at);
+  }
+  return crashed;
+}
+
+// The parts to record for a crash, the most suspicious ones first: those that were never served,
+// beginning with those of earlier crashes and of responses that had not started, and then those
+// that were served longest ago. Parts that all requests of a route share are served all the time
+// and say the least.
+std::vector<PartEvidence::CrashedPart> PartEvidence::SelectParts(
+    std::uint32_t crash, const std::vector<CrashedRun>& runs) const {
+  std::vector<CrashedPart> unknown;
+  std::vector<CrashedPart> known;
+  std::unordered_set<std::uint64_t> seen;
+  for (const CrashedRun& run : runs) {
+    for (std::uint64_t part : run.parts) {
+      if (!seen.insert(part).second) continue;
+      const CrashedPart crashed = MakeCrashedPart(part, run);
+      (crashed.served_at ? known : unknown).push_back(crashed);
+    }
+  }
+  const auto rank = [](const CrashedPart& crashed) {
+    return std::pair(-static_cast<std::int64_t>(crashed.crashes), crashed.run->response_started);
+  };
+  std::stable_sort(unknown.begin(), unknown.end(),
+                   [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+  std::stable_sort(known.begin(), known.end(),
+                   [](const auto& a, const auto& b) { return *a.served_at < *b.served_at; });
+  unknown.resize(std::min(unknown.size(), kMaxUnknownPartsPerCrash));
+  known.resize(std::min(known.size(), kMaxKnownPartsPerCrash));
+  unknown.insert(unknown.end(), known.begin(), known.end());
+  if (unknown.size() < seen.size()) {
+    LOG4CPLUS_WARN(Log(), "only some parts of prompts are recorded for a crash, crash="
+                              << crash << " requests=" << runs.size() << " parts=" << seen.size()
+                              << " recorded=" << unknown.size()
+                              << " served_before=" << known.size());
+  }
+  return unknown;
+}
+
 void PartEvidence::RecordCrash(std::uint32_t crash, const std::vector<CrashedRun>& runs,
                                MonotonicTime now) {
   bool added_any = false;
-  for (const CrashedRun& run : runs) {
-    for (std::uint64_t part : Limit(run.parts)) {
-      added_any =
-          AddCrash(part, crash, {run.fingerprint, run.response_started, run.sent_at, now, 0}) ||
-          added_any;
-    }
+  for (const auto& [part, run, crashes, served_at] : SelectParts(crash, runs)) {
+    const Crash observed{run->fingerprint, run->response_started, run->sent_at, now, 0};
+    added_any = AddCrash(part, crash, observed) || added_any;
   }
   if (!added_any) return;
   UpdateCulprits(now);
@@ -239,7 +276,7 @@
 void PartEvidence::RecordServed(std::span<const std::uint64_t> parts,
                                 MonotonicTime response_started, MonotonicTime now) {
   bool cleared_any = false;
-  for (std::uint64_t part : Limit(parts)) {
+  for (std::uint64_t part : parts) {
     RememberServed(part, response_started);
     const auto it = suspects_.find(part);
     if (it == suspects_.end() || !HasCrashUntil(it->second, response_started)) continue;
@@ -337,20 +374,40 @@
 PartEvidence::Suspect& PartEvidence::SuspectOf(std::uint64_t part) {
   const auto known = suspects_.find(part);
   if (known != suspects_.end()) return known->second;
-  if (suspects_.size() >= kMaxSuspects) {
-    const auto rank = [](const Suspect& suspect) {
-      MonotonicTime last = suspect.served ? suspect.served->at : MonotonicTime();
-      for (const auto& [number, crash] : suspect.crashes) last = std::max(last, crash.at);
-      return std::pair(suspect.crashes.size(), last);
-    };
-    Erase(std::min_element(suspects_.begin(), suspects_.end(), [&](const auto& a, const auto& b) {
-      return rank(a.second) < rank(b.second);
-    }));
-  }
+  if (suspects_.size() >= kMaxSuspects) EvictOne();
   return suspects_[part];
 }
 
-void PartEvidence::Erase(std::map<std::uint64_t, Suspect>::iterator it) {
+PartEvidence::Rank PartEvidence::RankOf(std::uint64_t part, const Suspect& suspect) {
+  MonotonicTime last = suspect.served ? suspect.served->at : MonotonicTime();
+  for (const auto& [number, crash] : suspect.crashes) last = std::max(last, crash.at);
+  return {suspect.crashes.size(), last, part};
+}
+
+void PartEvidence::FindVictims() {
+  victims_.clear();
+  for (const auto& [part, suspect] : suspects_) victims_.push_back(RankOf(part, suspect));
+  const auto end = victims_.begin() + kVictimsFoundAtOnce;
+  std::partial_sort(victims_.begin(), end, victims_.end());
+  victims_.erase(end, victims_.end());
+  std::reverse(victims_.begin(), victims_.end());
+}
+
+// Precondition: the table is full.
+void PartEvidence::EvictOne() {
+  for (;;) {
+    if (victims_.empty()) FindVictims();
+    const Rank victim = victims_.back();
+    victims_.pop_back();
+    const auto it = suspects_.find(victim.part);
+    // Its records may have changed since it was found.
+    if (it == suspects_.end() || RankOf(victim.part, it->second) != victim) continue;
+    Erase(it);
+    return;
+  }
+}
+
+void PartEvidence::Erase(std::unordered_map<std::uint64_t, Suspect>::iterator it) {
   for (const auto& [number, crash] : it->second.crashes) log_.erase(crash.position);
   if (it->second.served) log_.erase(it->second.served->position);
   suspects_.erase(it);
--- a/src/part_evidence.h
+++ b/src/part_evidence.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <span>
@@ -32,17 +33,52 @@
 
   static constexpr std::uint32_t kServed = 0;
 
+  // Whether the records differ in their part only.
+  bool IsOfSameRun(const PartRecord& other) const {
+    return crash == other.crash && request == other.request &&
+           response_started == other.response_started && age_ms == other.age_ms &&
+           run_ms == other.run_ms;
+  }
+
+  // The fields that records of the same run share.
   template <class Archive>
-  void serialize(Archive& archive) {
-    archive(part, crash, request, age_ms, run_ms);
+  void SerializeRun(Archive& archive) {
+    archive(crash, request, age_ms, run_ms);
     SerializeFlag(archive, response_started);
   }
 };
 
+// Serializes records so that successive records of the same run take 8 bytes each. Throws
+// cereal::Exception.
+template <class Archive>
+void SerializePartRecords(Archive& archive, std::vector<PartRecord>& records) {
+  auto count = static_cast<std::uint32_t>(records.size());
+  archive(count);
+  codec_internal::CheckLength(count, kMaxEncodedItems);
+  if constexpr (Archive::is_loading::value) records.clear();
+  for (std::uint32_t done = 0; done < count;) {
+    PartRecord run;
+    std::uint32_t size = 0;
+    if constexpr (!Archive::is_loading::value) {
+      run = records[done];
+      while (done + size < count && records[done + size].IsOfSameRun(run)) ++size;
+    }
+    run.SerializeRun(archive);
+    archive(size);
+    if (size == 0 || size > count - done) throw cereal::Exception("wrong number of parts of a run");
+    for (std::uint32_t i = 0; i < size; ++i) {
+      if constexpr (Archive::is_loading::value) records.push_back(run);
+      archive(records[done + i].part);
+    }
+    done += size;
+  }
+}
+
 // Finds the parts of prompts that crash each endpoint that runs a request with them, whatever else
 // the request contains. A part is blamed by the crashes since a request with it was last served.
 // Like CrashEvidence, it merges the records of all daemons without coordination, and its memory is
-// bounded. Not thread-safe.
+// bounded, whatever the number of parts of a request. Not thread-safe. Precondition of all methods:
+// the parts of one request are distinct.
 class PartEvidence {
  public:
   // What it takes to contain a part. Crashes are in sequence if the request of each one was sent
@@ -73,12 +109,15 @@
   // endpoints than this.
   static constexpr std::size_t kMaxEarlyTrialCrashes = 4;
   static constexpr seconds kMaxTrialDelay{1800};
-  static constexpr std::size_t kMaxSuspects = 1024;
-  static constexpr std::size_t kMaxServed = 4096;
-  // Further parts of a prompt are ignored.
-  static constexpr std::size_t kMaxPartsPerRequest = 64;
-  // Maximum number of records in one message, about 7 kilobytes.
-  static constexpr std::size_t kMaxRecords = 256;
+  static constexpr std::size_t kMaxSuspects = 4096;
+  static constexpr std::size_t kMaxServed = 16384;
+  // Parts that one daemon records for one crash, over all requests that were running: those that
+  // were never served, and those that were served before. A part that crashes endpoints is not
+  // served any more, so the latter are recorded in the order of when they were last served.
+  static constexpr std::size_t kMaxUnknownPartsPerCrash = 1024;
+  static constexpr std::size_t kMaxKnownPartsPerCrash = 64;
+  // Maximum number of records in one message, about 8 kilobytes if they are of the same run.
+  static constexpr std::size_t kMaxRecords = 1024;
 
   // `seed` must differ between daemons: it spreads their trials of a part over time.
   explicit PartEvidence(std::uint64_t seed) : seed_(seed) {}
@@ -155,21 +194,36 @@
     std::uint64_t part = 0;
     std::uint32_t crash = 0;
   };
+  // Parts that are contained and were in the same crashes. A request is contained only if it has
+  // all of them.
+  struct Group {
+    std::size_t parts = 0;
+  };
   // A part that is contained.
   struct Culprit {
-    // The parts that were in the same crashes, including this one. A request is contained only if
-    // it has all of them.
-    std::set<std::uint64_t> group;
+    std::shared_ptr<const Group> group;
     // When this daemon found it.
     MonotonicTime found_at;
     MonotonicTime trial_at;
   };
-  // A part that may be contained, and the crashes that no part found before it explains.
-  struct Candidate {
+  // The order of eviction, lowest first.
+  struct Rank {
+    std::size_t crashes = 0;
+    MonotonicTime last_record;
+    std::uint64_t part = 0;
+    auto operator<=>(const Rank&) const = default;
+  };
+  // A part of a request that was running at a crash.
+  struct CrashedPart {
     std::uint64_t part = 0;
-    const Suspect* suspect = nullptr;
-    std::set<std::uint32_t> crashes;
+    const CrashedRun* run = nullptr;
+    // Crashes since it was last served.
+    std::size_t crashes = 0;
+    std::optional<MonotonicTime> served_at;
   };
+  using Culprits = std::unordered_map<std::uint64_t, Culprit>;
+  // Parts that may be contained, by the crashes that no part found before explains.
+  using Candidates = std::map<std::set<std::uint32_t>, std::vector<std::uint64_t>>;
 
   // Crashes of one part, in order of time.
   using Crashes = std::vector<const Crash*>;
@@ -179,14 +233,15 @@
   static int CrashesInSequence(const Crashes& crashes);
   static bool Exceeds(const Crashes& crashes, const Threshold& threshold, int factor);
   static bool IsBlamed(const Crashes& crashes, const Threshold& threshold);
-  std::vector<Candidate> Candidates(bool served, const std::set<std::uint32_t>& explained) const;
-  std::map<std::uint64_t, Culprit> FindCulprits(MonotonicTime now) const;
+  Candidates FindCandidates(bool served, const std::set<std::uint32_t>& explained) const;
+  Culprits FindCulprits(MonotonicTime now) const;
   void UpdateCulprits(MonotonicTime now);
   MonotonicTime TrialTime(std::uint64_t part, const Suspect& suspect) const;
   std::vector<const Culprit*> CulpritsOf(std::span<const std::uint64_t> parts,
                                          MonotonicTime now) const;
-  static bool IsContained(const Culprit& culprit, std::span<const std::uint64_t> parts,
-                          MonotonicTime now);
+  CrashedPart MakeCrashedPart(std::uint64_t part, const CrashedRun& run) const;
+  std::vector<CrashedPart> SelectParts(std::uint32_t crash,
+                                       const std::vector<CrashedRun>& runs) const;
   static bool HasCrashUntil(const Suspect& suspect, MonotonicTime at);
   bool AddCrash(std::uint64_t part, std::uint32_t crash, const Crash& observed);
   bool AddServed(std::uint64_t part, MonotonicTime at);
@@ -196,11 +251,16 @@
   void SetServed(std::uint64_t part, Suspect* suspect, MonotonicTime at);
   Suspect& SuspectOf(std::uint64_t part);
   std::uint64_t Append(std::uint64_t part, std::uint32_t crash);
-  void Erase(std::map<std::uint64_t, Suspect>::iterator it);
+  static Rank RankOf(std::uint64_t part, const Suspect& suspect);
+  void FindVictims();
+  void EvictOne();
+  void Erase(std::unordered_map<std::uint64_t, Suspect>::iterator it);
 
   std::uint64_t seed_;
-  std::map<std::uint64_t, Suspect> suspects_;
-  std::map<std::uint64_t, Culprit> culprits_;
+  std::unordered_map<std::uint64_t, Suspect> suspects_;
+  Culprits culprits_;
+  // The next parts to evict, the last one first. Finding them takes a pass over the table.
+  std::vector<Rank> victims_;
   // Records for other daemons, by position.
   std::map<std::uint64_t, LogEntry> log_;
   std::uint64_t last_position_ = 0;
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -136,9 +136,7 @@
   if (!authenticated) co_return;
   const std::string customer = context->customer == nullptr ? "" : context->customer->name;
   context->fingerprint = RequestFingerprint(request, customer);
-  for (const PromptPart& part : SharedParts(context->params.prompt)) {
-    context->parts.push_back(part.id);
-  }
+  context->parts = SharedPartIds(context->params.prompt);
   const Route& route = *context->route;
   milliseconds limit = route.timeout.count() > 0 ? route.timeout : kDefaultRouteTimeout;
   if (context->params.time_limit) limit = std::min(limit, *context->params.time_limit);
--- a/src/relay_request.h
+++ b/src/relay_request.h
@@ -22,7 +22,11 @@
 // request itself or to its session. Precondition: `prompt` outlives the result. Thread-safe.
 std::span<const PromptPart> SharedParts(const std::vector<PromptPart>& prompt);
 
-// The ids of the first shared parts for log lines, or "-" if there are none. Thread-safe.
+// The distinct ids of the shared parts. Thread-safe.
+std::vector<std::uint64_t> SharedPartIds(const std::vector<PromptPart>& prompt);
+
+// The ids of the first shared parts and the number of all for log lines, or "-" if there are none.
+// Thread-safe.
 std::string SharedPartsText(const std::vector<PromptPart>& prompt);
 
 // Parameters of a request, decoded from the caller's headers.
--- a/tests/containment_simulation.h
+++ b/tests/containment_simulation.h
@@ -30,6 +30,10 @@
   bool tied = false;
   // The deadly parts are among the subjects that were served before they became deadly.
   bool known_before = false;
+  // Parts that all requests have, in front of the others.
+  int common_parts = 0;
+  // Parts of each request that no other one has, in front of the deadly part.
+  int own_parts = 0;
   // Share of the messages between daemons that are lost.
   double message_loss = 0;
   // The daemon that passes records on dies, and another takes its place.
@@ -97,6 +101,8 @@
   static constexpr std::uint64_t kFirstSubject = 100;
   static constexpr std::uint64_t kFirstDeadly = 1000;
   static constexpr std::uint64_t kFirstTied = 2000;
+  static constexpr std::uint64_t kFirstCommon = 10000;
+  static constexpr std::uint64_t kFirstOwn = 1000000;
   static constexpr int kMaxAttempts = 2;
   static constexpr milliseconds kRestartTime{3300};
   static constexpr milliseconds kReportPeriod{250};
@@ -161,7 +167,9 @@
     Schedule(now_ + milliseconds(1 + static_cast<std::int64_t>(gap * 1000)), [this] { Arrive(); });
     auto request = std::make_shared<Request>();
     request->fingerprint = ++last_request_;
-    request->parts = {1 + static_cast<std::uint64_t>(Below(kFirstParts))};
+    for (int i = 0; i < scenario_.common_parts; ++i) request->parts.push_back(kFirstCommon + i);
+    for (int i = 0; i < scenario_.own_parts; ++i) request->parts.push_back(++last_own_part_);
+    request->parts.push_back(1 + static_cast<std::uint64_t>(Below(kFirstParts)));
     const bool deadly = now_ >= deadly_from_ && Chance(scenario_.deadly_share);
     const auto number = static_cast<std::uint64_t>(Below(scenario_.deadly_parts));
     std::uint64_t subject = kFirstSubject + Below(kSubjects);
@@ -360,6 +368,7 @@
   std::priority_queue<Event> events_;
   std::uint64_t last_order_ = 0;
   std::uint64_t last_request_ = 10000;
+  std::uint64_t last_own_part_ = kFirstOwn;
   MonotonicTime now_ = kStart;
   MonotonicTime end_;
   MonotonicTime deadly_from_;
--- a/tests/test_containment_parts.cpp
+++ b/tests/test_containment_parts.cpp
@@ -44,16 +44,19 @@
 };
 
 // Sends requests with a deadly part for `time`, through the gateways in turn, each together with
-// three sound ones. Returns the counts of the sound ones that were sent from `counted_from` on.
+// three sound ones. All begin with the parts `common`. Returns the counts of the sound ones that
+// were sent from `counted_from` on.
 SoundRequests SendDeadly(PlatformFleet* fleet, const std::vector<int>& gateways, milliseconds time,
-                         milliseconds counted_from) {
+                         milliseconds counted_from, const std::string& common = "") {
   SoundRequests counts;
   const MonotonicTime start = MonotonicNow();
   for (std::size_t i = 0; MonotonicNow() < start + time; ++i) {
     const bool counted = MonotonicNow() >= start + counted_from;
     std::vector<HttpCall> calls;
-    calls.push_back(MakeStream(fleet, gateways[i % gateways.size()], kDeadlyParts));
-    for (int gateway : gateways) calls.push_back(MakeStream(fleet, gateway, kSoundParts));
+    calls.push_back(MakeStream(fleet, gateways[i % gateways.size()], common + kDeadlyParts));
+    for (int gateway : gateways) {
+      calls.push_back(MakeStream(fleet, gateway, common + kSoundParts));
+    }
     const auto replies = CallAll(std::move(calls));
     CHECK_FALSE(IsServed(replies.front()));
     if (!counted) continue;
@@ -77,12 +80,18 @@
 // their prompts with the earlier ones.
 TEST_CASE("requests with a part that crashes endpoints are contained by all gateways",
           "[containment]") {
+  // The second case guards against a part that is not looked at since many precede it.
+  const int common_parts = GENERATE(0, 600);
+  CAPTURE(common_parts);
+  std::string common;
+  for (int i = 0; i < common_parts; ++i) common += "c" + Hex64(i).substr(8) + ":5,";
   PlatformFleet fleet;
   // Callers of other requests have used the first parts before.
   for (int gateway : {0, 1, 2}) {
-    CHECK(IsServed(CallOne(MakeStream(&fleet, gateway, kSoundParts))));
+    CHECK(IsServed(CallOne(MakeStream(&fleet, gateway, common + kSoundParts))));
   }
-  const SoundRequests sound = SendDeadly(&fleet, {0, 1, 2}, milliseconds(12000), 2 * kContactTime);
+  const SoundRequests sound =
+      SendDeadly(&fleet, {0, 1, 2}, milliseconds(12000), 2 * kContactTime, common);
   CAPTURE(fleet.ExitTimes().size(), sound.sent, sound.served);
   CHECK(LateEnds(fleet.ExitTimes()) <= kMaxAttemptsAfterwards);
   CHECK(sound.sent >= 20);
--- a/tests/test_part_evidence.cpp
+++ b/tests/test_part_evidence.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <numeric>
 
 #include "containment_simulation.h"
 #include "evidence_exchange.h"
@@ -259,6 +261,79 @@
   CHECK(evidence.contained() == 0);
 }
 
+// Guards against a deadly part that is not looked at since many others precede it.
+TEST_CASE("a part behind a thousand others is contained", "[parts]") {
+  const bool known_before = GENERATE(false, true);
+  CAPTURE(known_before);
+  PartEvidence evidence(1);
+  std::vector<std::uint64_t> sound(1000);
+  std::iota(sound.begin(), sound.end(), 10000);
+  std::vector<std::uint64_t> deadly = sound;
+  deadly.push_back(kDeadly);
+  if (known_before) evidence.RecordServed(deadly, kStart, kStart);
+  MonotonicTime at = kStart;
+  for (std::uint32_t crash = 1; crash <= 5; ++crash) {
+    at += seconds(1);
+    evidence.RecordServed(sound, at - milliseconds(500), at - milliseconds(500));
+    evidence.RecordCrash(crash, {Run(100 + crash, deadly, at)}, at);
+  }
+  CHECK(IsContained(evidence, deadly, at + kHold));
+  CHECK_FALSE(IsContained(evidence, sound, at + kHold));
+  // The record that matters is in the first message, and the shared parts are not all recorded.
+  std::uint64_t next = 0;
+  const auto records = evidence.RecordsSince(0, at, &next);
+  CHECK(std::count_if(records.begin(), records.end(), [](const PartRecord& record) {
+          return record.part == kDeadly && record.crash != PartRecord::kServed;
+        }) == 5);
+  CHECK(records.size() < 5 * 2 * PartEvidence::kMaxKnownPartsPerCrash);
+}
+
+// Guards against a crash under many requests of many parts that evicts the part that matters or
+// makes messages without bound.
+TEST_CASE("twelve running requests with a thousand unknown parts each hide no deadly part",
+          "[parts]") {
+  PartEvidence evidence(1);
+  std::uint64_t last = 1000000;
+  MonotonicTime at = kStart;
+  const auto unknown_run = [&](std::uint64_t request) {
+    CrashedRun run = Run(request, {}, at);
+    for (int i = 0; i < 1000; ++i) run.parts.push_back(++last);
+    return run;
+  };
+  for (std::uint32_t crash = 1; crash <= 5; ++crash) {
+    at += seconds(4);
+    std::vector<CrashedRun> runs;
+    for (int i = 0; i < 12; ++i) {
+      runs.push_back(unknown_run(100 * crash + i));
+      runs.back().response_started = i < 11;
+    }
+    runs.back().parts.push_back(kDeadly);
+    evidence.RecordCrash(crash, runs, at);
+    CHECK(evidence.suspects() <= PartEvidence::kMaxSuspects);
+  }
+  CHECK(IsContained(evidence, kDeadlyParts, at + kHold));
+  EvidenceMessage message;
+  std::uint64_t next = 0;
+  message.part_records = evidence.RecordsSince(0, at, &next);
+  CHECK(message.part_records.size() == PartEvidence::kMaxRecords);
+  CHECK(Encode(message).size() < 10 * 1024);
+}
+
+// Guards against records that are lost or altered by the shorter form of those of one run.
+TEST_CASE("records of several runs and parts are sent and received unchanged", "[parts]") {
+  EvidenceMessage message;
+  for (std::uint32_t i = 0; i < 40; ++i) {
+    message.part_records.push_back({i, i / 7, i / 14, i % 21 < 7, 5 + i / 28, 6});
+  }
+  const auto received = Decode<EvidenceMessage>(Encode(message));
+  REQUIRE(received);
+  REQUIRE(received->part_records.size() == message.part_records.size());
+  for (std::size_t i = 0; i < message.part_records.size(); ++i) {
+    CHECK(received->part_records[i].part == message.part_records[i].part);
+    CHECK(received->part_records[i].IsOfSameRun(message.part_records[i]));
+  }
+}
+
 // Guards against too many crashes, against sends after a part is known by the users' bound, and
 // against sound requests that are refused or held, for random orders of events.
 TEST_CASE("deadly parts are contained in simulated fleets", "[parts]") {
@@ -278,11 +353,21 @@
   large.daemons = 60;
   large.engines = 117;
   large.requests_per_s = 200;
-  const Case cases[] = {{"one", {}},          {"tied", tied},       {"known before", known},
-                        {"several", several}, {"lossy", lossy},     {"relay dies", relay},
-                        {"cut", cut},         {"mass crash", mass}, {"large", large}};
+  // Prompts of many parts, near the limit of a request's header.
+  ContainmentScenario common, common_known, own;
+  common.common_parts = 1000;
+  common_known.common_parts = 1000;
+  common_known.known_before = true;
+  own.own_parts = 300;
+  const Case cases[] = {
+      {"one", {}},          {"tied", tied},       {"known before", known},
+      {"several", several}, {"lossy", lossy},     {"relay dies", relay},
+      {"cut", cut},         {"mass crash", mass}, {"large", large},
+      {"common", common},   {"own", own},         {"common, known", common_known}};
   for (const Case& each : cases) {
-    const std::uint64_t seeds = each.scenario.daemons > 10 ? 5 : 40;
+    const bool is_slow =
+        each.scenario.daemons > 10 || each.scenario.common_parts > 0 || each.scenario.own_parts > 0;
+    const std::uint64_t seeds = is_slow ? 5 : 40;
     ContainmentCounts total;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
       const ContainmentCounts counts = ContainmentSimulation(each.scenario, seed).Run(seconds(40));
