End the request, connection or task that an exception belongs to, not the process

An exception in a coroutine started with `detached` was dropped without a trace: its caller got no answer, and counts of open connections and running requests stayed too high.

SpawnDetached logs and counts what ended a coroutine. A request whose handler throws is answered with 500, which does not say whether it was executed, and releases its endpoint work, waits, quota charge and counters (ScopeExit). PeerServer no longer loses a connection place with each answer that cannot be encoded. New: counter exceptions_total, outcome internal_error.

Still started with `detached`, and so without a log line: eight tasks of the daemon's own path (placement, ledger, gossip, replica directory, crash detector).

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -1,8 +1,6 @@
 #include "daemon.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/json.hpp>
@@ -13,6 +11,7 @@
 #include "admission_gate.h"
 #include "completion_handler.h"
 #include "document_sync.h"
+#include "event_loop.h"
 #include "gossip.h"
 #include "host_cache.h"
 #include "http_client.h"
@@ -212,7 +211,7 @@
   supervisor_.Start("request sweeper", [this] { return sweeper_.Run(); });
   supervisor_.Start("poison", [this] { return poison_.Refresh(); });
   supervisor_.Start("metrics", [this] { return UpdateMetrics(); });
-  asio::co_spawn(*io_, WaitForSignals(), asio::detached);
+  SpawnDetached(io_->get_executor(), "signals", WaitForSignals());
   LOG4CPLUS_INFO(Log(), "serving client requests at " << ToString(settings_.caller_address));
   return outcome::success();
 }
@@ -464,7 +463,8 @@
   for (const auto& [name, member] : membership_.members()) {
     if (name == settings_.name || member.update.state == MemberState::kDead) continue;
     ++pending->in_flight;
-    asio::co_spawn(*io_, send(this, member.update.address, notice, pending), asio::detached);
+    SpawnDetached(io_->get_executor(), "poison notice",
+                  send(this, member.update.address, notice, pending));
   }
   const MonotonicTime deadline = MonotonicNow() + kAnnounceTimeout;
   while (pending->in_flight > 0 && MonotonicNow() < deadline) {
@@ -503,7 +503,7 @@
 
 Task<void> Daemon::WaitForSignals() {
   co_await signals_.async_wait(asio::use_awaitable);
-  asio::co_spawn(*io_, Drain(), asio::detached);
+  SpawnDetached(io_->get_executor(), "drain", Drain());
   co_await signals_.async_wait(asio::use_awaitable);
   LOG4CPLUS_WARN(Log(), "second signal received; exiting without finishing the drain");
   std::_Exit(2);
@@ -540,9 +540,9 @@
     std::cerr << "mimosabend: cannot listen: " << started.error() << "\n";
     std::_Exit(1);
   }
-  io.run();
+  const bool stopped = RunEventLoop(&io);
   std::cerr.flush();
-  std::_Exit(daemon->exit_code());
+  std::_Exit(stopped ? daemon->exit_code() : 1);
 }
 
 }  // namespace mimosabend
--- a/src/endpoint_prober.cpp
+++ b/src/endpoint_prober.cpp
@@ -1,9 +1,7 @@
 #include "endpoint_prober.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "directory_log.h"
+#include "event_loop.h"
 #include "log.h"
 #include "supervisor.h"
 
@@ -38,8 +36,8 @@
   } else {
     done = std::make_shared<Notifier>(client_->executor());
     probes_[number] = done;
-    boost::asio::co_spawn(client_->executor(), Probe(std::move(endpoint), number, done),
-                          boost::asio::detached);
+    SpawnDetached(client_->executor(), "probe of an endpoint",
+                  Probe(std::move(endpoint), number, done));
   }
   co_await done->WaitUntil(MonotonicNow() + kMaxWait);
   co_return correlator_->HasEnded(number);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1,7 +1,5 @@
 #include "gateway.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -14,6 +12,7 @@
 #include "digest.h"
 #include "document_parts.h"
 #include "endpoint_prober.h"
+#include "event_loop.h"
 #include "evidence_exchange.h"
 #include "fleet_state.h"
 #include "leader_finder.h"
@@ -479,6 +478,7 @@
   std::uint64_t dropped_lines = 0;
   std::uint64_t rejected = 0;
   std::uint64_t failed_assertions = 0;
+  std::uint64_t exceptions = 0;
   for (;;) {
     relay_metrics_.store_calls_total->Increment(static_cast<double>(store_.calls() - calls));
     relay_metrics_.store_errors_total->Increment(static_cast<double>(store_.errors() - errors));
@@ -492,6 +492,9 @@
     relay_metrics_.library_assertions_total->Increment(
         static_cast<double>(FailedLibraryAssertions() - failed_assertions));
     failed_assertions = FailedLibraryAssertions();
+    relay_metrics_.exceptions_total->Increment(
+        static_cast<double>(ReportedExceptions() - exceptions));
+    exceptions = ReportedExceptions();
     dropped_lines = BoundedAppender::dropped_lines_total();
     calls = store_.calls();
     errors = store_.errors();
@@ -552,7 +555,7 @@
 
 Task<void> Gateway::WaitForTermination() {
   co_await termination_signals_.async_wait(asio::use_awaitable);
-  asio::co_spawn(*io_, Drain(), asio::detached);
+  SpawnDetached(io_->get_executor(), "drain", Drain());
   co_await termination_signals_.async_wait(asio::use_awaitable);
   LOG4CPLUS_WARN(Log(), "second signal, exiting immediately");
   std::_Exit(2);
@@ -604,7 +607,7 @@
     co_await lease->Stop();
     *done = true;
   };
-  asio::co_spawn(*io_, release(&lease_, released), asio::detached);
+  SpawnDetached(io_->get_executor(), "release of the lease", release(&lease_, released));
   const MonotonicTime deadline = MonotonicNow() + kReleaseTime;
   while (!*released && MonotonicNow() < deadline) co_await Sleep(kDrainPollPeriod);
 }
@@ -647,9 +650,9 @@
     std::cerr << "mimosabend: cannot listen: " << started.error() << "\n";
     std::_Exit(1);
   }
-  io.run();
+  const bool stopped = RunEventLoop(&io);
   std::cout.flush();
-  std::_Exit(gateway->exit_code());
+  std::_Exit(stopped ? gateway->exit_code() : 1);
 }
 
 }  // namespace mimosabend
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -2,14 +2,13 @@
 
 #include <sys/socket.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cassert>
 
+#include "event_loop.h"
 #include "http_reader.h"
 #include "log.h"
 #include "tcp_listener.h"
@@ -29,6 +28,9 @@
 // Number of connections above the limit that are accepted only to reject their first request.
 constexpr std::size_t kMaxRejectingConnections = 64;
 constexpr char kRejectionRetryAfterSeconds[] = "2";
+// Does not say whether the request was executed.
+constexpr char kInternalErrorBody[] =
+    R"({"error":{"message":"internal error","type":"server_error","param":null,"code":null}})";
 
 // The request without its body.
 HttpRequest ConvertHeader(const HttpRequestParser::value_type& message) {
@@ -76,9 +78,18 @@
   // With `reject`, the first request gets a 503 response because too many connections are open.
   ServerConnection(HttpServer* server, asio::ip::tcp::socket socket, bool reject)
       : server_(server),
+        connections_(server->connections_),
         stream_(std::move(socket)),
         reader_(server->limits_.header_bytes),
-        reject_(reject) {}
+        reject_(reject) {
+    ++connections_->open;
+  }
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
+  ~ServerConnection() {
+    connections_->idle.erase(this);
+    --connections_->open;
+  }
 
   Task<void> Run();
 
@@ -182,9 +193,11 @@
   }
 
   Task<bool> ReadRequest(std::optional<HttpRequest>* request);
+  Task<void> RunHandler(HttpExchange* exchange);
   Task<Result<HttpRequest, HttpReadError>> ReadMessage();
 
   HttpServer* server_;
+  std::shared_ptr<HttpServer::Connections> connections_;
   beast::tcp_stream stream_;
   HttpReader reader_;
   bool reject_;
@@ -205,9 +218,9 @@
   // client may keep the connection open.
   const bool short_wait = server_->stopping() || reject_;
   stream_.expires_after(short_wait ? kDrainIdleTimeout : server_->limits_.idle_timeout);
-  server_->idle_.insert(this);
+  connections_->idle.insert(this);
   auto header = co_await reader_.ReadHeader(&stream_, &parser);
-  server_->idle_.erase(this);
+  connections_->idle.erase(this);
   if (!header) co_return outcome::failure(header.error());
   HttpRequest request = ConvertHeader(parser.get());
   request.arrival = MonotonicNow();
@@ -247,6 +260,22 @@
   co_return false;
 }
 
+// Lets the handler answer a request. One that fails ends its connection and no other.
+Task<void> ServerConnection::RunHandler(HttpExchange* exchange) {
+  bool failed = false;
+  try {
+    co_await server_->handler_(*exchange);
+  } catch (const std::exception& error) {
+    ReportException("handler of a request", error);
+    failed = true;
+  }
+  if (!failed) co_return;
+  keep_alive_ = false;
+  if (exchange->answered()) co_return;
+  HttpHeaders headers{{"Content-Type", "application/json"}};
+  co_await exchange->Reply(500, std::move(headers), kInternalErrorBody);
+}
+
 Task<void> ServerConnection::Run() {
   boost::system::error_code ignored;
   stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -262,7 +291,7 @@
       break;
     }
     HttpExchange exchange(this, std::move(*request));
-    co_await server_->handler_(exchange);
+    co_await RunHandler(&exchange);
     StopWatchingPeer();
     // A handler sends no response only if the client has disconnected.
     if (!exchange.answered() || chunked_open_) break;
@@ -318,7 +347,7 @@
 
 Result<std::uint16_t, std::string> HttpServer::Listen(const Address& address) {
   auto port = OpenListener(address, &acceptor_);
-  if (port) asio::co_spawn(executor_, Accept(), asio::detached);
+  if (port) SpawnDetached(executor_, "listener", Accept());
   return port;
 }
 
@@ -327,7 +356,7 @@
   AcceptQueued();
   boost::system::error_code ignored;
   acceptor_.close(ignored);
-  asio::co_spawn(executor_, CloseIdleConnections(), asio::detached);
+  SpawnDetached(executor_, "closing of idle connections", CloseIdleConnections());
 }
 
 // Waits kDrainIdleTimeout before, for requests that were sent before the client saw the close.
@@ -335,7 +364,7 @@
   Timer timer(executor_, kDrainIdleTimeout);
   boost::system::error_code ignored;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-  for (ServerConnection* connection : idle_) connection->CloseIfIdle();
+  for (ServerConnection* connection : connections_->idle) connection->CloseIfIdle();
 }
 
 // Accepts the connections in the listener's queue, because closing the listener would reset them.
@@ -350,11 +379,11 @@
 }
 
 void HttpServer::Admit(asio::ip::tcp::socket socket) {
-  const bool reject = open_connections_ >= limits_.connections;
+  const bool reject = connections_->open >= limits_.connections;
   if (reject) ++rejected_requests_;
-  if (open_connections_ >= limits_.connections + kMaxRejectingConnections) return;
-  ++open_connections_;
-  asio::co_spawn(executor_, Serve(std::move(socket), reject), asio::detached);
+  if (connections_->open >= limits_.connections + kMaxRejectingConnections) return;
+  auto connection = std::make_unique<ServerConnection>(this, std::move(socket), reject);
+  SpawnDetached(executor_, "connection of a caller", Serve(std::move(connection)));
 }
 
 Task<void> HttpServer::Accept() {
@@ -373,12 +402,8 @@
   }
 }
 
-Task<void> HttpServer::Serve(asio::ip::tcp::socket socket, bool reject) {
-  {
-    ServerConnection connection(this, std::move(socket), reject);
-    co_await connection.Run();
-  }
-  --open_connections_;
+Task<void> HttpServer::Serve(std::unique_ptr<ServerConnection> connection) {
+  co_await connection->Run();
 }
 
 }  // namespace mimosabend
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -72,7 +72,8 @@
 using HttpHandler = std::function<Task<void>(HttpExchange&)>;
 
 // HTTP/1.1 server with one coroutine per connection. Not thread-safe: all calls must run on its
-// executor. Destroy it only after the executor has stopped or when open_connections() is zero.
+// executor. Destroy it only after the executor has stopped or when open_connections() is zero. If a
+// handler throws, its request is answered with 500 unless its response has begun.
 class HttpServer {
  public:
   HttpServer(boost::asio::any_io_executor executor, HttpLimits limits, HttpHandler handler);
@@ -92,7 +93,7 @@
   // The new limits apply to new connections, and to open ones from their next read or write.
   void set_limits(const HttpLimits& limits) { limits_ = limits; }
 
-  std::size_t open_connections() const { return open_connections_; }
+  std::size_t open_connections() const { return connections_->open; }
   std::uint64_t rejected_requests() const { return rejected_requests_; }
   bool stopping() const { return stopping_; }
   bool closing() const { return closing_ || stopping_; }
@@ -100,18 +101,24 @@
  private:
   friend class ServerConnection;
 
+  // Shared with the coroutines of the connections, which may outlive the server.
+  struct Connections {
+    std::size_t open = 0;
+    // Those that wait for a request.
+    std::set<ServerConnection*> idle;
+  };
+
   Task<void> Accept();
   Task<void> CloseIdleConnections();
   void AcceptQueued();
   void Admit(boost::asio::ip::tcp::socket socket);
-  Task<void> Serve(boost::asio::ip::tcp::socket socket, bool reject);
+  static Task<void> Serve(std::unique_ptr<ServerConnection> connection);
 
   boost::asio::any_io_executor executor_;
   HttpLimits limits_;
   HttpHandler handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  std::set<ServerConnection*> idle_;
-  std::size_t open_connections_ = 0;
+  std::shared_ptr<Connections> connections_ = std::make_shared<Connections>();
   std::uint64_t rejected_requests_ = 0;
   bool stopping_ = false;
   bool closing_ = false;
--- a/src/operator_commands.cpp
+++ b/src/operator_commands.cpp
@@ -16,6 +16,7 @@
 #include "document_store.h"
 #include "environment.h"
 #include "environment_diff.h"
+#include "event_loop.h"
 #include "gateway.h"
 #include "http_kv_store.h"
 #include "json.h"
@@ -148,8 +149,8 @@
                  [&code](std::exception_ptr error, ExitCode result) {
                    if (error == nullptr) code = result;
                  });
-  session.io.run();
-  return code;
+  const bool stopped = RunEventLoop(&session.io);
+  return stopped ? code : ExitCode::kFailed;
 }
 
 ExitCode RunCheck(const CommandLine& line) {
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -2,15 +2,15 @@
 
 #include <sys/socket.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "event_loop.h"
 #include "log.h"
+#include "scope_exit.h"
 #include "supervisor.h"
 #include "tcp_listener.h"
 
@@ -160,7 +160,7 @@
 Result<void, std::string> PeerServer::Listen(const Address& address) {
   auto port = OpenListener(address, &acceptor_);
   if (!port) return outcome::failure(port.error());
-  asio::co_spawn(executor_, Accept(), asio::detached);
+  SpawnDetached(executor_, "listener for daemons", Accept());
   return outcome::success();
 }
 
@@ -176,50 +176,48 @@
     co_await acceptor_.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
       if (acceptor_.is_open()) co_await Sleep(kAcceptRetryDelay);
-    } else if (open_connections_ < kMaxConnections) {
-      asio::co_spawn(executor_, Serve(std::move(socket)), asio::detached);
+    } else if (*open_connections_ < kMaxConnections) {
+      SpawnDetached(executor_, "connection of a daemon", Serve(std::move(socket)));
     }
   }
 }
 
 Task<void> PeerServer::Serve(asio::ip::tcp::socket socket) {
-  ++open_connections_;
-  {
-    beast::tcp_stream stream(std::move(socket));
-    boost::system::error_code error;
-    stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
-    for (;;) {
-      stream.expires_after(kServerIdleTimeout);
-      auto frame = co_await ReadFrame(&stream);
-      if (!frame) {
-        if (frame.error() == PeerError::kMalformed || frame.error() == PeerError::kTruncated) {
-          metrics_->CountPeerError(frame.error());
-        }
-        break;
-      }
-      CountReceived(metrics_, frame.value().size() + kLengthPrefixBytes);
-      auto request = DecodeEnvelope(frame.value(), identity_.shared_key, WallNow());
-      if (!request) {
-        metrics_->CountPeerError(request.error());
-        break;
-      }
-      const std::uint64_t correlation_id = request.value().correlation_id;
-      auto answer = co_await handler_(std::move(request).value());
-      if (!answer) {
-        metrics_->CountPeerError(answer.error());
-        break;
+  ++*open_connections_;
+  const ScopeExit closed(open_connections_, [count = open_connections_.get()] { --*count; });
+  beast::tcp_stream stream(std::move(socket));
+  boost::system::error_code error;
+  stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  for (;;) {
+    stream.expires_after(kServerIdleTimeout);
+    auto frame = co_await ReadFrame(&stream);
+    if (!frame) {
+      if (frame.error() == PeerError::kMalformed || frame.error() == PeerError::kTruncated) {
+        metrics_->CountPeerError(frame.error());
       }
-      Envelope envelope = std::move(answer).value();
-      envelope.correlation_id = correlation_id;
-      const std::string bytes = AddLengthPrefix(EncodeEnvelope(envelope, identity_.shared_key));
-      stream.expires_after(kWriteTimeout);
-      co_await asio::async_write(stream, asio::buffer(bytes),
-                                 asio::redirect_error(asio::use_awaitable, error));
-      if (error) break;
-      CountSent(metrics_, bytes.size());
+      break;
+    }
+    CountReceived(metrics_, frame.value().size() + kLengthPrefixBytes);
+    auto request = DecodeEnvelope(frame.value(), identity_.shared_key, WallNow());
+    if (!request) {
+      metrics_->CountPeerError(request.error());
+      break;
+    }
+    const std::uint64_t correlation_id = request.value().correlation_id;
+    auto answer = co_await handler_(std::move(request).value());
+    if (!answer) {
+      metrics_->CountPeerError(answer.error());
+      break;
     }
+    Envelope envelope = std::move(answer).value();
+    envelope.correlation_id = correlation_id;
+    const std::string bytes = AddLengthPrefix(EncodeEnvelope(envelope, identity_.shared_key));
+    stream.expires_after(kWriteTimeout);
+    co_await asio::async_write(stream, asio::buffer(bytes),
+                               asio::redirect_error(asio::use_awaitable, error));
+    if (error) break;
+    CountSent(metrics_, bytes.size());
   }
-  --open_connections_;
 }
 
 }  // namespace mimosabend
--- a/src/peer_transport.h
+++ b/src/peer_transport.h
@@ -88,7 +88,8 @@
   Metrics* metrics_;
   PeerHandler handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  std::size_t open_connections_ = 0;
+  // Shared with the coroutines of the connections, which may outlive the server.
+  std::shared_ptr<std::size_t> open_connections_ = std::make_shared<std::size_t>(0);
 };
 
 }  // namespace mimosabend
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -8,6 +8,7 @@
 #include "platform/request_headers.h"
 #include "relay_context.h"
 #include "request_fingerprint.h"
+#include "scope_exit.h"
 #include "supervisor.h"
 
 namespace mimosabend {
@@ -101,12 +102,22 @@
     deps_.usage->endpoints_changed().NotifyAll();
   });
   active_.insert(context.get());
+  bool completed = false;
+  const ScopeExit end(alive_, [this, &context, &completed] {
+    if (!completed) context->outcome = RelayOutcome::kInternalError;
+    EndRequest(context.get());
+  });
   co_await Serve(context);
+  completed = true;
+}
+
+// Releases what the request holds, and counts and logs its outcome.
+void RelayHandler::EndRequest(Context* context) {
   if (context->quota_cost > 0 && context->runs == 0) {
     deps_.quota->Refund(*context->customer, context->quota_cost);
   }
-  active_.erase(context.get());
-  exchange.StopWatchingCaller();
+  active_.erase(context);
+  context->exchange->StopWatchingCaller();
   --in_flight_;
   const RouteKind kind = context->route == nullptr ? RouteKind::kIdempotent : context->route->kind;
   deps_.metrics->CountOutcome(context->outcome, kind);
@@ -250,13 +261,15 @@
   }
   BeginAttempt(context.get(), choice);
   const EndpointWork work{1, 0, 0};
+  AttemptOutcome outcome = AttemptOutcome::kFailed;
   deps_.stats->Start(choice.endpoint.id, work);
+  ScopeExit end(alive_,
+                [&] { deps_.stats->End(choice.endpoint.id, work, outcome, MonotonicNow()); });
   context->step = RelayStep::kEndpoint;
   auto reply = co_await deps_.client->Call(MakeCall(context.get(), choice, deadline));
   context->step = RelayStep::kChoice;
   context->trial.reset();
   context->excluded.insert(choice.endpoint.id);
-  AttemptOutcome outcome = AttemptOutcome::kSucceeded;
   ResponseKind kind = ResponseKind::kWrongRequest;
   if (reply) {
     ApplyEndpointHeaders(choice, reply.value().status, reply.value().headers);
@@ -272,7 +285,7 @@
     outcome = unreachable ? AttemptOutcome::kUnreachable : AttemptOutcome::kFailed;
   }
   if (context->caller_gone) outcome = AttemptOutcome::kNeutral;
-  deps_.stats->End(choice.endpoint.id, work, outcome, MonotonicNow());
+  end.Run();
   if (!reply) {
     co_await HandleFailedAttempt(context, choice.endpoint, reply.error());
     co_return NextStep::kRetry;
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -150,6 +150,7 @@
   bool HasEngine(const Context& context, MonotonicTime now) const;
   bool CanFailOver(const Context& context, const std::string& endpoint);
   RetryBudget& RetryBudgetFor(const std::string& service);
+  void EndRequest(Context* context);
   void LogEnd(const Context& context) const;
 
   Dependencies deps_;
@@ -157,6 +158,8 @@
   SuspectTrials trials_;
   RetryLimits retry_limits_;
   std::map<std::string, RetryBudget> budgets_;
+  // Expires with this object, which coroutines of its requests may outlive.
+  std::shared_ptr<const int> alive_ = std::make_shared<const int>(0);
   std::size_t in_flight_ = 0;
   std::set<Context*> active_;
   MonotonicTime started_ = MonotonicNow();
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -55,6 +55,8 @@
       registry_.AddCounter("log_lines_dropped_total", "Log lines that were left out.");
   library_assertions_total =
       registry_.AddCounter("library_assertions_total", "Failed assertions of the Boost libraries.");
+  exceptions_total = registry_.AddCounter(
+      "exceptions_total", "Exceptions that ended a request, a connection or another task.");
   crash_suspects = registry_.AddGauge(
       "crash_suspects", "Requests that were running when an endpoint crashed, and since served.");
   contained_parts = registry_.AddGauge(
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -16,7 +16,8 @@
 namespace mimosabend {
 
 // How a relayed request ended. Each request ends exactly once. kContained: refused because the
-// request crashed endpoints. kBrokenOff: the caller got no complete response.
+// request crashed endpoints. kBrokenOff: the caller got no complete response. kInternalError: an
+// exception ended the request.
 enum class RelayOutcome : std::uint8_t {
   kAnswered,
   kRefused,
@@ -27,12 +28,13 @@
   kEndpointFailed,
   kTimedOut,
   kBrokenOff,
-  kCallerGone
+  kCallerGone,
+  kInternalError
 };
-inline constexpr std::size_t kRelayOutcomeCount = 10;
+inline constexpr std::size_t kRelayOutcomeCount = 11;
 inline constexpr NameTable<RelayOutcome, kRelayOutcomeCount> kRelayOutcomeNames{
     {"answered", "refused", "contained", "unknown_route", "unknown_key", "over_quota",
-     "endpoint_failed", "timed_out", "broken_off", "caller_gone"}};
+     "endpoint_failed", "timed_out", "broken_off", "caller_gone", "internal_error"}};
 
 // Prometheus metrics of a gateway. The number of label sets is bounded. Thread-safe.
 class RelayMetrics {
@@ -64,6 +66,7 @@
   prometheus::Counter* store_errors_total;
   prometheus::Counter* log_lines_dropped_total;
   prometheus::Counter* library_assertions_total;
+  prometheus::Counter* exceptions_total;
   prometheus::Gauge* crash_suspects;
   prometheus::Gauge* contained_parts;
   prometheus::Gauge* config_version;
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -1,14 +1,14 @@
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
+#include "event_loop.h"
 #include "first_event_timeout.h"
 #include "log.h"
 #include "notifier.h"
 #include "platform/request_headers.h"
 #include "relay_context.h"
 #include "relay_handler.h"
+#include "scope_exit.h"
 #include "supervisor.h"
 
 namespace mimosabend {
@@ -131,6 +131,8 @@
   }
   deps_.metrics->model_waits_total->Increment();
   deps_.usage->BeginWaiting(context->service_name, model, context->route->target_latency, priority);
+  const ScopeExit end(alive_,
+                      [&] { deps_.usage->EndWaiting(context->service_name, model, priority); });
   context->step = RelayStep::kModel;
   bool found = false;
   while (!context->caller_gone) {
@@ -145,7 +147,6 @@
         std::min(WaitDeadline(*context), now + kStatePollInterval));
   }
   context->step = RelayStep::kChoice;
-  deps_.usage->EndWaiting(context->service_name, model, priority);
   context->waited += ToMillis(MonotonicNow() - start);
   co_return found;
 }
@@ -178,8 +179,7 @@
   const auto executor = co_await boost::asio::this_coro::executor;
   const auto placement = std::make_shared<AdapterPlacement>(executor);
   AdapterRequest request{choice->endpoint.id, context->params.model, context->params.adapter};
-  boost::asio::co_spawn(executor, RequestAdapter(placement, std::move(request)),
-                        boost::asio::detached);
+  SpawnDetached(executor, "adapter request", RequestAdapter(placement, std::move(request)));
   context->step = RelayStep::kAdapter;
   // The leader may not respond, and a shutdown may begin meanwhile, so this polls.
   while (!placement->placed && !context->caller_gone) {
@@ -217,6 +217,12 @@
       static_cast<std::uint64_t>(params.prompt_tokens) + params.max_output_tokens};
   deps_.stats->Start(id, work);
   deps_.usage->BeginRun(id, params.model, params.adapter);
+  EndpointWork left = work;
+  AttemptOutcome outcome = AttemptOutcome::kFailed;
+  const ScopeExit end(alive_, [&] {
+    deps_.stats->End(id, left, outcome, MonotonicNow());
+    deps_.usage->EndRun(id, params.model, params.adapter);
+  });
   deps_.usage->RecordRequest(
       context->service_name, params.model, params.adapter, context->route->target_latency,
       deps_.stats->PrefillMillisPerToken(id, params.model) * choice.prefill_tokens);
@@ -229,7 +235,6 @@
   context->step = RelayStep::kEndpoint;
   auto stream = co_await deps_.client->Open(std::move(call));
   NextStep next_step = NextStep::kRetry;
-  AttemptOutcome outcome = AttemptOutcome::kFailed;
   const std::uint64_t events_before = context->events;
   if (!stream) {
     co_await HandleFailedAttempt(context, choice.endpoint, stream.error());
@@ -280,10 +285,7 @@
   }
   context->trial.reset();
   if (context->caller_gone) outcome = AttemptOutcome::kNeutral;
-  EndpointWork left = work;
   if (context->events > events_before) left.prefill_tokens = 0;
-  deps_.stats->End(id, left, outcome, MonotonicNow());
-  deps_.usage->EndRun(id, params.model, params.adapter);
   co_return next_step;
 }
 
--- a/src/state_sync.cpp
+++ b/src/state_sync.cpp
@@ -1,8 +1,6 @@
 #include "state_sync.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
+#include "event_loop.h"
 #include "log.h"
 
 namespace mimosabend {
@@ -40,7 +38,7 @@
   if (!merged.empty()) usage_->endpoints_changed().NotifyAll();
   if (view.config_version > state_->config().version()) {
     if (!fetching_config_) {
-      boost::asio::co_spawn(executor_, FetchConfig(daemon, confirmed_at), boost::asio::detached);
+      SpawnDetached(executor_, "configuration request", FetchConfig(daemon, confirmed_at));
     }
     return;
   }
--- a/tests/relay_fixture.cpp
+++ b/tests/relay_fixture.cpp
@@ -120,7 +120,10 @@
     co_await Sleep(adapter_placement_time);
     co_return adapter_placement_succeeds;
   };
-  hooks.load_end = [this](const std::string&) { return load_end; };
+  hooks.load_end = [this](const std::string&) {
+    if (std::exchange(load_end_throws, false)) throw std::runtime_error("load_end_throws");
+    return load_end;
+  };
   hooks.has_leader = [this](MonotonicTime) { return has_leader; };
   hooks.config_may_be_stale = [this](MonotonicTime) { return config_may_be_stale; };
   return hooks;
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -108,6 +108,8 @@
   bool has_leader = true;
   bool config_may_be_stale = false;
   std::optional<MonotonicTime> load_end;
+  // Whether the next question for the end of a load throws.
+  bool load_end_throws = false;
   RelayHandler handler;
   HttpServer server;
   std::uint16_t port = 0;
