Skip interim responses (1xx) in front of the final one

The next request on that connection got a foreign answer.

Cause: HttpClient took the first head as the response, whatever its status, and counted the connection as reusable with the real response still to come.

Change: it reads on until a status of 200 or more, or 101, and gives up after 16 interim heads, so that heads without end are bounded as well.

Test: "interim responses are skipped, up to a limit" (http_messages), whole, in two pieces and byte by byte.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t kReadBytes = 16 * 1024;
 constexpr std::uint64_t kMaxBodyBytes = 8 * 1024 * 1024;
 constexpr std::uint32_t kMaxHeaderBytes = 32 * 1024;
+// Responses with a status below 200 that may precede the final one.
+constexpr int kMaxInterimResponses = 16;
 // Longest size line of a chunk with its extensions, and longest trailers.
 constexpr std::size_t kMaxFramingBytes = 16 * 1024;
 
@@ -79,6 +81,10 @@
   }
 }
 
+// Whether a response with this status precedes the final one. The client never asks to switch
+// protocols, so 101 is not expected before another response.
+bool IsInterim(unsigned status) { return status >= 100 && status < 200 && status != 101; }
+
 http::request<http::string_body> BuildRequest(const HttpCall& call) {
   http::request<http::string_body> request;
   request.version(11);
@@ -252,7 +258,7 @@
   co_return refused ? Reachability::kRefuses : Reachability::kSilent;
 }
 
-// Sends the request and reads the response header.
+// Sends the request and reads the header of the final response.
 Task<Result<std::unique_ptr<HttpConnection>, HttpError>> HttpClient::Send(const HttpCall& call) {
   std::unique_ptr<HttpConnection> connection;
   if (call.canceller != nullptr && call.canceller->cancelled()) {
@@ -272,13 +278,16 @@
   co_await http::async_write(connection->stream, request,
                              asio::redirect_error(asio::use_awaitable, error));
   if (error) co_return outcome::failure(TranslateWriteError(error));
-  connection->parser.emplace();
-  connection->parser->header_limit(kMaxHeaderBytes);
-  connection->parser->body_limit(boost::none);
-  if (call.method == "HEAD") connection->parser->skip(true);
-  auto read = co_await connection->reader.ReadHeader(&connection->stream, &*connection->parser);
-  if (!read) co_return outcome::failure(TranslateReadError(read.error()));
-  co_return connection;
+  for (int heads = 0; heads <= kMaxInterimResponses; ++heads) {
+    connection->parser.emplace();
+    connection->parser->header_limit(kMaxHeaderBytes);
+    connection->parser->body_limit(boost::none);
+    if (call.method == "HEAD") connection->parser->skip(true);
+    auto read = co_await connection->reader.ReadHeader(&connection->stream, &*connection->parser);
+    if (!read) co_return outcome::failure(TranslateReadError(read.error()));
+    if (!IsInterim(connection->parser->get().result_int())) co_return connection;
+  }
+  co_return outcome::failure(HttpError::kTooLarge);
 }
 
 Task<Result<std::unique_ptr<HttpStream>, HttpError>> HttpClient::Open(HttpCall call) {
--- a/tests/test_http_messages.cpp
+++ b/tests/test_http_messages.cpp
@@ -324,6 +324,30 @@
   }
 }
 
+// Guards against an interim response (1xx) that is returned as the response: the caller would get
+// no final one, and the next request on the connection the one to this request.
+TEST_CASE("interim responses are skipped, up to a limit", "[http]") {
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+  const std::string final_response = kStatusLine + "Content-Length: 4\r\n\r\nbody";
+  RawResponse endpoint;
+  std::string message;
+  for (int count = 1; count <= 3; ++count) {
+    message += interim;
+    CAPTURE(count);
+    for (const Pieces& pieces : {Pieces{message + final_response}, Pieces{message, final_response},
+                                 ByteByByte(message + final_response)}) {
+      const auto reply = endpoint.Receive(pieces);
+      REQUIRE(reply);
+      CHECK(reply.value().status == 200);
+      CHECK(reply.value().body == "body");
+    }
+  }
+  const auto without_end = endpoint.Receive({interim}, interim);
+  REQUIRE(!without_end);
+  CHECK(without_end.error() == HttpError::kTooLarge);
+  CHECK(endpoint.written() < 16 * 1024 * 1024);
+}
+
 // Guards against a truncated message that is taken for a whole one, or that ends the process.
 TEST_CASE("a message truncated at any byte is not taken for a whole one", "[http]") {
   const bool in_pieces = GENERATE(false, true);
