Start all background tasks with SpawnDetached

The tasks of the daemon's own path, of orders to engines and of the supervisor were still started with `detached`, which drops an exception without a log line. Tidying: no behaviour changes unless such a task throws.

--- a/src/crash_detector.h
+++ b/src/crash_detector.h
@@ -1,14 +1,13 @@
 #ifndef MIMOSABEND_CRASH_DETECTOR_H_
 #define MIMOSABEND_CRASH_DETECTOR_H_
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <map>
 #include <string>
 
 #include "clock.h"
 #include "engine.h"
+#include "event_loop.h"
 #include "supervisor.h"
 
 namespace mimosabend {
@@ -31,8 +30,8 @@
     }
     if (MonotonicNow() - it->second.queried_at > kMaxAge) {
       it->second.queried_at = MonotonicNow();
-      boost::asio::co_spawn(co_await boost::asio::this_coro::executor, Query(endpoint, address),
-                            boost::asio::detached);
+      const auto executor = co_await boost::asio::this_coro::executor;
+      SpawnDetached(executor, "state of an endpoint", Query(endpoint, address));
     }
     co_return cache_[endpoint].incarnation;
   }
--- a/src/engine_controller.h
+++ b/src/engine_controller.h
@@ -2,14 +2,13 @@
 #define MIMOSABEND_ENGINE_CONTROLLER_H_
 
 #include <boost/asio/any_io_executor.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <functional>
 #include <memory>
 #include <string>
 #include <utility>
 
 #include "engine_table.h"
+#include "event_loop.h"
 #include "fleet_order.h"
 #include "log.h"
 #include "model_planner.h"
@@ -125,9 +124,7 @@
     std::string adapter;
   };
 
-  void Spawn(Task<void> task) {
-    boost::asio::co_spawn(executor_, std::move(task), boost::asio::detached);
-  }
+  void Spawn(Task<void> task) { SpawnDetached(executor_, "order to an engine", std::move(task)); }
 
   // The engine of a step; nullptr if the engine has restarted or is gone, or the term has ended.
   EngineRecord* FindEngine(const Step& step) {
--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -1,8 +1,6 @@
 #include "event_loop.h"
 
 #include <atomic>
-#include <boost/asio/co_spawn.hpp>
-#include <exception>
 
 #include "log.h"
 
@@ -35,25 +33,21 @@
   }
 }
 
-void SpawnDetached(const boost::asio::any_io_executor& executor, std::string name,
-                   Task<void> task) {
-  boost::asio::co_spawn(executor, std::move(task),
-                        [name = std::move(name)](const std::exception_ptr& thrown) {
-                          if (thrown == nullptr) return;
-                          try {
-                            std::rethrow_exception(thrown);
-                          } catch (const std::exception& error) {
-                            ReportException(name, error);
-                          }
-                        });
-}
-
 void ReportException(std::string_view name, const std::exception& error) {
   ++reported_exceptions;
   LOG4CPLUS_ERROR(Log(), "task ended by an exception, task=\"" << name << "\" error=\""
                                                                << error.what() << "\"");
 }
 
+void ReportIfThrown(std::string_view name, const std::exception_ptr& thrown) {
+  if (thrown == nullptr) return;
+  try {
+    std::rethrow_exception(thrown);
+  } catch (const std::exception& error) {
+    ReportException(name, error);
+  }
+}
+
 std::uint64_t ReportedExceptions() { return reported_exceptions; }
 
 }  // namespace mimosabend
--- a/src/event_loop.h
+++ b/src/event_loop.h
@@ -2,11 +2,14 @@
 #define MIMOSABEND_EVENT_LOOP_H_
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <deque>
+#include <exception>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "clock.h"
 #include "result.h"
@@ -33,11 +36,20 @@
 // runs `io`.
 bool RunEventLoop(boost::asio::io_context* io);
 
-// Starts a coroutine that nobody waits for. An exception ends it; `name` says in the log which one.
-void SpawnDetached(const boost::asio::any_io_executor& executor, std::string name, Task<void> task);
-
 // Logs and counts an exception that ended the task `name`.
 void ReportException(std::string_view name, const std::exception& error);
+// The same, unless `thrown` is null.
+void ReportIfThrown(std::string_view name, const std::exception_ptr& thrown);
+
+// Starts a coroutine that nobody waits for. An exception ends it; `name` says in the log which one.
+template <class T>
+void SpawnDetached(const boost::asio::any_io_executor& executor, std::string name, Task<T> task) {
+  boost::asio::co_spawn(
+      executor, std::move(task),
+      [name = std::move(name)](const std::exception_ptr& thrown, const auto&... /*result*/) {
+        ReportIfThrown(name, thrown);
+      });
+}
 
 // Number of exceptions that were reported since the process started. Thread-safe.
 std::uint64_t ReportedExceptions();
--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -1,11 +1,10 @@
 #include "gossip.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "event_loop.h"
 #include "supervisor.h"
 
 namespace mimosabend {
@@ -132,7 +131,7 @@
     }
   } else if (envelope.type == PeerMessageType::kPingRequest) {
     if (auto request = Unwrap<PingRequest>(envelope)) {
-      asio::co_spawn(executor_, RelayPing(peer, std::move(request).value()), asio::detached);
+      SpawnDetached(executor_, "indirect ping", RelayPing(peer, std::move(request).value()));
       co_return;
     }
   } else {
--- a/src/placement_owner.h
+++ b/src/placement_owner.h
@@ -1,8 +1,6 @@
 #ifndef MIMOSABEND_PLACEMENT_OWNER_H_
 #define MIMOSABEND_PLACEMENT_OWNER_H_
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -10,6 +8,7 @@
 #include <string>
 
 #include "environment.h"
+#include "event_loop.h"
 #include "kv_store.h"
 #include "lease_keeper.h"
 #include "log.h"
@@ -307,8 +306,8 @@
       view.honours_fence = pool->fencing == Fencing::kHonoured;
       if (contacts_[host.id].has_coroutine) continue;
       contacts_[host.id].has_coroutine = true;
-      boost::asio::co_spawn(executor_, RunEndpoint(this->shared_from_this(), host.id),
-                            boost::asio::detached);
+      SpawnDetached(executor_, "contact with an endpoint",
+                    RunEndpoint(this->shared_from_this(), host.id));
     }
     AddUnlistedHosts();
     UpdateMissingHosts();
--- a/src/replica_directory.cpp
+++ b/src/replica_directory.cpp
@@ -1,12 +1,11 @@
 #include "replica_directory.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "digest.h"
+#include "event_loop.h"
 #include "supervisor.h"
 
 namespace mimosabend {
@@ -172,7 +171,7 @@
     ++entry->waiting[Index(rank)];
     if (!entry->fetching) {
       entry->fetching = true;
-      asio::co_spawn(executor_, FetchReplicas(model, entry), asio::detached);
+      SpawnDetached(executor_, "replicas of a model", FetchReplicas(model, entry));
     }
     // An owner in this process may answer before the coroutine spawned above first suspends.
     if (entry->answers == answers) co_await entry->changed.WaitUntil(deadline);
--- a/src/request_ledger.h
+++ b/src/request_ledger.h
@@ -1,8 +1,6 @@
 #ifndef MIMOSABEND_REQUEST_LEDGER_H_
 #define MIMOSABEND_REQUEST_LEDGER_H_
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <cassert>
 #include <functional>
 #include <map>
@@ -12,6 +10,7 @@
 
 #include "digest.h"
 #include "environment.h"
+#include "event_loop.h"
 #include "kv_store.h"
 #include "metrics.h"
 #include "notifier.h"
@@ -65,7 +64,7 @@
       reservation.status = CheckKeyAge(service, key, clock_());
     }
     if (!pending->written && pending->maybe_stored) {
-      boost::asio::co_spawn(executor_, Release(reservation), boost::asio::detached);
+      SpawnDetached(executor_, "release of a reservation", Release(reservation));
     }
     co_return reservation;
   }
@@ -145,7 +144,7 @@
     writer->last_use = ++usage_counter_;
     if (!writer->running) {
       writer->running = true;
-      boost::asio::co_spawn(executor_, Write(slot_key, writer), boost::asio::detached);
+      SpawnDetached(executor_, "write of the ledger", Write(slot_key, writer));
     }
     while (!pending->done) co_await writer->finished.WaitUntil(MonotonicTime::max());
   }
--- a/src/supervisor.cpp
+++ b/src/supervisor.cpp
@@ -1,12 +1,11 @@
 #include "supervisor.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <deque>
 
+#include "event_loop.h"
 #include "log.h"
 #include "timer.h"
 
@@ -37,7 +36,7 @@
       on_give_up_(std::move(on_give_up)) {}
 
 void Supervisor::Start(const std::string& task_name, TaskFactory factory) {
-  asio::co_spawn(executor_, Run(task_name, std::move(factory)), asio::detached);
+  SpawnDetached(executor_, task_name, Run(task_name, std::move(factory)));
 }
 
 Task<void> Supervisor::Run(std::string task_name, TaskFactory factory) {
