Make the test of decisions that are not stored independent of timers

Cause: the variant stored each decision 300 ms after it was acknowledged, and killed the owner after 200 ms of demands. On a busy machine the decision was stored before the owner died, so the next owner knew the replica.

Change: in the variant the decision is never stored, as by a daemon that dies before it would. The owner dies as soon as an engine holds the model, and a run without the mechanism goes on until it exceeds the bound, for 10 s at most.

--- a/tests/fake_engine.h
+++ b/tests/fake_engine.h
@@ -189,11 +189,16 @@
 class PausePoint {
  public:
   void PauseFor(milliseconds time) { until_ = std::max(until_, MonotonicNow() + time); }
+  void Resume() { until_ = MonotonicNow(); }
   Task<void> WaitWhilePaused() {
-    while (MonotonicNow() < until_) co_await Sleep(until_ - MonotonicNow());
+    while (MonotonicNow() < until_) {
+      co_await Sleep(std::min<MonotonicTime::duration>(kPollPeriod, until_ - MonotonicNow()));
+    }
   }
 
  private:
+  static constexpr milliseconds kPollPeriod{50};
+
   MonotonicTime until_;
 };
 
--- a/tests/test_placement.cpp
+++ b/tests/test_placement.cpp
@@ -13,6 +13,8 @@
 
 constexpr int kDaemons = 3;
 constexpr int kEngines = 3;
+// Limits the wait for what a demand leads to, also on a busy machine.
+constexpr milliseconds kMaxDemandTime{10000};
 constexpr std::int64_t kEndpointMemoryMib = 100;
 constexpr milliseconds kFaultTime{3500};
 // Longer than every reservation, lease and grace time below.
@@ -72,23 +74,19 @@
 // Key-value client of a daemon that can be paused.
 class PausableKv {
  public:
-  PausableKv(FakeKvService* service, PausePoint* pause)
-      : service_(service), kv_(service), pause_(pause) {}
+  PausableKv(FakeKvService* service, PausePoint* pause) : kv_(service), pause_(pause) {}
 
   KvFaults& faults() { return kv_.faults(); }
-  // Acknowledges each write at once but stores it only after this time, without comparing versions.
-  void set_write_behind(milliseconds time) { write_behind_ = time; }
+  // From now on, acknowledges each write at once without storing it, like a daemon that would store
+  // it later and dies before.
+  void LoseWrites() { loses_writes_ = true; }
 
   Task<Result<KvEntry, KvError>> Read(std::string key) {
     co_return co_await RunUnlessPaused(kv_.Read(key));
   }
   Task<Result<KvSwap, KvError>> CompareAndSwap(std::string key, std::string value,
                                                std::uint64_t expected) {
-    if (write_behind_.count() > 0) {
-      boost::asio::co_spawn(co_await boost::asio::this_coro::executor, StoreLater(key, value),
-                            boost::asio::detached);
-      co_return KvSwap{true, expected + 1};
-    }
+    if (loses_writes_) co_return KvSwap{true, expected + 1};
     co_return co_await RunUnlessPaused(kv_.CompareAndSwap(key, value, expected));
   }
   Task<Result<bool, KvError>> Delete(std::string key, std::uint64_t expected) {
@@ -122,16 +120,9 @@
     co_return result;
   }
 
-  Task<void> StoreLater(std::string key, std::string value) {
-    co_await Sleep(write_behind_);
-    co_await pause_->WaitWhilePaused();
-    service_->Swap(key, value, service_->Get(key).version);
-  }
-
-  FakeKvService* service_;
   FakeKv kv_;
   PausePoint* pause_;
-  milliseconds write_behind_{0};
+  bool loses_writes_ = false;
 };
 
 static_assert(KvStore<PausableKv>);
@@ -144,9 +135,9 @@
   // Instead of random faults, the owner dies right after its first load, on an engine that the
   // other daemons cannot reach.
   bool owner_dies = false;
-  // Mechanisms to disable. `skip_comparison`: orders are sent before the decision is stored, and it
-  // is stored without compare-and-swap. `skip_fences`: engines accept every order but still report
-  // the fencing token.
+  // Mechanisms to disable. `skip_comparison`: orders are sent before the decision is stored, and
+  // the daemons die before they would store it. `skip_fences`: engines accept every order but still
+  // report the fencing token.
   bool skip_comparison = false;
   bool skip_fences = false;
   // Hosts that are missing from the list and do not respond count as gone at once.
@@ -227,7 +218,7 @@
           engine(&simulation->engines_, &pause),
           lease(&kv, ShortTimings()) {
       kv.faults().max_delay = milliseconds(4);
-      if (simulation->options_.skip_comparison) kv.set_write_behind(milliseconds(300));
+      if (simulation->options_.skip_comparison) kv.LoseWrites();
       engine.faults().max_delay = milliseconds(6);
       engine.faults().lost_orders = 0.05;
       engine.faults().lost_answers = 0.05;
@@ -337,35 +328,52 @@
     return nullptr;
   }
 
-  // Repeatedly sends a demand for model-0, whose max_replicas is 1, to an owner.
-  static Task<void> SendDemands(Daemon* daemon, milliseconds time) {
+  // Repeatedly sends a demand for model-0, whose max_replicas is 1, to an owner, for `time` and on
+  // until `done` is true, but at most for kMaxDemandTime in all.
+  static Task<void> SendDemands(Daemon* daemon, milliseconds time, std::function<bool()> done) {
     DemandRequest request;
     request.group = "assistant.sul.0";
     request.model = "model-0";
     request.waiting[0] = 1;
-    const MonotonicTime end = MonotonicNow() + time;
-    while (MonotonicNow() < end) {
+    const MonotonicTime start = MonotonicNow();
+    while (MonotonicNow() < start + (done() ? time : kMaxDemandTime)) {
       auto ignored = co_await daemon->owner->Demand("asker", request);
       static_cast<void>(ignored);
       co_await Sleep(milliseconds(10));
     }
   }
 
-  Task<void> KillOwner() {
-    while (FindOwner(nullptr) == nullptr) co_await Sleep(milliseconds(10));
-    Daemon* first = FindOwner(nullptr);
-    co_await SendDemands(first, milliseconds(200));
+  // Hosts whose engine holds a model.
+  std::vector<Host> HostsOf(const std::string& model) {
+    std::vector<Host> holders;
     for (const Host& host : hosts_) {
       for (const EngineReplica& replica : engines_.State(host.address).replicas) {
-        if (replica.model != "model-0") continue;
-        for (auto& daemon : daemons_) daemon->engine.unreachable_ports().insert(host.address.port);
+        if (replica.model == model) holders.push_back(host);
       }
     }
+    return holders;
+  }
+
+  Task<void> KillOwner() {
+    while (FindOwner(nullptr) == nullptr) co_await Sleep(milliseconds(10));
+    Daemon* first = FindOwner(nullptr);
+    const std::function<bool()> loaded = [this] { return !HostsOf("model-0").empty(); };
+    co_await SendDemands(first, milliseconds(0), loaded);
+    for (const Host& host : HostsOf("model-0")) {
+      for (auto& daemon : daemons_) daemon->engine.unreachable_ports().insert(host.address.port);
+    }
     // Longer than the rest of the run, which amounts to a crash.
-    first->pause.PauseFor(seconds(3));
+    first->pause.PauseFor(3 * kMaxDemandTime);
     while (FindOwner(first) == nullptr) co_await Sleep(milliseconds(10));
-    co_await SendDemands(FindOwner(first), milliseconds(500));
+    // A run without the mechanism ends as soon as it has exceeded the bound, however late that is
+    // on a busy machine.
+    const std::function<bool()> enough = [this] {
+      CheckBounds();
+      return !options_.skip_comparison || !replica_bound_held_;
+    };
+    co_await SendDemands(FindOwner(first), milliseconds(500), enough);
     CheckBounds();
+    first->pause.Resume();
     Stop();
   }
 
