Keep a silent run of a stream during a shutdown

Cause: a silence of 1.6 s ended the run when another engine held the model, whether or not that engine had room and whether or not the gateway was stopping. The engine that was left is excluded, so that the stream ended with the shutdown. The limit was the deadline of a read, which closes the connection when it passes, so a shutdown that began during the silence could not lift it.

Change: StallWatch asks when the time has passed whether the run is to be given up, which it is not during a shutdown. Time that is spent on writing to a slow caller no longer counts as a silence of the engine.

Test: "a shutdown does not end a stream whose engine is silent for a while" (relay), with the shutdown before and during the silence.

--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -148,6 +148,7 @@
   HttpCall MakeCall(Context* context, const EndpointChoice& choice, MonotonicTime deadline) const;
   std::string PickService(const Route& route, const std::string& request_id) const;
   bool HasEngine(const Context& context, MonotonicTime now) const;
+  bool IsShuttingDown() const { return stop_deadline_ != MonotonicTime::max(); }
   bool CanFailOver(const Context& context, const std::string& endpoint);
   RetryBudget& RetryBudgetFor(const std::string& service);
   void EndRequest(Context* context);
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -9,6 +9,7 @@
 #include "relay_context.h"
 #include "relay_handler.h"
 #include "scope_exit.h"
+#include "stall_watch.h"
 #include "supervisor.h"
 
 namespace mimosabend {
@@ -300,19 +301,22 @@
   const milliseconds failover_timeout = FailoverTimeout(*context->route, choice);
   const bool attempts_left = context->AttemptsLeft() > 0;
   bool first = true;
-  // Only complete events count as progress: a stalled engine may still send a byte now and then.
-  MonotonicTime last_event = MonotonicNow();
+  // During a shutdown, a silent run is kept: another engine may be full, and a run that was given
+  // up cannot be taken up again.
+  const auto may_give_up = [this, &context, &choice, attempts_left] {
+    return attempts_left && !IsShuttingDown() && CanFailOver(*context, choice.endpoint.id);
+  };
+  const auto executor = co_await boost::asio::this_coro::executor;
+  StallWatch watch(executor, context->canceller, may_give_up);
+  watch.RecordProgress(MonotonicNow(), failover_timeout);
   for (;;) {
-    MonotonicTime limit = context->deadline;
-    if (attempts_left && CanFailOver(*context, choice.endpoint.id)) {
-      limit = std::min(limit, last_event + (first ? failover_timeout : stall_timeout));
-    }
     context->step = RelayStep::kEvents;
-    auto bytes = co_await stream->Read(limit);
+    auto bytes = co_await stream->Read(context->deadline);
     if (!bytes || context->caller_gone) {
       if (!bytes) {
-        context->reason = "stream: " + std::string(kHttpErrorNames[bytes.error()]);
-        co_await HandleIncompleteResponse(context, choice.endpoint, bytes.error());
+        const HttpError error = watch.expired() ? HttpError::kTimedOut : bytes.error();
+        context->reason = "stream: " + std::string(kHttpErrorNames[error]);
+        co_await HandleIncompleteResponse(context, choice.endpoint, error);
       }
       co_return NextStep::kRetry;
     }
@@ -322,9 +326,11 @@
       context->reason = "stream: event too large";
       co_return NextStep::kRetry;
     }
+    // Only complete events count as progress: a stalled engine may still send a byte now and then.
     if (events.empty()) continue;
+    // A slow caller is no stall of the engine.
+    watch.Pause();
     const MonotonicTime now = MonotonicNow();
-    last_event = now;
     if (first) {
       first = false;
       context->response_started = true;
@@ -354,6 +360,7 @@
     context->events += 1;
     if (splitter.last_id()) context->last_event_id = *splitter.last_id();
     if (context->caller_gone) co_return NextStep::kRetry;
+    watch.RecordProgress(MonotonicNow(), stall_timeout);
   }
   if (splitter.has_partial() || first) {
     context->reason = "stream ended before an event was complete";
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -346,6 +346,38 @@
   CHECK(retry_after < 4);
 }
 
+// Guards against a shutdown that cuts a stream whose sound engine is silent for a while: the run
+// was given up for another engine, which was full.
+TEST_CASE("a shutdown does not end a stream whose engine is silent for a while", "[relay]") {
+  // Whether the silence begins before the shutdown.
+  const bool silent_before = GENERATE(false, true);
+  CAPTURE(silent_before);
+  RelayFixture relay;
+  const auto begin_shutdown = [&] {
+    relay.handler.SetShutdownTimes(MonotonicNow() + milliseconds(2000),
+                                   MonotonicNow() + milliseconds(3000));
+  };
+  const EndpointBehavior silent = [&](HttpExchange& exchange) -> Task<void> {
+    if (!silent_before) begin_shutdown();
+    HttpHeaders headers = StampedHeaders(exchange);
+    co_await exchange.StartStream(200, std::move(headers));
+    co_await exchange.Write(Event(1));
+    co_await Sleep(milliseconds(300));
+    if (silent_before) begin_shutdown();
+    // The relay takes a silence of 1 s for a stall.
+    co_await Sleep(milliseconds(1200));
+    co_await exchange.Write(Event(2));
+    co_await exchange.FinishStream();
+  };
+  relay.SetBehavior(silent, Respond(503, true));
+  HttpCall call = relay.MakeCall("/resumable/1");
+  call.headers[2].second = "4000";
+  const auto reply = relay.Send(std::move(call));
+  REQUIRE(reply);
+  CHECK(reply.value().body == Event(1) + Event(2));
+  CHECK(relay.engine_arrivals() == 1);
+}
+
 // Guards against a request that waits for its model during a shutdown and is cut off at the end of
 // the grace period instead of being refused.
 TEST_CASE("a waiting request is refused before the process exits", "[relay]") {
