Send no body in the response to HEAD

Cause: the server wrote what the handler answered, whatever the method was.

Change: a response to HEAD has its header only, with the length that the body would have had. Chunks of a stream are left out as well.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -120,8 +120,10 @@
   Task<bool> WriteWhole(int status, const HttpHeaders& headers, std::string body) {
     http::response<http::string_body> response;
     Prepare(&response, status, headers);
-    response.body() = std::move(body);
+    const std::size_t size = body.size();
+    if (!is_head_request_) response.body() = std::move(body);
     response.prepare_payload();
+    if (is_head_request_ && size > 0) response.content_length(size);
     http::response_serializer<http::string_body> serializer(response);
     boost::system::error_code error;
     // The timeout applies to each partial write, so that a long response can pass a slow link.
@@ -134,6 +136,7 @@
   }
 
   Task<bool> WriteChunk(const std::string& bytes) {
+    if (is_head_request_) co_return true;
     boost::system::error_code error;
     stream_.expires_after(server_->limits_.write_timeout);
     co_await asio::async_write(stream_, http::make_chunk(asio::buffer(bytes)),
@@ -144,8 +147,10 @@
   Task<bool> WriteLastChunk() {
     boost::system::error_code error;
     stream_.expires_after(server_->limits_.write_timeout);
-    co_await asio::async_write(stream_, http::make_chunk_last(),
-                               asio::redirect_error(asio::use_awaitable, error));
+    if (!is_head_request_) {
+      co_await asio::async_write(stream_, http::make_chunk_last(),
+                                 asio::redirect_error(asio::use_awaitable, error));
+    }
     chunked_open_ = false;
     co_return CheckWrite(error);
   }
@@ -203,6 +208,8 @@
   bool reject_;
   bool keep_alive_ = true;
   bool chunked_open_ = false;
+  // The response to such a request has no body, which would be taken for the next response.
+  bool is_head_request_ = false;
   // Callback for a peer that closes its connection; null unless the peer is being watched.
   std::shared_ptr<std::function<void()>> peer_watch_;
 };
@@ -210,6 +217,7 @@
 // Reads the next message. Its headers are those of its header section: fields in the trailers could
 // otherwise replace what the request has been checked for.
 Task<Result<HttpRequest, HttpReadError>> ServerConnection::ReadMessage() {
+  is_head_request_ = false;
   HttpRequestParser parser;
   parser.header_limit(server_->limits_.header_bytes);
   parser.body_limit(server_->limits_.body_bytes);
@@ -225,6 +233,7 @@
   HttpRequest request = ConvertHeader(parser.get());
   request.arrival = MonotonicNow();
   keep_alive_ = parser.keep_alive();
+  is_head_request_ = request.method == "HEAD";
   if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
     http::response<http::empty_body> interim{http::status::continue_, 11};
     boost::system::error_code error;
--- a/tests/test_http_messages.cpp
+++ b/tests/test_http_messages.cpp
@@ -71,6 +71,12 @@
       : server_(io_.get_executor(), HttpLimits(), [this](HttpExchange& exchange) -> Task<void> {
           ++requests_;
           const HttpRequest& request = exchange.request();
+          if (request.target == "/stream") {
+            co_await exchange.StartStream(200, {});
+            co_await exchange.Write("part");
+            co_await exchange.FinishStream();
+            co_return;
+          }
           std::string body = request.method + " " + request.target + " " +
                              std::string(request.header("X")) + " [" + request.body + "]";
           co_await exchange.Reply(200, {}, std::move(body));
@@ -324,6 +330,19 @@
   }
 }
 
+// Guards against a body in the response to HEAD, which would stand in front of the next response.
+TEST_CASE("a response to HEAD has no body", "[http]") {
+  const std::string path = GENERATE("/p", "/stream");
+  CAPTURE(path);
+  EchoServer echo;
+  const std::string received = echo.Send(
+      {"HEAD " + path + " HTTP/1.1\r\nHost: h\r\n\r\nGET /next HTTP/1.1\r\nHost: h\r\n\r\n"});
+  const std::size_t end = received.find("\r\n\r\n");
+  REQUIRE(end != std::string::npos);
+  CHECK(received.substr(end + 4, 12) == "HTTP/1.1 200");
+  CHECK(received.find("GET /next  []") != std::string::npos);
+}
+
 // Guards against an interim response (1xx) that is returned as the response: the caller would get
 // no final one, and the next request on the connection the one to this request.
 TEST_CASE("interim responses are skipped, up to a limit", "[http]") {
