Apply a shorter limit of StallWatch at once

A stream that stalled right after its first event was kept for the time that its first event had been allowed (6 s and more on some routes) instead of 4 times the target gap: the timer that was already running was not set anew when the limit became shorter.

--- a/src/stall_watch.h
+++ b/src/stall_watch.h
@@ -19,15 +19,16 @@
  public:
   // `may_give_up` is asked once for each stall. Precondition: what it refers to outlives this
   // object.
-  StallWatch(boost::asio::any_io_executor executor, std::shared_ptr<HttpCanceller> canceller,
+  StallWatch(const boost::asio::any_io_executor& executor, std::shared_ptr<HttpCanceller> canceller,
              std::function<bool()> may_give_up)
-      : state_(std::make_shared<State>(std::move(executor), std::move(canceller),
-                                       std::move(may_give_up))) {}
+      : state_(std::make_shared<State>(executor, std::move(canceller), std::move(may_give_up))) {}
 
   // The call has made progress at `now`, and stalls after `timeout` without any.
   void RecordProgress(MonotonicTime now, milliseconds timeout) {
     state_->stalled_at = now + timeout;
-    if (!std::exchange(state_->waiting, true)) Wait(state_);
+    if (state_->waiting && state_->stalled_at >= state_->timer.expiry()) return;
+    state_->waiting = true;
+    Wait(state_);
   }
 
   // The call is not waited for until the next progress is recorded.
@@ -38,9 +39,9 @@
 
  private:
   struct State {
-    State(boost::asio::any_io_executor executor, std::shared_ptr<HttpCanceller> call,
+    State(const boost::asio::any_io_executor& executor, std::shared_ptr<HttpCanceller> call,
           std::function<bool()> ask)
-        : timer(std::move(executor)), canceller(std::move(call)), may_give_up(std::move(ask)) {}
+        : timer(executor), canceller(std::move(call)), may_give_up(std::move(ask)) {}
 
     Timer timer;
     std::shared_ptr<HttpCanceller> canceller;
@@ -52,9 +53,11 @@
 
   static void Wait(const std::shared_ptr<State>& state) {
     state->timer.expires_at(state->stalled_at);
-    state->timer.async_wait([weak = std::weak_ptr<State>(state)](boost::system::error_code) {
-      if (const auto locked = weak.lock()) Check(locked, MonotonicNow());
-    });
+    state->timer.async_wait(
+        [weak = std::weak_ptr<State>(state)](const boost::system::error_code& error) {
+          const auto locked = weak.lock();
+          if (locked != nullptr && !error) Check(locked, MonotonicNow());
+        });
   }
 
   static void Check(const std::shared_ptr<State>& state, MonotonicTime now) {
