--- a/src/part_evidence.cpp
+++ b/src/part_evidence.cpp
@@ -92,7 +92,9 @@
   std::set<std::uint32_t> explained;
   for (const bool served : {false, true}) {
     const Candidates candidates = FindCandidates(served, explained);
-    for (const auto& [crashes, parts] : candidates) {
+    for (const auto& candidate : candidates) {
+      const std::set<std::uint32_t>& crashes = candidate.first;
+      const std::vector<std::uint64_t>& parts = candidate.second;
       const bool is_explained =
           std::any_of(candidates.begin(), candidates.end(),
                       [&](const auto& other) { return IsStrictSubset(crashes, other.first); });
