Decide at each event whether a stalled stream may go on elsewhere

When an engine is lost, many streams stall at once, and the retry budget is then used up: a stalled stream was held until its deadline, where it had been ended after the stall time before, so that its caller could try again.

Change: it is asked at each event, as before; only the shutdown is looked at when the time has passed.

Test: "a stalled stream ends without a retry budget" (relay). It fails before: 2.0 s instead of 1.7 s at most.

--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -303,12 +303,16 @@
   bool first = true;
   // During a shutdown, a silent run is kept: another engine may be full, and a run that was given
   // up cannot be taken up again.
-  const auto may_give_up = [this, &context, &choice, attempts_left] {
-    return attempts_left && !IsShuttingDown() && CanFailOver(*context, choice.endpoint.id);
-  };
   const auto executor = co_await boost::asio::this_coro::executor;
-  StallWatch watch(executor, context->canceller, may_give_up);
-  watch.RecordProgress(MonotonicNow(), failover_timeout);
+  StallWatch watch(executor, context->canceller, [this] { return !IsShuttingDown(); });
+  // Whether the run could go on elsewhere is decided at each event: when many streams stall at once
+  // the retry budget is used up, and a stalled stream that is held tells its caller nothing.
+  const auto await_event = [&](milliseconds timeout) {
+    watch.Pause();
+    const bool can_fail_over = attempts_left && CanFailOver(*context, choice.endpoint.id);
+    if (can_fail_over) watch.RecordProgress(MonotonicNow(), timeout);
+  };
+  await_event(failover_timeout);
   for (;;) {
     context->step = RelayStep::kEvents;
     auto bytes = co_await stream->Read(context->deadline);
@@ -360,7 +364,7 @@
     context->events += 1;
     if (splitter.last_id()) context->last_event_id = *splitter.last_id();
     if (context->caller_gone) co_return NextStep::kRetry;
-    watch.RecordProgress(MonotonicNow(), stall_timeout);
+    await_event(stall_timeout);
   }
   if (splitter.has_partial() || first) {
     context->reason = "stream ended before an event was complete";
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -346,6 +346,32 @@
   CHECK(retry_after < 4);
 }
 
+// Guards against a stalled stream that is held until its deadline because the retry budget is used
+// up when its stall is noticed: its caller could have tried again long before.
+TEST_CASE("a stalled stream ends without a retry budget", "[relay]") {
+  RelayFixture relay;
+  const EndpointBehavior stalled = [&](HttpExchange& exchange) -> Task<void> {
+    HttpHeaders headers = StampedHeaders(exchange);
+    co_await exchange.StartStream(200, std::move(headers));
+    co_await exchange.Write(Event(1));
+    co_await Sleep(milliseconds(100));
+    RetryLimits none;
+    none.extra = 0;
+    none.share = 0;
+    none.extra_is_minimum = false;
+    relay.handler.SetRetryLimits(none);
+    co_await Sleep(milliseconds(3000));
+  };
+  relay.SetBehavior(stalled, SendEvents(2, 3, true));
+  const MonotonicTime start = MonotonicNow();
+  HttpCall call = relay.MakeCall("/resumable/1");
+  call.headers[2].second = "4000";
+  const auto reply = relay.Send(std::move(call));
+  // The stall is noticed after 1 s, the deadline is 2 s.
+  CHECK(MonotonicNow() - start < milliseconds(1700));
+  CHECK_FALSE(reply);
+}
+
 // Guards against a shutdown that cuts a stream whose sound engine is silent for a while: the run
 // was given up for another engine, which was full.
 TEST_CASE("a shutdown does not end a stream whose engine is silent for a while", "[relay]") {
