Log the rate limits that endpoints state

A gateway records the limit that a response states, logs each change with the endpoint, the rate and the request, and counts the endpoints with a limit (limited_endpoints). A response without the header ends a limit only if its request was sent after the limit was stated, since responses on different connections overtake each other. An invalid header is logged and changes nothing; of several in one response the lowest counts. Requests are not limited yet.

The case in test relay fails without the change: there is nothing that records a limit.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -158,6 +158,7 @@
   EndpointSelector selector_;
   UsageCollector usage_;
   QuotaMeter quota_;
+  EndpointLimits limits_;
   CrashEvidence evidence_;
   PartEvidence part_evidence_;
   CrashCorrelator crash_correlator_;
@@ -225,10 +226,10 @@
             {&peer_client_, &leader_, &finder_, &state_, &sync_, &directory_, &stats_, &usage_,
              &exchange_, &quota_},
             RandomId()),
-      relay_(
-          {&endpoint_client_, &directory_, &stats_, &prefixes_, &selector_, &usage_,
-           &relay_metrics_, &evidence_, &part_evidence_, &prober_, &quota_, MakePlacementHooks()},
-          RandomId()),
+      relay_({&endpoint_client_, &directory_, &stats_, &prefixes_, &selector_, &usage_,
+              &relay_metrics_, &evidence_, &part_evidence_, &prober_, &quota_, &limits_,
+              MakePlacementHooks()},
+             RandomId()),
       config_watcher_(io->get_executor(), &store_, PlatformStore::config_key(), kConfigBatchDelay,
                       ConfigHandlers()),
       endpoint_watcher_(io->get_executor(), &store_, PlatformStore::endpoint_prefix(),
@@ -452,8 +453,12 @@
     crash_correlator_.PruneExpired(MonotonicNow());
     evidence_.PruneExpired(MonotonicNow());
     part_evidence_.PruneExpired(MonotonicNow());
-    state_.holdings().KeepIf(
-        [this](std::uint32_t number) { return state_.directory().KnowsNumber(number); });
+    const auto is_known = [this](std::uint32_t number) {
+      return state_.directory().KnowsNumber(number);
+    };
+    state_.holdings().KeepIf(is_known);
+    limits_.KeepIf(is_known);
+    limits_.PruneExpired(MonotonicNow());
     ConfirmReading();
     ApplyRetryLimits();
     co_await Sleep(kHousekeepingPeriod);
@@ -501,6 +506,7 @@
     connections = endpoint_client_.connections_opened();
     relay_metrics_.crash_suspects->Set(static_cast<double>(evidence_.suspects()));
     relay_metrics_.contained_parts->Set(static_cast<double>(part_evidence_.contained()));
+    relay_metrics_.limited_endpoints->Set(static_cast<double>(limits_.size()));
     relay_metrics_.endpoints->Set(static_cast<double>(directory_.entries().size()));
     relay_metrics_.requests_in_flight->Set(static_cast<double>(relay_.in_flight()));
     relay_metrics_.leads_placement->Set(leader_.IsLeader(MonotonicNow()) ? 1 : 0);
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -275,6 +275,9 @@
     ApplyEndpointHeaders(choice, reply.value().status, reply.value().headers);
     kind =
         platform::ClassifyResponse(reply.value().status, reply.value().headers, context->params.id);
+    if (kind != ResponseKind::kWrongRequest) {
+      RecordRateLimit(*context, choice.endpoint, reply.value().headers);
+    }
     const bool ran = kind == ResponseKind::kRan;
     const bool failed = kind == ResponseKind::kWrongRequest || (ran && reply.value().status >= 500);
     outcome = failed ? AttemptOutcome::kFailed
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "crash_evidence.h"
+#include "endpoint_limits.h"
 #include "endpoint_prober.h"
 #include "endpoint_selector.h"
 #include "event_stream.h"
@@ -56,6 +57,7 @@
     PartEvidence* part_evidence;
     EndpointProber* prober;
     QuotaMeter* quota;
+    EndpointLimits* limits;
     PlacementHooks placement;
   };
 
@@ -102,6 +104,8 @@
   Task<bool> Authenticate(ContextPtr context);
   Task<bool> WaitForQuota(ContextPtr context);
   Task<bool> AdmitByQuota(ContextPtr context);
+  void RecordRateLimit(const Context& context, const FleetEndpoint& endpoint,
+                       const HttpHeaders& headers);
   Task<void> ServePlain(ContextPtr context);
   Task<NextStep> AttemptPlain(ContextPtr context, EndpointChoice choice);
   Task<void> ServeStream(ContextPtr context);
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -61,6 +61,7 @@
       "crash_suspects", "Requests that were running when an endpoint crashed, and since served.");
   contained_parts = registry_.AddGauge(
       "contained_parts", "Parts of prompts that are contained because endpoints crashed.");
+  limited_endpoints = registry_.AddGauge("limited_endpoints", "Endpoints that state a rate limit.");
   config_version = registry_.AddGauge("config_version", "Version of the configuration in force.");
   endpoints = registry_.AddGauge("endpoints", "Endpoints in the directory.");
   requests_in_flight = registry_.AddGauge("requests_in_flight", "Requests that have not ended.");
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -69,6 +69,7 @@
   prometheus::Counter* exceptions_total;
   prometheus::Gauge* crash_suspects;
   prometheus::Gauge* contained_parts;
+  prometheus::Gauge* limited_endpoints;
   prometheus::Gauge* config_version;
   prometheus::Gauge* endpoints;
   prometheus::Gauge* requests_in_flight;
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -246,6 +246,7 @@
     const HttpHeaders headers = stream.value()->headers();
     ApplyEndpointHeaders(choice, status, headers);
     const ResponseKind kind = platform::ClassifyResponse(status, headers, params.id);
+    if (kind != ResponseKind::kWrongRequest) RecordRateLimit(*context, choice.endpoint, headers);
     const bool success = status >= 200 && status < 300;
     if (kind == ResponseKind::kMisdirected) {
       context->reason = "engine does not hold the model or adapter";
--- a/tests/relay_fixture.cpp
+++ b/tests/relay_fixture.cpp
@@ -98,7 +98,7 @@
       usage(io.get_executor()),
       prober(&client, &directory, &crash_correlator),
       handler({&client, &directory, &stats, &prefixes, &selector, &usage, &metrics, &evidence,
-               &part_evidence, &prober, &quota, Hooks()},
+               &part_evidence, &prober, &quota, &limits, Hooks()},
               5),
       server(io.get_executor(), HttpLimits(),
              [this](HttpExchange& exchange) { return handler.Handle(exchange); }) {
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -103,6 +103,7 @@
   CrashCorrelator crash_correlator{&evidence, &part_evidence};
   EndpointProber prober;
   QuotaMeter quota{[] {}};
+  EndpointLimits limits;
   bool adapter_placement_succeeds = true;
   milliseconds adapter_placement_time{0};
   bool has_leader = true;
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
+#include "directory_log.h"
 #include "relay_fixture.h"
 
 namespace mimosabend::testing {
@@ -506,4 +507,31 @@
   CHECK(relay.engine_arrivals() == 1);
 }
 
+// Guards against a limit that no log line and no metric shows, and against one that an invalid
+// header sets or ends.
+TEST_CASE("the rate limit that an endpoint states is recorded", "[relay]") {
+  RelayFixture relay;
+  const std::uint32_t p1 = EndpointNumber("p1", 0);
+  const std::uint32_t p2 = EndpointNumber("p2", 0);
+  const auto known = [&] {
+    return relay.limits.Rate(p1) ? relay.limits.Rate(p1) : relay.limits.Rate(p2);
+  };
+  const auto state = [&](const std::string& value) {
+    const EndpointBehavior answer = [value](HttpExchange& exchange) -> Task<void> {
+      HttpHeaders headers = StampedHeaders(exchange);
+      if (!value.empty()) headers.emplace_back("Server-Limit", value);
+      co_await exchange.Reply(200, std::move(headers), "body");
+    };
+    relay.SetBehavior(answer, answer);
+    for (int i = 0; i < 20; ++i) CHECK(relay.Send("/read/1"));
+  };
+  state("2.5");
+  CHECK(known() == 2.5);
+  state("many");
+  CHECK(known() == 2.5);
+  state("");
+  CHECK(known() == std::nullopt);
+  CHECK(relay.limits.size() == 0);
+}
+
 }  // namespace mimosabend::testing
