--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -1,5 +1,6 @@
 #include "platform_fleet.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -108,6 +109,7 @@
   const std::vector<std::uint16_t> ports = FreePorts(count);
   for (int i = 0; i < count; ++i) {
     Endpoint endpoint;
+    endpoint.index = i;
     endpoint.service = i < options_.engines ? "models" : "plain";
     endpoint.port = ports[i];
     StartEndpoint(&endpoint);
@@ -155,6 +157,9 @@
   }
   flags.insert(flags.end(), options_.endpoint_flags.begin(), options_.endpoint_flags.end());
   if (options_.log_runs) flags.push_back("--run_log=" + RunLog());
+  if (options_.log_arrivals) flags.push_back("--arrival_log=" + ArrivalLog());
+  const auto limit = options_.rate_limits.find(endpoint->index);
+  if (limit != options_.rate_limits.end()) flags.push_back("--rate_limit=" + limit->second);
   endpoint->process =
       std::make_unique<Process>(Program("tests/platform_endpoint_standin"), flags, Log(id), true);
 }
@@ -196,6 +201,43 @@
   return runs;
 }
 
+void PlatformFleet::SetRateLimit(int index, const std::string& rate_limit) {
+  std::uint16_t port = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    port = endpoints_.at(index).port;
+  }
+  const json::object body{{"rate_limit", rate_limit}};
+  const auto reply = CallOne(StoreCall({"127.0.0.1", port}, "PUT", "/fault", body));
+  if (!reply) throw std::runtime_error("the endpoint did not respond");
+}
+
+std::vector<EndpointEvent> PlatformFleet::EndpointEvents() const {
+  std::vector<EndpointEvent> events;
+  std::ifstream file(ArrivalLog());
+  std::string kind;
+  std::int64_t micros = 0;
+  std::uint16_t port = 0;
+  EndpointEvent event;
+  while (file >> kind >> micros >> port >> event.gateway >> event.rate_limit) {
+    event.is_answer = kind == "answer";
+    event.at = MonotonicTime(std::chrono::microseconds(micros));
+    event.endpoint = IndexOfPort(port);
+    if (event.rate_limit == "-") event.rate_limit.clear();
+    events.push_back(event);
+  }
+  std::stable_sort(events.begin(), events.end(),
+                   [](const auto& a, const auto& b) { return a.at < b.at; });
+  return events;
+}
+
+int PlatformFleet::IndexOfPort(std::uint16_t port) const {
+  const std::lock_guard lock(mutex_);
+  const auto it = std::find_if(endpoints_.begin(), endpoints_.end(),
+                               [&](const Endpoint& endpoint) { return endpoint.port == port; });
+  return static_cast<int>(it - endpoints_.begin());
+}
+
 std::vector<MonotonicTime> PlatformFleet::ExitTimes() const {
   const std::lock_guard lock(mutex_);
   return exit_times_;
@@ -266,11 +308,9 @@
   call.method = "POST";
   call.target = target;
   call.body = body;
-  call.headers = {{"Host", "a.example"},
-                  {"Request-Id", Hex64(Hash64(target, ++next_request_))},
-                  {"Deadline-Ms", "10000"},
-                  {"Model", "m"},
-                  {"Token-Count", "100,10"}};
+  call.headers = {{"Host", "a.example"},    {"Request-Id", Hex64(Hash64(target, ++next_request_))},
+                  {"Deadline-Ms", "10000"}, {"Test-Gateway", std::to_string(gateway)},
+                  {"Model", "m"},           {"Token-Count", "100,10"}};
   call.deadline = MonotonicNow() + kCallTimeout;
   return call;
 }
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -2,6 +2,7 @@
 #define MIMOSABEND_TESTS_PLATFORM_FLEET_H_
 
 #include <filesystem>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -26,6 +27,22 @@
   std::vector<std::string> endpoint_flags;
   // Whether endpoints add the requests that they run to a file.
   bool log_runs = false;
+  // Rate limits that endpoints state from their start, by endpoint index.
+  std::map<int, std::string> rate_limits;
+  // Whether endpoints add the arrivals of callers' requests to a file.
+  bool log_arrivals = false;
+};
+
+// An arrival of a caller's request at an endpoint, or the answer to one.
+struct EndpointEvent {
+  bool is_answer = false;
+  MonotonicTime at;
+  // Counts from 0, engines first.
+  int endpoint = 0;
+  // The gateway that the caller sent the request to.
+  int gateway = 0;
+  // The rate limit that the endpoint states at that time; empty for none.
+  std::string rate_limit;
 };
 
 // Runs gateways as processes, with stand-ins for the platform: its store, engines that hold the
@@ -58,6 +75,12 @@
   // The requests that endpoints began to run: id and body, in order. Precondition: `log_runs`.
   std::vector<std::pair<std::string, std::string>> Runs() const;
 
+  // Sets the rate limit that an endpoint states in its answers; empty for none.
+  void SetRateLimit(int index, const std::string& rate_limit);
+
+  // Arrivals and answers at all endpoints, by time. Precondition: `log_arrivals`.
+  std::vector<EndpointEvent> EndpointEvents() const;
+
   // When endpoints exited, in order.
   std::vector<MonotonicTime> ExitTimes() const;
 
@@ -67,6 +90,7 @@
 
  private:
   struct Endpoint {
+    int index = 0;
     std::string service;
     std::uint16_t port = 0;
     int starts = 0;
@@ -77,8 +101,10 @@
   void WriteConfig();
   void WriteSettings(int index);
   void StartEndpoint(Endpoint* endpoint);
+  int IndexOfPort(std::uint16_t port) const;
   void RestartEndpoints();
   std::string RunLog() const { return (directory_ / "runs").string(); }
+  std::string ArrivalLog() const { return (directory_ / "arrivals").string(); }
   std::string Log(const std::string& name) const { return (directory_ / (name + ".log")).string(); }
 
   PlatformFleetOptions options_;
--- a/tests/standins/platform_endpoint_standin.cpp
+++ b/tests/standins/platform_endpoint_standin.cpp
@@ -1,7 +1,8 @@
 // Stand-in for an endpoint of the users' platform: an engine that streams events, or a plain
 // service. It registers itself in the store under a lease and renews that. A request whose body
 // contains "crash" ends the process when it starts to run, like a request that crashes an engine;
-// so does a request whose prompt has a part with an id that begins with "dead".
+// so does a request whose prompt has a part with an id that begins with "dead". PUT /fault
+// {"rate_limit": "3"} changes the rate limit that its answers state; "" ends it.
 #include <fcntl.h>
 #include <gflags/gflags.h>
 #include <unistd.h>
@@ -28,6 +29,10 @@
 DEFINE_int32(max_running, 0, "requests that run at the same time, others wait; 0 for no limit");
 DEFINE_int32(max_waiting, 2, "requests that wait at the same time, others are refused");
 DEFINE_string(run_log, "", "file to which the id and body of each request are added when it runs");
+DEFINE_string(rate_limit, "", "Server-Limit of all answers to callers' requests; empty for none");
+DEFINE_string(
+    arrival_log, "",
+    "file to which each arrival of a caller's request and the head of its answer are added");
 
 namespace mimosabend::standin {
 
@@ -54,16 +59,22 @@
       co_await ReplyJson(&exchange, 200, json::object());
       co_return;
     }
+    if (path == "/fault") {
+      rate_limit_ = StringMember(JsonBody(exchange), "rate_limit");
+      co_await ReplyJson(&exchange, 200, json::object());
+      co_return;
+    }
+    LogEvent("arrival", exchange.request());
     const std::string expected(exchange.request().header("Expect-Instance"));
     if (!expected.empty() && expected != FLAGS_id) {
-      HttpHeaders headers{{"Request-Id", std::string(exchange.request().header("Request-Id"))}};
+      HttpHeaders headers = AnswerHeaders(exchange.request());
       co_await exchange.Reply(421, std::move(headers), "{}");
       co_return;
     }
     const bool admitted = co_await WaitForSlot(exchange.request());
     if (!admitted) {
-      HttpHeaders headers{{"Request-Id", std::string(exchange.request().header("Request-Id"))},
-                          {"Not-Executed", "1"}};
+      HttpHeaders headers = AnswerHeaders(exchange.request());
+      headers.emplace_back("Not-Executed", "1");
       co_await exchange.Reply(503, std::move(headers), "");
       co_return;
     }
@@ -116,13 +127,39 @@
   // Records a run where the test can count it, whatever becomes of the response.
   static void LogRun(const HttpRequest& request) {
     if (FLAGS_run_log.empty()) return;
-    const std::string line = std::string(request.header("Request-Id")) + " " + request.body + "\n";
-    const int file = ::open(FLAGS_run_log.c_str(), O_WRONLY | O_APPEND | O_CREAT, 0644);
+    AppendLine(FLAGS_run_log, std::string(request.header("Request-Id")) + " " + request.body);
+  }
+
+  // Records an arrival or an answer: event, time in microseconds of the monotonic clock, port, the
+  // gateway that the caller sent to, and the rate limit that answers state at that time.
+  void LogEvent(const std::string& event, const HttpRequest& request) const {
+    if (FLAGS_arrival_log.empty()) return;
+    const auto time =
+        std::chrono::duration_cast<std::chrono::microseconds>(MonotonicNow().time_since_epoch());
+    const std::string gateway(request.header("Test-Gateway"));
+    AppendLine(FLAGS_arrival_log, event + " " + std::to_string(time.count()) + " " +
+                                      std::to_string(FLAGS_port) + " " +
+                                      (gateway.empty() ? "-1" : gateway) + " " +
+                                      (rate_limit_.empty() ? "-" : rate_limit_));
+  }
+
+  // Adds a line to a file that other processes write to as well.
+  static void AppendLine(const std::string& path, std::string line) {
+    line += "\n";
+    const int file = ::open(path.c_str(), O_WRONLY | O_APPEND | O_CREAT, 0644);
     const ssize_t written = ::write(file, line.data(), line.size());
     if (written != static_cast<ssize_t>(line.size())) std::abort();
     ::close(file);
   }
 
+  // Headers of all answers to callers' requests.
+  HttpHeaders AnswerHeaders(const HttpRequest& request) const {
+    LogEvent("answer", request);
+    HttpHeaders headers{{"Request-Id", std::string(request.header("Request-Id"))}};
+    if (!rate_limit_.empty()) headers.emplace_back("Server-Limit", rate_limit_);
+    return headers;
+  }
+
   Task<void> RenewUntilExpired(LeaseId lease, milliseconds time_to_live) {
     for (;;) {
       co_await Sleep(time_to_live / kRenewalsPerLease);
@@ -144,8 +181,8 @@
   }
 
   Task<void> Run(HttpExchange* exchange) {
-    HttpHeaders headers{{"Request-Id", std::string(exchange->request().header("Request-Id"))},
-                        {"Response-Stamp", FLAGS_id}};
+    HttpHeaders headers = AnswerHeaders(exchange->request());
+    headers.emplace_back("Response-Stamp", FLAGS_id);
     if (FLAGS_model.empty()) {
       co_await exchange->Reply(200, std::move(headers), "done");
       co_return;
@@ -166,6 +203,7 @@
   platform::PlatformStore store_;
   Address address_;
   WallTime started_ = WallNow();
+  std::string rate_limit_ = FLAGS_rate_limit;
   int running_ = 0;
   int waiting_ = 0;
 };
