Keep to the rate limits of endpoints over the whole fleet

Class: a limit that an endpoint sets for all its callers together, of which each gateway knows only its own part.

Change: gateways pass on the limits that they know with their reports and answers to reports. Before each attempt at an endpoint with a limit, first attempts, retries and resumed streams alike, a gateway asks the placement leader for a permit. The leader issues them from one token bucket for each endpoint, which starts empty in each term, since the former leader may have used up the rate. A permit expires 0.4 s after it was requested, also while the connection is being opened (HttpCall::send_by), so that a paused gateway does not use it. Without a leader nothing is sent, and a leader that may have been replaced issues a quarter of the rate. A gateway that was turned away leaves the endpoint alone until its turn and uses other endpoints; if there are none, the request is refused with that time as Retry-After.

Why one owner and not shares as for quotas: limits may be one request a second or a fraction, over up to 340 daemons, so that a share is far below one request; and few endpoints state one.

--- a/src/fleet_usage.h
+++ b/src/fleet_usage.h
@@ -7,6 +7,7 @@
 
 #include "codec.h"
 #include "directory_log.h"
+#include "endpoint_limits.h"
 #include "endpoint_stats.h"
 #include "evidence_exchange.h"
 #include "fleet_endpoint.h"
@@ -148,6 +149,8 @@
   // Numbers of endpoints that a daemon can't reach, and of those that announced a shutdown.
   std::vector<std::uint32_t> unreachable;
   std::vector<std::uint32_t> leaving;
+  // The rate limits of endpoints that the daemon knows.
+  std::vector<LimitNotice> limits;
   EvidenceMessage evidence;
   std::vector<QuotaUsage> quota;
   // Relays should forward the quota use to the leader without delay.
@@ -160,6 +163,7 @@
     known.serialize(archive);
     SerializeNumbers(archive, unreachable);
     SerializeNumbers(archive, leaving);
+    SerializeList(archive, limits);
     SerializeList(archive, models);
     SerializeList(archive, loads);
     SerializeList(archive, runs);
@@ -211,7 +215,7 @@
 struct UsageAnswer {
   static constexpr PeerMessageType kType = PeerMessageType::kUsageAnswer;
   // False if the answering daemon is neither the leader nor a relay. All other members except
-  // `leaving` and `evidence` are empty then.
+  // `leaving`, `limits` and `evidence` are empty then.
   bool accepted = false;
   LeaderNotice leader;
   // Number of daemons that report to the leader.
@@ -225,6 +229,8 @@
   std::vector<PendingLoad> loads;
   // Numbers of endpoints that announced a shutdown.
   std::vector<std::uint32_t> leaving;
+  // The rate limits of endpoints that the answering daemon knows.
+  std::vector<LimitNotice> limits;
   EvidenceMessage evidence;
   std::vector<QuotaShare> quota;
   // False if the answering daemon does not know the customers' demand yet.
@@ -250,6 +256,7 @@
     SerializeList(archive, others);
     SerializeList(archive, loads);
     SerializeNumbers(archive, leaving);
+    SerializeList(archive, limits);
     evidence.serialize(archive);
     SerializeList(archive, quota);
     SerializeFlag(archive, quota_known);
@@ -336,6 +343,34 @@
   }
 };
 
+// Asks the leader for a permit to send one request to an endpoint with a rate limit. TCP.
+struct PermitRequest {
+  static constexpr PeerMessageType kType = PeerMessageType::kPermitRequest;
+  LimitNotice limit;
+  // Priority of the request; 0 is the most urgent.
+  std::uint32_t priority = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    limit.serialize(archive);
+    archive(priority);
+  }
+};
+
+// A granted permit is valid for kPermitLifetime from the time at which it was requested.
+struct PermitAnswer {
+  static constexpr PeerMessageType kType = PeerMessageType::kPermitAnswer;
+  bool granted = false;
+  // If not granted: when to ask again.
+  std::uint32_t retry_after_ms = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SerializeFlag(archive, granted);
+    archive(retry_after_ms);
+  }
+};
+
 }  // namespace mimosabend
 
 #endif  // MIMOSABEND_FLEET_USAGE_H_
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -224,7 +224,7 @@
               RandomId()),
       link_(MakeLinkSettings(),
             {&peer_client_, &leader_, &finder_, &state_, &sync_, &directory_, &stats_, &usage_,
-             &exchange_, &quota_},
+             &exchange_, &quota_, &limits_},
             RandomId()),
       relay_({&endpoint_client_, &directory_, &stats_, &prefixes_, &selector_, &usage_,
               &relay_metrics_, &evidence_, &part_evidence_, &prober_, &quota_, &limits_,
@@ -257,6 +257,10 @@
     const bool placed = co_await link_.PlaceAdapter(std::move(request));
     co_return placed;
   };
+  hooks.request_permit = [this](PermitRequest request) -> Task<PermitAnswer> {
+    const PermitAnswer answer = co_await link_.RequestPermit(std::move(request));
+    co_return answer;
+  };
   hooks.load_end = [this](const std::string& model) -> std::optional<MonotonicTime> {
     return link_.LoadEnd(model);
   };
@@ -444,6 +448,12 @@
     const AdapterAnswer answer = co_await leader_.PlaceAdapter(std::move(message).value());
     co_return Wrap(answer, settings_.name, 0, WallNow());
   }
+  if (request.type == PeerMessageType::kPermitRequest) {
+    auto message = Unwrap<PermitRequest>(request);
+    if (!message) co_return outcome::failure(message.error());
+    co_return Wrap(link_.DecidePermit(message.value(), MonotonicNow()), settings_.name, 0,
+                   WallNow());
+  }
   co_return outcome::failure(PeerError::kUnknownType);
 }
 
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -272,6 +272,7 @@
   } else {
     connection->Attach(call.canceller);
   }
+  if (MonotonicNow() >= call.send_by) co_return outcome::failure(HttpError::kNotSent);
   const auto request = BuildRequest(call);
   boost::system::error_code error;
   connection->stream.expires_at(call.deadline);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -62,6 +62,8 @@
   bool reuse_connection = true;
   // Connections that were idle for longer are not reused.
   milliseconds max_idle{10000};
+  // The request is not sent at or after this time, for example because a permit to send it expires.
+  MonotonicTime send_by = MonotonicTime::max();
   // Time limit for opening a connection; the deadline applies as well.
   milliseconds connect_timeout{60000};
   // May be null.
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "endpoint_limits.h"
 #include "endpoint_stats.h"
 #include "fleet_directory.h"
 #include "fleet_state.h"
@@ -18,6 +19,7 @@
 #include "leader_finder.h"
 #include "log.h"
 #include "peer_transport.h"
+#include "permit_issuer.h"
 #include "placement_leader.h"
 #include "quota_allocator.h"
 #include "quota_meter.h"
@@ -66,6 +68,7 @@
     UsageCollector* usage;
     EvidenceExchange* evidence;
     QuotaMeter* quota;
+    EndpointLimits* limits;
   };
 
   LeaderLink(LinkSettings settings, Parts parts, std::uint64_t seed)
@@ -114,9 +117,11 @@
   UsageAnswer HandleReport(const std::string& sender, const UsageReport& report,
                            MonotonicTime now) {
     MarkLeaving(report.leaving);
+    AdoptLimits(report.limits, sender, now);
     UsageAnswer answer = parts_.leader->IsLeader(now) ? AnswerAsLeader(sender, report, now)
                                                       : AnswerAsRelay(sender, report, now);
     answer.leaving = LeavingEndpoints();
+    answer.limits = parts_.limits->Notices(now);
     answer.evidence = parts_.evidence->HandleRequest(report.evidence, now);
     return answer;
   }
@@ -135,6 +140,34 @@
     co_return answer&& answer.value().placed;
   }
 
+  // Asks the leader for a permit to send a request to an endpoint with a rate limit. Without an
+  // answer, no permit is granted.
+  Task<PermitAnswer> RequestPermit(PermitRequest request) {
+    const MonotonicTime now = MonotonicNow();
+    if (parts_.leader->IsLeader(now)) co_return DecidePermit(request, now);
+    const PermitAnswer denied{false, static_cast<std::uint32_t>(kPermitRetryDelay.count())};
+    const std::optional<Address> leader = KnownLeader();
+    if (!leader) co_return denied;
+    auto answer = co_await parts_.peers->template Call<PermitAnswer>(*leader, std::move(request),
+                                                                     kPermitTimeout);
+    co_return answer ? answer.value() : denied;
+  }
+
+  // Decides on another daemon's request for a permit. Grants none unless this daemon leads.
+  PermitAnswer DecidePermit(const PermitRequest& request, MonotonicTime now) {
+    PermitAnswer answer{false, static_cast<std::uint32_t>(kPermitRetryDelay.count())};
+    if (!parts_.leader->IsLeader(now)) return answer;
+    BeginTermIfNew(now);
+    parts_.limits->Adopt(request.limit, now);
+    // A daemon that knows of a limit is held to it even if this one believes that it has ended.
+    const double asked = request.limit.rate > 0 ? request.limit.rate : EndpointLimits::kMinRate;
+    const double rate = parts_.limits->Rate(request.limit.number).value_or(asked);
+    const PermitDemand demand{request.limit.number, rate, request.priority};
+    const PermitDecision decision =
+        permit_issuer_.Decide(demand, parts_.leader->LeadsAlone(now), now);
+    return {decision.granted, static_cast<std::uint32_t>(decision.retry_after.count())};
+  }
+
   // Number of daemons that report to the leader, as last reported by it; at least 1.
   std::uint32_t daemons() const { return daemons_; }
 
@@ -153,6 +186,10 @@
   // Covers the full state of a large fleet over a slow link.
   static constexpr milliseconds kReportTimeout{800};
   static constexpr milliseconds kAdapterTimeout{600};
+  // Within the lifetime of a permit, so that one that is granted late can still be used.
+  static constexpr milliseconds kPermitTimeout{300};
+  // How long an endpoint with a rate limit is left alone if the leader does not answer.
+  static constexpr milliseconds kPermitRetryDelay{300};
   static constexpr milliseconds kSearchPeriod{250};
   // The leader is looked up in the store when it has not been heard of for this long. Daemons
   // behind a relay wait much longer, since the relay does the lookup.
@@ -245,14 +282,32 @@
     }
   }
 
+  // Adopts limits that another daemon knows at `at`.
+  void AdoptLimits(const std::vector<LimitNotice>& notices, const std::string& source,
+                   MonotonicTime at) {
+    for (const LimitNotice& notice : notices) {
+      const EndpointRecord* endpoint = parts_.state->directory().FindNumber(notice.number);
+      if (endpoint == nullptr || !parts_.limits->Adopt(notice, at)) continue;
+      LOG4CPLUS_INFO(Log(), "endpoint " << endpoint->id
+                                        << " has a rate limit, per_second=" << notice.rate
+                                        << " age_ms=" << notice.age_ms << " source=" << source);
+    }
+  }
+
+  // Drops what was decided in an earlier term.
+  void BeginTermIfNew(MonotonicTime now) {
+    if (term_fence_ == parts_.leader->fence()) return;
+    term_fence_ = parts_.leader->fence();
+    quota_allocator_.Reset(now);
+    permit_issuer_.Reset();
+  }
+
   // Answers as the leader.
   UsageAnswer AnswerAsLeader(const std::string& sender, const UsageReport& report,
                              MonotonicTime now) {
     UsageAnswer answer = parts_.leader->HandleReport(sender, report, now);
-    if (quota_fence_ != parts_.leader->fence()) {
-      quota_fence_ = parts_.leader->fence();
-      quota_allocator_.Reset(now);
-    }
+    BeginTermIfNew(now);
+    permit_issuer_.PruneExpired(now);
     quota_allocator_.AddUsage(report.quota, now);
     const auto config = parts_.directory->config();
     if (config == nullptr || !config->customers) return answer;
@@ -280,6 +335,7 @@
       if (number) report.unreachable.push_back(*number);
     }
     report.leaving = LeavingEndpoints();
+    report.limits = parts_.limits->Notices(MonotonicNow());
     report.quota = parts_.quota->TakeUsage();
     report.urgent = report_is_urgent_;
     report_is_urgent_ = false;
@@ -307,6 +363,7 @@
         co_await parts_.peers->template Call<UsageAnswer>(*uplink, report, kReportTimeout);
     const MonotonicTime now = MonotonicNow();
     if (answer) parts_.evidence->HandleAnswer(*uplink, answer.value().evidence, now);
+    if (answer) AdoptLimits(answer.value().limits, ToString(*uplink), sent_at);
     const bool accepted = answer && answer.value().accepted &&
                           answer.value().leader.fence >= parts_.state->leader_fence();
     if (!accepted) {
@@ -449,7 +506,8 @@
   MonotonicTime last_search_at_;
   // Used while this daemon leads; reset when the fence changes.
   QuotaAllocator quota_allocator_;
-  std::uint64_t quota_fence_ = 0;
+  PermitIssuer permit_issuer_;
+  std::uint64_t term_fence_ = 0;
   bool report_is_urgent_ = false;
   bool stopping_ = false;
 };
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -54,9 +54,11 @@
   kViewRequest,
   kViewAnswer,
   kStandDownRequest,
-  kStandDownAnswer
+  kStandDownAnswer,
+  kPermitRequest,
+  kPermitAnswer
 };
-inline constexpr std::uint8_t kPeerMessageTypeCount = 19;
+inline constexpr std::uint8_t kPeerMessageTypeCount = 21;
 
 // Liveness probe of SWIM, sent over UDP.
 struct Ping {
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -78,6 +78,11 @@
     return settings_.fencing_required || lease_->SafeLease(now) != nullptr;
   }
 
+  // Whether this daemon leads at `now` and cannot have been replaced.
+  bool LeadsAlone(MonotonicTime now) const {
+    return IsLeader(now) && lease_->SafeLease(now) != nullptr;
+  }
+
   // Fencing token of the current term; 0 if this daemon does not lead.
   std::uint64_t fence() const { return term_ ? term_->fence : 0; }
 
--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -19,10 +19,18 @@
 inline constexpr milliseconds kStatePollInterval{100};
 
 // What a request is waiting for. Logged for requests that are unfinished at shutdown.
-enum class RelayStep : std::uint8_t { kChoice, kModel, kAdapter, kEndpoint, kEvents, kCaller };
+enum class RelayStep : std::uint8_t {
+  kChoice,
+  kModel,
+  kAdapter,
+  kPermit,
+  kEndpoint,
+  kEvents,
+  kCaller
+};
 
-inline constexpr NameTable<RelayStep, 6> kRelayStepNames{
-    {"choice", "model", "adapter", "endpoint", "events", "caller"}};
+inline constexpr NameTable<RelayStep, 7> kRelayStepNames{
+    {"choice", "model", "adapter", "permit", "endpoint", "events", "caller"}};
 
 // State of one relayed request. Internal to the relay's source files.
 struct RelayHandler::Context {
@@ -60,6 +68,10 @@
   std::shared_ptr<HttpCanceller> canceller;
   // Addresses that earlier attempts were sent to.
   std::set<Address> attempted;
+  // When the permit for the current attempt expires; max() if the endpoint needs none.
+  MonotonicTime permit_until = MonotonicTime::max();
+  // Permits that were denied.
+  std::uint32_t denied_permits = 0;
   // Whether the current attempt may use a kept-alive connection.
   bool may_reuse_connection = true;
   // Endpoints that are not used again for this request.
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -212,6 +212,7 @@
   call.target = request.target;
   call.body = request.body;
   call.deadline = deadline;
+  call.send_by = context->permit_until;
   call.connect_timeout = kConnectTimeout;
   call.reuse_connection = context->may_reuse_connection;
   if (!context->route->repeatable()) call.max_idle = kNoRetryMaxIdle;
@@ -245,6 +246,8 @@
       context->ready_at = deps_.selector->BackoffUntil(context->service_name, "", MonotonicNow());
       break;
     }
+    const bool permitted = co_await AcquirePermit(context, choice->endpoint);
+    if (!permitted) continue;
     if (!ReserveAttempt(context.get())) break;
     const NextStep next_step = co_await AttemptPlain(context, *choice);
     if (next_step == NextStep::kDone) co_return;
@@ -286,6 +289,7 @@
   } else {
     const bool unreachable = reply.error() == HttpError::kNotSent;
     outcome = unreachable ? AttemptOutcome::kUnreachable : AttemptOutcome::kFailed;
+    if (unreachable && MonotonicNow() >= context->permit_until) outcome = AttemptOutcome::kNeutral;
   }
   if (context->caller_gone) outcome = AttemptOutcome::kNeutral;
   end.Run();
@@ -459,7 +463,7 @@
                     << " config=" << (context.config == nullptr ? 0 : context.config->version)
                     << " model=" << context.params.model << "/" << context.params.adapter
                     << " endpoint=" << context.endpoint << " tries=" << context.attempts
-                    << " runs=" << context.runs
+                    << " runs=" << context.runs << " denied_permits=" << context.denied_permits
                     << " expected_ms=" << std::lround(context.expected_ms) << " first_ms=" << first
                     << " total_ms=" << ToMillis(now - context.arrival).count()
                     << " waited_ms=" << context.waited.count() << " events=" << context.events
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -27,10 +27,12 @@
 
 namespace mimosabend {
 
-// Access of the relay to the placement of models and adapters.
+// Access of the relay to the placement of models and adapters and to the fleet's shared limits.
 struct PlacementHooks {
   // Has an adapter loaded on an engine. False if that is not possible now.
   std::function<Task<bool>(AdapterRequest)> place_adapter;
+  // Asks for a permit to send a request to an endpoint with a rate limit.
+  std::function<Task<PermitAnswer>(PermitRequest)> request_permit;
   // Expected end of a load of the model that is in progress; std::nullopt if there is none.
   std::function<std::optional<MonotonicTime>(const std::string& model)> load_end;
   // Whether there is a placement leader that decides on model loads.
@@ -104,6 +106,7 @@
   Task<bool> Authenticate(ContextPtr context);
   Task<bool> WaitForQuota(ContextPtr context);
   Task<bool> AdmitByQuota(ContextPtr context);
+  Task<bool> AcquirePermit(ContextPtr context, FleetEndpoint endpoint);
   void RecordRateLimit(const Context& context, const FleetEndpoint& endpoint,
                        const HttpHeaders& headers);
   Task<void> ServePlain(ContextPtr context);
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -45,6 +45,10 @@
       registry_.AddCounter("model_waits_total", "Requests that waited for a model.");
   adapter_waits_total =
       registry_.AddCounter("adapter_waits_total", "Requests that waited for an adapter.");
+  permits_total = registry_.AddCounter(
+      "permits_total", "Permits granted for requests to endpoints with a rate limit.");
+  permits_denied_total = registry_.AddCounter(
+      "permits_denied_total", "Permits denied for requests to endpoints with a rate limit.");
   connections_opened_total =
       registry_.AddCounter("connections_opened_total", "Connections opened to endpoints.");
   store_calls_total =
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -61,6 +61,8 @@
   prometheus::Counter* invalid_requests_total;
   prometheus::Counter* model_waits_total;
   prometheus::Counter* adapter_waits_total;
+  prometheus::Counter* permits_total;
+  prometheus::Counter* permits_denied_total;
   prometheus::Counter* connections_opened_total;
   prometheus::Counter* store_calls_total;
   prometheus::Counter* store_errors_total;
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -113,6 +113,8 @@
       // More evidence may have arrived while the adapter was placed.
       if (Classify(*context, MonotonicNow()) == CrashVerdict::kContained) continue;
     }
+    const bool permitted = co_await AcquirePermit(context, choice->endpoint);
+    if (!permitted) continue;
     if (!ReserveAttempt(context.get())) break;
     const NextStep next_step = co_await AttemptStream(context, *choice);
     if (next_step == NextStep::kDone) co_return;
@@ -240,7 +242,10 @@
   if (!stream) {
     co_await HandleFailedAttempt(context, choice.endpoint, stream.error());
     context->excluded.insert(id);
-    if (stream.error() == HttpError::kNotSent) outcome = AttemptOutcome::kUnreachable;
+    if (stream.error() == HttpError::kNotSent) {
+      const bool permit_expired = MonotonicNow() >= context->permit_until;
+      outcome = permit_expired ? AttemptOutcome::kNeutral : AttemptOutcome::kUnreachable;
+    }
   } else {
     const int status = stream.value()->status();
     const HttpHeaders headers = stream.value()->headers();
--- a/tests/relay_fixture.cpp
+++ b/tests/relay_fixture.cpp
@@ -120,6 +120,10 @@
     co_await Sleep(adapter_placement_time);
     co_return adapter_placement_succeeds;
   };
+  hooks.request_permit = [this](PermitRequest) -> Task<PermitAnswer> {
+    ++permit_requests;
+    co_return permit_answer;
+  };
   hooks.load_end = [this](const std::string&) {
     if (std::exchange(load_end_throws, false)) throw std::runtime_error("load_end_throws");
     return load_end;
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -104,6 +104,8 @@
   EndpointProber prober;
   QuotaMeter quota{[] {}};
   EndpointLimits limits;
+  PermitAnswer permit_answer{true, 0};
+  int permit_requests = 0;
   bool adapter_placement_succeeds = true;
   milliseconds adapter_placement_time{0};
   bool has_leader = true;
--- a/tests/test_leader_link.cpp
+++ b/tests/test_leader_link.cpp
@@ -46,7 +46,7 @@
               0,
               [this](MonotonicTime until) { suspended_until = until; }},
              {&client, &leader, &finder, &state, &sync, &directory, &stats, &usage, &exchange,
-              &quota},
+              &quota, &limits},
              port) {
     if (seeds.empty()) Read(1, {});
     lease.SetWanted(false);
@@ -130,6 +130,7 @@
   PartEvidence part_evidence{RandomId()};
   EvidenceExchange exchange{&evidence, &part_evidence, RandomId()};
   QuotaMeter quota{[this] { link.ReportAtOnce(); }};
+  EndpointLimits limits;
   PlacementLeader<FakeFleetStore, FakeFleetEngines> leader;
   PeerClient client;
   PeerServer server;
