Date a raised or ended limit by the time of its request

A response or notice now raises or ends a limit only if its request was sent after the known limit was stated, and notices carry that time. A lower limit still holds at once. Notices that raise or end a limit must be newer by 1 s, since they may have been under way. Rates are rounded to float on entry, so that a notice of the same rate doesn't count as a change, and a full table drops an ended limit for a new one.

--- a/src/endpoint_limits.cpp
+++ b/src/endpoint_limits.cpp
@@ -8,8 +8,14 @@
 
 namespace {
 
+// A rate as it is passed on to other daemons, so that all compare the same number.
 double ClampedRate(double rate) {
-  return std::clamp(rate, EndpointLimits::kMinRate, EndpointLimits::kMaxRate);
+  return static_cast<float>(std::clamp(rate, EndpointLimits::kMinRate, EndpointLimits::kMaxRate));
+}
+
+// Whether `rate` admits at least as many requests as `known`. No limit admits the most.
+bool IsAsLax(std::optional<double> rate, std::optional<double> known) {
+  return !rate || (known && *rate >= *known);
 }
 
 }  // namespace
@@ -17,40 +23,50 @@
 bool EndpointLimits::RecordResponse(std::uint32_t number, std::optional<double> rate,
                                     MonotonicTime sent_at, MonotonicTime now) {
   assert(!rate || (std::isfinite(*rate) && *rate >= 0));
-  const auto known = entries_.find(number);
-  if (known == entries_.end()) {
-    if (!rate || entries_.size() >= kMaxEndpoints) return false;
-    entries_[number] = {ClampedRate(*rate), now};
-    return true;
-  }
-  Entry& entry = known->second;
-  if (!rate && sent_at <= entry.stated_at) return false;
   const std::optional<double> stated =
       rate ? std::optional<double>(ClampedRate(*rate)) : std::nullopt;
-  const bool changed = stated != entry.rate;
-  entry = {stated, std::max(now, entry.stated_at)};
-  return changed;
+  const auto known = entries_.find(number);
+  if (known == entries_.end()) return stated && Add(number, {stated, sent_at});
+  Entry& entry = known->second;
+  if (IsAsLax(stated, entry.rate)) {
+    if (sent_at <= entry.stated_at) return false;
+    const bool changed = stated != entry.rate;
+    entry = {stated, sent_at};
+    return changed;
+  }
+  // A limit that is lowered holds from now on. One that begins may already have been lowered again,
+  // which other daemons may know.
+  entry = {stated, std::max(entry.rate ? now : sent_at, entry.stated_at)};
+  return true;
 }
 
 bool EndpointLimits::Adopt(const LimitNotice& notice, MonotonicTime at) {
+  if (std::isnan(notice.rate)) return false;
   const MonotonicTime stated_at = at - milliseconds(notice.age_ms);
   const std::optional<double> stated =
       notice.rate < 0 ? std::nullopt : std::optional<double>(ClampedRate(notice.rate));
-  const bool expired = !stated && milliseconds(notice.age_ms) >= kEndedLifetime;
-  if (expired || std::isnan(notice.rate)) return false;
+  if (!stated && milliseconds(notice.age_ms) >= kEndedLifetime) return false;
   const auto known = entries_.find(notice.number);
-  if (known == entries_.end()) {
-    if (entries_.size() >= kMaxEndpoints) return false;
-    entries_[notice.number] = {stated, stated_at};
-    return stated.has_value();
-  }
+  if (known == entries_.end()) return Add(notice.number, {stated, stated_at}) && stated;
   Entry& entry = known->second;
-  if (stated_at <= entry.stated_at) return false;
   const bool changed = stated != entry.rate;
+  const bool laxer = changed && IsAsLax(stated, entry.rate);
+  if (stated_at - (laxer ? kMaxNoticeDelay : milliseconds(0)) <= entry.stated_at) return false;
   entry = {stated, stated_at};
   return changed;
 }
 
+bool EndpointLimits::Add(std::uint32_t number, const Entry& entry) {
+  if (entries_.size() >= kMaxEndpoints) {
+    const auto ended = std::find_if(entries_.begin(), entries_.end(),
+                                    [](const auto& item) { return !item.second.rate; });
+    if (!entry.rate || ended == entries_.end()) return false;
+    entries_.erase(ended);
+  }
+  entries_[number] = entry;
+  return true;
+}
+
 std::optional<double> EndpointLimits::Rate(std::uint32_t number) const {
   const auto it = entries_.find(number);
   return it == entries_.end() ? std::nullopt : it->second.rate;
--- a/src/endpoint_limits.h
+++ b/src/endpoint_limits.h
@@ -42,18 +42,21 @@
   // The end of a limit is remembered for this long, so that older notices of the limit don't bring
   // it back. Limits in force are kept: an endpoint that gets requests states when its limit ends.
   static constexpr milliseconds kEndedLifetime{60000};
-  // Endpoints beyond this number are not recorded.
+  // A notice may have been under way for this long, and is then that much older than it seems.
+  static constexpr milliseconds kMaxNoticeDelay{1000};
+  // Endpoints beyond this number are not recorded. Ended limits make room for others.
   static constexpr std::size_t kMaxEndpoints = 1024;
 
-  // Records what a response states that arrived at `now` to a request sent at `sent_at`. A response
-  // without a limit ends the known one only if its request was sent after that one was stated:
-  // responses on different connections overtake each other. Returns whether the limit in force has
-  // changed. Precondition: `rate`, if set, is finite and not negative.
+  // Records what a response states that arrived at `now` to a request sent at `sent_at`. Responses
+  // on different connections overtake each other, and slow ones state what held seconds ago.
+  // Therefore a response raises or ends the known limit only if its request was sent after that one
+  // was stated, while any response lowers it. Returns whether the limit in force has changed.
+  // Precondition: `rate`, if set, is finite and not negative.
   bool RecordResponse(std::uint32_t number, std::optional<double> rate, MonotonicTime sent_at,
                       MonotonicTime now);
 
-  // Adopts the notice of a daemon that stated it at `at`, if it is newer than what is known.
-  // Returns whether the limit in force has changed.
+  // Adopts the notice of a daemon that stated it at `at`, if it is newer than what is known; by
+  // kMaxNoticeDelay if it raises or ends a limit. Returns whether the limit in force has changed.
   bool Adopt(const LimitNotice& notice, MonotonicTime at);
 
   // The limit in force, in requests per second; std::nullopt if there is none.
@@ -81,9 +84,14 @@
   struct Entry {
     // std::nullopt if the endpoint no longer states a limit.
     std::optional<double> rate;
+    // When the endpoint stated it at the earliest: when the request was sent. A lowered limit has
+    // the time of the response, so that responses to earlier requests don't raise it.
     MonotonicTime stated_at;
   };
 
+  // Adds an endpoint. Returns false if there is no room.
+  bool Add(std::uint32_t number, const Entry& entry);
+
   std::map<std::uint32_t, Entry> entries_;
 };
 
