Test endpoint rate limits; ask once for a permit of a plain request

One found a fault: with two limited endpoints and a leader that answers after 450 ms, the request asked for both in turns, since each denial took longer than the other's backoff. It was held beyond its deadline and its caller got no response within 5 s. A plain request now asks once for each endpoint and is then refused.

--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -247,7 +247,11 @@
       break;
     }
     const bool permitted = co_await AcquirePermit(context, choice->endpoint);
-    if (!permitted) continue;
+    if (!permitted) {
+      // Asked for again, two limited endpoints could hold the request beyond its deadline.
+      context->excluded.insert(choice->endpoint.id);
+      continue;
+    }
     if (!ReserveAttempt(context.get())) break;
     const NextStep next_step = co_await AttemptPlain(context, *choice);
     if (next_step == NextStep::kDone) co_return;
--- a/tests/relay_fixture.cpp
+++ b/tests/relay_fixture.cpp
@@ -122,7 +122,9 @@
   };
   hooks.request_permit = [this](PermitRequest) -> Task<PermitAnswer> {
     ++permit_requests;
-    co_return permit_answer;
+    const PermitAnswer answer = permit_answer;
+    co_await Sleep(permit_time);
+    co_return answer;
   };
   hooks.load_end = [this](const std::string&) {
     if (std::exchange(load_end_throws, false)) throw std::runtime_error("load_end_throws");
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -105,6 +105,8 @@
   QuotaMeter quota{[] {}};
   EndpointLimits limits;
   PermitAnswer permit_answer{true, 0};
+  // Time until a request for a permit is answered.
+  milliseconds permit_time{0};
   int permit_requests = 0;
   bool adapter_placement_succeeds = true;
   milliseconds adapter_placement_time{0};
--- a/tests/test_decoders.cpp
+++ b/tests/test_decoders.cpp
@@ -150,6 +150,7 @@
   report.unreachable = {4, 5};
   report.evidence = Evidence();
   report.quota = {{1, 2, -3}};
+  report.limits = {{3, 0.5, 1200}, {4, LimitNotice::kNoLimit, 7}};
   return report;
 }
 
@@ -164,6 +165,7 @@
   answer.recent_orders.push_back({3, 700});
   answer.evidence = Evidence();
   answer.quota = {{1, 2}};
+  answer.limits = {{3, 0.5, 1200}};
   return answer;
 }
 
@@ -224,6 +226,8 @@
   });
   Fuzz("usage report", {Encode(Report())}, CheckStable<UsageReport>);
   Fuzz("usage answer", {Encode(ReportAnswer())}, CheckStable<UsageAnswer>);
+  Fuzz("permit request", {Encode(PermitRequest{{3, 0.5, 1200}, 2})}, CheckStable<PermitRequest>);
+  Fuzz("permit answer", {Encode(PermitAnswer{false, 350})}, CheckStable<PermitAnswer>);
   const ViewAnswer view{ReportAnswer().view, ReportAnswer().leader, Evidence()};
   Fuzz("evidence", {Encode(Evidence())}, CheckStable<EvidenceMessage>);
   Fuzz("view request", {Encode(ViewRequest{7, Evidence()})}, CheckStable<ViewRequest>);
