--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -23,8 +23,9 @@
 constexpr milliseconds kLeaderElectionTime{2500};
 // An engine that did not run a request is not chosen for it again for this long.
 constexpr milliseconds kNotRunBackoff{300};
-// Part of the target latency for which a stream waits while all engines that hold its model state
-// rate limits. The users charge for refused requests that were held for longer.
+// Part of the target latency for which a stream waits for a permit while all engines that hold its
+// model state rate limits. Most of those that wait are not served in time, and learn from an early
+// refusal when to come back.
 constexpr int kPermitWaitDivisor = 8;
 // Pause before another engine is chosen after an adapter could not be placed.
 constexpr milliseconds kAdapterRetryDelay{20};
