Ask an engine whether it works on a stream before it goes on elsewhere

Callers' requests were worked on by two engines at once (TWICE): a stream whose header or next event was late, or whose connection broke, went on at a second engine while the first one worked on it.

Cause: the relay took a closed connection for the end of the run. Some engines finish what they run, and one without processor time notices the close late.

The relay now asks the engine's report for its runs. A stalled stream keeps its connection while the report lists the run. After a broken connection, the request goes on once the report no longer lists it. An engine that does not answer within 300 ms is left as before. Streams of one engine share a question, and streams that neither stall nor break cost none. section 3.6.1 of docs/design.md has the decisions and what was weighed. During a shutdown a silent run is kept, as before.

Why it works: the report is the engine's own statement of its runs, and needs no slot. It is some hundred ms old, so a report that lacks a run counts only if it was asked for 500 ms after the response began.

Ruled out: to treat a report without a list and with no running requests as the end of the run; a report may lack these counts, too. To close the connection first and to wait for the end of the run: an engine that finishes what it runs serves its caller sooner over the open connection.

Not covered: an engine that has read a request whose header is overdue, begins to run it later than its last report, and reads the close late.

--- a/src/fleet_endpoint.h
+++ b/src/fleet_endpoint.h
@@ -61,6 +61,8 @@
   std::vector<std::string> loading_adapters;
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
+  // Ids of the requests that run; std::nullopt if the report has no readable list.
+  std::optional<std::vector<std::string>> runs;
 };
 
 }  // namespace mimosabend
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -253,6 +253,11 @@
 
 PlacementHooks Gateway::MakePlacementHooks() {
   PlacementHooks hooks;
+  hooks.fetch_report = [this](Address address,
+                              milliseconds timeout) -> Task<Result<EngineReport, HttpError>> {
+    auto report = co_await orders_.Report(std::move(address), timeout);
+    co_return report;
+  };
   hooks.place_adapter = [this](AdapterRequest request) -> Task<bool> {
     const bool placed = co_await link_.PlaceAdapter(std::move(request));
     co_return placed;
--- a/src/relay_containment.cpp
+++ b/src/relay_containment.cpp
@@ -9,7 +9,7 @@
 
 // Records that an endpoint that may have run a request sent no complete response. After a lost
 // connection, waits until it is known whether the endpoint process has terminated, so that the next
-// attempt takes that into account.
+// attempt takes that into account. If an engine has not, waits until it has ended the run.
 Task<void> RelayHandler::HandleIncompleteResponse(ContextPtr context, FleetEndpoint endpoint,
                                                   HttpError error) {
   const MonotonicTime now = MonotonicNow();
@@ -27,9 +27,14 @@
   if (error == HttpError::kMalformed || error == HttpError::kTooLarge) {
     deps_.metrics->invalid_responses_total->Increment();
   }
-  if (error != HttpError::kBroken && error != HttpError::kMalformed) co_return;
-  const bool ended = co_await deps_.prober->HasEnded(std::move(endpoint));
-  if (ended) ++context->terminated_runs;
+  if (error == HttpError::kBroken || error == HttpError::kMalformed) {
+    const bool ended = co_await deps_.prober->HasEnded(endpoint);
+    if (ended) {
+      ++context->terminated_runs;
+      co_return;
+    }
+  }
+  if (context->service->engine) co_await WaitForRunEnd(context, std::move(endpoint));
 }
 
 // Records that an endpoint ran the request to completion, which clears it and the parts of its
--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -12,6 +12,7 @@
 #include "name_table.h"
 #include "relay_handler.h"
 #include "relay_request.h"
+#include "stall_watch.h"
 
 namespace mimosabend {
 
@@ -66,6 +67,8 @@
   std::optional<SuspectTrials::Trial> trial;
   // Cancels the current attempt.
   std::shared_ptr<HttpCanceller> canceller;
+  // Watches the current attempt of a stream for stalls.
+  std::unique_ptr<StallWatch> stall_watch;
   // Addresses that earlier attempts were sent to.
   std::set<Address> attempted;
   // When the permit for the current attempt expires; max() if the endpoint needs none.
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -22,13 +22,17 @@
 #include "quota_meter.h"
 #include "relay_metrics.h"
 #include "retry_budget.h"
+#include "run_check.h"
 #include "suspect_trials.h"
 #include "usage_collector.h"
 
 namespace mimosabend {
 
-// Access of the relay to the placement of models and adapters and to the fleet's shared limits.
+// Access of the relay to the placement of models and adapters, to the fleet's shared limits and to
+// the reports of engines.
 struct PlacementHooks {
+  // Fetches the report of the engine at an address. May be empty.
+  RunChecker::FetchReport fetch_report;
   // Has an adapter loaded on an engine. False if that is not possible now.
   std::function<Task<bool>(AdapterRequest)> place_adapter;
   // Asks for a permit to send a request to an endpoint with a rate limit.
@@ -67,6 +71,7 @@
   RelayHandler(Dependencies deps, std::uint64_t seed)
       : deps_(std::move(deps)),
         random_(seed),
+        run_checker_(deps_.placement.fetch_report),
         trials_([this] { deps_.usage->endpoints_changed().NotifyAll(); }) {}
 
   // Serves one request.
@@ -116,6 +121,10 @@
   Task<NextStep> AttemptStream(ContextPtr context, EndpointChoice choice);
   Task<NextStep> RelayEvents(ContextPtr context, const EndpointChoice& choice,
                              std::unique_ptr<HttpStream> stream);
+  void WatchForStalls(const ContextPtr& context, const FleetEndpoint& endpoint,
+                      boost::asio::any_io_executor executor);
+  Task<void> CheckStalledRun(ContextPtr context, FleetEndpoint endpoint);
+  Task<void> WaitForRunEnd(ContextPtr context, FleetEndpoint endpoint);
   Task<bool> WaitForModel(ContextPtr context);
   Task<bool> PlaceAdapter(ContextPtr context, EndpointChoice* choice);
   Task<void> RequestAdapter(std::shared_ptr<AdapterPlacement> placement, AdapterRequest request);
@@ -164,6 +173,7 @@
 
   Dependencies deps_;
   std::mt19937_64 random_;
+  RunChecker run_checker_;
   SuspectTrials trials_;
   RetryLimits retry_limits_;
   std::map<std::string, RetryBudget> budgets_;
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -26,6 +26,11 @@
     }
     first_byte_[kind] = &first_byte.Add({{"kind", name}}, kFirstByteBounds);
   }
+  auto& run_checks = registry_.CounterFamily(
+      "run_checks_total", "Questions to engines for the runs of stalled or broken streams.");
+  for (std::size_t i = 0; i < kRunStateCount; ++i) {
+    run_checks_[i] = &run_checks.Add({{"state", std::string(kRunStateNames.names[i])}});
+  }
   requests_total = registry_.AddCounter("requests_total", "Requests that were read whole.");
   tries_total =
       registry_.AddCounter("tries_total", "Requests sent to endpoints, repeats included.");
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -12,6 +12,7 @@
 #include "fleet_config.h"
 #include "metrics_registry.h"
 #include "name_table.h"
+#include "run_check.h"
 
 namespace mimosabend {
 
@@ -48,6 +49,8 @@
   void CountOutcome(RelayOutcome outcome, RouteKind kind) {
     ends_[static_cast<std::size_t>(outcome)][static_cast<std::size_t>(kind)]->Increment();
   }
+  // Counts a question to an engine for the run of a stream that stalled or broke.
+  void CountRunCheck(RunState state) { run_checks_[static_cast<std::size_t>(state)]->Increment(); }
   // Observes the time from the arrival of a request to the first byte of its response.
   void ObserveFirstByte(RouteKind kind, std::chrono::steady_clock::duration time);
 
@@ -82,6 +85,7 @@
 
   MetricsRegistry registry_;
   std::array<std::array<prometheus::Counter*, kKinds>, kRelayOutcomeCount> ends_;
+  std::array<prometheus::Counter*, kRunStateCount> run_checks_;
   std::array<prometheus::Histogram*, kKinds> first_byte_;
 };
 
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -36,6 +36,8 @@
 // A stream counts as stalled after this many times the route's target gap between events.
 constexpr int kStallGapFactor = 4;
 constexpr milliseconds kMinStallTimeout{1000};
+// Pause between questions for a run whose connection has closed.
+constexpr milliseconds kRunPollInterval{150};
 // Limit for one event.
 constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 
@@ -223,6 +225,7 @@
                                                          EndpointChoice choice) {
   const std::string id = choice.endpoint.id;
   const RelayRequest& params = context->params;
+  const auto executor = co_await boost::asio::this_coro::executor;
   BeginAttempt(context.get(), choice);
   if (context->stream_open) deps_.metrics->stream_resumes_total->Increment();
   const EndpointWork work{
@@ -241,16 +244,20 @@
       deps_.stats->PrefillMillisPerToken(id, params.model) * choice.prefill_tokens);
   HttpCall call = MakeCall(context.get(), choice, context->deadline);
   // A stalled engine may not send the response header, or not even read the request.
+  WatchForStalls(context, choice.endpoint, executor);
   if (context->AttemptsLeft() > 1 && CanFailOver(*context, id)) {
-    call.deadline =
-        std::min(call.deadline, context->sent_at + FailoverTimeout(*context->route, choice));
+    context->stall_watch->RecordProgress(context->sent_at,
+                                         FailoverTimeout(*context->route, choice));
   }
   context->step = RelayStep::kEndpoint;
   auto stream = co_await deps_.client->Open(std::move(call));
+  context->stall_watch->Pause();
   NextStep next_step = NextStep::kRetry;
   const std::uint64_t events_before = context->events;
   if (!stream) {
-    co_await HandleFailedAttempt(context, choice.endpoint, stream.error());
+    const bool stalled = context->stall_watch->expired() && stream.error() != HttpError::kNotSent;
+    const HttpError error = stalled ? HttpError::kTimedOut : stream.error();
+    co_await HandleFailedAttempt(context, choice.endpoint, error);
     context->excluded.insert(id);
     if (stream.error() == HttpError::kNotSent) {
       const bool permit_expired = MonotonicNow() >= context->permit_until;
@@ -306,6 +313,70 @@
   co_return next_step;
 }
 
+// Watches the attempt that has been prepared. A closed connection does not end a run at every
+// engine, so a stall is a reason to ask the engine and not to close the connection.
+void RelayHandler::WatchForStalls(const ContextPtr& context, const FleetEndpoint& endpoint,
+                                  boost::asio::any_io_executor executor) {
+  const std::weak_ptr<Context> weak = context;
+  context->stall_watch =
+      std::make_unique<StallWatch>(executor, context->canceller, [this, weak, endpoint, executor] {
+        if (const ContextPtr watched = weak.lock()) {
+          SpawnDetached(executor, "run check", CheckStalledRun(watched, endpoint));
+        }
+        return false;
+      });
+}
+
+// Asks an engine whose response has stalled for the run, and gives the attempt up unless the engine
+// still works on it. May outlive the attempt.
+Task<void> RelayHandler::CheckStalledRun(ContextPtr context, FleetEndpoint endpoint) {
+  const auto canceller = context->canceller;
+  // During a shutdown, a silent run is kept: another engine may be full, and a run that was given
+  // up cannot be taken up again.
+  const auto is_kept = [&] { return IsShuttingDown() && context->step != RelayStep::kEndpoint; };
+  if (is_kept()) co_return;
+  const RunAnswer answer = co_await run_checker_.Ask(endpoint.address, context->params.id);
+  deps_.metrics->CountRunCheck(answer.state);
+  const MonotonicTime now = MonotonicNow();
+  const bool ended = context->canceller != canceller || canceller->cancelled();
+  if (ended || !context->stall_watch->IsStalled(now) || is_kept()) co_return;
+  const bool leave = MayLeaveStalled(answer.state);
+  LOG4CPLUS_INFO(Log(), "stalled stream "
+                            << (leave ? "left" : "kept") << " id=" << context->params.id
+                            << " endpoint=" << endpoint.id << " events=" << context->events
+                            << " run=\"" << kRunStateNames[answer.state] << "\"");
+  if (leave) {
+    context->stall_watch->GiveUp();
+  } else {
+    context->stall_watch->RecordProgress(now, context->stall_watch->timeout());
+  }
+}
+
+// Waits until an engine whose connection has closed no longer works on the request, if another
+// attempt may follow.
+Task<void> RelayHandler::WaitForRunEnd(ContextPtr context, FleetEndpoint endpoint) {
+  if (!RouteAllowsAttempt(*context)) co_return;
+  // After a malformed response, the connection may still be open.
+  context->canceller->Cancel();
+  std::optional<MonotonicTime> started;
+  if (context->response_started) started = context->response_started_at;
+  const MonotonicTime start = MonotonicNow();
+  std::optional<RunState> state;
+  while (!context->caller_gone && MayWait(*context, MonotonicNow()) &&
+         RetryBudgetFor(context->service_name).HasRetry(MonotonicNow())) {
+    const RunAnswer answer = co_await run_checker_.Ask(endpoint.address, context->params.id);
+    deps_.metrics->CountRunCheck(answer.state);
+    state = answer.state;
+    if (MayGoOn(answer, started)) break;
+    co_await Sleep(kRunPollInterval);
+  }
+  if (!state) co_return;
+  LOG4CPLUS_INFO(
+      Log(), "broken stream id=" << context->params.id << " endpoint=" << endpoint.id << " run=\""
+                                 << kRunStateNames[*state]
+                                 << "\" waited_ms=" << ToMillis(MonotonicNow() - start).count());
+}
+
 // Relays the events of one engine to the caller until the stream ends or breaks.
 Task<RelayHandler::NextStep> RelayHandler::RelayEvents(ContextPtr context,
                                                        const EndpointChoice& choice,
@@ -317,10 +388,7 @@
   const milliseconds failover_timeout = FailoverTimeout(*context->route, choice);
   const bool attempts_left = context->AttemptsLeft() > 0;
   bool first = true;
-  // During a shutdown, a silent run is kept: another engine may be full, and a run that was given
-  // up cannot be taken up again.
-  const auto executor = co_await boost::asio::this_coro::executor;
-  StallWatch watch(executor, context->canceller, [this] { return !IsShuttingDown(); });
+  StallWatch& watch = *context->stall_watch;
   // Whether the run could go on elsewhere is decided at each event: when many streams stall at once
   // the retry budget is used up, and a stalled stream that is held tells its caller nothing.
   const auto await_event = [&](milliseconds timeout) {
--- a/src/stall_watch.h
+++ b/src/stall_watch.h
@@ -26,6 +26,7 @@
   // The call has made progress at `now`, and stalls after `timeout` without any.
   void RecordProgress(MonotonicTime now, milliseconds timeout) {
     state_->stalled_at = now + timeout;
+    state_->timeout = timeout;
     if (state_->waiting && state_->stalled_at >= state_->timer.expiry()) return;
     state_->waiting = true;
     Wait(state_);
@@ -34,6 +35,15 @@
   // The call is not waited for until the next progress is recorded.
   void Pause() { state_->stalled_at = MonotonicTime::max(); }
 
+  // Whether the call has stalled at `now` and is still waited for.
+  bool IsStalled(MonotonicTime now) const { return now >= state_->stalled_at; }
+
+  // Cancels the call because of a stall, if that was decided later than `may_give_up` was asked.
+  void GiveUp() { GiveUp(state_.get()); }
+
+  // The time without progress after which the call stalls.
+  milliseconds timeout() const { return state_->timeout; }
+
   // Whether the call was cancelled because of a stall.
   bool expired() const { return state_->expired; }
 
@@ -46,7 +56,8 @@
     Timer timer;
     std::shared_ptr<HttpCanceller> canceller;
     std::function<bool()> may_give_up;
-    MonotonicTime stalled_at;
+    MonotonicTime stalled_at = MonotonicTime::max();
+    milliseconds timeout{0};
     bool waiting = false;
     bool expired = false;
   };
@@ -66,6 +77,10 @@
     if (!paused && now < state->stalled_at) return Wait(state);
     state->waiting = false;
     if (paused || !state->may_give_up()) return;
+    GiveUp(state.get());
+  }
+
+  static void GiveUp(State* state) {
     state->expired = true;
     state->canceller->Cancel();
   }
--- a/tests/relay_fixture.cpp
+++ b/tests/relay_fixture.cpp
@@ -116,6 +116,12 @@
 
 PlacementHooks RelayFixture::Hooks() {
   PlacementHooks hooks;
+  hooks.fetch_report = [this](Address address,
+                              milliseconds timeout) -> Task<Result<EngineReport, HttpError>> {
+    if (!engines_report) co_return outcome::failure(HttpError::kNotSent);
+    auto report = co_await orders.Report(std::move(address), timeout);
+    co_return report;
+  };
   hooks.place_adapter = [this](AdapterRequest) -> Task<bool> {
     co_await Sleep(adapter_placement_time);
     co_return adapter_placement_succeeds;
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -8,6 +8,7 @@
 
 #include "http_client.h"
 #include "http_server.h"
+#include "platform/engine_orders.h"
 #include "relay_handler.h"
 #include "supervisor.h"
 
@@ -92,6 +93,7 @@
   TestEndpoint p1, p2, e1, e2;
   HttpClient client;
   HttpClient test_client;
+  platform::EngineOrders orders{&client};
   FleetDirectory directory;
   EndpointStats stats;
   PrefixIndex prefixes;
@@ -108,6 +110,8 @@
   // Time until a request for a permit is answered.
   milliseconds permit_time{0};
   int permit_requests = 0;
+  // Whether engines can be asked for their reports.
+  bool engines_report = false;
   bool adapter_placement_succeeds = true;
   milliseconds adapter_placement_time{0};
   bool has_leader = true;
--- a/tests/test_decoders.cpp
+++ b/tests/test_decoders.cpp
@@ -209,7 +209,8 @@
   });
   const std::vector<std::string> reports{
       R"({"models":[{"name":"m","version":1,"adapters":["a"]}],"busy":true,"seq-no":9,"running":3,
-      "waiting":1,"kv-used":5,"kv-total":10,"handles":[],"stage":{"m":"host"}})"};
+      "waiting":1,"kv-used":5,"kv-total":10,"handles":[],"stage":{"m":"host"},
+      "runs":[["9c41",100,2,5],["77",8,0,5]]})"};
   Fuzz("report", reports, [](const std::string& text) { platform::DecodeReport(text); });
 }
 
--- a/tests/test_silent_streams.cpp
+++ b/tests/test_silent_streams.cpp
@@ -35,6 +35,7 @@
     config.version = 2;
     for (Route& route : config.routes) route.timeout = milliseconds(4500);
     relay.directory.Adopt(config);
+    relay.engines_report = true;
     for (TestEndpoint* engine : {&relay.e1, &relay.e2}) {
       engine->behavior = [this, engine](HttpExchange& exchange) -> Task<void> {
         if (exchange.request().target == "/mimosabend/report") {
