Bound the wait for a report by the time that the request has

A request whose connection broke waited up to 600 ms for the answer to a question, also when its deadline or the end of its process was nearer. Its caller could then be cut off without an answer (LOST).

The question now runs by itself, and each request waits for it until its own deadline at most; so does the pause between questions. Test: run_check, "a question is not waited for beyond the deadline".

--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -335,7 +335,8 @@
   // up cannot be taken up again.
   const auto is_kept = [&] { return IsShuttingDown() && context->step != RelayStep::kEndpoint; };
   if (is_kept()) co_return;
-  const RunAnswer answer = co_await run_checker_.Ask(endpoint.address, context->params.id);
+  const RunAnswer answer =
+      co_await run_checker_.Ask(endpoint.address, context->params.id, context->deadline);
   deps_.metrics->CountRunCheck(answer.state);
   const MonotonicTime now = MonotonicNow();
   const bool ended = context->canceller != canceller || canceller->cancelled();
@@ -364,11 +365,13 @@
   std::optional<RunState> state;
   while (!context->caller_gone && MayWait(*context, MonotonicNow()) &&
          RetryBudgetFor(context->service_name).HasRetry(MonotonicNow())) {
-    const RunAnswer answer = co_await run_checker_.Ask(endpoint.address, context->params.id);
+    const RunAnswer answer =
+        co_await run_checker_.Ask(endpoint.address, context->params.id, WaitDeadline(*context));
     deps_.metrics->CountRunCheck(answer.state);
     state = answer.state;
     if (MayGoOn(answer, started)) break;
-    co_await Sleep(kRunPollInterval);
+    const auto left = WaitDeadline(*context) - MonotonicNow();
+    co_await Sleep(std::min<std::chrono::steady_clock::duration>(kRunPollInterval, left));
   }
   if (!state) co_return;
   LOG4CPLUS_INFO(
--- a/src/run_check.cpp
+++ b/src/run_check.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/this_coro.hpp>
 
+#include "event_loop.h"
 #include "notifier.h"
 #include "scope_exit.h"
 
@@ -23,6 +24,7 @@
 
   Notifier answered;
   MonotonicTime asked_at;
+  bool ended = false;
   // Unset if there is no answer.
   std::optional<EngineReport> report;
 };
@@ -43,18 +45,17 @@
   return !started || answer.asked_at >= *started + kMaxReportAge;
 }
 
-Task<RunAnswer> RunChecker::Ask(Address address, std::string id) {
+Task<RunAnswer> RunChecker::Ask(Address address, std::string id, MonotonicTime deadline) {
   const MonotonicTime now = MonotonicNow();
   if (!fetch_) co_return RunAnswer{RunState::kNoAnswer, now};
-  std::shared_ptr<Question> question;
-  if (const auto pending = questions_.find(address); pending != questions_.end()) {
-    question = pending->second;
-    co_await question->answered.WaitUntil(question->asked_at + kMaxFetches * kReportTimeout);
-  } else {
-    const auto executor = co_await boost::asio::this_coro::executor;
-    question = std::make_shared<Question>(executor, now);
-    questions_[address] = question;
-    co_await Fetch(question, std::move(address));
+  const auto executor = co_await boost::asio::this_coro::executor;
+  const auto [pending, is_new] = questions_.try_emplace(address);
+  if (is_new) pending->second = std::make_shared<Question>(executor, now);
+  const std::shared_ptr<Question> question = pending->second;
+  if (is_new) SpawnDetached(executor, "report question", Fetch(question, std::move(address)));
+  if (!question->ended) {
+    co_await question->answered.WaitUntil(
+        std::min(deadline, question->asked_at + kMaxFetches * kReportTimeout));
   }
   RunAnswer answer{RunState::kNoAnswer, question->asked_at};
   if (question->report) answer.state = FindRun(*question->report, id);
@@ -64,6 +65,7 @@
 Task<void> RunChecker::Fetch(std::shared_ptr<Question> question, Address address) {
   const ScopeExit end(alive_, [this, &question, &address] {
     questions_.erase(address);
+    question->ended = true;
     question->answered.NotifyAll();
   });
   for (int i = 0; i < kMaxFetches; ++i) {
--- a/src/run_check.h
+++ b/src/run_check.h
@@ -49,9 +49,10 @@
   // `fetch` may be empty; then the state of all runs is kNoAnswer.
   explicit RunChecker(FetchReport fetch) : fetch_(std::move(fetch)) {}
 
-  // Asks the engine at `address` for the run of the request `id`. Takes at most twice
-  // kReportTimeout. Precondition: this object outlives the call.
-  Task<RunAnswer> Ask(Address address, std::string id);
+  // Asks the engine at `address` for the run of the request `id`. Takes until `deadline` and twice
+  // kReportTimeout at most; a question that takes longer goes on in the background. Precondition:
+  // this object outlives the call.
+  Task<RunAnswer> Ask(Address address, std::string id, MonotonicTime deadline);
 
   // Reports are answered without a slot. An engine that takes longer is treated as unreachable.
   static constexpr milliseconds kReportTimeout{300};
--- a/tests/test_run_check.cpp
+++ b/tests/test_run_check.cpp
@@ -32,17 +32,19 @@
   }
 
   Task<void> Store(std::string id, RunAnswer* answer) {
-    const RunAnswer given = co_await checker.Ask(kEngine, std::move(id));
+    const RunAnswer given = co_await checker.Ask(kEngine, std::move(id), deadline);
     *answer = given;
   }
 
   boost::asio::io_context io{1};
+  MonotonicTime deadline = MonotonicTime::max();
+  milliseconds delay{20};
   // How the next questions fail; later ones are answered.
   std::vector<HttpError> errors;
   int questions = 0;
   RunChecker checker{[this](Address, milliseconds) -> Task<Result<EngineReport, HttpError>> {
     ++questions;
-    co_await Sleep(milliseconds(20));
+    co_await Sleep(delay);
     if (!errors.empty()) {
       const HttpError error = errors.front();
       errors.erase(errors.begin());
@@ -118,6 +120,25 @@
   CHECK(engine.questions == 2);
 }
 
+// Guards against a request that waits for an answer beyond the end of its process, and is cut off
+// instead of being answered.
+TEST_CASE("a question is not waited for beyond the deadline", "[run_check]") {
+  CheckedEngine engine;
+  engine.delay = milliseconds(250);
+  engine.deadline = MonotonicNow() + milliseconds(50);
+  std::optional<MonotonicTime> answered;
+  const auto ask = [&]() -> Task<void> {
+    RunAnswer answer;
+    co_await engine.Store("9c41", &answer);
+    CHECK(answer.state == RunState::kNoAnswer);
+    answered = MonotonicNow();
+  };
+  boost::asio::co_spawn(engine.io, ask(), boost::asio::detached);
+  engine.io.run_for(seconds(1));
+  REQUIRE(answered);
+  CHECK(*answered < engine.deadline + milliseconds(100));
+}
+
 // Guards against an engine that is taken for unreachable because it closed an idle connection, and
 // against a question that is repeated without end.
 TEST_CASE("a question is sent again only if its connection broke", "[run_check]") {
@@ -134,7 +155,7 @@
   RunChecker without_hook{RunChecker::FetchReport()};
   std::optional<RunState> state;
   const auto ask = [&]() -> Task<void> {
-    const RunAnswer answer = co_await without_hook.Ask(kEngine, "9c41");
+    const RunAnswer answer = co_await without_hook.Ask(kEngine, "9c41", MonotonicTime::max());
     state = answer.state;
   };
   boost::asio::co_spawn(engine.io, ask(), boost::asio::detached);
