Name rate limits as the reason of a refusal of plain requests

Cause: a plain request that arrives while all endpoints of its service are in backoff, since permits for other requests were denied, was refused with "no endpoint available". The line did not say that rate limits are the cause: 136 of 347 refused orders in the third case of endpoint_rate_limit.

Change: its reason is "all endpoints of the service have a rate limit" if they have one. Statuses and times are unchanged.

The tests relay and the third case of endpoint_rate_limit pass.

--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -242,7 +242,11 @@
       continue;
     }
     if (!choice) {
-      if (context->reason.empty()) context->reason = "no endpoint available";
+      if (context->reason.empty()) {
+        context->reason = AreAllEndpointsLimited(*context, now)
+                              ? "all endpoints of the service have a rate limit"
+                              : "no endpoint available";
+      }
       context->ready_at = deps_.selector->BackoffUntil(context->service_name, "", MonotonicNow());
       break;
     }
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -112,7 +112,7 @@
   Task<bool> WaitForQuota(ContextPtr context);
   Task<bool> AdmitByQuota(ContextPtr context);
   Task<bool> AcquirePermit(ContextPtr context, FleetEndpoint endpoint);
-  bool AreAllEnginesLimited(const Context& context, MonotonicTime now) const;
+  bool AreAllEndpointsLimited(const Context& context, MonotonicTime now) const;
   void RecordRateLimit(const Context& context, const FleetEndpoint& endpoint,
                        const HttpHeaders& headers);
   Task<void> ServePlain(ContextPtr context);
--- a/src/relay_limits.cpp
+++ b/src/relay_limits.cpp
@@ -46,12 +46,13 @@
   co_return false;
 }
 
-// Whether all engines that hold the request's model state rate limits. Their permits are issued one
-// by one at these rates, so most of the requests that wait for one would wait in vain.
-bool RelayHandler::AreAllEnginesLimited(const Context& context, MonotonicTime now) const {
+// Whether all endpoints that could serve the request, for a model those that hold it, state rate
+// limits. Permits are issued one by one at these rates, so most of the requests that wait for one
+// would wait in vain.
+bool RelayHandler::AreAllEndpointsLimited(const Context& context, MonotonicTime now) const {
   bool any = false;
   for (const DirectoryEntry* entry : deps_.directory->OfService(context.service_name, now)) {
-    if (!entry->Holds(context.params.model)) continue;
+    if (context.service->engine && !entry->Holds(context.params.model)) continue;
     const FleetEndpoint& endpoint = entry->endpoint;
     if (!deps_.limits->Rate(EndpointNumber(endpoint.id, endpoint.started_ms))) return false;
     any = true;
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -177,7 +177,7 @@
   const bool may_refuse_early =
       !context->stream_open && context->runs == 0 &&
       now - context->arrival >= context->route->target_latency / kPermitWaitDivisor;
-  if (may_refuse_early && AreAllEnginesLimited(*context, now)) {
+  if (may_refuse_early && AreAllEndpointsLimited(*context, now)) {
     return "all engines of the model have a rate limit";
   }
   if (deps_.placement.has_leader(now)) return std::nullopt;
