Play faults of links and endpoints against gateway processes

Test refusals pauses, kills and restarts processes, but each connection between a gateway and an endpoint is sound there and endpoints answer as they should.

The endpoint stand-in answers a share of runs with 503 without Not-Executed, and a share of refusals without Request-Id, and records the end of each run. PlatformFleet can put the proxy in front of its endpoints, and takes another program for its gateways from MIMOSABEND_TEST_GATEWAY.

--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -30,6 +30,8 @@
 // If this environment variable is set, the logs of all processes are kept in the temporary
 // directory.
 constexpr const char* kKeepLogs = "MIMOSABEND_KEEP_LOGS";
+// Names the program of the gateways in place of the one that was built with the tests.
+constexpr const char* kGatewayProgram = "MIMOSABEND_TEST_GATEWAY";
 
 std::string HostOf(int index) { return "127.0.0." + std::to_string(kFirstHostNumber + index); }
 
@@ -37,6 +39,23 @@
   return std::string(MIMOSABEND_BUILD_DIRECTORY) + "/" + name;
 }
 
+std::string GatewayProgram() {
+  const char* program = std::getenv(kGatewayProgram);
+  return program == nullptr ? Program("mimosabend") : program;
+}
+
+// Parses a line of the file of runs: "start" or "end", the time, the endpoint, the id of the
+// request, its path and its body.
+std::pair<std::string, EndpointRun> ParseRunLine(const std::string& line) {
+  std::istringstream words(line);
+  std::string event;
+  std::int64_t time = 0;
+  EndpointRun run;
+  words >> event >> time >> run.endpoint >> run.request_id >> run.path >> run.body;
+  run.start = WallTime(milliseconds(time));
+  return {event, run};
+}
+
 json::object RouteObject(const std::string& prefix, const std::string& kind, int attempts,
                          const std::string& service) {
   const bool resumable = kind == "streaming" && attempts > 1;
@@ -105,6 +124,7 @@
   store_ = std::make_unique<Process>(Program("tests/platform_store_standin"),
                                      std::vector<std::string>{}, Log("store"), true);
   WriteConfig();
+  if (options_.link_faults) endpoint_proxy_ = std::make_unique<FaultProxy>(*options_.link_faults);
   const int count = options_.engines + options_.plain_endpoints;
   const std::vector<std::uint16_t> ports = FreePorts(count);
   for (int i = 0; i < count; ++i) {
@@ -112,11 +132,15 @@
     endpoint.index = i;
     endpoint.service = i < options_.engines ? "models" : "plain";
     endpoint.port = ports[i];
+    endpoint.registered_port = endpoint_proxy_ == nullptr
+                                   ? endpoint.port
+                                   : endpoint_proxy_->Forward({"127.0.0.1", endpoint.port});
     StartEndpoint(&endpoint);
     endpoints_.push_back(std::move(endpoint));
   }
   restart_thread_ = std::thread([this] { RestartEndpoints(); });
   gateways_.resize(options_.gateways);
+  gateway_starts_.resize(options_.gateways);
   for (int i = 0; i < options_.gateways; ++i) StartGateway(i);
   WaitFor(kStartTimeout, [this] { return Leader() >= 0; });
 }
@@ -150,6 +174,7 @@
                          std::to_string(endpoint->starts);
   std::vector<std::string> flags{"--port=" + std::to_string(endpoint->port), "--id=" + id,
                                  "--service=" + endpoint->service,
+                                 "--registered_port=" + std::to_string(endpoint->registered_port),
                                  "--store=" + ToString(store_->address())};
   if (endpoint->service == "models") {
     flags.emplace_back("--model=m");
@@ -191,12 +216,20 @@
   if (endpoint.process != nullptr) endpoint.process->Signal(signal_number);
 }
 
-std::vector<std::pair<std::string, std::string>> PlatformFleet::Runs() const {
-  std::vector<std::pair<std::string, std::string>> runs;
+std::vector<EndpointRun> PlatformFleet::Runs() const {
+  std::vector<EndpointRun> runs;
   std::ifstream file(RunLog());
   for (std::string line; std::getline(file, line);) {
-    const std::size_t space = line.find(' ');
-    runs.emplace_back(line.substr(0, space), line.substr(space + 1));
+    auto [event, run] = ParseRunLine(line);
+    if (event == "start") {
+      runs.push_back(std::move(run));
+      continue;
+    }
+    const auto is_open = [&run = run](const EndpointRun& other) {
+      return !other.end && other.request_id == run.request_id && other.endpoint == run.endpoint;
+    };
+    const auto ended = std::find_if(runs.begin(), runs.end(), is_open);
+    if (ended != runs.end()) ended->end = run.start;
   }
   return runs;
 }
@@ -238,6 +271,19 @@
   return static_cast<int>(it - endpoints_.begin());
 }
 
+std::vector<std::string> PlatformFleet::GatewayLogLines(const std::string& text) const {
+  std::vector<std::string> found;
+  for (const auto& entry : std::filesystem::directory_iterator(directory_)) {
+    const std::string name = entry.path().filename().string();
+    if (!name.starts_with("gateway-") || !name.ends_with(".log")) continue;
+    std::ifstream file(entry.path());
+    for (std::string line; std::getline(file, line);) {
+      if (line.find(text) != std::string::npos) found.push_back(name + ": " + line);
+    }
+  }
+  return found;
+}
+
 std::vector<MonotonicTime> PlatformFleet::ExitTimes() const {
   const std::lock_guard lock(mutex_);
   return exit_times_;
@@ -261,9 +307,9 @@
   const std::string name = "gateway-" + std::to_string(index);
   gateways_.at(index).reset();
   const std::string config = (directory_ / (name + ".ini")).string();
+  const std::string log = Log(name + "-" + std::to_string(++gateway_starts_.at(index)));
   gateways_.at(index) = std::make_unique<Process>(
-      Program("mimosabend"), std::vector<std::string>{"gateway", "--config=" + config}, Log(name),
-      false);
+      GatewayProgram(), std::vector<std::string>{"gateway", "--config=" + config}, log, false);
   HttpCall ready;
   ready.address = {HostOf(index), ports_[1]};
   ready.target = "/mimosabend/ready";
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -5,11 +5,13 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "clock.h"
+#include "fault_proxy.h"
 #include "fleet.h"
 #include "http_client.h"
 
@@ -31,6 +33,8 @@
   std::map<int, std::string> rate_limits;
   // Whether endpoints add the arrivals of callers' requests to a file.
   bool log_arrivals = false;
+  // If set, gateways reach the endpoints through a proxy that injects these faults.
+  std::optional<FaultProxyOptions> link_faults;
 };
 
 // An arrival of a caller's request at an endpoint, or the answer to one.
@@ -45,9 +49,21 @@
   std::string rate_limit;
 };
 
+// A run of a request at an endpoint, as the endpoint recorded it.
+struct EndpointRun {
+  std::string request_id;
+  std::string endpoint;
+  std::string path;
+  std::string body;
+  WallTime start;
+  // Unset if the endpoint did not come to the end of the run.
+  std::optional<WallTime> end;
+};
+
 // Runs gateways as processes, with stand-ins for the platform: its store, engines that hold the
 // model "m", and plain endpoints. Endpoints that exit are restarted under another id. The
-// destructor ends all processes.
+// destructor ends all processes. The environment variable MIMOSABEND_TEST_GATEWAY names another
+// program for the gateways, so that a test can be run with an older version of them.
 class PlatformFleet {
  public:
   explicit PlatformFleet(PlatformFleetOptions options = {});
@@ -72,8 +88,14 @@
   void SignalEndpoint(int index, int signal_number);
   int endpoints() const { return options_.engines + options_.plain_endpoints; }
 
-  // The requests that endpoints began to run: id and body, in order. Precondition: `log_runs`.
-  std::vector<std::pair<std::string, std::string>> Runs() const;
+  // The runs that endpoints began, in order. Precondition: `log_runs`.
+  std::vector<EndpointRun> Runs() const;
+
+  // The lines of the gateways' logs that contain `text`, each after the name of the log.
+  std::vector<std::string> GatewayLogLines(const std::string& text) const;
+
+  // The proxy in front of the endpoints. Precondition: `link_faults` is set.
+  FaultProxy& endpoint_proxy() const { return *endpoint_proxy_; }
 
   // Sets the rate limit that an endpoint states in its answers; empty for none.
   void SetRateLimit(int index, const std::string& rate_limit);
@@ -93,6 +115,8 @@
     int index = 0;
     std::string service;
     std::uint16_t port = 0;
+    // The port that gateways connect to: that of the proxy, if there is one.
+    std::uint16_t registered_port = 0;
     int starts = 0;
     std::unique_ptr<Process> process;
     MonotonicTime exited_at;
@@ -113,7 +137,9 @@
   // addresses.
   std::vector<std::uint16_t> ports_;
   std::unique_ptr<Process> store_;
+  std::unique_ptr<FaultProxy> endpoint_proxy_;
   std::vector<std::unique_ptr<Process>> gateways_;
+  std::vector<int> gateway_starts_;
   int next_request_ = 0;
 
   // Guards the members below.
--- a/tests/standins/platform_endpoint_standin.cpp
+++ b/tests/standins/platform_endpoint_standin.cpp
@@ -11,13 +11,16 @@
 #include <boost/asio/detached.hpp>
 #include <cstdlib>
 #include <iostream>
+#include <random>
 
+#include "digest.h"
 #include "http_client.h"
 #include "platform/platform_store.h"
 #include "standin.h"
 #include "supervisor.h"
 
 DEFINE_int32(port, 0, "port to listen on; 0 picks a free one");
+DEFINE_int32(registered_port, 0, "port to register in the store; 0 for that of --port");
 DEFINE_string(id, "", "key under which the endpoint registers");
 DEFINE_string(service, "", "service that the endpoint belongs to");
 DEFINE_string(store, "", "address of the store");
@@ -28,7 +31,10 @@
 DEFINE_int32(lapse_ms, 1200, "time to live of the lease");
 DEFINE_int32(max_running, 0, "requests that run at the same time, others wait; 0 for no limit");
 DEFINE_int32(max_waiting, 2, "requests that wait at the same time, others are refused");
-DEFINE_string(run_log, "", "file to which the id and body of each request are added when it runs");
+DEFINE_string(run_log, "", "file to which the start and the end of each run are added");
+DEFINE_int32(unmarked_503_rate, 0, "percentage of runs answered with 503, without Not-Executed");
+DEFINE_int32(anonymous_refusal_rate, 0, "percentage of refusals without Request-Id");
+DEFINE_uint64(fault_seed, 1, "seed of the faults; the id of the endpoint is mixed in");
 DEFINE_string(rate_limit, "", "Server-Limit of all answers to callers' requests; empty for none");
 DEFINE_string(
     arrival_log, "",
@@ -67,25 +73,26 @@
     LogEvent("arrival", exchange.request());
     const std::string expected(exchange.request().header("Expect-Instance"));
     if (!expected.empty() && expected != FLAGS_id) {
-      HttpHeaders headers = AnswerHeaders(exchange.request());
+      HttpHeaders headers = AnswerHeaders(exchange.request(), true);
       co_await exchange.Reply(421, std::move(headers), "{}");
       co_return;
     }
     const bool admitted = co_await WaitForSlot(exchange.request());
     if (!admitted) {
-      HttpHeaders headers = AnswerHeaders(exchange.request());
+      HttpHeaders headers = AnswerHeaders(exchange.request(), !Draw(FLAGS_anonymous_refusal_rate));
       headers.emplace_back("Not-Executed", "1");
       co_await exchange.Reply(503, std::move(headers), "");
       co_return;
     }
     ++running_;
-    LogRun(exchange.request());
+    LogRun("start", exchange.request());
     co_await Sleep(milliseconds(FLAGS_start_ms));
     const std::string prompt(exchange.request().header("Prompt-Prefix"));
     const bool deadly = exchange.request().body.find("crash") != std::string::npos ||
                         prompt.starts_with("dead") || prompt.find(",dead") != std::string::npos;
     if (deadly) std::_Exit(1);
     co_await Run(&exchange);
+    LogRun("end", exchange.request());
     --running_;
   }
 
@@ -124,10 +131,15 @@
     co_return !is_full();
   }
 
-  // Records a run where the test can count it, whatever becomes of the response.
-  static void LogRun(const HttpRequest& request) {
+  bool Draw(int percent) { return static_cast<int>(random_() % 100) < percent; }
+
+  // Records the start or the end of a run where the test can count it, whatever becomes of the
+  // response.
+  static void LogRun(const std::string& event, const HttpRequest& request) {
     if (FLAGS_run_log.empty()) return;
-    AppendLine(FLAGS_run_log, std::string(request.header("Request-Id")) + " " + request.body);
+    AppendLine(FLAGS_run_log, event + " " + std::to_string(ToUnixMillis(WallNow())) + " " +
+                                  FLAGS_id + " " + std::string(request.header("Request-Id")) + " " +
+                                  request.target + " " + request.body);
   }
 
   // Records an arrival or an answer: event, time in microseconds of the monotonic clock, port, the
@@ -152,10 +164,11 @@
     ::close(file);
   }
 
-  // Headers of all answers to callers' requests.
-  HttpHeaders AnswerHeaders(const HttpRequest& request) const {
+  // Headers of all answers to callers' requests. `with_id`: whether to return the request's id.
+  HttpHeaders AnswerHeaders(const HttpRequest& request, bool with_id) const {
     LogEvent("answer", request);
-    HttpHeaders headers{{"Request-Id", std::string(request.header("Request-Id"))}};
+    HttpHeaders headers;
+    if (with_id) headers.emplace_back("Request-Id", request.header("Request-Id"));
     if (!rate_limit_.empty()) headers.emplace_back("Server-Limit", rate_limit_);
     return headers;
   }
@@ -181,8 +194,12 @@
   }
 
   Task<void> Run(HttpExchange* exchange) {
-    HttpHeaders headers = AnswerHeaders(exchange->request());
+    HttpHeaders headers = AnswerHeaders(exchange->request(), true);
     headers.emplace_back("Response-Stamp", FLAGS_id);
+    if (Draw(FLAGS_unmarked_503_rate)) {
+      co_await exchange->Reply(503, std::move(headers), "");
+      co_return;
+    }
     if (FLAGS_model.empty()) {
       co_await exchange->Reply(200, std::move(headers), "done");
       co_return;
@@ -206,6 +223,7 @@
   std::string rate_limit_ = FLAGS_rate_limit;
   int running_ = 0;
   int waiting_ = 0;
+  std::mt19937_64 random_{FLAGS_fault_seed ^ Hash64(FLAGS_id)};
 };
 
 }  // namespace
@@ -217,7 +235,8 @@
   boost::asio::io_context io(1);
   mimosabend::standin::PlatformEndpointStandin standin(&io);
   // The test fleet chooses the port, so that the endpoint keeps its address across restarts.
-  standin.set_address({"127.0.0.1", static_cast<std::uint16_t>(FLAGS_port)});
+  const int port = FLAGS_registered_port == 0 ? FLAGS_port : FLAGS_registered_port;
+  standin.set_address({"127.0.0.1", static_cast<std::uint16_t>(port)});
   boost::asio::co_spawn(io, standin.Register(), boost::asio::detached);
   return mimosabend::standin::RunStandin(
       &io, static_cast<std::uint16_t>(FLAGS_port),
--- a/tests/test_endpoint_rate_limit.cpp
+++ b/tests/test_endpoint_rate_limit.cpp
@@ -321,7 +321,7 @@
     CHECK(used >= kUsedShare * ToSeconds(kUsedTime) * limits[i]);
   }
   std::map<std::string, int> runs;
-  for (const auto& [id, body] : fleet.Runs()) ++runs[body];
+  for (const EndpointRun& run : fleet.Runs()) ++runs[run.body];
   CHECK(std::count_if(runs.begin(), runs.end(), [](const auto& run) { return run.second > 1; }) ==
         0);
   for (const std::string& path : paths) {
--- a/tests/test_refusals.cpp
+++ b/tests/test_refusals.cpp
@@ -204,9 +204,9 @@
     std::this_thread::sleep_for(kSettleTime);
     std::map<std::string, int> runs_of_id;
     std::map<std::string, int> runs_of_order;
-    for (const auto& [id, body] : fleet.Runs()) {
-      ++runs_of_id[id];
-      ++runs_of_order[body];
+    for (const EndpointRun& run : fleet.Runs()) {
+      ++runs_of_id[run.request_id];
+      ++runs_of_order[run.body];
     }
     const auto runs_twice = [](const auto& item) { return item.second > 1; };
     CAPTURE(seed, answers.statuses, runs_of_id.size());
