Play faults of links to gateways, and process faults, in ambiguous_delivery

The faults of processes move from test refusals into a class that both tests use, with the same draws. Every other seed has them. A second proxy stands between callers and gateways; it does only what a network may do, as garbled bytes and copies there would tell callers what no gateway has said.

--- a/tests/fault_proxy.cpp
+++ b/tests/fault_proxy.cpp
@@ -86,7 +86,7 @@
 class FaultProxy::Impl : public std::enable_shared_from_this<FaultProxy::Impl> {
  public:
   Impl(asio::io_context* io, FaultProxyOptions options)
-      : io_(io), options_(options), random_(options.seed) {}
+      : io_(io), options_(std::move(options)), random_(options_.seed) {}
 
   void Start(tcp::acceptor acceptor, const Address& server) {
     const tcp::endpoint endpoint(asio::ip::make_address(server.ip), server.port);
@@ -118,7 +118,7 @@
   void DrawFault(Link* link) {
     link->fault = LinkFault::kNone;
     if (Draw(options_.fault_rate)) {
-      link->fault = static_cast<LinkFault>(1 + Below(int(kLinkFaultNames.names.size()) - 1));
+      link->fault = options_.faults.at(Below(int(options_.faults.size())));
     }
     link->copy = link->fault == LinkFault::kCopyAnswer || Draw(options_.copy_rate);
     link->cut_after = static_cast<std::size_t>(Below(kMaxCutBytes));
@@ -248,7 +248,7 @@
 };
 
 FaultProxy::FaultProxy(FaultProxyOptions options)
-    : impl_(std::make_shared<Impl>(&io_, options)), thread_([this] {
+    : impl_(std::make_shared<Impl>(&io_, std::move(options))), thread_([this] {
         const auto work = asio::make_work_guard(io_);
         io_.run();
       }) {}
--- a/tests/fault_proxy.h
+++ b/tests/fault_proxy.h
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "clock.h"
 #include "name_table.h"
@@ -40,9 +41,21 @@
     {"none", "hold request", "cut request", "close answer", "reset answer", "silence",
      "hold answer", "copy answer", "garble answer", "close header"}};
 
+// The faults that a network may cause between two sound programs.
+inline const std::vector<LinkFault> kNetworkFaults{LinkFault::kHoldRequest, LinkFault::kCutRequest,
+                                                   LinkFault::kCloseAnswer, LinkFault::kResetAnswer,
+                                                   LinkFault::kSilence,     LinkFault::kHoldAnswer};
+// Those and the ones of faulty servers.
+inline const std::vector<LinkFault> kAllLinkFaults{
+    LinkFault::kHoldRequest, LinkFault::kCutRequest,   LinkFault::kCloseAnswer,
+    LinkFault::kResetAnswer, LinkFault::kSilence,      LinkFault::kHoldAnswer,
+    LinkFault::kCopyAnswer,  LinkFault::kGarbleAnswer, LinkFault::kCloseHeader};
+
 // How often a FaultProxy injects faults. Rates are percentages.
 struct FaultProxyOptions {
   std::uint64_t seed = 1;
+  // The faults that are drawn, with the same probability each. Not empty.
+  std::vector<LinkFault> faults = kAllLinkFaults;
   // Share of the exchanges that have a fault.
   int fault_rate = 12;
   // Share of the answers of which a second copy is sent, beyond `fault_rate`.
--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -139,6 +139,12 @@
     endpoints_.push_back(std::move(endpoint));
   }
   restart_thread_ = std::thread([this] { RestartEndpoints(); });
+  if (options_.caller_faults) {
+    caller_proxy_ = std::make_unique<FaultProxy>(*options_.caller_faults);
+    for (int i = 0; i < options_.gateways; ++i) {
+      caller_proxy_ports_.push_back(caller_proxy_->Forward({HostOf(i), ports_[0]}));
+    }
+  }
   gateways_.resize(options_.gateways);
   gateway_starts_.resize(options_.gateways);
   for (int i = 0; i < options_.gateways; ++i) StartGateway(i);
@@ -289,7 +295,24 @@
   return exit_times_;
 }
 
-Address PlatformFleet::caller_address(int index) const { return {HostOf(index), ports_[0]}; }
+Address PlatformFleet::caller_address(int index) const {
+  if (caller_proxy_ != nullptr) return {"127.0.0.1", caller_proxy_ports_.at(index)};
+  return {HostOf(index), ports_[0]};
+}
+
+void PlatformFleet::InjectLinkFaults(bool inject) {
+  if (endpoint_proxy_ != nullptr) endpoint_proxy_->InjectFaults(inject);
+  if (caller_proxy_ != nullptr) caller_proxy_->InjectFaults(inject);
+}
+
+std::map<LinkFault, int> PlatformFleet::InjectedLinkFaults() const {
+  std::map<LinkFault, int> sum;
+  for (const FaultProxy* proxy : {endpoint_proxy_.get(), caller_proxy_.get()}) {
+    if (proxy == nullptr) continue;
+    for (const auto& [fault, count] : proxy->injected()) sum[fault] += count;
+  }
+  return sum;
+}
 
 void PlatformFleet::WriteSettings(int index) {
   std::ofstream file(directory_ / ("gateway-" + std::to_string(index) + ".ini"));
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -35,6 +35,8 @@
   bool log_arrivals = false;
   // If set, gateways reach the endpoints through a proxy that injects these faults.
   std::optional<FaultProxyOptions> link_faults;
+  // If set, callers reach the gateways through such a proxy.
+  std::optional<FaultProxyOptions> caller_faults;
 };
 
 // An arrival of a caller's request at an endpoint, or the answer to one.
@@ -74,6 +76,7 @@
   // Starts or restarts a gateway, and waits until it is ready. `index` counts from 0.
   void StartGateway(int index);
   Process& gateway(int index) { return *gateways_.at(index); }
+  int gateways() const { return options_.gateways; }
   Address caller_address(int index) const;
 
   // The index of the gateway that reports to be the placement leader; -1 if none does.
@@ -94,8 +97,10 @@
   // The lines of the gateways' logs that contain `text`, each after the name of the log.
   std::vector<std::string> GatewayLogLines(const std::string& text) const;
 
-  // The proxy in front of the endpoints. Precondition: `link_faults` is set.
-  FaultProxy& endpoint_proxy() const { return *endpoint_proxy_; }
+  // Whether the proxies inject faults; at first they do not.
+  void InjectLinkFaults(bool inject);
+  // How often the proxies injected each fault.
+  std::map<LinkFault, int> InjectedLinkFaults() const;
 
   // Sets the rate limit that an endpoint states in its answers; empty for none.
   void SetRateLimit(int index, const std::string& rate_limit);
@@ -138,6 +143,9 @@
   std::vector<std::uint16_t> ports_;
   std::unique_ptr<Process> store_;
   std::unique_ptr<FaultProxy> endpoint_proxy_;
+  std::unique_ptr<FaultProxy> caller_proxy_;
+  // Ports of the proxy by gateway.
+  std::vector<std::uint16_t> caller_proxy_ports_;
   std::vector<std::unique_ptr<Process>> gateways_;
   std::vector<int> gateway_starts_;
   int next_request_ = 0;
--- a/tests/test_ambiguous_delivery.cpp
+++ b/tests/test_ambiguous_delivery.cpp
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "platform_fleet.h"
+#include "process_faults.h"
 #include "supervisor.h"
 
 namespace mimosabend::testing {
@@ -43,10 +44,19 @@
   int gateways = static_cast<int>(FromEnvironment("MIMOSABEND_DELIVERY_GATEWAYS", 3));
   int engines = static_cast<int>(FromEnvironment("MIMOSABEND_DELIVERY_ENGINES", 3));
   int plain_endpoints = static_cast<int>(FromEnvironment("MIMOSABEND_DELIVERY_PLAIN", 3));
+  bool process_faults = false;
   int callers = static_cast<int>(FromEnvironment("MIMOSABEND_DELIVERY_CALLERS", 60));
   // Faults on the way to endpoints, in percent; see FaultProxyOptions.
   int fault_rate = static_cast<int>(FromEnvironment("MIMOSABEND_DELIVERY_FAULTS", 12));
   int copy_rate = static_cast<int>(FromEnvironment("MIMOSABEND_DELIVERY_COPIES", 10));
+  // Faults of endpoints, in percent; see the flags of the stand-in.
+  int unmarked_503_rate = static_cast<int>(FromEnvironment("MIMOSABEND_DELIVERY_UNMARKED", 3));
+  int anonymous_refusal_rate =
+      static_cast<int>(FromEnvironment("MIMOSABEND_DELIVERY_ANONYMOUS", 30));
+  // Without it, a proxy to an endpoint does only what a network may do.
+  bool garbles = FromEnvironment("MIMOSABEND_DELIVERY_GARBLES", 1) != 0;
+  // Faults of links on the way to gateways, in percent.
+  int caller_fault_rate = static_cast<int>(FromEnvironment("MIMOSABEND_DELIVERY_CALLER_FAULTS", 3));
 };
 
 // Whether a status promises that the request has not run and never will.
@@ -192,7 +202,7 @@
   text << "seed " << play.seed << ", answers";
   for (const auto& [status, count] : answers.statuses) text << " " << status << ":" << count;
   text << ", exchanges by fault";
-  for (const auto& [fault, count] : fleet.endpoint_proxy().injected()) {
+  for (const auto& [fault, count] : fleet.InjectedLinkFaults()) {
     text << " " << kLinkFaultNames[fault] << ":" << count;
   }
   return text.str();
@@ -203,18 +213,26 @@
   options.gateways = play.gateways;
   options.engines = play.engines;
   options.plain_endpoints = play.plain_endpoints;
-  options.endpoint_flags = {"--max_running=3",
-                            "--start_ms=30",
-                            "--events=5",
-                            "--unmarked_503_rate=3",
-                            "--anonymous_refusal_rate=30",
-                            "--fault_seed=" + std::to_string(play.seed)};
+  options.endpoint_flags = {
+      "--max_running=3",
+      "--start_ms=30",
+      "--events=5",
+      "--unmarked_503_rate=" + std::to_string(play.unmarked_503_rate),
+      "--anonymous_refusal_rate=" + std::to_string(play.anonymous_refusal_rate),
+      "--fault_seed=" + std::to_string(play.seed)};
   options.log_runs = true;
   options.link_faults = FaultProxyOptions();
   options.link_faults->seed = play.seed;
   options.link_faults->fault_rate = play.fault_rate;
   options.link_faults->copy_rate = play.copy_rate;
+  if (!play.garbles) options.link_faults->faults = kNetworkFaults;
   options.link_faults->max_idle = milliseconds(1000);
+  options.caller_faults = FaultProxyOptions();
+  options.caller_faults->seed = play.seed + 1;
+  // Copies and garbled answers would tell callers what no gateway has said.
+  options.caller_faults->faults = kNetworkFaults;
+  options.caller_faults->fault_rate = play.caller_fault_rate;
+  options.caller_faults->max_idle = milliseconds(3000);
   return options;
 }
 
@@ -231,10 +249,15 @@
   for (std::int64_t seed = first; seed < first + count; ++seed) {
     Play play;
     play.seed = static_cast<std::uint64_t>(seed);
+    // Every other seed.
+    play.process_faults = FromEnvironment("MIMOSABEND_DELIVERY_PROCESS_FAULTS", 1 - seed % 2) != 0;
     PlatformFleet fleet(FleetOptionsOf(play));
-    fleet.endpoint_proxy().InjectFaults(true);
-    Answers answers = Callers(&fleet, play).Run();
-    fleet.endpoint_proxy().InjectFaults(false);
+    fleet.InjectLinkFaults(true);
+    Answers answers;
+    std::jthread callers([&] { answers = Callers(&fleet, play).Run(); });
+    if (play.process_faults) ProcessFaults(&fleet, play.seed + 1000).Run(play.traffic);
+    callers.join();
+    fleet.InjectLinkFaults(false);
     std::this_thread::sleep_for(kSettleTime);
     const Judge judge(fleet, answers);
     const std::vector<std::string> refused = judge.RefusedRuns();
--- a/tests/test_refusals.cpp
+++ b/tests/test_refusals.cpp
@@ -1,5 +1,3 @@
-#include <signal.h>
-
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -12,6 +10,7 @@
 #include <thread>
 
 #include "platform_fleet.h"
+#include "process_faults.h"
 #include "supervisor.h"
 
 namespace mimosabend::testing {
@@ -90,98 +89,6 @@
   Answers answers_;
 };
 
-// Injects faults into the processes of a fleet, in series and overlapping.
-class FaultInjector {
- public:
-  FaultInjector(PlatformFleet* fleet, std::uint64_t seed) : fleet_(fleet), random_(seed) {}
-
-  void Run(milliseconds time) {
-    const MonotonicTime end = MonotonicNow() + time;
-    while (MonotonicNow() < end) {
-      InjectOne();
-      std::this_thread::sleep_for(milliseconds(Below(400)));
-      ResumePaused(false);
-    }
-    ResumePaused(true);
-    fleet_->RefuseStoreCalls(false);
-  }
-
- private:
-  // A paused process: its index, and whether it is a gateway.
-  struct Paused {
-    int index = 0;
-    bool is_gateway = false;
-    MonotonicTime until;
-  };
-
-  int Below(int limit) { return static_cast<int>(random_() % limit); }
-
-  void Signal(const Paused& paused, int signal_number) {
-    if (paused.is_gateway) {
-      fleet_->gateway(paused.index).Signal(signal_number);
-    } else {
-      fleet_->SignalEndpoint(paused.index, signal_number);
-    }
-  }
-
-  void Pause(int index, bool is_gateway) {
-    const Paused paused{index, is_gateway, MonotonicNow() + milliseconds(100 + Below(2000))};
-    Signal(paused, SIGSTOP);
-    paused_.push_back(paused);
-  }
-
-  void ResumePaused(bool all) {
-    std::erase_if(paused_, [&](const Paused& paused) {
-      if (!all && MonotonicNow() < paused.until) return false;
-      Signal(paused, SIGCONT);
-      return true;
-    });
-  }
-
-  // Replaces a gateway, which is told to stop or killed.
-  void ReplaceGateway(int index, int signal_number) {
-    fleet_->gateway(index).Signal(SIGCONT);
-    fleet_->gateway(index).Signal(signal_number);
-    if (signal_number == SIGTERM && Below(2) == 0) {
-      std::this_thread::sleep_for(milliseconds(Below(1500)));
-      fleet_->gateway(index).Signal(SIGTERM);
-    }
-    fleet_->gateway(index).WaitForExit(seconds(10));
-    // A gateway is ready once the store or another gateway has answered it.
-    fleet_->RefuseStoreCalls(false);
-    ResumePaused(true);
-    fleet_->StartGateway(index);
-  }
-
-  void InjectOne() {
-    switch (Below(8)) {
-      case 0:
-      case 1:
-      case 2:
-        Pause(Below(fleet_->endpoints()), false);
-        break;
-      case 3:
-        Pause(Below(kGateways), true);
-        break;
-      case 4:
-        fleet_->SignalEndpoint(Below(fleet_->endpoints()), SIGKILL);
-        break;
-      case 5:
-        ReplaceGateway(Below(kGateways), SIGTERM);
-        break;
-      case 6:
-        ReplaceGateway(Below(kGateways), SIGKILL);
-        break;
-      default:
-        fleet_->RefuseStoreCalls(Below(2) == 0);
-    }
-  }
-
-  PlatformFleet* fleet_;
-  std::mt19937_64 random_;
-  std::vector<Paused> paused_;
-};
-
 }  // namespace
 
 // Guards against a refusal whose promise is false, and against an order that runs twice, with real
@@ -199,7 +106,7 @@
     Answers answers;
     std::jthread callers(
         [&] { answers = Callers(&fleet, static_cast<std::uint64_t>(seed)).Run(); });
-    FaultInjector(&fleet, static_cast<std::uint64_t>(seed) + 1000).Run(kTrafficTime);
+    ProcessFaults(&fleet, static_cast<std::uint64_t>(seed) + 1000).Run(kTrafficTime);
     callers.join();
     std::this_thread::sleep_for(kSettleTime);
     std::map<std::string, int> runs_of_id;
