--- a/tests/fault_proxy.h
+++ b/tests/fault_proxy.h
@@ -64,8 +64,8 @@
   int reset_connection_rate = 2;
   // Longest time for which bytes are held.
   milliseconds max_hold{1500};
-  // Connections that are idle for longer are closed; zero for never. The time is drawn anew for
-  // each pause, up to this value.
+  // Connections are closed after an idle time that is drawn up to this value and 100 ms more;
+  // zero for never.
   milliseconds max_idle{0};
 };
 
