--- a/tests/fault_proxy.cpp
+++ b/tests/fault_proxy.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t kMaxCopyBytes = 4096;
 // A cut lies within this many bytes: the head of a request, or an answer with a few events.
 constexpr int kMaxCutBytes = 400;
+constexpr std::size_t kGarbledBytes = 8;
 // No connection is closed sooner, so that pauses between the events of a stream last.
 constexpr milliseconds kMinIdle{100};
 // How long bytes that are still held are delivered after the client has closed its connection.
@@ -170,8 +171,9 @@
         const bool sent = co_await WriteAll(&link->client, std::move(copy));
         if (!sent) break;
       }
-      if (link->fault == LinkFault::kHoldRequest)
+      if (link->fault == LinkFault::kHoldRequest) {
         co_await Sleep(self->DrawTime(self->options_.max_hold));
+      }
       const bool cut = link->fault == LinkFault::kCutRequest && bytes.size() > link->cut_after;
       if (cut) bytes.resize(link->cut_after);
       link->cut_after -= std::min(link->cut_after, bytes.size());
@@ -202,10 +204,12 @@
       const bool begins = link->answer.empty();
       if (link->answer.size() <= kMaxCopyBytes) link->answer += bytes;
       if (link->fault == LinkFault::kSilence) continue;
-      if (link->fault == LinkFault::kHoldAnswer && begins)
+      if (link->fault == LinkFault::kHoldAnswer && begins) {
         co_await Sleep(self->DrawTime(self->options_.max_hold));
+      }
       if (link->fault == LinkFault::kGarbleAnswer) {
-        for (std::size_t i = link->cut_after; i < bytes.size() && i < link->cut_after + 8; ++i) {
+        for (std::size_t i = link->cut_after;
+             i < bytes.size() && i < link->cut_after + kGarbledBytes; ++i) {
           bytes[i] = static_cast<char>(self->Below(256));
         }
       }
--- a/tests/test_ambiguous_delivery.cpp
+++ b/tests/test_ambiguous_delivery.cpp
@@ -1,4 +1,4 @@
-#include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -240,9 +240,8 @@
 
 // Guards against a refusal whose promise is false and against a second run, where endpoints lose,
 // repeat, delay and garble answers and connections are cut at any byte. Real gateway processes
-// serve; the endpoints record what they run. Gateways of cda215f and before break both rules here:
-// they believe a late copy of a refusal that has no id, and pass on a 503 of a request that has
-// run.
+// serve; the endpoints record what they run. Gateways of c9375dd and cda215f break both rules here:
+// they believe a late copy of a refusal that has no id, and pass on a 503 of a request that ran.
 TEST_CASE("what was refused has not run, whatever becomes of bytes and answers",
           "[ambiguous_delivery]") {
   const auto first = FromEnvironment("MIMOSABEND_DELIVERY_SEED", 1);
