Pass permit requests by copy

clang-tidy rejects std::move of a trivially copyable type, in three places. Behaviour is unchanged. clang-tidy is clean on gateway.cpp (with leader_link.h) and relay_limits.cpp; leader_link, relay and the third case of endpoint_rate_limit pass.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -263,7 +263,7 @@
     co_return placed;
   };
   hooks.request_permit = [this](PermitRequest request) -> Task<PermitAnswer> {
-    const PermitAnswer answer = co_await link_.RequestPermit(std::move(request));
+    const PermitAnswer answer = co_await link_.RequestPermit(request);
     co_return answer;
   };
   hooks.load_end = [this](const std::string& model) -> std::optional<MonotonicTime> {
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -148,8 +148,8 @@
     const PermitAnswer denied{false, static_cast<std::uint32_t>(kPermitRetryDelay.count())};
     const std::optional<Address> leader = KnownLeader();
     if (!leader) co_return denied;
-    auto answer = co_await parts_.peers->template Call<PermitAnswer>(*leader, std::move(request),
-                                                                     kPermitTimeout);
+    auto answer =
+        co_await parts_.peers->template Call<PermitAnswer>(*leader, request, kPermitTimeout);
     co_return answer ? answer.value() : denied;
   }
 
--- a/src/relay_limits.cpp
+++ b/src/relay_limits.cpp
@@ -28,7 +28,7 @@
   const MonotonicTime asked_at = MonotonicNow();
   PermitRequest request{*deps_.limits->Notice(number, asked_at), context->priority()};
   context->step = RelayStep::kPermit;
-  const PermitAnswer answer = co_await deps_.placement.request_permit(std::move(request));
+  const PermitAnswer answer = co_await deps_.placement.request_permit(request);
   context->step = RelayStep::kChoice;
   const MonotonicTime now = MonotonicNow();
   context->waited += ToMillis(now - asked_at);
