--- /dev/null
+++ b/tests/test_unproven_ends.cpp
@@ -0,0 +1,263 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "directory_log.h"
+#include "relay_fixture.h"
+
+namespace mimosabend::testing {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr int kEvents = 3;
+// An engine may work on a request that goes on elsewhere for at most this long.
+constexpr milliseconds kAllowedOverlap{400};
+constexpr milliseconds kFirstRunTime{1900};
+
+struct Run {
+  std::string engine;
+  MonotonicTime begin;
+  MonotonicTime end = MonotonicTime::max();
+};
+
+// A relay with two engines. The one that gets the first run works on it for kFirstRunTime, whatever
+// happens to its connection; later runs are served at once. Reports list the runs as they were
+// `report_age` ago.
+struct PersistentEngines {
+  explicit PersistentEngines(EndpointBehavior first_behavior)
+      : behavior(std::move(first_behavior)) {
+    FleetConfig config = Config();
+    config.version = 2;
+    for (Route& route : config.routes) route.timeout = milliseconds(4500);
+    relay.directory.Adopt(config);
+    relay.engines_report = true;
+    for (TestEndpoint* engine : {&relay.e1, &relay.e2}) {
+      engine->behavior = [this, engine](HttpExchange& exchange) -> Task<void> {
+        if (exchange.request().target == "/mimosabend/report") {
+          co_await AnswerReport(exchange, engine->id);
+        } else {
+          co_await Serve(exchange, engine->id);
+        }
+      };
+    }
+  }
+
+  Result<HttpReply, HttpError> Send() {
+    HttpCall call = relay.MakeCall("/resumable/1");
+    call.headers[2].second = "4500";
+    return relay.Send(std::move(call));
+  }
+
+  // The time for which the first run went on after the second had begun.
+  milliseconds Overlap() {
+    relay.io.restart();
+    relay.io.run_for(kFirstRunTime);
+    return runs.size() < 2 ? milliseconds(0) : ToMillis(runs[0].end - runs[1].begin);
+  }
+
+  Task<void> AnswerReport(HttpExchange& exchange, const std::string& engine) {
+    if (report_behavior) {
+      co_await report_behavior(exchange);
+      co_return;
+    }
+    const MonotonicTime as_of = MonotonicNow() - report_age;
+    std::string listed;
+    for (const Run& run : runs) {
+      const bool lists = run.engine == engine && run.begin <= as_of && as_of < run.end;
+      if (lists) listed = R"(["9c41",100,1,5])";
+    }
+    std::string body = R"({"models":[],"running":1,"runs":[)" + listed + "]}";
+    co_await exchange.Reply(200, HttpHeaders{}, std::move(body));
+  }
+
+  Task<void> Serve(HttpExchange& exchange, std::string engine) {
+    const std::size_t index = runs.size();
+    runs.push_back({std::move(engine), MonotonicNow()});
+    if (index == 0) {
+      asio::co_spawn(relay.io, EndFirstRun(), asio::detached);
+      co_await behavior(exchange);
+      co_return;
+    }
+    HttpHeaders headers = StampedHeaders(exchange);
+    headers.emplace_back("Content-Type", "text/event-stream");
+    co_await exchange.StartStream(200, std::move(headers));
+    const std::string last(exchange.request().header("Last-Event-Id"));
+    const int first = last.empty() ? 1 : std::stoi(last) + 1;
+    for (int id = first; id <= kEvents; ++id) co_await exchange.Write(Event(id));
+    runs[index].end = MonotonicNow();
+    co_await exchange.FinishStream();
+  }
+
+  Task<void> EndFirstRun() {
+    co_await Sleep(kFirstRunTime);
+    runs[0].end = MonotonicNow();
+  }
+
+  EndpointBehavior behavior;
+  milliseconds report_age{0};
+  // How reports are answered instead, unless it is empty.
+  EndpointBehavior report_behavior;
+  // In the order in which they began.
+  std::vector<Run> runs;
+  // Destroyed first: its coroutines refer to the other members.
+  RelayFixture relay;
+};
+
+}  // namespace
+
+// Guards against a request that two engines work on at once, because the copy of another request's
+// answer ended the first attempt and the engine was not asked for the run.
+TEST_CASE("a foreign answer does not end the run of a stream", "[unproven]") {
+  const bool refused = GENERATE(true, false);
+  CAPTURE(refused);
+  PersistentEngines engines([refused](HttpExchange& exchange) -> Task<void> {
+    HttpHeaders headers{{"Request-Id", "77"}, {"Response-Stamp", "stamp"}};
+    if (refused) headers.back() = {"Not-Executed", "1"};
+    co_await exchange.Reply(refused ? 503 : 200, std::move(headers), "of another request");
+  });
+  const auto reply = engines.Send();
+  CHECK(engines.Overlap() <= kAllowedOverlap);
+}
+
+// Guards against a request that two engines work on at once, because the report was made before the
+// first run began. A report is some hundred milliseconds old.
+TEST_CASE("a report that is older than the run does not show its end", "[unproven]") {
+  PersistentEngines engines([](HttpExchange&) -> Task<void> {
+    // The connection closes without an answer.
+    co_await Sleep(milliseconds(50));
+  });
+  engines.report_age = milliseconds(300);
+  const auto reply = engines.Send();
+  CHECK(engines.Overlap() <= kAllowedOverlap);
+}
+
+// Guards against a request that two engines work on at once, because it did not ask for the run
+// while the retry budget was used up, and the budget allowed a retry a moment later.
+TEST_CASE("a retry budget that recovers does not show the end of a run", "[unproven]") {
+  PersistentEngines engines(SendEvents(1, 1, false));
+  RelayFixture& relay = engines.relay;
+  RetryLimits limits;
+  limits.share = 0;
+  limits.extra = 0;
+  limits.extra_is_minimum = false;
+  relay.handler.SetRetryLimits(limits);
+  // The request waits for a permit when its stream has broken.
+  for (const char* id : {"e1", "e2"}) {
+    relay.limits.RecordResponse(EndpointNumber(id, 0), 100, MonotonicNow(), MonotonicNow());
+  }
+  relay.permit_time = milliseconds(300);
+  limits.extra = 100;
+  const auto recover = [&]() -> Task<void> {
+    while (engines.runs.empty()) co_await Sleep(milliseconds(5));
+    co_await Sleep(milliseconds(150));
+    relay.handler.SetRetryLimits(limits);
+  };
+  asio::co_spawn(relay.io, recover(), asio::detached);
+  const auto reply = engines.Send();
+  CHECK(engines.Overlap() <= kAllowedOverlap);
+}
+
+// Guards against a request that two engines work on at once, because an event without an end ended
+// the attempt and the engine was not asked for the run.
+TEST_CASE("an event that is too large does not end the run of a stream", "[unproven]") {
+  PersistentEngines engines([](HttpExchange& exchange) -> Task<void> {
+    HttpHeaders headers = StampedHeaders(exchange);
+    headers.emplace_back("Content-Type", "text/event-stream");
+    co_await exchange.StartStream(200, std::move(headers));
+    co_await exchange.Write(Event(1));
+    const std::string part(64 * 1024, 'x');
+    bool sent = true;
+    for (int i = 0; sent && i < 20; ++i) {
+      sent = co_await exchange.Write(part);
+    }
+  });
+  const auto reply = engines.Send();
+  CHECK(engines.Overlap() <= kAllowedOverlap);
+}
+
+// Guards against a connection that is kept after a foreign answer, although the request's own
+// answer may still arrive on it, where the next request would take it for a foreign one.
+TEST_CASE("a connection with a foreign answer is not used again", "[unproven]") {
+  RelayFixture relay;
+  relay.directory.MarkLeaving("e2", 0);
+  relay.e1.behavior = [](HttpExchange& exchange) -> Task<void> {
+    HttpHeaders headers{{"Request-Id", "77"}, {"Not-Executed", "1"}};
+    co_await exchange.Reply(503, std::move(headers), "");
+  };
+  const auto first = relay.Send("/once/1");
+  REQUIRE(relay.e1.arrivals == 1);
+  const std::uint64_t opened = relay.client.connections_opened();
+  const auto second = relay.Send("/once/2");
+  REQUIRE(relay.e1.arrivals == 2);
+  CHECK(relay.client.connections_opened() == opened + 1);
+}
+
+// Guards against a request that two engines work on at once, because an engine that is at its
+// connection limit, or full, turned the question away. It is alive, and its run has not ended.
+TEST_CASE("a question that is turned away does not show the end of a run", "[unproven]") {
+  const bool refused = GENERATE(true, false);
+  const bool broken = GENERATE(true, false);
+  CAPTURE(refused, broken);
+  PersistentEngines engines([broken](HttpExchange& exchange) -> Task<void> {
+    co_await SendEvents(1, 1, false)(exchange);
+    if (!broken) co_await Sleep(kFirstRunTime);
+  });
+  engines.report_behavior = [refused](HttpExchange& exchange) -> Task<void> {
+    // Otherwise, the connection closes without an answer.
+    if (refused) co_await exchange.Reply(503, HttpHeaders{}, "");
+  };
+  const auto reply = engines.Send();
+  CHECK(engines.Overlap() <= kAllowedOverlap);
+}
+
+// Guards against an endpoint that is taken for ended because it resets connections above its limit:
+// its streams go on elsewhere without a question, and their requests become crash suspects.
+TEST_CASE("an endpoint that resets a new connection has not ended", "[unproven]") {
+  asio::io_context io{1};
+  tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  acceptor.non_blocking(true);
+  HttpClient client(io.get_executor());
+  FleetDirectory directory;
+  directory.Adopt(Config());
+  CrashEvidence evidence;
+  PartEvidence part_evidence{1};
+  CrashCorrelator correlator(&evidence, &part_evidence);
+  EndpointProber prober(&client, &directory, &correlator);
+  FleetEndpoint endpoint;
+  endpoint.id = "e1";
+  endpoint.service = "models";
+  endpoint.address = {"127.0.0.1", acceptor.local_endpoint().port()};
+  endpoint.slots = 64;
+  directory.Put(endpoint);
+  std::optional<bool> ended;
+  const auto ask = [&]() -> Task<void> {
+    const bool answer = co_await prober.HasEnded(endpoint);
+    ended = answer;
+  };
+  asio::co_spawn(io, ask(), asio::detached);
+  int resets = 0;
+  const MonotonicTime end = MonotonicNow() + milliseconds(300);
+  // The reset arrives before the client's next turn, as on a busy machine.
+  while (MonotonicNow() < end) {
+    io.restart();
+    io.poll_one();
+    boost::system::error_code error;
+    tcp::socket socket(io);
+    acceptor.accept(socket, error);
+    if (error) continue;
+    socket.set_option(tcp::socket::linger(true, 0));
+    socket.close();
+    ++resets;
+  }
+  CHECK(resets > 0);
+  REQUIRE(ended);
+  CHECK_FALSE(*ended);
+}
+
+}  // namespace mimosabend::testing
