Don't take the reset of a new connection for the end of its process

Cause: on a busy machine, an endpoint that resets connections above its limit answers the probe with a reset before the connect is reported, and a reset counted as a refusal. The endpoint was recorded as ended: its streams went on elsewhere without a question, and their requests became crash suspects (unproven_ends, "an endpoint that resets a new connection has not ended").

A reset comes from a process, so it counts as an accepted connection, and the second probe decides.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -253,8 +253,9 @@
   co_await stream.async_connect(asio::ip::tcp::endpoint(ip, address.port),
                                 asio::redirect_error(asio::use_awaitable, error));
   if (!error) co_return Reachability::kAccepts;
-  const bool refused =
-      error == asio::error::connection_refused || error == asio::error::connection_reset;
+  // A reset comes from a process, for example one that has reached its limit of connections.
+  if (error == asio::error::connection_reset) co_return Reachability::kAccepts;
+  const bool refused = error == asio::error::connection_refused;
   co_return refused ? Reachability::kRefuses : Reachability::kSilent;
 }
 
