Ask for the run also after a foreign response or an oversized event

After a foreign response without a body, the connection was also kept, since it was not idle yet when the idle ones were closed; the late response would have spoilt the next request.

Both ways now close the connection and wait until the engine no longer lists the run, as after a broken connection.

--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -286,7 +286,8 @@
       context->excluded.insert(id);
       context->reason = "response does not belong to this request";
       // The response to this request may still follow on that connection.
-      deps_.client->CloseIdle(choice.endpoint.address);
+      context->canceller->Cancel();
+      co_await WaitForRunEnd(context, choice.endpoint);
     } else if (success) {
       ++context->runs;
       next_step = co_await RelayEvents(context, choice, std::move(stream).value());
@@ -415,6 +416,7 @@
     const std::string events = splitter.Add(bytes.value());
     if (splitter.partial_bytes() > kMaxEventBytes) {
       context->reason = "stream: event too large";
+      co_await WaitForRunEnd(context, choice.endpoint);
       co_return NextStep::kRetry;
     }
     // Only complete events count as progress: a stalled engine may still send a byte now and then.
