Take only a report on this run for its end

Cause: three answers to the question for a run were believed although they prove nothing about it. A question that was turned away (503, or a closed connection, as above max-conns) counted as no answer from an engine that is gone: the first engine worked on for 898 ms and 1874 ms more. A report that lacks a run counted before the first event, however young the run was: 1823 ms. And a second copy of an earlier report could arrive on a kept connection.

A rejected question shows that the engine is alive, so a stalled stream stays and a broken one asks again. A report counts if it was asked for at least 500 ms after the request was sent or its response began. The question uses a connection of its own.

Two expectations of test run_check said the opposite and are replaced by stricter ones: a run that has not been seen may not go on after a young report, and repeated broken answers mean "rejected".

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -255,7 +255,7 @@
   PlacementHooks hooks;
   hooks.fetch_report = [this](Address address,
                               milliseconds timeout) -> Task<Result<EngineReport, HttpError>> {
-    auto report = co_await orders_.Report(std::move(address), timeout);
+    auto report = co_await orders_.Report(std::move(address), timeout, false);
     co_return report;
   };
   hooks.place_adapter = [this](AdapterRequest request) -> Task<bool> {
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -360,8 +360,8 @@
   if (!RouteAllowsAttempt(*context)) co_return;
   // After a malformed response, the connection may still be open.
   context->canceller->Cancel();
-  std::optional<MonotonicTime> started;
-  if (context->response_started) started = context->response_started_at;
+  const MonotonicTime begun =
+      context->response_started ? context->response_started_at : context->sent_at;
   const MonotonicTime start = MonotonicNow();
   std::optional<RunState> state;
   while (!context->caller_gone && MayWait(*context, MonotonicNow()) &&
@@ -370,7 +370,7 @@
         co_await run_checker_.Ask(endpoint.address, context->params.id, WaitDeadline(*context));
     deps_.metrics->CountRunCheck(answer.state);
     state = answer.state;
-    if (MayGoOn(answer, started)) break;
+    if (MayGoOn(answer, begun)) break;
     const auto left = WaitDeadline(*context) - MonotonicNow();
     co_await Sleep(std::min<std::chrono::steady_clock::duration>(kRunPollInterval, left));
   }
--- a/src/run_check.cpp
+++ b/src/run_check.cpp
@@ -25,6 +25,7 @@
   Notifier answered;
   MonotonicTime asked_at;
   bool ended = false;
+  bool rejected = false;
   // Unset if there is no answer.
   std::optional<EngineReport> report;
 };
@@ -39,10 +40,10 @@
   return state == RunState::kNotListed || state == RunState::kNoAnswer;
 }
 
-bool MayGoOn(const RunAnswer& answer, std::optional<MonotonicTime> started) {
-  if (answer.state == RunState::kListed) return false;
+bool MayGoOn(const RunAnswer& answer, MonotonicTime begun) {
+  if (answer.state == RunState::kListed || answer.state == RunState::kRejected) return false;
   if (answer.state != RunState::kNotListed) return true;
-  return !started || answer.asked_at >= *started + kMaxReportAge;
+  return answer.asked_at >= begun + kMaxReportAge;
 }
 
 Task<RunAnswer> RunChecker::Ask(Address address, std::string id, MonotonicTime deadline) {
@@ -57,7 +58,8 @@
     co_await question->answered.WaitUntil(
         std::min(deadline, question->asked_at + kMaxFetches * kReportTimeout));
   }
-  RunAnswer answer{RunState::kNoAnswer, question->asked_at};
+  RunAnswer answer{question->rejected ? RunState::kRejected : RunState::kNoAnswer,
+                   question->asked_at};
   if (question->report) answer.state = FindRun(*question->report, id);
   co_return answer;
 }
@@ -70,7 +72,8 @@
   });
   for (int i = 0; i < kMaxFetches; ++i) {
     auto report = co_await fetch_(address, kReportTimeout);
-    if (!report && report.error() == HttpError::kBroken) continue;
+    question->rejected = !report && report.error() == HttpError::kBroken;
+    if (question->rejected) continue;
     if (report) question->report = std::move(report).value();
     break;
   }
--- a/src/run_check.h
+++ b/src/run_check.h
@@ -17,11 +17,12 @@
 namespace mimosabend {
 
 // What is known about a run after its engine was asked. kUnknown: the report does not list runs.
+// kRejected: the engine turned the question away or closed its connection, so it is alive.
 // kNoAnswer: the engine cannot be reached or does not answer in time.
-enum class RunState : std::uint8_t { kListed, kNotListed, kUnknown, kNoAnswer };
-inline constexpr std::size_t kRunStateCount = 4;
+enum class RunState : std::uint8_t { kListed, kNotListed, kUnknown, kRejected, kNoAnswer };
+inline constexpr std::size_t kRunStateCount = 5;
 inline constexpr NameTable<RunState, kRunStateCount> kRunStateNames{
-    {"listed", "not listed", "unknown", "no answer"}};
+    {"listed", "not listed", "unknown", "rejected", "no answer"}};
 
 struct RunAnswer {
   RunState state = RunState::kNoAnswer;
@@ -35,9 +36,9 @@
 // Whether a stream that has stalled is given up for another engine.
 bool MayLeaveStalled(RunState state);
 
-// Whether a request whose connection has closed may go on at another engine. `started`: when its
-// response was first seen; std::nullopt if it has not been.
-bool MayGoOn(const RunAnswer& answer, std::optional<MonotonicTime> started);
+// Whether a request whose connection has closed may go on at another engine. `begun`: the latest
+// time at which the run may have begun, if it has.
+bool MayGoOn(const RunAnswer& answer, MonotonicTime begun);
 
 // Asks engines which requests they run. Requests that ask about the same engine at the same time
 // share one question. Not thread-safe.
--- a/tests/relay_fixture.cpp
+++ b/tests/relay_fixture.cpp
@@ -119,7 +119,7 @@
   hooks.fetch_report = [this](Address address,
                               milliseconds timeout) -> Task<Result<EngineReport, HttpError>> {
     if (!engines_report) co_return outcome::failure(HttpError::kNotSent);
-    auto report = co_await orders.Report(std::move(address), timeout);
+    auto report = co_await orders.Report(std::move(address), timeout, false);
     co_return report;
   };
   hooks.place_adapter = [this](AdapterRequest) -> Task<bool> {
--- a/tests/test_run_check.cpp
+++ b/tests/test_run_check.cpp
@@ -84,6 +84,7 @@
   CHECK_FALSE(MayLeaveStalled(RunState::kUnknown));
   CHECK(MayLeaveStalled(RunState::kNotListed));
   CHECK(MayLeaveStalled(RunState::kNoAnswer));
+  CHECK_FALSE(MayLeaveStalled(RunState::kRejected));
 }
 
 // Guards against a request that goes on elsewhere because the report is older than its run.
@@ -97,8 +98,9 @@
   CHECK(may_go_on(RunState::kNotListed, milliseconds(500)));
   CHECK(may_go_on(RunState::kNoAnswer, milliseconds(0)));
   CHECK(may_go_on(RunState::kUnknown, milliseconds(0)));
-  CHECK(MayGoOn({RunState::kNotListed, start}, std::nullopt));
-  CHECK_FALSE(MayGoOn({RunState::kListed, start}, std::nullopt));
+  CHECK_FALSE(may_go_on(RunState::kNotListed, milliseconds(0)));
+  CHECK_FALSE(may_go_on(RunState::kListed, milliseconds(0)));
+  CHECK_FALSE(may_go_on(RunState::kRejected, seconds(5)));
 }
 
 // Guards against a question for each stream when all streams of an engine stall at once, and
@@ -150,7 +152,7 @@
   CHECK(engine.Ask("9c41").state == RunState::kNoAnswer);
   CHECK(engine.questions == 3);
   engine.errors = std::vector<HttpError>(5, HttpError::kBroken);
-  CHECK(engine.Ask("9c41").state == RunState::kNoAnswer);
+  CHECK(engine.Ask("9c41").state == RunState::kRejected);
   CHECK(engine.questions == 5);
   RunChecker without_hook{RunChecker::FetchReport()};
   std::optional<RunState> state;
