Don't let a retry budget that recovers stand for the end of a run

Cause: while the retry budget was used up, a broken stream did not ask its engine, and went on elsewhere if the budget allowed a retry a moment later, for example after the wait for a permit.

A request whose engine may still work on it gets no further attempt.

--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -83,6 +83,8 @@
   std::map<std::string, MonotonicTime> backoff_until;
   // Attempts in which an endpoint may have run the request.
   std::uint32_t runs = 0;
+  // The engine of an earlier attempt may still work on the request, so it goes on nowhere else.
+  bool may_still_run = false;
   // Those of `runs` whose endpoint process has terminated since. They don't count against the
   // route's attempt limit.
   std::uint32_t terminated_runs = 0;
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -186,6 +186,7 @@
 // Whether the route's retry policy and attempt limit allow a further attempt.
 bool RelayHandler::RouteAllowsAttempt(const Context& context) {
   if (context.runs > 0 && !context.route->repeatable()) return false;
+  if (context.may_still_run) return false;
   return context.AttemptsLeft() > 0;
 }
 
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -362,6 +362,7 @@
   context->canceller->Cancel();
   const MonotonicTime begun =
       context->response_started ? context->response_started_at : context->sent_at;
+  context->may_still_run = true;
   const MonotonicTime start = MonotonicNow();
   std::optional<RunState> state;
   while (!context->caller_gone && MayWait(*context, MonotonicNow()) &&
@@ -370,7 +371,8 @@
         co_await run_checker_.Ask(endpoint.address, context->params.id, WaitDeadline(*context));
     deps_.metrics->CountRunCheck(answer.state);
     state = answer.state;
-    if (MayGoOn(answer, begun)) break;
+    context->may_still_run = !MayGoOn(answer, begun);
+    if (!context->may_still_run) break;
     const auto left = WaitDeadline(*context) - MonotonicNow();
     co_await Sleep(std::min<std::chrono::steady_clock::duration>(kRunPollInterval, left));
   }
