Test that daemons share a rate limit through the leader

The way of a limit from the daemon to which an endpoint stated it to the leader, permits for two daemons together, and a daemon that is held to a limit although the leader knows its end.

--- a/tests/test_leader_link.cpp
+++ b/tests/test_leader_link.cpp
@@ -94,6 +94,10 @@
       const auto message = Unwrap<StandDownRequest>(request);
       co_return Wrap(leader.StandDown(message.value(), MonotonicNow()), host, 0, WallNow());
     }
+    if (request.type == PeerMessageType::kPermitRequest) {
+      const auto message = Unwrap<PermitRequest>(request);
+      co_return Wrap(link.DecidePermit(message.value(), MonotonicNow()), host, 0, WallNow());
+    }
     auto report = Unwrap<UsageReport>(request);
     if (!report) co_return outcome::failure(report.error());
     ++reports;
@@ -224,6 +228,59 @@
   CHECK(admitted >= 0.9 * 4000);
 }
 
+// Guards against a rate limit that only the daemon knows to which the endpoint stated it, against
+// daemons that each send at the full rate, and against permits that nobody has issued.
+TEST_CASE("daemons share the rate limit of an endpoint", "[link]") {
+  boost::asio::io_context io(1);
+  FakeFleetStore store;
+  FakeFleetEngines engines;
+  Daemon a(&io, &store, &engines, 17191);
+  Daemon b(&io, &store, &engines, 17192);
+  io.run_for(milliseconds(1500));
+  REQUIRE(a.leads() != b.leads());
+  Daemon& leader = a.leads() ? a : b;
+  Daemon& other = a.leads() ? b : a;
+  leader.Read(2, {Endpoint("e1")});
+  io.run_for(milliseconds(700));
+  constexpr double kRate = 5;
+  const std::uint32_t number = EndpointNumber("e1", 0);
+  other.limits.RecordResponse(number, kRate, MonotonicNow(), MonotonicNow());
+  io.run_for(milliseconds(700));
+  REQUIRE(leader.limits.Rate(number) == kRate);
+  const auto granted_in = [&](milliseconds time) {
+    int granted = 0;
+    const auto ask = [&](Daemon* daemon, MonotonicTime end) -> Task<void> {
+      while (MonotonicNow() < end) {
+        PermitRequest request{*daemon->limits.Notice(number, MonotonicNow()), 0};
+        const PermitAnswer answer = co_await daemon->link.RequestPermit(request);
+        if (answer.granted) ++granted;
+        co_await Sleep(milliseconds(10));
+      }
+    };
+    const MonotonicTime end = MonotonicNow() + time;
+    for (Daemon* daemon : {&a, &b}) {
+      boost::asio::co_spawn(io, ask(daemon, end), boost::asio::detached);
+    }
+    io.run_for(time + milliseconds(700));
+    return granted;
+  };
+  // The bucket starts empty.
+  const int granted = granted_in(milliseconds(2000));
+  CHECK(granted <= kRate * 2 + PermitIssuer::kBurstTokens);
+  CHECK(granted >= 0.9 * kRate * 2);
+  // A daemon that does not lead grants none.
+  CHECK_FALSE(other.link.DecidePermit({{number, kRate, 0}, 0}, MonotonicNow()).granted);
+  // A daemon that knows of a limit is held to it although the leader knows its end.
+  leader.limits.RecordResponse(number, std::nullopt, MonotonicNow(), MonotonicNow());
+  REQUIRE_FALSE(leader.limits.Rate(number));
+  int granted_at_once = 0;
+  for (int i = 0; i < 50; ++i) {
+    const PermitRequest request{{number, kRate, 60000}, 0};
+    if (leader.link.DecidePermit(request, MonotonicNow()).granted) ++granted_at_once;
+  }
+  CHECK(granted_at_once <= PermitIssuer::kBurstTokens + 2 * kRate * PermitIssuer::kBurstSeconds);
+}
+
 // Guards against daemons that keep an old view and configuration because the store rejects their
 // calls and those of the leader, which they report to.
 TEST_CASE("a daemon that can't read the store gets the view of a relay that can", "[link]") {
