--- a/src/directory_log.cpp
+++ b/src/directory_log.cpp
@@ -55,6 +55,7 @@
     if (!ids.contains(id)) missing.push_back(id);
   }
   for (const std::string& id : missing) Remove(id, revision);
+  snapshot_revision_ = std::max(snapshot_revision_, revision);
 }
 
 void DirectoryLog::Advance(std::uint64_t revision) { revision_ = std::max(revision_, revision); }
@@ -63,6 +64,10 @@
   std::vector<EndpointRecord> merged;
   if (changes.revision <= revision_) return merged;
   std::set<std::string> listed;
+  for (std::uint32_t number : changes.unchanged) {
+    const auto known = ids_.find(number);
+    if (known != ids_.end()) listed.insert(known->second);
+  }
   for (const EndpointRecord& change : changes.changes) {
     listed.insert(change.id);
     const auto known = entries_.find(change.id);
@@ -80,17 +85,22 @@
     for (const EndpointRecord& change : merged) {
       if (change.gone) SetEntry(change);
     }
+    snapshot_revision_ = changes.revision;
   }
   revision_ = changes.revision;
   return merged;
 }
 
 DirectoryChanges DirectoryLog::Since(std::uint64_t revision) const {
-  DirectoryChanges since{revision_, revision == 0, {}};
+  DirectoryChanges since{revision_, revision == 0 || revision < snapshot_revision_, {}, {}};
   if (revision >= revision_) return since;
   for (const auto& [id, change] : entries_) {
-    const bool listed = since.is_snapshot ? !change.gone : change.revision > revision;
-    if (listed) since.changes.push_back(change);
+    const bool changed = change.revision > revision;
+    if (changed && !(since.is_snapshot && change.gone)) since.changes.push_back(change);
+    // The full record is needed only by a daemon that has none.
+    if (since.is_snapshot && !changed && !change.gone) {
+      since.unchanged.push_back(EndpointNumber(id, change.started_ms));
+    }
   }
   return since;
 }
--- a/src/directory_log.h
+++ b/src/directory_log.h
@@ -53,12 +53,15 @@
   // Lists all endpoints (a snapshot instead of a delta): others are gone.
   bool is_snapshot = false;
   std::vector<EndpointRecord> changes;
+  // In a snapshot: numbers of the registered endpoints that the receiver already has.
+  std::vector<std::uint32_t> unchanged;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(revision);
     SerializeFlag(archive, is_snapshot);
     SerializeList(archive, changes);
+    SerializeNumbers(archive, unchanged);
   }
 };
 
@@ -82,7 +85,8 @@
   std::uint64_t revision() const { return revision_; }
 
   // The changes after `revision`, for a daemon that knows all changes up to it; a snapshot if it
-  // is 0.
+  // is 0 or older than the last snapshot that this log was read from, since the log lacks deletions
+  // before that one.
   DirectoryChanges Since(std::uint64_t revision) const;
 
   // Whether a number belongs to the latest known incarnation of an id, registered or gone.
@@ -96,6 +100,8 @@
   void SetEntry(EndpointRecord change);
 
   std::uint64_t revision_ = 0;
+  // Revision of the last snapshot. All changes since then are in `entries_`.
+  std::uint64_t snapshot_revision_ = 0;
   std::map<std::string, EndpointRecord> entries_;
   std::map<std::uint32_t, std::string> ids_;
 };
--- a/src/state_sync.cpp
+++ b/src/state_sync.cpp
@@ -27,6 +27,8 @@
   const std::vector<EndpointRecord> merged = state_->directory().Merge(view.directory);
   for (const EndpointRecord& change : merged) {
     if (change.gone) {
+      LOG4CPLUS_INFO(Log(),
+                     "endpoint " << change.id << " was deleted, known from " << ToString(daemon));
       directory_->Remove(change.id, now);
       continue;
     }
--- a/tests/test_fleet_state.cpp
+++ b/tests/test_fleet_state.cpp
@@ -85,6 +85,50 @@
   CHECK(lost.NumberOf("e2"));
 }
 
+// Guards against endpoints that left while the leader restarted, or while a daemon could not read
+// the store: the log that is then read anew does not list them, so a delta would leave them in use
+// at all other daemons.
+TEST_CASE("a deletion before a snapshot reaches daemons with an older view", "[state]") {
+  DirectoryLog reader;
+  reader.Put(Endpoint("e1"), 3);
+  reader.Put(Endpoint("e2"), 5);
+  reader.KeepOnly({"e1", "e2"}, 6);
+  reader.Advance(6);
+  DirectoryLog other;
+  other.Merge(reader.Since(0));
+
+  // e1 is deleted at revision 7 while the reader restarts.
+  DirectoryLog restarted;
+  restarted.Put(Endpoint("e2"), 5);
+  restarted.Put(Endpoint("e3"), 8);
+  restarted.KeepOnly({"e2", "e3"}, 9);
+  restarted.Advance(9);
+  // A relay with the older view passes the deletion on.
+  const auto merged = other.Merge(restarted.Since(other.revision()));
+  CHECK(merged.size() == 2);
+  CHECK(Gone(merged) == std::vector<std::string>{"e1"});
+  CHECK(other.NumberOf("e2"));
+  CHECK(other.NumberOf("e3"));
+
+  // e4 is registered and deleted while the reader can't read the store, but a third daemon has
+  // seen it.
+  DirectoryLog third;
+  third.Merge(other.Since(0));
+  third.Put(Endpoint("e4"), 10);
+  third.Advance(10);
+  other.KeepOnly({"e2", "e3"}, 12);
+  other.Advance(12);
+  CHECK(Gone(third.Merge(other.Since(third.revision()))) == std::vector<std::string>{"e4"});
+  CHECK(third.NumberOf("e2"));
+  // Without such a gap, an answer lists only what has changed.
+  CHECK(other.Since(12).changes.empty());
+  other.Remove("e3", 13);
+  other.Advance(13);
+  const DirectoryChanges delta = other.Since(12);
+  CHECK_FALSE(delta.is_snapshot);
+  CHECK(delta.changes.size() == 1);
+}
+
 // Guards against loads of a former incarnation that are counted for the present one.
 TEST_CASE("a restarted endpoint has another number", "[state]") {
   DirectoryLog log;
