Report the longest pause of each stream

Cause: neither the log nor the metrics showed how long a stream paused between two events, so that misses of a route's target_event_gap could not be found.

Change: the request's log line has longest_pause_ms, a histogram has the longest pause of each stream by route (the first 64 routes, the others together), and a counter has the streams above the target of their route. Only time in which the daemon waits for an endpoint counts; the pause in which a stream breaks and is resumed counts as a whole.

Decisions about requests don't change.

--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "event_pauses.h"
 #include "name_table.h"
 #include "relay_handler.h"
 #include "relay_request.h"
@@ -99,6 +100,7 @@
   bool stream_open = false;
   std::uint64_t last_event_id = 0;
   std::uint64_t events = 0;
+  EventPauses pauses;
 
   RelayStep step = RelayStep::kChoice;
 
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -121,6 +121,9 @@
   --in_flight_;
   const RouteKind kind = context->route == nullptr ? RouteKind::kIdempotent : context->route->kind;
   deps_.metrics->CountOutcome(context->outcome, kind);
+  if (const auto pause = context->pauses.longest()) {
+    deps_.metrics->ObserveLongestPause(*context->route, *pause);
+  }
   LogEnd(*context);
 }
 
@@ -461,6 +464,7 @@
   const MonotonicTime now = MonotonicNow();
   const auto first = context.first_byte ? ToMillis(*context.first_byte - context.arrival).count()
                                         : std::int64_t{-1};
+  const auto longest_pause = context.pauses.longest();
   LOG4CPLUS_INFO(
       Log(),
       "request id=" << context.params.id << " content=" << Hex64(context.fingerprint)
@@ -476,6 +480,8 @@
                     << " expected_ms=" << std::lround(context.expected_ms) << " first_ms=" << first
                     << " total_ms=" << ToMillis(now - context.arrival).count()
                     << " waited_ms=" << context.waited.count() << " events=" << context.events
+                    << " longest_pause_ms="
+                    << (longest_pause ? ToMillis(*longest_pause).count() : std::int64_t{-1})
                     << " reason=\"" << context.reason << "\"");
 }
 
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -11,6 +11,13 @@
 const prometheus::Histogram::BucketBoundaries kFirstByteBounds{0.01, 0.02, 0.05, 0.12, 0.2, 0.4,
                                                                0.8,  1.5,  3,    5,    10,  20};
 
+const prometheus::Histogram::BucketBoundaries kPauseBounds{0.02, 0.05, 0.071, 0.1, 0.15, 0.25,
+                                                           0.4,  0.7,  1.2,   2,   4,    10};
+// Limits the label sets, since the operator's configuration may name any number of routes, and new
+// ones over time.
+constexpr std::size_t kMaxPauseRoutes = 64;
+constexpr char kOtherRoutes[] = "other";
+
 }  // namespace
 
 RelayMetrics::RelayMetrics() : registry_(kPrefix) {
@@ -26,6 +33,12 @@
     }
     first_byte_[kind] = &first_byte.Add({{"kind", name}}, kFirstByteBounds);
   }
+  longest_pauses_ = &registry_.HistogramFamily(
+      "longest_pause_seconds",
+      "Longest pause between two events of a stream that its endpoints caused.");
+  paused_streams_ = &registry_.CounterFamily(
+      "paused_streams_total", "Streams whose longest pause exceeded the target of their route.");
+  other_pauses_ = AddRoutePauses(kOtherRoutes);
   auto& run_checks = registry_.CounterFamily(
       "run_checks_total", "Questions to engines for the runs of stalled or broken streams.");
   for (std::size_t i = 0; i < kRunStateCount; ++i) {
@@ -84,4 +97,26 @@
   first_byte_[static_cast<std::size_t>(kind)]->Observe(ToSeconds(time));
 }
 
+RelayMetrics::RoutePauses RelayMetrics::AddRoutePauses(const std::string& route) {
+  return {&longest_pauses_->Add({{"route", route}}, kPauseBounds),
+          &paused_streams_->Add({{"route", route}})};
+}
+
+// The first kMaxPauseRoutes routes whose streams end have series of their own.
+const RelayMetrics::RoutePauses& RelayMetrics::PausesOf(const std::string& route) {
+  const std::lock_guard<std::mutex> lock(pauses_mutex_);
+  const auto it = pauses_by_route_.find(route);
+  if (it != pauses_by_route_.end()) return it->second;
+  if (pauses_by_route_.size() >= kMaxPauseRoutes) return other_pauses_;
+  return pauses_by_route_.emplace(route, AddRoutePauses(route)).first->second;
+}
+
+void RelayMetrics::ObserveLongestPause(const Route& route,
+                                       std::chrono::steady_clock::duration pause) {
+  const RoutePauses& pauses = PausesOf(route.name);
+  pauses.longest->Observe(ToSeconds(pause));
+  const bool has_target = route.target_event_gap.count() > 0;
+  if (has_target && pause > route.target_event_gap) pauses.above_target->Increment();
+}
+
 }  // namespace mimosabend
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -7,6 +7,8 @@
 
 #include <array>
 #include <chrono>
+#include <map>
+#include <mutex>
 #include <string>
 
 #include "fleet_config.h"
@@ -53,6 +55,8 @@
   void CountRunCheck(RunState state) { run_checks_[static_cast<std::size_t>(state)]->Increment(); }
   // Observes the time from the arrival of a request to the first byte of its response.
   void ObserveFirstByte(RouteKind kind, std::chrono::steady_clock::duration time);
+  // Observes the longest pause between two events of a stream, as far as endpoints caused it.
+  void ObserveLongestPause(const Route& route, std::chrono::steady_clock::duration pause);
 
   prometheus::Counter* requests_total;
   prometheus::Counter* tries_total;
@@ -83,7 +87,24 @@
  private:
   static constexpr std::size_t kKinds = 3;
 
+  // The longest pauses of a route's streams.
+  struct RoutePauses {
+    prometheus::Histogram* longest;
+    // Streams whose longest pause exceeded the route's target.
+    prometheus::Counter* above_target;
+  };
+
+  RoutePauses AddRoutePauses(const std::string& route);
+  const RoutePauses& PausesOf(const std::string& route);
+
   MetricsRegistry registry_;
+  prometheus::Family<prometheus::Histogram>* longest_pauses_;
+  prometheus::Family<prometheus::Counter>* paused_streams_;
+  // Guards `pauses_by_route_`.
+  std::mutex pauses_mutex_;
+  std::map<std::string, RoutePauses> pauses_by_route_;
+  // Of all routes beyond the limit.
+  RoutePauses other_pauses_;
   std::array<std::array<prometheus::Counter*, kKinds>, kRelayOutcomeCount> ends_;
   std::array<prometheus::Counter*, kRunStateCount> run_checks_;
   std::array<prometheus::Histogram*, kKinds> first_byte_;
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -426,6 +426,7 @@
     // A slow caller is no stall of the engine.
     watch.Pause();
     const MonotonicTime now = MonotonicNow();
+    context->pauses.RecordEvent(now);
     if (first) {
       first = false;
       context->response_started = true;
@@ -455,6 +456,7 @@
     context->events += 1;
     if (splitter.last_id()) context->last_event_id = *splitter.last_id();
     if (context->caller_gone) co_return NextStep::kRetry;
+    context->pauses.BeginWait(MonotonicNow());
     await_event(stall_timeout);
   }
   if (splitter.has_partial() || first) {
--- a/tests/test_metrics.cpp
+++ b/tests/test_metrics.cpp
@@ -83,4 +83,28 @@
   }
 }
 
+// Guards against one time series for each route that a configuration ever named, against streams
+// that count for no route, and against a target of 0 that counts as exceeded.
+TEST_CASE("pauses of streams are kept for at most 64 routes") {
+  RelayMetrics metrics;
+  Route route;
+  route.target_event_gap = milliseconds(71);
+  for (int i = 0; i < 70; ++i) {
+    route.name = "r" + std::to_string(i);
+    metrics.ObserveLongestPause(route, milliseconds(i == 3 ? 72 : 71));
+  }
+  route.target_event_gap = milliseconds(0);
+  metrics.ObserveLongestPause(route, milliseconds(500));
+  const std::string text = metrics.Expose();
+  const auto has = [&](const std::string& line) { return text.find(line) != std::string::npos; };
+  const std::string streams = "mimosabend_gateway_longest_pause_seconds_count";
+  CHECK(has(streams + "{route=\"r63\"} 1\n"));
+  CHECK_FALSE(has("route=\"r64\""));
+  CHECK(has(streams + "{route=\"other\"} 7\n"));
+  const std::string paused = "mimosabend_gateway_paused_streams_total";
+  CHECK(has(paused + "{route=\"r3\"} 1\n"));
+  CHECK(has(paused + "{route=\"r4\"} 0\n"));
+  CHECK(has(paused + "{route=\"other\"} 0\n"));
+}
+
 }  // namespace mimosabend
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "directory_log.h"
+#include "event_pauses.h"
 #include "relay_fixture.h"
 
 namespace mimosabend::testing {
@@ -208,6 +209,49 @@
   CHECK(second.header("Last-Event-Id") == "2");
 }
 
+// Guards against pauses that are measured to the first event, from the wrong event, or in the time
+// of a caller that reads slowly, and against the pause of a resumed stream that is not seen.
+TEST_CASE("the longest pause of a stream is the one that its endpoints cause", "[relay]") {
+  const auto at = [](int ms) { return MonotonicTime(milliseconds(ms)); };
+  EventPauses pauses;
+  pauses.RecordEvent(at(1000));
+  CHECK_FALSE(pauses.longest());
+  // The caller takes 800 ms to read the first event.
+  pauses.BeginWait(at(1800));
+  pauses.RecordEvent(at(1830));
+  pauses.BeginWait(at(1830));
+  pauses.RecordEvent(at(1840));
+  CHECK(*pauses.longest() == milliseconds(30));
+
+  RelayFixture relay;
+  const auto pausing = [](int first, int last, int pause_ms) -> EndpointBehavior {
+    return [=](HttpExchange& exchange) -> Task<void> {
+      HttpHeaders headers = StampedHeaders(exchange);
+      headers.emplace_back("Content-Type", "text/event-stream");
+      co_await exchange.StartStream(200, std::move(headers));
+      for (int id = first; id <= last; ++id) {
+        co_await Sleep(milliseconds(pause_ms));
+        co_await exchange.Write(Event(id));
+      }
+      if (last == 3) co_await exchange.FinishStream();
+    };
+  };
+  // The pauses are 60 ms, except 150 ms in which the stream breaks and is resumed.
+  relay.SetBehavior(pausing(1, 2, 60), pausing(3, 3, 150));
+  REQUIRE(relay.Send("/resumable/1").value().body == Event(1) + Event(2) + Event(3));
+  const std::string text = relay.metrics.Expose();
+  const auto count = [&](const std::string& labels) {
+    const std::size_t begin =
+        text.find("mimosabend_gateway_longest_pause_seconds_bucket{" + labels);
+    REQUIRE(begin != std::string::npos);
+    return text.substr(text.find("} ", begin) + 2, 1);
+  };
+  const std::string route = relay.directory.config()->FindRoute("a.example", "/resumable/")->name;
+  CHECK(count("route=\"" + route + "\",le=\"0.1\"") == "0");
+  CHECK(count("route=\"" + route + "\",le=\"0.7\"") == "1");
+  CHECK(text.find("paused_streams_total{route=\"" + route + "\"} 1") != std::string::npos);
+}
+
 // Guards against a stream that waits for a stalled engine until its deadline.
 TEST_CASE("a stream is retried elsewhere if an engine sends no header in time", "[relay]") {
   RelayFixture relay;
