Read the response while an upload is written, and reject invalid statuses

Cause: an end of file was taken for the end of a response without a length, although the connection had been reset or the endpoint had not received the whole request. The response was read only after the request had been written, and the parser accepts any three digits as a status. Change: a request with a body is written while its response is read; a failed write does not end the call. The end of a response without a length counts only if the peer closed without a reset (TCP_INFO) and has acknowledged all that was sent (SIOCOUTQ). Statuses outside 100 to 599 are malformed. Requests without a body are sent as before. The cost for requests with a body was not measured. Behaviour changes for early responses, for responses without a length that end early, and for invalid statuses.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,6 +1,8 @@
 #include "http_client.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/redirect_error.hpp>
@@ -9,6 +11,7 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 
+#include "event_loop.h"
 #include "http_reader.h"
 
 namespace mimosabend {
@@ -28,6 +31,9 @@
 constexpr std::uint32_t kMaxHeaderBytes = 32 * 1024;
 // Responses with a status below 200 that may precede the final one.
 constexpr int kMaxInterimResponses = 16;
+// Responses with another status are malformed.
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
 // Longest size line of a chunk with its extensions, and longest trailers.
 constexpr std::size_t kMaxFramingBytes = 16 * 1024;
 
@@ -85,6 +91,8 @@
 // protocols, so 101 is not expected before another response.
 bool IsInterim(unsigned status) { return status >= 100 && status < 200 && status != 101; }
 
+bool IsValidStatus(unsigned status) { return status >= kMinStatus && status <= kMaxStatus; }
+
 http::request<http::string_body> BuildRequest(const HttpCall& call) {
   http::request<http::string_body> request;
   request.version(11);
@@ -97,15 +105,63 @@
   return request;
 }
 
+enum class UploadState : std::uint8_t { kWriting, kWritten, kFailed };
+
+// A request with a body, which is written while its response is read.
+struct Upload {
+  explicit Upload(http::request<http::string_body> message)
+      : request(std::move(message)), serializer(request) {}
+
+  http::request<http::string_body> request;
+  http::request_serializer<http::string_body> serializer;
+  UploadState state = UploadState::kWriting;
+};
+
+// Writes what fits into the system's buffer. Most requests end here.
+void WriteAvailable(asio::ip::tcp::socket* socket, Upload* upload) {
+  boost::system::error_code error;
+  if (!socket->non_blocking()) socket->non_blocking(true, error);
+  while (!error && !upload->serializer.is_done()) {
+    http::write_some(*socket, upload->serializer, error);
+  }
+  if (error == asio::error::would_block) return;
+  upload->state = error ? UploadState::kFailed : UploadState::kWritten;
+}
+
+// Writes the rest. Has no time limit of its own: the reader closes the stream at its deadline.
+Task<void> WriteRest(std::shared_ptr<beast::tcp_stream> stream, std::shared_ptr<Upload> upload) {
+  boost::system::error_code error;
+  co_await http::async_write(stream->socket(), upload->serializer,
+                             asio::redirect_error(asio::use_awaitable, error));
+  upload->state = error ? UploadState::kFailed : UploadState::kWritten;
+}
+
+// Whether the peer has closed its side without a reset and after it had received all that was sent.
+// An end of file does not show this: a reset may have been reported to a write before, and a peer
+// that closes while a part of the request is on its way sends its reset only when that arrives.
+bool EndedCleanly(int socket) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  int unacknowledged = 0;
+  if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return false;
+  if (::ioctl(socket, SIOCOUTQ, &unacknowledged) != 0) return false;
+  return info.tcpi_state == TCP_CLOSE_WAIT && unacknowledged == 0;
+}
+
 }  // namespace
 
 // One connection and the parser of the response that is being read from it.
 class HttpConnection {
  public:
-  explicit HttpConnection(const asio::any_io_executor& executor) : stream(executor) {}
+  explicit HttpConnection(const asio::any_io_executor& executor)
+      : stream(std::make_shared<beast::tcp_stream>(executor)) {}
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
-  ~HttpConnection() { Detach(); }
+  ~HttpConnection() {
+    Detach();
+    // Ends the coroutine that writes the upload.
+    if (upload != nullptr) stream->close();
+  }
 
   void Attach(std::shared_ptr<HttpCanceller> new_canceller) {
     canceller = std::move(new_canceller);
@@ -121,16 +177,40 @@
   bool IsStale() {
     char byte;
     const ssize_t count =
-        ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        ::recv(stream->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
   }
 
-  // True if the response was read to its end, allows keep-alive, and no bytes followed it.
+  // True if the response was read to its end, allows keep-alive, no bytes followed it, and the
+  // request was written as a whole.
   bool IsReusable() const {
-    return parser && parser->is_done() && parser->get().keep_alive() && reader.empty();
+    return IsRequestWritten() && parser && parser->is_done() && parser->get().keep_alive() &&
+           reader.empty();
+  }
+
+  // Begins to write a request. Its response can be read at once.
+  void StartUpload(http::request<http::string_body> request) {
+    upload = std::make_shared<Upload>(std::move(request));
+    WriteAvailable(&stream->socket(), upload.get());
+    if (upload->state != UploadState::kWriting) return;
+    SpawnDetached(stream->get_executor(), "upload", WriteRest(stream, upload));
+  }
+
+  bool IsRequestWritten() const {
+    return upload == nullptr || upload->state == UploadState::kWritten;
   }
 
-  beast::tcp_stream stream;
+  // Whether the response, which has been read to its end, was truncated there. Without a length or
+  // chunks, only the end of its connection marks its end.
+  bool IsTruncated() {
+    if (!parser->need_eof()) return false;
+    return !IsRequestWritten() || !EndedCleanly(stream->socket().native_handle());
+  }
+
+  // Shared with the coroutine that writes the upload.
+  std::shared_ptr<beast::tcp_stream> stream;
+  // Null unless the request has a body.
+  std::shared_ptr<Upload> upload;
   HttpReader reader{kMaxFramingBytes};
   std::optional<HttpResponseParser> parser;
   MonotonicTime idle_since;
@@ -141,7 +221,7 @@
 
 void HttpCanceller::Cancel() {
   cancelled_ = true;
-  if (connection_ != nullptr) connection_->stream.close();
+  if (connection_ != nullptr) connection_->stream->close();
 }
 
 HttpStream::HttpStream(HttpClient* client, Address address,
@@ -176,9 +256,12 @@
     bytes.resize(kReadBytes);
     parser.get().body().data = bytes.data();
     parser.get().body().size = bytes.size();
-    connection_->stream.expires_at(deadline);
-    auto read = co_await connection_->reader.ReadSome(&connection_->stream, &parser);
+    connection_->stream->expires_at(deadline);
+    auto read = co_await connection_->reader.ReadSome(connection_->stream.get(), &parser);
     if (!read) co_return outcome::failure(TranslateReadError(read.error()));
+    if (parser.is_done() && connection_->IsTruncated()) {
+      co_return outcome::failure(HttpError::kBroken);
+    }
     bytes.resize(kReadBytes - parser.get().body().size);
   }
   co_return bytes;
@@ -222,7 +305,8 @@
   connection->peer_idle_timeout = PeerIdleTimeout({keep_alive.data(), keep_alive.size()});
   connection->Detach();
   connection->parser.reset();
-  connection->stream.expires_never();
+  connection->upload.reset();
+  connection->stream->expires_never();
   connection->idle_since = MonotonicNow();
   pool.push_back(std::move(connection));
 }
@@ -234,12 +318,12 @@
   if (error) co_return outcome::failure(HttpError::kNotSent);
   ++connections_opened_;
   connection->Attach(call.canceller);
-  connection->stream.expires_at(std::min(call.deadline, MonotonicNow() + call.connect_timeout));
-  co_await connection->stream.async_connect(asio::ip::tcp::endpoint(ip, call.address.port),
-                                            asio::redirect_error(asio::use_awaitable, error));
+  connection->stream->expires_at(std::min(call.deadline, MonotonicNow() + call.connect_timeout));
+  co_await connection->stream->async_connect(asio::ip::tcp::endpoint(ip, call.address.port),
+                                             asio::redirect_error(asio::use_awaitable, error));
   if (error) co_return outcome::failure(HttpError::kNotSent);
-  SetSocketOptions(connection->stream.socket().native_handle(), options_);
-  connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  SetSocketOptions(connection->stream->socket().native_handle(), options_);
+  connection->stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
   co_return connection;
 }
 
@@ -274,20 +358,28 @@
     connection->Attach(call.canceller);
   }
   if (MonotonicNow() >= call.send_by) co_return outcome::failure(HttpError::kNotSent);
-  const auto request = BuildRequest(call);
-  boost::system::error_code error;
-  connection->stream.expires_at(call.deadline);
-  co_await http::async_write(connection->stream, request,
-                             asio::redirect_error(asio::use_awaitable, error));
-  if (error) co_return outcome::failure(TranslateWriteError(error));
+  connection->stream->expires_at(call.deadline);
+  if (call.body.empty()) {
+    const auto request = BuildRequest(call);
+    boost::system::error_code error;
+    co_await http::async_write(*connection->stream, request,
+                               asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return outcome::failure(TranslateWriteError(error));
+  } else {
+    // A failed write does not end the call: the response may have arrived before.
+    connection->StartUpload(BuildRequest(call));
+  }
   for (int heads = 0; heads <= kMaxInterimResponses; ++heads) {
     connection->parser.emplace();
     connection->parser->header_limit(kMaxHeaderBytes);
     connection->parser->body_limit(boost::none);
     if (call.method == "HEAD") connection->parser->skip(true);
-    auto read = co_await connection->reader.ReadHeader(&connection->stream, &*connection->parser);
+    auto read =
+        co_await connection->reader.ReadHeader(connection->stream.get(), &*connection->parser);
     if (!read) co_return outcome::failure(TranslateReadError(read.error()));
-    if (!IsInterim(connection->parser->get().result_int())) co_return connection;
+    const unsigned status = connection->parser->get().result_int();
+    if (!IsValidStatus(status)) co_return outcome::failure(HttpError::kMalformed);
+    if (!IsInterim(status)) co_return connection;
   }
   co_return outcome::failure(HttpError::kTooLarge);
 }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -102,7 +102,9 @@
   std::string_view header(std::string_view name) const;
   HttpHeaders headers() const;
 
-  // Returns the next bytes of the body, or an empty string at its end.
+  // Returns the next bytes of the body, or an empty string at its end. A body without a length is
+  // complete only if the connection ended without a reset and after the peer had received the whole
+  // request; otherwise its end fails with kBroken.
   Task<Result<std::string, HttpError>> Read(MonotonicTime deadline);
 
   // Reads the rest of the body. Fails with kTooLarge if it exceeds 8 MiB.
@@ -115,8 +117,10 @@
 };
 
 // HTTP/1.1 client with a pool of idle connections per address. A connection is reused only if its
-// last response was read completely and no bytes followed it. Not thread-safe: all calls must run
-// on its executor.
+// last response was read completely, no bytes followed it, and its last request was written as a
+// whole. The response to a request with a body is read while the body is written; one that arrives
+// before is returned like any other. A response with a status outside 100 to 599 is malformed. Not
+// thread-safe: all calls must run on its executor.
 class HttpClient {
  public:
   explicit HttpClient(boost::asio::any_io_executor executor, HttpClientOptions options = {});
--- a/tests/test_early_response.cpp
+++ b/tests/test_early_response.cpp
@@ -33,6 +33,8 @@
   // The end of the connection arrives before the reset, as from an endpoint that closes it after it
   // has read what had arrived, while the rest is on its way.
   kEndThenReset,
+  // The same with the reset right behind the end.
+  kEndAndReset,
   // Closes the sending side and reads the rest.
   kHalfClose,
   // Reads the rest slowly and leaves the connection open.
@@ -87,11 +89,12 @@
     while (ending_ == Ending::kReadFirst && !error && !is_whole()) co_await read(block.size());
     co_await asio::async_write(socket, asio::buffer(response_),
                                asio::redirect_error(asio::use_awaitable, error));
-    const bool half_closes = ending_ == Ending::kEndThenReset || ending_ == Ending::kHalfClose;
-    if (half_closes) socket.shutdown(tcp::socket::shutdown_send, error);
-    co_await Sleep(milliseconds(3));
-    const bool resets = ending_ == Ending::kEndThenReset || ending_ == Ending::kReset;
-    if (resets) socket.set_option(asio::socket_base::linger(true, 0), error);
+    const bool ends = ending_ == Ending::kEndThenReset || ending_ == Ending::kEndAndReset;
+    if (ends || ending_ == Ending::kHalfClose) socket.shutdown(tcp::socket::shutdown_send, error);
+    if (ending_ != Ending::kEndAndReset) co_await Sleep(milliseconds(3));
+    if (ends || ending_ == Ending::kReset) {
+      socket.set_option(asio::socket_base::linger(true, 0), error);
+    }
     if (ending_ == Ending::kStayOpen) co_await Sleep(seconds(2));
     while (!error && (ending_ == Ending::kHalfClose || ending_ == Ending::kReadOn)) {
       co_await read(block.size());
@@ -144,7 +147,7 @@
           "[early]") {
   const std::size_t size = GENERATE(kBufferedBody, kLargeBody);
   const Ending ending = GENERATE(Ending::kReset, Ending::kClose, Ending::kEndThenReset,
-                                 Ending::kHalfClose, Ending::kReadFirst);
+                                 Ending::kEndAndReset, Ending::kHalfClose, Ending::kReadFirst);
   CAPTURE(size, static_cast<int>(ending));
   for (int i = 0; i < 20; ++i) {
     asio::io_context io{1};
@@ -155,13 +158,22 @@
   }
 }
 
+// Guards against the same where the endpoint's system has received the whole request.
+TEST_CASE("a response without a length whose connection was reset is not complete", "[early]") {
+  asio::io_context io{1};
+  HttpClient client(io.get_executor());
+  EarlyEndpoint endpoint(&io, kWithoutLength, Ending::kEndAndReset);
+  CHECK(!RunCall(&io, &client, Upload(endpoint.port(), 2 * kReadBeforeAnswer)));
+}
+
 // Guards against an early response that is held until the deadline or lost with the connection, and
 // against bytes of an upload that reach the endpoint as a part of a later request.
 TEST_CASE("an early response whose body is complete is returned at once", "[early]") {
   const std::string response = GENERATE(kWithLength, kInChunks);
   const std::size_t size = GENERATE(kBufferedBody, kLargeBody);
-  const Ending ending = GENERATE(Ending::kReset, Ending::kClose, Ending::kEndThenReset,
-                                 Ending::kHalfClose, Ending::kReadOn, Ending::kStayOpen);
+  const Ending ending =
+      GENERATE(Ending::kReset, Ending::kClose, Ending::kEndThenReset, Ending::kEndAndReset,
+               Ending::kHalfClose, Ending::kReadOn, Ending::kStayOpen);
   CAPTURE(response, size, static_cast<int>(ending));
   asio::io_context io{1};
   HttpClient client(io.get_executor());
@@ -184,7 +196,8 @@
 // Guards against an early response that is cut at any byte and returned as a whole one.
 TEST_CASE("an early response truncated at any byte fails", "[early]") {
   const std::string response = GENERATE(kWithLength, kInChunks, kWithoutLength);
-  const Ending ending = GENERATE(Ending::kReset, Ending::kClose, Ending::kEndThenReset);
+  const Ending ending =
+      GENERATE(Ending::kReset, Ending::kClose, Ending::kEndThenReset, Ending::kEndAndReset);
   CAPTURE(response, static_cast<int>(ending));
   for (std::size_t sent = 0; sent < response.size(); ++sent) {
     CAPTURE(sent);
@@ -200,7 +213,8 @@
 // Guards against the same at the relay: the caller would get the part as the endpoint's response.
 TEST_CASE("the relay passes on no truncated response to a long upload", "[early]") {
   const std::string path = GENERATE("/order/1", "/once/1");
-  const Ending ending = GENERATE(Ending::kReset, Ending::kClose, Ending::kEndThenReset);
+  const Ending ending =
+      GENERATE(Ending::kReset, Ending::kClose, Ending::kEndThenReset, Ending::kEndAndReset);
   const bool stream = path == "/once/1";
   CAPTURE(path, static_cast<int>(ending));
   RelayFixture relay;
@@ -234,7 +248,7 @@
     const auto run = [&]() -> Task<void> {
       std::string value = Body(2000);
       auto swap = co_await store.CompareAndSwap("k", value, 0);
-      result = std::move(swap);
+      result = swap;
     };
     asio::co_spawn(relay.io, run(), asio::detached);
     relay.io.run_for(milliseconds(50));
