Trust the end of a response where the system does not tell the connection's state

Cause: where TCP_INFO or SIOCOUTQ fails or tells no state, every response without a length counted as truncated. Change: only failed reads and writes show a reset there, as before.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -143,9 +143,10 @@
   tcp_info info{};
   socklen_t size = sizeof info;
   int unacknowledged = 0;
-  if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return false;
-  if (::ioctl(socket, SIOCOUTQ, &unacknowledged) != 0) return false;
-  return info.tcpi_state == TCP_CLOSE_WAIT && unacknowledged == 0;
+  // Where the system does not tell the state, only failed reads and writes show a reset.
+  const int result = ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size);
+  if (result == 0 && info.tcpi_state != 0 && info.tcpi_state != TCP_CLOSE_WAIT) return false;
+  return ::ioctl(socket, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0;
 }
 
 }  // namespace
