Divide a customer's quota by priority of its requests

Cause: above a quota, the same share of all requests was refused, urgent ones included, while long requests that can wait used the quota.

Change: usage and shares carry the priority level (10 at most). Without a leader, a daemon has a second bucket for urgent requests, charged to its part as well. Refusals are counted by priority.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -130,6 +130,7 @@
   LinkSettings MakeLinkSettings();
   Task<void> RunHousekeeping();
   void ApplyRetryLimits();
+  void ApplyQuotaOrder(QuotaOrder order, const char* cause);
   Task<void> UpdateMetrics();
   void ReloadSettings(const char* cause);
   Task<void> WaitForTermination();
@@ -243,6 +244,7 @@
                       [this](HttpExchange& exchange) { return HandleMetrics(exchange); }),
       termination_signals_(*io, SIGTERM, SIGINT),
       reload_signals_(*io, SIGHUP) {
+  quota_.set_order(settings.quota_order);
   directory_.set_end_listener([this](const FleetEndpoint& endpoint) {
     crash_correlator_.RecordEnd(EndpointNumber(endpoint.id, endpoint.started_ms), MonotonicNow());
   });
@@ -396,6 +398,7 @@
   link.seeds = settings_.seeds;
   link.relayed_view_lifetime = RelayedViewLifetime(settings_.bounds);
   link.quota_tolerance = settings_.bounds.quota_tolerance;
+  link.quota_order = settings_.quota_order;
   link.suspend_reading = [this](MonotonicTime until) {
     if (state_.config().version() > 0) config_watcher_.Suspend(until);
     if (state_.directory().revision() > 0) endpoint_watcher_.Suspend(until);
@@ -530,6 +533,15 @@
 }
 
 // Applies changed bounds. Other settings, such as the listen addresses, need a restart.
+void Gateway::ApplyQuotaOrder(QuotaOrder order, const char* cause) {
+  if (order == settings_.quota_order) return;
+  settings_.quota_order = order;
+  quota_.set_order(order);
+  link_.set_quota_order(order);
+  LOG4CPLUS_INFO(Log(),
+                 "quota order changed, order=" << kQuotaOrderNames[order] << " cause=" << cause);
+}
+
 void Gateway::ReloadSettings(const char* cause) {
   const auto settings = read_settings_();
   if (!settings) {
@@ -537,6 +549,7 @@
                     "could not reload the settings, keeping the current ones, cause=" << cause);
     return;
   }
+  ApplyQuotaOrder(settings->quota_order, cause);
   if (settings->bounds == settings_.bounds) return;
   settings_.bounds = settings->bounds;
   directory_.set_reappear_time(ReappearTime(settings_.bounds));
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -100,6 +100,10 @@
           settings.link_mbps = section->Number("link_mbps", 0, kMaxLinkMbps, settings.link_mbps);
         }},
        {"bounds", [&](IniSection* section) { ReadBounds(section, &settings.bounds); }},
+       {"quotas",
+        [&](IniSection* section) {
+          settings.quota_order = section->Choice("order", kQuotaOrderNames, settings.quota_order);
+        }},
        {"log", [&](IniSection* section) {
           settings.log = ReadLogSettings(section);
           settings.log.to_standard_output = true;
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "ini_file.h"
+#include "quota_order.h"
 #include "result.h"
 #include "settings.h"
 
@@ -54,6 +55,8 @@
   double cores = 0.25;
   double link_mbps = 1000;
   GatewayBounds bounds;
+  // How a customer's quota is divided among its requests while they exceed it.
+  QuotaOrder quota_order = QuotaOrder::kEqual;
   LogSettings log;
 };
 
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -45,6 +45,8 @@
   double quota_tolerance = 0;
   // Called with the time until which this daemon need not read the store.
   std::function<void(MonotonicTime)> suspend_reading;
+  // How quotas are divided while this daemon leads.
+  QuotaOrder quota_order = QuotaOrder::kEqual;
 };
 
 // A daemon's link to the placement leader. Finds the leader, or claims leadership if there is none;
@@ -75,7 +77,9 @@
       : settings_(std::move(settings)),
         parts_(parts),
         uplink_(settings_.self.address, settings_.self.failure_domain),
-        random_(seed) {}
+        random_(seed) {
+    quota_allocator_.set_order(settings_.quota_order);
+  }
 
   // Reports until Stop is called.
   Task<void> Run() {
@@ -107,6 +111,9 @@
 
   void Stop() { stopping_ = true; }
 
+  // Sets how quotas are divided while this daemon leads.
+  void set_quota_order(QuotaOrder order) { quota_allocator_.set_order(order); }
+
   // Sends the next report without delay, marked as urgent for the quota.
   void ReportAtOnce() {
     report_is_urgent_ = true;
--- a/src/quota_allocator.h
+++ b/src/quota_allocator.h
@@ -7,6 +7,7 @@
 
 #include "clock.h"
 #include "customer.h"
+#include "quota_order.h"
 #include "quota_usage.h"
 
 namespace mimosabend {
@@ -20,6 +21,9 @@
   // this time.
   static constexpr milliseconds kWarmUpTime{400};
 
+  // How a customer's quota is divided among requests of different priorities.
+  void set_order(QuotaOrder order) { order_ = order; }
+
   // Adds what daemons report that they have used.
   void AddUsage(const std::vector<QuotaUsage>& uses, MonotonicTime now);
 
@@ -49,10 +53,17 @@
     double admitted = 0;
     // Moving average of the units requested per second.
     double demand = 0;
+    // The same by priority level, with a slower and a faster moving average.
+    ByLevel requested_by_level{};
+    ByLevel demand_by_level{};
+    ByLevel recent_by_level{};
   };
 
+  static void UpdateLevels(double elapsed, TokenBucket* bucket);
+  static ByLevel DemandByLevel(const TokenBucket& bucket, double averaged);
   void Update(double rate, double burst, TokenBucket* bucket, MonotonicTime now);
 
+  QuotaOrder order_ = QuotaOrder::kEqual;
   std::map<std::uint32_t, TokenBucket> buckets_;
   MonotonicTime reset_at_;
 };
--- a/src/quota_meter.cpp
+++ b/src/quota_meter.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <iterator>
+#include <numeric>
 
 namespace mimosabend {
 
@@ -21,6 +23,19 @@
 // too many requests at daemons that receive more than others.
 constexpr double kMaxDebtBursts = 2;
 constexpr double kMaxCost = 1e9;
+// Without a leader, more urgent requests may use this part of a daemon's rate even if its bucket is
+// empty. The rest of the rate is left for less urgent ones.
+constexpr double kUrgentPart = 0.75;
+// Part of a daemon's burst that more urgent requests may use beyond that rate. It adds to what all
+// daemons can use in a window without a leader.
+constexpr double kUrgentBurstPart = 1.0;
+// Levels with less than this part of the local demand don't make others urgent.
+constexpr double kMinDemandPart = 0.01;
+// Local demand counts as little even if it is above kUrgentPart by this many requests within the
+// averaging time, since single requests are many times a daemon's part.
+constexpr double kToleratedRequests = 2;
+// Time constant of the average of the local demand. A daemon may get few requests of a customer.
+constexpr double kLocalDemandSeconds = 3;
 
 milliseconds ClampedRetryAfter(double millis) {
   const double longest = static_cast<double>(kMaxRetryAfter.count());
@@ -35,23 +50,27 @@
 
 }  // namespace
 
-std::optional<milliseconds> QuotaMeter::Admit(const Customer& customer, double cost, double draw,
-                                              MonotonicTime now) {
-  assert(has_shares_);
+std::optional<milliseconds> QuotaMeter::Admit(const Customer& customer, std::uint8_t level,
+                                              double cost, double draw, MonotonicTime now) {
+  assert(has_shares_ && level < kPriorityLevels);
   Bucket& bucket = FilledBucket(customer, now);
   const bool use_share = HasValidShares(now);
+  const bool use_urgent_level =
+      !use_share && bucket.urgent_level > bucket.level && IsUrgent(customer, level, cost, now);
+  const double available = use_urgent_level ? bucket.urgent_level : bucket.level;
   // One request can cost more than the whole bucket holds, so it is admitted with a probability.
   const double probability =
-      use_share ? ShareOf(CustomerNumber(customer.name)) : bucket.level / cost;
+      use_share ? ShareOf(CustomerNumber(customer.name), level) : available / cost;
   const bool admitted = draw < probability || probability >= 1;
   if (admitted) {
     const std::uint32_t number = CustomerNumber(customer.name);
-    AddQuotaUsage(&uses_[number], {number, 0, ToUnits(cost)});
+    uses_.Add(QuotaUsage{number, level, 0, ToUnits(cost)});
     bucket.level -= cost;
+    if (use_urgent_level) bucket.urgent_level -= cost;
     return std::nullopt;
   }
   const double millis_to_fill =
-      std::max(0.0, cost - bucket.level) * daemons_ / customer.quota.rate * 1000;
+      std::max(0.0, cost - available) * daemons_ / customer.quota.rate * 1000;
   const double millis_by_probability = static_cast<double>(kExcessPeriod.count()) *
                                        (1 - probability) / std::max(probability, kMinShare);
   return ClampedRetryAfter(use_share ? millis_by_probability : millis_to_fill);
@@ -61,9 +80,11 @@
   const double rate = customer.quota.rate / daemons_;
   const double capacity = customer.quota.burst / daemons_;
   Bucket& bucket =
-      buckets_.try_emplace(CustomerNumber(customer.name), Bucket{capacity, now}).first->second;
-  const double filled = bucket.level + rate * ToSeconds(now - bucket.updated);
-  bucket.level = std::clamp(filled, -kMaxDebtBursts * capacity, capacity);
+      buckets_.try_emplace(CustomerNumber(customer.name), Bucket{capacity, 0, now}).first->second;
+  const double elapsed = ToSeconds(now - bucket.updated);
+  bucket.level = std::clamp(bucket.level + rate * elapsed, -kMaxDebtBursts * capacity, capacity);
+  bucket.urgent_level =
+      std::min(bucket.urgent_level + kUrgentPart * rate * elapsed, kUrgentBurstPart * capacity);
   bucket.updated = now;
   return bucket;
 }
@@ -73,33 +94,55 @@
   return has_shares_ && !unconfirmed && now - shares_at_ < kSharesLifetime;
 }
 
-void QuotaMeter::AddDemand(const Customer& customer, double cost, MonotonicTime now) {
+void QuotaMeter::AddDemand(const Customer& customer, std::uint8_t level, double cost,
+                           MonotonicTime now) {
+  assert(level < kPriorityLevels);
   const std::uint32_t number = CustomerNumber(customer.name);
-  QuotaUsage& use = uses_[number];
-  AddQuotaUsage(&use, {number, static_cast<std::uint32_t>(ToUnits(cost)), 0});
-  if (use.requested <= customer.quota.rate * kUrgentSeconds) return;
+  uses_.Add(QuotaUsage{number, level, static_cast<std::uint32_t>(ToUnits(cost)), 0});
+  if (order_ == QuotaOrder::kPriority) AddLocalDemand(customer, level, cost, now);
+  const auto requested = static_cast<double>(uses_.Requested(number));
+  if (requested <= customer.quota.rate * kUrgentSeconds) return;
   if (!urgent_since_) urgent_since_ = now;
   on_urgent_();
 }
 
-void QuotaMeter::Refund(const Customer& customer, double cost) {
+void QuotaMeter::AddLocalDemand(const Customer& customer, std::uint8_t level, double cost,
+                                MonotonicTime now) {
+  LocalDemand& demand =
+      local_demand_.try_emplace(CustomerNumber(customer.name), LocalDemand{{}, now}).first->second;
+  const double decay = std::exp(-ToSeconds(now - demand.updated) / kLocalDemandSeconds);
+  for (double& units : demand.units) units *= decay;
+  demand.units[level] += cost / kLocalDemandSeconds;
+  demand.updated = now;
+}
+
+// Whether a request comes before others without a leader: less urgent ones are requested, and its
+// level and those before it together demand little.
+bool QuotaMeter::IsUrgent(const Customer& customer, std::uint8_t level, double cost,
+                          MonotonicTime now) const {
+  const auto it = local_demand_.find(CustomerNumber(customer.name));
+  if (order_ != QuotaOrder::kPriority || it == local_demand_.end()) return false;
+  const ByLevel& units = it->second.units;
+  const double urgent = std::accumulate(units.begin(), units.begin() + level + 1, 0.0);
+  const double others = std::accumulate(units.begin() + level + 1, units.end(), 0.0);
+  if (others < kMinDemandPart * (urgent + others)) return false;
+  const double decay = std::exp(-ToSeconds(now - it->second.updated) / kLocalDemandSeconds);
+  const double little = kUrgentPart * customer.quota.rate / daemons_ +
+                        kToleratedRequests * cost / kLocalDemandSeconds;
+  return urgent * decay <= little;
+}
+
+void QuotaMeter::Refund(const Customer& customer, std::uint8_t level, double cost) {
   const std::uint32_t number = CustomerNumber(customer.name);
   const std::int32_t units = ToUnits(cost);
-  AddQuotaUsage(&uses_[number], {number, 0, -units});
+  uses_.Add(QuotaUsage{number, level, 0, -units});
   const auto bucket = buckets_.find(number);
   if (bucket != buckets_.end()) bucket->second.level += cost;
 }
 
-std::vector<QuotaUsage> QuotaMeter::TakeUsage() {
-  std::vector<QuotaUsage> taken;
-  for (const auto& [number, use] : uses_) taken.push_back(use);
-  uses_.clear();
-  return taken;
-}
+std::vector<QuotaUsage> QuotaMeter::TakeUsage() { return uses_.Take(); }
 
-void QuotaMeter::RestoreUsage(const std::vector<QuotaUsage>& uses) {
-  for (const QuotaUsage& use : uses) AddQuotaUsage(&uses_[use.customer], use);
-}
+void QuotaMeter::RestoreUsage(const std::vector<QuotaUsage>& uses) { uses_.Add(uses); }
 
 void QuotaMeter::SetShares(const std::vector<QuotaShare>& shares, std::uint32_t daemons,
                            MonotonicTime at) {
@@ -109,18 +152,20 @@
   shares_at_ = at;
   if (urgent_since_ && at >= *urgent_since_) urgent_since_.reset();
   shares_.clear();
-  for (const QuotaShare& probability : shares) shares_[probability.customer] = probability;
+  for (const QuotaShare& share : shares) shares_[{share.customer, share.level}] = share;
 }
 
 std::vector<QuotaShare> QuotaMeter::Shares() const {
   std::vector<QuotaShare> shares;
-  for (const auto& [number, probability] : shares_) shares.push_back(probability);
+  for (const auto& [key, share] : shares_) shares.push_back(share);
   return shares;
 }
 
-double QuotaMeter::ShareOf(std::uint32_t customer) const {
-  const auto it = shares_.find(customer);
-  return it == shares_.end() ? 1 : it->second.fraction();
+double QuotaMeter::ShareOf(std::uint32_t customer, std::uint8_t level) const {
+  const auto next = shares_.upper_bound({customer, level});
+  if (next == shares_.begin()) return 1;
+  const QuotaShare& share = std::prev(next)->second;
+  return share.customer == customer ? share.fraction() : 1;
 }
 
 }  // namespace mimosabend
--- a/src/quota_meter.h
+++ b/src/quota_meter.h
@@ -5,10 +5,12 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "clock.h"
 #include "customer.h"
+#include "quota_order.h"
 #include "quota_usage.h"
 
 namespace mimosabend {
@@ -17,7 +19,7 @@
 // together. With recent data from the placement leader, it admits the share of each customer's
 // requests that the leader computed (see QuotaAllocator). Otherwise it limits each customer to an
 // equal part of the quota per daemon, so that daemons that are cut off from the leader don't exceed
-// the quota together. Not thread-safe.
+// the quota together. Levels are those of PriorityLevel. Not thread-safe.
 class QuotaMeter {
  public:
   // The leader's shares are valid for this long.
@@ -30,6 +32,10 @@
   // leader should get a report at once.
   explicit QuotaMeter(std::function<void()> on_urgent) : on_urgent_(std::move(on_urgent)) {}
 
+  // Whether more urgent requests come first in this daemon's equal part. The leader decides on the
+  // order in its shares.
+  void set_order(QuotaOrder order) { order_ = order; }
+
   // Whether shares were ever received from the leader. Before that, this daemon knows neither what
   // others use nor what its previous process used, so nothing may be admitted.
   bool has_shares() const { return has_shares_; }
@@ -38,16 +44,17 @@
   bool HasValidShares(MonotonicTime now) const;
 
   // Counts a request of `cost` units as demand. Call it once per request, before `Admit`.
-  void AddDemand(const Customer& customer, double cost, MonotonicTime now);
+  void AddDemand(const Customer& customer, std::uint8_t level, double cost, MonotonicTime now);
 
   // Admits or refuses a request that `AddDemand` has counted. `draw` is a random number from 0
-  // to 1. Returns std::nullopt if the request is admitted, else the time after which the caller may
-  // retry. Preconditions: the customer's quota is limited; `has_shares`().
-  std::optional<milliseconds> Admit(const Customer& customer, double cost, double draw,
-                                    MonotonicTime now);
+  // to 1. Returns std::nullopt if the request is admitted, else the time after which a request of
+  // this level is likely to be admitted. Preconditions: the customer's quota is limited;
+  // `has_shares`().
+  std::optional<milliseconds> Admit(const Customer& customer, std::uint8_t level, double cost,
+                                    double draw, MonotonicTime now);
 
   // Refunds an admitted request that did not run.
-  void Refund(const Customer& customer, double cost);
+  void Refund(const Customer& customer, std::uint8_t level, double cost);
 
   // Returns the use since the last call, for a report, and resets it.
   std::vector<QuotaUsage> TakeUsage();
@@ -64,15 +71,29 @@
   // Token bucket with this daemon's equal part of a quota. It limits while the shares are invalid.
   struct Bucket {
     double level = 0;
+    // Units that more urgent requests may use even if `level` is lower. They are charged to both.
+    double urgent_level = 0;
+    MonotonicTime updated;
+  };
+
+  // Moving average of the units that this daemon was asked for per second, by level.
+  struct LocalDemand {
+    ByLevel units{};
     MonotonicTime updated;
   };
 
-  double ShareOf(std::uint32_t customer) const;
+  double ShareOf(std::uint32_t customer, std::uint8_t level) const;
+  void AddLocalDemand(const Customer& customer, std::uint8_t level, double cost, MonotonicTime now);
+  bool IsUrgent(const Customer& customer, std::uint8_t level, double cost, MonotonicTime now) const;
   Bucket& FilledBucket(const Customer& customer, MonotonicTime now);
 
   std::function<void()> on_urgent_;
-  std::map<std::uint32_t, QuotaUsage> uses_;
-  std::map<std::uint32_t, QuotaShare> shares_;
+  QuotaOrder order_ = QuotaOrder::kEqual;
+  QuotaUsageSums uses_;
+  // By customer and level.
+  std::map<std::pair<std::uint32_t, std::uint8_t>, QuotaShare> shares_;
+  // Empty unless the order is kPriority.
+  std::map<std::uint32_t, LocalDemand> local_demand_;
   std::map<std::uint32_t, Bucket> buckets_;
   std::uint32_t daemons_ = 1;
   bool has_shares_ = false;
--- a/src/relay_customers.cpp
+++ b/src/relay_customers.cpp
@@ -51,7 +51,8 @@
   const RelayRequest& params = context->params;
   const double cost =
       customer->quota.CostOf(std::uint64_t{params.prompt_tokens} + params.max_output_tokens);
-  deps_.quota->AddDemand(*customer, cost, MonotonicNow());
+  const std::uint8_t level = PriorityLevel(context->priority());
+  deps_.quota->AddDemand(*customer, level, cost, MonotonicNow());
   const bool known = co_await WaitForQuota(context);
   if (!known) {
     context->ready_at = MonotonicNow() + kMaxQuotaWait;
@@ -59,14 +60,16 @@
     co_return false;
   }
   const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
-  const auto retry_after = deps_.quota->Admit(*customer, cost, draw, MonotonicNow());
+  const auto retry_after = deps_.quota->Admit(*customer, level, cost, draw, MonotonicNow());
   if (!retry_after) {
     context->quota_cost = cost;
     co_return true;
   }
   context->outcome = RelayOutcome::kOverQuota;
+  deps_.metrics->CountQuotaRefusal(level);
   context->reason = "customer quota of " + std::to_string(std::lround(customer->quota.rate)) +
-                    " per second exceeded, requested " + std::to_string(std::lround(cost));
+                    " per second exceeded, requested " + std::to_string(std::lround(cost)) +
+                    " at priority " + std::to_string(context->priority());
   co_await SendRefusal(context, 429, *retry_after,
                        R"({"error":"not run, the quota is used up, try again later"})");
   co_return false;
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -31,6 +31,11 @@
   for (std::size_t i = 0; i < kRunStateCount; ++i) {
     run_checks_[i] = &run_checks.Add({{"state", std::string(kRunStateNames.names[i])}});
   }
+  auto& quota_refusals = registry_.CounterFamily(
+      "quota_refusals_total", "Requests refused over their customer's quota, by priority level.");
+  for (std::size_t level = 0; level < kPriorityLevels; ++level) {
+    quota_refusals_[level] = &quota_refusals.Add({{"priority", std::to_string(level)}});
+  }
   requests_total = registry_.AddCounter("requests_total", "Requests that were read whole.");
   tries_total =
       registry_.AddCounter("tries_total", "Requests sent to endpoints, repeats included.");
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -12,6 +12,7 @@
 #include "fleet_config.h"
 #include "metrics_registry.h"
 #include "name_table.h"
+#include "quota_order.h"
 #include "run_check.h"
 
 namespace mimosabend {
@@ -49,6 +50,9 @@
   void CountOutcome(RelayOutcome outcome, RouteKind kind) {
     ends_[static_cast<std::size_t>(outcome)][static_cast<std::size_t>(kind)]->Increment();
   }
+  // Counts a request that was refused because it exceeds its customer's quota. `level` is that of
+  // PriorityLevel.
+  void CountQuotaRefusal(std::uint8_t level) { quota_refusals_[level]->Increment(); }
   // Counts a question to an engine for the run of a stream that stalled or broke.
   void CountRunCheck(RunState state) { run_checks_[static_cast<std::size_t>(state)]->Increment(); }
   // Observes the time from the arrival of a request to the first byte of its response.
@@ -86,6 +90,7 @@
   MetricsRegistry registry_;
   std::array<std::array<prometheus::Counter*, kKinds>, kRelayOutcomeCount> ends_;
   std::array<prometheus::Counter*, kRunStateCount> run_checks_;
+  std::array<prometheus::Counter*, kPriorityLevels> quota_refusals_;
   std::array<prometheus::Histogram*, kKinds> first_byte_;
 };
 
--- a/src/report_aggregator.cpp
+++ b/src/report_aggregator.cpp
@@ -46,7 +46,7 @@
     entry.waiting[{usage.service, usage.model}] = {usage.waiting, usage.waiting_priority};
   }
   unreachable_.insert(report.unreachable.begin(), report.unreachable.end());
-  for (const QuotaUsage& use : report.quota) AddQuotaUsage(&quota_[use.customer], use);
+  quota_.Add(report.quota);
 }
 
 void ReportAggregator::PruneExpired(MonotonicTime now) {
@@ -91,15 +91,13 @@
   }
   for (auto& [key, usage] : usage_) report->models.push_back(std::move(usage));
   usage_.clear();
-  for (const QuotaUsage& use : report->quota) AddQuotaUsage(&quota_[use.customer], use);
-  report->quota.clear();
-  for (const auto& [customer, use] : quota_) report->quota.push_back(use);
-  quota_.clear();
+  quota_.Add(report->quota);
+  report->quota = quota_.Take();
 }
 
 void ReportAggregator::Restore(const UsageReport& report) {
   for (const ModelUsage& usage : report.models) AddUsage(usage);
-  for (const QuotaUsage& use : report.quota) AddQuotaUsage(&quota_[use.customer], use);
+  quota_.Add(report.quota);
 }
 
 void ReportAggregator::SetExternalLoads(const std::vector<EndpointLoad>& loads) {
--- a/src/report_aggregator.h
+++ b/src/report_aggregator.h
@@ -64,7 +64,7 @@
   std::map<std::string, DaemonReport> daemons_;
   std::map<Key, ModelUsage> usage_;
   std::set<std::uint32_t> unreachable_;
-  std::map<std::uint32_t, QuotaUsage> quota_;
+  QuotaUsageSums quota_;
 };
 
 // Adds `load` to the sum for the same endpoint, with saturation. Thread-safe.
--- a/tests/quota_simulation.h
+++ b/tests/quota_simulation.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <deque>
 #include <memory>
+#include <numeric>
 #include <random>
 #include <utility>
 #include <vector>
@@ -24,9 +25,18 @@
   return {"cook", std::nullopt, {rate, rate, QuotaUnit::kTokens, 200}};
 }
 
+// The requests of one priority level.
+struct SimulatedLevel {
+  std::uint8_t level = 0;
+  // Part of the demanded units.
+  double part = 1;
+  // The cost of a request is exponentially distributed with this mean.
+  double mean_cost = 9000;
+};
+
 // Simulates daemons that report to a leader at the real period, directly or through relays. Reports
-// and answers arrive without delay, but a relay answers with the shares that it has and forwards
-// the report with its own next one. Requests arrive at random.
+// arrive without delay and answers without delay by default, but a relay answers with the shares
+// that it has and forwards the report with its own next one. Requests arrive at random.
 class QuotaSimulation {
  public:
   QuotaSimulation(int daemons, double rate, std::uint64_t seed, int relays = 0) : random_(seed) {
@@ -39,17 +49,39 @@
     }
   }
 
-  // Advances the time by `seconds_long` while callers request `demand` units per second. The cost
-  // of a request is exponentially distributed with mean `size`.
-  void Run(double seconds_long, double demand, double size) {
+  // Sets the order at the leader, and at the daemons from index `first` on.
+  void SetOrder(QuotaOrder order, std::size_t first = 0) {
+    allocator_.set_order(order);
+    for (std::size_t i = first; i < daemons_.size(); ++i) {
+      daemons_[i]->order = order;
+      daemons_[i]->meter->set_order(order);
+    }
+  }
+
+  // Delays the answers to reports, also those of relays.
+  void set_answer_delay(milliseconds delay) { answer_delay_ = delay; }
+
+  // Sends half of the requests to a tenth of the daemons.
+  void set_skew(bool skewed) { skewed_ = skewed; }
+
+  // Advances the time by `seconds_long` while callers request `demand` units per second.
+  void Run(double seconds_long, double demand, const std::vector<SimulatedLevel>& levels) {
     const MonotonicTime end = now_ + milliseconds(static_cast<int>(seconds_long * 1000));
-    std::exponential_distribution<double> any_size(1 / size);
-    std::poisson_distribution<int> arrivals(demand / size * ToSeconds(kStep));
     for (; now_ < end; now_ += kStep) {
-      for (int i = arrivals(random_); i > 0; --i) Submit(std::max(1.0, any_size(random_)));
+      for (const SimulatedLevel& requests : levels) {
+        const double mean = demand * requests.part / requests.mean_cost * ToSeconds(kStep);
+        std::exponential_distribution<double> any_cost(1 / requests.mean_cost);
+        for (int i = std::poisson_distribution<int>(mean)(random_); i > 0; --i) {
+          Submit(requests.level, std::max(1.0, any_cost(random_)));
+        }
+      }
       for (const auto& daemon : daemons_) MaybeReport(daemon.get());
     }
   }
+  // The same with requests of one level.
+  void Run(double seconds_long, double demand, double size) {
+    Run(seconds_long, demand, {{0, 1, size}});
+  }
 
   // Restarts all processes, which takes 500 to 800 ms. A leader is found kElectionTime after
   // the last one.
@@ -70,6 +102,8 @@
     if (led && !led_) allocator_.Reset(now_);
     led_ = led;
   }
+  // While the leader is paused, no report is answered. It then continues with its state.
+  void set_paused(bool paused) { led_ = !paused; }
 
   // The largest use within any window, relative to what the users allow.
   double WorstWindow() const {
@@ -87,9 +121,14 @@
     return worst;
   }
 
-  double requested() const { return requested_; }
-  double served() const { return served_; }
-  void ForgetSums() { requested_ = served_ = 0; }
+  // Units of requests since the last ForgetSums, of all levels or as a part of one level.
+  double requested() const { return std::accumulate(requested_.begin(), requested_.end(), 0.0); }
+  double served() const { return std::accumulate(served_.begin(), served_.end(), 0.0); }
+  double ServedPart(std::uint8_t level) const { return served_[level] / requested_[level]; }
+  void ForgetSums() {
+    requested_.fill(0);
+    served_.fill(0);
+  }
 
  private:
   static constexpr milliseconds kReportPeriod{400};
@@ -100,12 +139,21 @@
 
   struct Request {
     MonotonicTime at;
+    std::uint8_t level = 0;
     double cost = 0;
     double draw = 0;
   };
 
+  // Shares on their way to a daemon.
+  struct Answer {
+    MonotonicTime arrival;
+    std::vector<QuotaShare> shares;
+    MonotonicTime shares_at;
+  };
+
   struct Daemon {
     std::unique_ptr<QuotaMeter> meter;
+    QuotaOrder order = QuotaOrder::kEqual;
     MonotonicTime started;
     MonotonicTime next_report;
     bool urgent = false;
@@ -116,66 +164,84 @@
     std::vector<QuotaUsage> relayed;
     MonotonicTime shares_at;
     std::vector<Request> held;
+    std::deque<Answer> answers;
   };
 
   // Starts a process without any shares.
   void Start(Daemon* daemon, MonotonicTime at) {
     daemon->meter = std::make_unique<QuotaMeter>([daemon] { daemon->urgent = true; });
+    daemon->meter->set_order(daemon->order);
     daemon->urgent = false;
     daemon->started = at;
     daemon->next_report = at + milliseconds(random_() % 400);
     daemon->relayed.clear();
     daemon->held.clear();
+    daemon->answers.clear();
   }
 
-  void Submit(double cost) {
-    Daemon& daemon = *daemons_[random_() % daemons_.size()];
+  void Submit(std::uint8_t level, double cost) {
+    const bool at_few = skewed_ && random_() % 2 == 0;
+    const std::size_t receivers = at_few ? (daemons_.size() + 9) / 10 : daemons_.size();
+    Daemon& daemon = *daemons_[random_() % receivers];
     if (now_ < daemon.started) return;
     const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
     const Customer& customer = *customers_.Find("cook");
-    requested_ += cost;
-    daemon.meter->AddDemand(customer, cost, now_);
-    daemon.held.push_back({now_, cost, draw});
-    Answer(&daemon);
+    requested_[level] += cost;
+    daemon.meter->AddDemand(customer, level, cost, now_);
+    daemon.held.push_back({now_, level, cost, draw});
+    Decide(&daemon);
   }
 
   // Admits or refuses the held requests if the daemon has shares.
-  void Answer(Daemon* daemon) {
+  void Decide(Daemon* daemon) {
     if (!daemon->meter->has_shares()) return;
     const Customer& customer = *customers_.Find("cook");
     for (const Request& request : daemon->held) {
       if (now_ - request.at > kMaxHoldTime) continue;
-      if (daemon->meter->Admit(customer, request.cost, request.draw, now_)) continue;
-      served_ += request.cost;
+      if (daemon->meter->Admit(customer, request.level, request.cost, request.draw, now_)) continue;
+      served_[request.level] += request.cost;
       spent_.emplace_back(now_, request.cost);
     }
     daemon->held.clear();
   }
 
+  // Applies the answers that have arrived.
+  void Receive(Daemon* daemon) {
+    const auto count = static_cast<std::uint32_t>(daemons_.size());
+    while (!daemon->answers.empty() && daemon->answers.front().arrival <= now_) {
+      const Answer& answer = daemon->answers.front();
+      daemon->shares_at = answer.shares_at;
+      daemon->meter->SetShares(answer.shares, count, answer.shares_at);
+      daemon->answers.pop_front();
+    }
+    Decide(daemon);
+  }
+
   void MaybeReport(Daemon* daemon) {
     if (now_ < daemon->started) return;
+    Receive(daemon);
     if (!daemon->urgent && now_ < daemon->next_report) return;
     const bool urgent = std::exchange(daemon->urgent, false);
     daemon->next_report = now_ + kReportPeriod;
     if (daemon->cut || !led_ || now_ < leader_found_) return;
-    const auto count = static_cast<std::uint32_t>(daemons_.size());
     std::vector<QuotaUsage> uses = daemon->meter->TakeUsage();
     if (Daemon* relay = daemon->relay) {
       relay->relayed.insert(relay->relayed.end(), uses.begin(), uses.end());
       relay->urgent |= urgent;
       if (relay->meter->HasValidShares(now_)) {
-        daemon->meter->SetShares(relay->meter->Shares(), count, relay->shares_at);
+        daemon->answers.push_back({now_ + answer_delay_, relay->meter->Shares(), relay->shares_at});
       }
-      Answer(daemon);
+      Receive(daemon);
       return;
     }
     uses.insert(uses.end(), daemon->relayed.begin(), daemon->relayed.end());
     daemon->relayed.clear();
     allocator_.AddUsage(uses, now_);
-    daemon->shares_at = now_;
     const std::vector<QuotaShare> shares = allocator_.Shares(customers_, kSlack, now_);
-    if (allocator_.HasValidDemand(now_)) daemon->meter->SetShares(shares, count, now_);
-    Answer(daemon);
+    if (allocator_.HasValidDemand(now_)) {
+      daemon->answers.push_back({now_ + answer_delay_, shares, now_});
+    }
+    Receive(daemon);
   }
 
   std::mt19937_64 random_;
@@ -183,11 +249,13 @@
   std::vector<std::unique_ptr<Daemon>> daemons_;
   QuotaAllocator allocator_;
   bool led_ = true;
+  bool skewed_ = false;
   MonotonicTime now_ = kStart;
   MonotonicTime leader_found_ = kStart;
   std::deque<std::pair<MonotonicTime, double>> spent_;
-  double requested_ = 0;
-  double served_ = 0;
+  milliseconds answer_delay_{0};
+  ByLevel requested_{};
+  ByLevel served_{};
 };
 
 }  // namespace mimosabend::testing
--- a/tests/test_decoders.cpp
+++ b/tests/test_decoders.cpp
@@ -149,7 +149,7 @@
   report.runs.push_back({3, {{"m", 2, {"a", "b"}}}});
   report.unreachable = {4, 5};
   report.evidence = Evidence();
-  report.quota = {{1, 2, -3}};
+  report.quota = {{1, 4, 2, -3}};
   report.limits = {{3, 0.5, 1200}, {4, LimitNotice::kNoLimit, 7}};
   return report;
 }
@@ -164,7 +164,7 @@
   answer.loads.push_back({"m", 4000});
   answer.recent_orders.push_back({3, 700});
   answer.evidence = Evidence();
-  answer.quota = {{1, 2}};
+  answer.quota = {{1, 4, 2}};
   answer.limits = {{3, 0.5, 1200}};
   return answer;
 }
--- a/tests/test_gateway_settings.cpp
+++ b/tests/test_gateway_settings.cpp
@@ -39,6 +39,18 @@
   CHECK(settings.error().front().key == "endpoint_drain_ms");
 }
 
+// Guards against an order of quotas that is ignored, and against an unknown one that is accepted.
+TEST_CASE("the order of quotas is read and checked", "[settings]") {
+  CHECK(ParseGatewaySettings("test.ini", Settings(""), {}).value().quota_order ==
+        QuotaOrder::kEqual);
+  const auto order = ParseGatewaySettings("test.ini", Settings("[quotas]\norder = priority\n"), {});
+  CHECK(order.value().quota_order == QuotaOrder::kPriority);
+  const auto invalid = ParseGatewaySettings("test.ini", Settings("[quotas]\norder = -1\n"), {});
+  REQUIRE_FALSE(invalid);
+  CHECK(invalid.error().front().Format() ==
+        "test.ini:15: [quotas] order: unknown value '-1' (use one of: equal, priority)");
+}
+
 // Guards against a daemon that asks itself for the fleet's state, or connects to a port of a seed
 // that is not its peer port, and against a failure without seeds.
 TEST_CASE("seeds are contacted on the peer port", "[settings]") {
--- a/tests/test_leader_link.cpp
+++ b/tests/test_leader_link.cpp
@@ -213,8 +213,8 @@
       io.run_for(milliseconds(1000 / kStepsPerSecond));
       const double draw = (i * 37 % 100) / 100.0;
       for (Daemon* daemon : {&a, &b}) {
-        daemon->quota.AddDemand(customer, kCost, MonotonicNow());
-        if (!daemon->quota.Admit(customer, kCost, draw, MonotonicNow())) admitted += kCost;
+        daemon->quota.AddDemand(customer, 0, kCost, MonotonicNow());
+        if (!daemon->quota.Admit(customer, 0, kCost, draw, MonotonicNow())) admitted += kCost;
       }
     }
     return admitted;
--- a/tests/test_relay_customers.cpp
+++ b/tests/test_relay_customers.cpp
@@ -81,12 +81,13 @@
   relay.directory.Adopt(config);
   const MonotonicTime now = MonotonicNow();
   // The requests of the test have 110 tokens.
-  relay.quota.SetShares({{CustomerNumber("mint"), 0}}, 1, now);
+  relay.quota.SetShares({{CustomerNumber("mint"), 0, 0}}, 1, now);
   auto refused = relay.Send(MakeCallWithKey(relay, "/read/1", "k4"));
   REQUIRE(refused);
   CHECK(refused.value().status == 429);
   CHECK(std::stod(std::string(FindHeader(refused.value().headers, "Retry-After"))) >= 0.25);
   CHECK(relay.plain_arrivals() == 0);
+  CHECK(relay.metrics.Expose().find("quota_refusals_total{priority=\"0\"} 1") != std::string::npos);
   CHECK(relay.Send(MakeCallWithKey(relay, "/read/1", "k2")).value().status == 200);
   std::vector<QuotaUsage> uses = relay.quota.TakeUsage();
   REQUIRE(uses.size() == 1);
