--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -532,7 +532,7 @@
   }
 }
 
-// Applies changed bounds. Other settings, such as the listen addresses, need a restart.
+// Adopts the order of quotas and logs it if it has changed.
 void Gateway::ApplyQuotaOrder(QuotaOrder order, const char* cause) {
   if (order == settings_.quota_order) return;
   settings_.quota_order = order;
@@ -542,6 +542,8 @@
                  "quota order changed, order=" << kQuotaOrderNames[order] << " cause=" << cause);
 }
 
+// Applies settings that may change at run time. Others, such as the listen addresses, need a
+// restart.
 void Gateway::ReloadSettings(const char* cause) {
   const auto settings = read_settings_();
   if (!settings) {
