--- a/src/retry_budget.cpp
+++ b/src/retry_budget.cpp
@@ -24,7 +24,11 @@
 
 void RetryBudget::RecordRequest(MonotonicTime now) { ++BucketAt(now)->requests; }
 
-bool RetryBudget::HasRetry(MonotonicTime now) {
+bool RetryBudget::HasRetry(MonotonicTime now) { return HasRetry(1, now); }
+
+bool RetryBudget::HasHalf(MonotonicTime now) { return HasRetry(0.5, now); }
+
+bool RetryBudget::HasRetry(double share, MonotonicTime now) {
   // Removes buckets older than the window.
   BucketAt(now);
   std::uint32_t requests = 0;
@@ -33,10 +37,10 @@
     requests += bucket.requests;
     retries += bucket.retries;
   }
-  const double share = limits_.share * requests;
-  const double allowed =
-      limits_.extra_is_minimum ? std::max(std::floor(share), limits_.extra) : share + limits_.extra;
-  return retries + 1 <= allowed;
+  const double per_request = limits_.share * requests;
+  const double allowed = limits_.extra_is_minimum ? std::max(std::floor(per_request), limits_.extra)
+                                                  : per_request + limits_.extra;
+  return retries + 1 <= share * allowed;
 }
 
 bool RetryBudget::TryRetry(MonotonicTime now, MonotonicTime deadline,
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -35,6 +35,10 @@
   // Whether the budget allows a retry now.
   bool HasRetry(MonotonicTime now);
 
+  // Whether more than half of the budget is left, so that a second attempt of a request that has
+  // not failed may be charged to it.
+  bool HasHalf(MonotonicTime now);
+
   // Takes a retry from the budget. False if none is left or if the retry can't meet the deadline;
   // `expected` is the minimum time that it needs.
   bool TryRetry(MonotonicTime now, MonotonicTime deadline,
@@ -48,6 +52,9 @@
     std::uint32_t retries = 0;
   };
 
+  // Whether `share` of the budget, 0 to 1, allows a retry now.
+  bool HasRetry(double share, MonotonicTime now);
+
   // Removes buckets older than the window and returns the bucket of the current second.
   Bucket* BucketAt(MonotonicTime now);
 
