Send a second attempt of a late plain request

The relay's state described one attempt.

Change: a plain attempt has its own canceller, deadline and permit. While hedging is enabled, the first attempt of an idempotent plain request runs beside a timer, and a second one is sent to another endpoint if it is late. The first complete response below 500 is passed on; the other attempt is cancelled, its connection closed, and it counts as a run. Settings section [hedging], off by default, applied on reload. Metrics hedges_*; the request's log line names both endpoints if a second attempt was sent. A hedge of a request that is charged to a quota is charged again.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -132,6 +132,7 @@
   void ApplyRetryLimits();
   Task<void> UpdateMetrics();
   void ReloadSettings(const char* cause);
+  void ApplyHedging(const HedgingSettings& hedging, const char* cause);
   Task<void> WaitForTermination();
   Task<void> WaitForReload();
   Task<void> WatchSettings();
@@ -243,6 +244,7 @@
                       [this](HttpExchange& exchange) { return HandleMetrics(exchange); }),
       termination_signals_(*io, SIGTERM, SIGINT),
       reload_signals_(*io, SIGHUP) {
+  relay_.SetHedging(settings_.hedging);
   directory_.set_end_listener([this](const FleetEndpoint& endpoint) {
     crash_correlator_.RecordEnd(EndpointNumber(endpoint.id, endpoint.started_ms), MonotonicNow());
   });
@@ -468,6 +470,7 @@
     crash_correlator_.PruneExpired(MonotonicNow());
     evidence_.PruneExpired(MonotonicNow());
     part_evidence_.PruneExpired(MonotonicNow());
+    relay_.PruneExpired(MonotonicNow());
     const auto is_known = [this](std::uint32_t number) {
       return state_.directory().KnowsNumber(number);
     };
@@ -537,6 +540,7 @@
                     "could not reload the settings, keeping the current ones, cause=" << cause);
     return;
   }
+  ApplyHedging(settings->hedging, cause);
   if (settings->bounds == settings_.bounds) return;
   settings_.bounds = settings->bounds;
   directory_.set_reappear_time(ReappearTime(settings_.bounds));
@@ -544,6 +548,16 @@
   LOG4CPLUS_INFO(Log(), "settings reloaded, cause=" << cause);
 }
 
+// Adopts hedging settings and logs them if they have changed.
+void Gateway::ApplyHedging(const HedgingSettings& hedging, const char* cause) {
+  if (hedging == settings_.hedging) return;
+  settings_.hedging = hedging;
+  relay_.SetHedging(hedging);
+  LOG4CPLUS_INFO(Log(), "hedging settings changed, extra_work="
+                            << hedging.extra_work << " min_delay_ms=" << hedging.min_delay.count()
+                            << " max_delay_ms=" << hedging.max_delay.count() << " cause=" << cause);
+}
+
 // Detects a suspension of the host, which the monotonic clock does not count, so that the lease is
 // not used past its end.
 Task<void> Gateway::WatchSuspension() {
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -1,5 +1,6 @@
 #include "gateway_settings.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include "settings_reader.h"
@@ -13,6 +14,8 @@
 constexpr double kMaxQuotaTolerance = 1e15;
 constexpr double kMaxCores = 4096;
 constexpr double kMaxLinkMbps = 1e6;
+constexpr double kMaxMinDelayMillis = 10000;
+constexpr double kMaxMaxDelayMillis = 60000;
 constexpr double kMillisPerSecond = 1000;
 
 // Accepts fractions, since the platform may write a bound as one.
@@ -21,6 +24,13 @@
   return milliseconds(std::llround(section->Number(key, 0, kMaxMillis, number)));
 }
 
+// A delay within [low, high] milliseconds.
+milliseconds ReadDelay(IniSection* section, const std::string& key, double low, double high,
+                       milliseconds fallback) {
+  const auto number = static_cast<double>(fallback.count());
+  return milliseconds(std::llround(section->Number(key, low, high, number)));
+}
+
 // Rounds up to whole seconds.
 seconds ReadWindow(IniSection* section, const std::string& key, seconds fallback) {
   const auto number = static_cast<double>(fallback.count());
@@ -43,6 +53,16 @@
   bounds->ceiling_over = section->Number("ceiling_over", 1, 100, bounds->ceiling_over);
 }
 
+void ReadHedging(IniSection* section, HedgingSettings* hedging) {
+  hedging->extra_work =
+      section->Number("extra_work", 0, HedgingSettings::kMaxExtraWork, hedging->extra_work);
+  hedging->min_delay =
+      ReadDelay(section, "min_delay_ms", 1, kMaxMinDelayMillis, hedging->min_delay);
+  const auto least = static_cast<double>(hedging->min_delay.count());
+  const milliseconds fallback = std::max(hedging->max_delay, hedging->min_delay);
+  hedging->max_delay = ReadDelay(section, "max_delay_ms", least, kMaxMaxDelayMillis, fallback);
+}
+
 // Format: "DOMAIN:REGION, DOMAIN:REGION".
 std::map<std::string, std::string> ReadDomains(IniSection* section, const std::string& key) {
   std::map<std::string, std::string> regions;
@@ -100,6 +120,7 @@
           settings.link_mbps = section->Number("link_mbps", 0, kMaxLinkMbps, settings.link_mbps);
         }},
        {"bounds", [&](IniSection* section) { ReadBounds(section, &settings.bounds); }},
+       {"hedging", [&](IniSection* section) { ReadHedging(section, &settings.hedging); }},
        {"log", [&](IniSection* section) {
           settings.log = ReadLogSettings(section);
           settings.log.to_standard_output = true;
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "hedge_policy.h"
 #include "ini_file.h"
 #include "result.h"
 #include "settings.h"
@@ -54,6 +55,7 @@
   double cores = 0.25;
   double link_mbps = 1000;
   GatewayBounds bounds;
+  HedgingSettings hedging;
   LogSettings log;
 };
 
--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "hedge_budget.h"
 #include "name_table.h"
 #include "relay_handler.h"
 #include "relay_request.h"
@@ -33,6 +34,23 @@
 inline constexpr NameTable<RelayStep, 7> kRelayStepNames{
     {"choice", "model", "adapter", "permit", "endpoint", "events", "caller"}};
 
+// One attempt of a plain request. While hedging, a request has two.
+struct RelayHandler::PlainAttempt {
+  EndpointChoice choice;
+  bool is_hedge = false;
+  // Whether its response is passed on.
+  bool won = false;
+  MonotonicTime sent_at;
+  MonotonicTime deadline;
+  // As in Context.
+  MonotonicTime permit_until = MonotonicTime::max();
+  std::shared_ptr<HttpCanceller> canceller;
+  // What a hedge is charged.
+  HedgeBudget::Reservation reservation;
+  // Unset while the attempt is open.
+  std::optional<Result<HttpReply, HttpError>> reply;
+};
+
 // State of one relayed request. Internal to the relay's source files.
 struct RelayHandler::Context {
   HttpExchange* exchange = nullptr;
@@ -67,6 +85,9 @@
   std::optional<SuspectTrials::Trial> trial;
   // Cancels the current attempt.
   std::shared_ptr<HttpCanceller> canceller;
+  // Attempts of a plain request that have not been accounted for, in the order of sending. The
+  // members that describe the current attempt are those of the one that was sent or ended last.
+  std::vector<std::shared_ptr<PlainAttempt>> plain_attempts;
   // Watches the current attempt of a stream for stalls.
   std::unique_ptr<StallWatch> stall_watch;
   // Addresses that earlier attempts were sent to.
@@ -107,6 +128,8 @@
   int status = 0;
   std::string reason;
   std::string endpoint;
+  // The endpoints of the first attempt and of the hedge, if one was sent.
+  std::string hedged_endpoints;
   double expected_ms = 0;
   milliseconds waited{0};
   std::optional<MonotonicTime> first_byte;
@@ -120,6 +143,12 @@
     return avoided;
   }
 
+  // Cancels all open attempts.
+  void CancelAttempts() const {
+    if (canceller != nullptr) canceller->Cancel();
+    for (const auto& attempt : plain_attempts) attempt->canceller->Cancel();
+  }
+
   // Remaining attempts under the route's limit.
   std::uint32_t AttemptsLeft() const {
     const std::uint32_t counted = runs - std::min(runs, terminated_runs);
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -45,7 +45,7 @@
 
 void RelayHandler::FailUnanswered() {
   for (Context* context : active_) {
-    if (!context->stream_open && context->canceller != nullptr) context->canceller->Cancel();
+    if (!context->stream_open) context->CancelAttempts();
   }
   deps_.usage->endpoints_changed().NotifyAll();
 }
@@ -95,7 +95,7 @@
     const ContextPtr watched = weak.lock();
     if (watched == nullptr) return;
     watched->caller_gone = true;
-    if (watched->canceller != nullptr) watched->canceller->Cancel();
+    watched->CancelAttempts();
     deps_.usage->endpoints_changed().NotifyAll();
   });
   active_.insert(context.get());
@@ -352,6 +352,8 @@
 // Logs the decisions about a request, the figures behind them and the outcome in one line.
 void RelayHandler::LogEnd(const Context& context) const {
   const MonotonicTime now = MonotonicNow();
+  const std::string hedge =
+      context.hedged_endpoints.empty() ? "" : " hedge=" + context.hedged_endpoints;
   const auto first = context.first_byte ? ToMillis(*context.first_byte - context.arrival).count()
                                         : std::int64_t{-1};
   LOG4CPLUS_INFO(
@@ -364,7 +366,7 @@
                     << " quota_cost=" << std::lround(context.quota_cost)
                     << " config=" << (context.config == nullptr ? 0 : context.config->version)
                     << " model=" << context.params.model << "/" << context.params.adapter
-                    << " endpoint=" << context.endpoint << " tries=" << context.attempts
+                    << " endpoint=" << context.endpoint << hedge << " tries=" << context.attempts
                     << " runs=" << context.runs << " denied_permits=" << context.denied_permits
                     << " expected_ms=" << std::lround(context.expected_ms) << " first_ms=" << first
                     << " total_ms=" << ToMillis(now - context.arrival).count()
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -16,11 +16,14 @@
 #include "endpoint_selector.h"
 #include "event_stream.h"
 #include "fleet_directory.h"
+#include "hedge_budget.h"
+#include "hedge_policy.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "part_evidence.h"
 #include "quota_meter.h"
 #include "relay_metrics.h"
+#include "response_times.h"
 #include "retry_budget.h"
 #include "run_check.h"
 #include "suspect_trials.h"
@@ -71,6 +74,7 @@
   RelayHandler(Dependencies deps, std::uint64_t seed)
       : deps_(std::move(deps)),
         random_(seed),
+        hedge_budget_(seed),
         run_checker_(deps_.placement.fetch_report),
         trials_([this] { deps_.usage->endpoints_changed().NotifyAll(); }) {}
 
@@ -80,6 +84,13 @@
   // Sets the retry budget for each service.
   void SetRetryLimits(const RetryLimits& limits);
 
+  // Sets whether and how late plain requests get a second attempt. Applies to attempts that are
+  // sent from now on.
+  void SetHedging(const HedgingSettings& settings) { hedging_ = settings; }
+
+  // Drops response times that are too old to be used.
+  void PruneExpired(MonotonicTime now) { response_times_.PruneExpired(now); }
+
   // Prepares for shutdown: after `stop_deadline`, no attempt starts and no request waits. Requests
   // that arrive after `refuse_from` are refused because their responses might not be complete by
   // then.
@@ -103,6 +114,14 @@
   struct Context;
   using ContextPtr = std::shared_ptr<Context>;
   struct AdapterPlacement;
+  struct PlainAttempt;
+  using PlainAttemptPtr = std::shared_ptr<PlainAttempt>;
+  struct HedgeWatch;
+  // A second attempt that is about to be sent.
+  struct Hedge {
+    PlainAttemptPtr attempt;
+    HttpCall call;
+  };
 
   // kDone: the response has been sent. kRetry: another attempt may follow.
   enum class NextStep : std::uint8_t { kDone, kRetry };
@@ -117,6 +136,31 @@
                        const HttpHeaders& headers);
   Task<void> ServePlain(ContextPtr context);
   Task<NextStep> AttemptPlain(ContextPtr context, EndpointChoice choice);
+  HttpCall BeginPlain(Context* context, const PlainAttemptPtr& attempt);
+  Task<NextStep> FinishAttempt(ContextPtr context, PlainAttemptPtr attempt);
+  static void SelectAttempt(Context* context, const PlainAttempt& attempt);
+  ResponseKind ApplyReply(const Context& context, const PlainAttempt& attempt);
+  static AttemptOutcome OutcomeOf(const Context& context, const PlainAttempt& attempt,
+                                  ResponseKind kind);
+  void SettleAttempt(Context* context, const PlainAttemptPtr& attempt, AttemptOutcome outcome);
+  void AbandonAttempts(Context* context);
+  bool IsHedgeable(const Context& context) const;
+  double Utilization(const std::string& service, MonotonicTime now) const;
+  HedgeCandidate CandidateOf(const EndpointChoice& choice, MonotonicTime now) const;
+  HedgeQuestion MakeHedgeQuestion(const Context& context, const PlainAttempt& first,
+                                  MonotonicTime now);
+  std::optional<Hedge> MaybeHedge(Context* context, HedgeWatch* watch);
+  bool ChargeHedge(Context* context);
+  Hedge BeginHedge(Context* context, const PlainAttempt& first, EndpointChoice choice,
+                   double mean_ms);
+  Task<NextStep> AttemptHedged(ContextPtr context, PlainAttemptPtr first, HttpCall call);
+  void RecordHedgeEnd(const Context& context, const HedgeWatch& watch);
+  static PlainAttemptPtr EndedAttempt(const Context& context);
+  Task<void> RunAttempt(PlainAttemptPtr attempt, HttpCall call, std::shared_ptr<Notifier> ended);
+  void CancelOthers(Context* context);
+  void CancelAttempt(Context* context, const PlainAttemptPtr& attempt);
+  void RecordWork(const Context& context, const PlainAttempt& attempt, AttemptOutcome outcome,
+                  MonotonicTime now);
   Task<void> ServeStream(ContextPtr context);
   Task<NextStep> AttemptStream(ContextPtr context, EndpointChoice choice);
   Task<NextStep> RelayEvents(ContextPtr context, const EndpointChoice& choice,
@@ -173,8 +217,11 @@
 
   Dependencies deps_;
   std::mt19937_64 random_;
+  HedgeBudget hedge_budget_;
   RunChecker run_checker_;
   SuspectTrials trials_;
+  HedgingSettings hedging_;
+  ResponseTimes response_times_;
   RetryLimits retry_limits_;
   std::map<std::string, RetryBudget> budgets_;
   // Expires with this object, which coroutines of its requests may outlive.
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -31,6 +31,11 @@
   for (std::size_t i = 0; i < kRunStateCount; ++i) {
     run_checks_[i] = &run_checks.Add({{"state", std::string(kRunStateNames.names[i])}});
   }
+  auto& hedges_denied = registry_.CounterFamily(
+      "hedges_denied_total", "Late requests that got no second attempt, by the last reason.");
+  for (std::size_t i = 0; i < kHedgeReasonCount; ++i) {
+    hedges_denied_[i] = &hedges_denied.Add({{"reason", std::string(kHedgeReasonNames.names[i])}});
+  }
   requests_total = registry_.AddCounter("requests_total", "Requests that were read whole.");
   tries_total =
       registry_.AddCounter("tries_total", "Requests sent to endpoints, repeats included.");
@@ -54,6 +59,12 @@
       "permits_total", "Permits granted for requests to endpoints with a rate limit.");
   permits_denied_total = registry_.AddCounter(
       "permits_denied_total", "Permits denied for requests to endpoints with a rate limit.");
+  hedges_sent_total = registry_.AddCounter(
+      "hedges_sent_total", "Second attempts sent while the first of their request was open.");
+  hedges_won_total =
+      registry_.AddCounter("hedges_won_total", "Second attempts whose response was passed on.");
+  hedges_lost_total = registry_.AddCounter(
+      "hedges_lost_total", "Second attempts that ended without their response being passed on.");
   connections_opened_total =
       registry_.AddCounter("connections_opened_total", "Connections opened to endpoints.");
   store_calls_total =
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "fleet_config.h"
+#include "hedge_policy.h"
 #include "metrics_registry.h"
 #include "name_table.h"
 #include "run_check.h"
@@ -51,6 +52,10 @@
   }
   // Counts a question to an engine for the run of a stream that stalled or broke.
   void CountRunCheck(RunState state) { run_checks_[static_cast<std::size_t>(state)]->Increment(); }
+  // Counts a late request that got no second attempt, by the last reason.
+  void CountDeniedHedge(HedgeReason reason) {
+    hedges_denied_[static_cast<std::size_t>(reason)]->Increment();
+  }
   // Observes the time from the arrival of a request to the first byte of its response.
   void ObserveFirstByte(RouteKind kind, std::chrono::steady_clock::duration time);
 
@@ -66,6 +71,9 @@
   prometheus::Counter* adapter_waits_total;
   prometheus::Counter* permits_total;
   prometheus::Counter* permits_denied_total;
+  prometheus::Counter* hedges_sent_total;
+  prometheus::Counter* hedges_won_total;
+  prometheus::Counter* hedges_lost_total;
   prometheus::Counter* connections_opened_total;
   prometheus::Counter* store_calls_total;
   prometheus::Counter* store_errors_total;
@@ -86,6 +94,7 @@
   MetricsRegistry registry_;
   std::array<std::array<prometheus::Counter*, kKinds>, kRelayOutcomeCount> ends_;
   std::array<prometheus::Counter*, kRunStateCount> run_checks_;
+  std::array<prometheus::Counter*, kHedgeReasonCount> hedges_denied_;
   std::array<prometheus::Histogram*, kKinds> first_byte_;
 };
 
--- a/src/relay_plain.cpp
+++ b/src/relay_plain.cpp
@@ -10,6 +10,7 @@
 // An attempt of a retryable plain request gets half of the remaining time, so that there is time
 // for a retry.
 constexpr int kAttemptsPerDeadline = 2;
+constexpr EndpointWork kPlainWork{1, 0, 0};
 
 }  // namespace
 
@@ -60,61 +61,132 @@
 }
 
 Task<RelayHandler::NextStep> RelayHandler::AttemptPlain(ContextPtr context, EndpointChoice choice) {
+  const auto attempt = std::make_shared<PlainAttempt>();
+  attempt->choice = std::move(choice);
+  const ScopeExit end(alive_, [this, &context] { AbandonAttempts(context.get()); });
+  HttpCall call = BeginPlain(context.get(), attempt);
+  if (IsHedgeable(*context)) {
+    const NextStep next_step = co_await AttemptHedged(context, attempt, std::move(call));
+    co_return next_step;
+  }
+  auto reply = co_await deps_.client->Call(std::move(call));
+  attempt->reply = std::move(reply);
+  const NextStep next_step = co_await FinishAttempt(context, attempt);
+  co_return next_step;
+}
+
+// Records an attempt that is about to be sent, and returns the call that sends it.
+HttpCall RelayHandler::BeginPlain(Context* context, const PlainAttemptPtr& attempt) {
   const MonotonicTime now = MonotonicNow();
-  MonotonicTime deadline = context->deadline;
-  const bool may_retry = context->route->repeatable() && context->AttemptsLeft() > 1;
+  attempt->deadline = context->deadline;
+  const std::size_t others = context->plain_attempts.size();
+  const bool may_retry = context->route->repeatable() && context->AttemptsLeft() > others + 1;
   if (may_retry) {
-    deadline = now + (context->deadline - now) / kAttemptsPerDeadline;
+    attempt->deadline = now + (context->deadline - now) / kAttemptsPerDeadline;
   }
-  BeginAttempt(context.get(), choice);
-  const EndpointWork work{1, 0, 0};
-  AttemptOutcome outcome = AttemptOutcome::kFailed;
-  deps_.stats->Start(choice.endpoint.id, work);
-  ScopeExit end(alive_,
-                [&] { deps_.stats->End(choice.endpoint.id, work, outcome, MonotonicNow()); });
+  BeginAttempt(context, attempt->choice);
+  attempt->sent_at = context->sent_at;
+  attempt->permit_until = context->permit_until;
+  deps_.stats->Start(attempt->choice.endpoint.id, kPlainWork);
   context->step = RelayStep::kEndpoint;
-  auto reply = co_await deps_.client->Call(MakeCall(context.get(), choice, deadline));
+  HttpCall call = MakeCall(context, attempt->choice, attempt->deadline);
+  attempt->canceller = context->canceller;
+  context->plain_attempts.push_back(attempt);
+  return call;
+}
+
+// Makes the members of the context that describe the current attempt those of `attempt`.
+void RelayHandler::SelectAttempt(Context* context, const PlainAttempt& attempt) {
+  context->sent_at = attempt.sent_at;
+  context->permit_until = attempt.permit_until;
+  context->endpoint = attempt.choice.endpoint.id;
+  context->expected_ms = attempt.choice.expected_ms;
+}
+
+// Processes the part of a response that does not depend on whether it is passed on. Returns
+// kWrongRequest without a response. Precondition: the attempt is selected and has ended.
+ResponseKind RelayHandler::ApplyReply(const Context& context, const PlainAttempt& attempt) {
+  if (!*attempt.reply) return ResponseKind::kWrongRequest;
+  const HttpReply& reply = attempt.reply->value();
+  ApplyEndpointHeaders(attempt.choice, reply.status, reply.headers);
+  const ResponseKind kind =
+      platform::ClassifyResponse(reply.status, reply.headers, context.params.id);
+  if (kind != ResponseKind::kWrongRequest) {
+    RecordRateLimit(context, attempt.choice.endpoint, reply.headers);
+  }
+  return kind;
+}
+
+// What an attempt that has ended shows about its endpoint.
+AttemptOutcome RelayHandler::OutcomeOf(const Context& context, const PlainAttempt& attempt,
+                                       ResponseKind kind) {
+  if (context.caller_gone) return AttemptOutcome::kNeutral;
+  if (*attempt.reply) {
+    if (kind == ResponseKind::kWrongRequest) return AttemptOutcome::kFailed;
+    if (kind != ResponseKind::kRan) return AttemptOutcome::kNotRun;
+    const bool failed = attempt.reply->value().status >= 500;
+    return failed ? AttemptOutcome::kFailed : AttemptOutcome::kSucceeded;
+  }
+  if (attempt.reply->error() != HttpError::kNotSent) return AttemptOutcome::kFailed;
+  const bool permit_expired = MonotonicNow() >= attempt.permit_until;
+  return permit_expired ? AttemptOutcome::kNeutral : AttemptOutcome::kUnreachable;
+}
+
+// Accounts for an attempt that has ended or is no longer waited for.
+void RelayHandler::SettleAttempt(Context* context, const PlainAttemptPtr& attempt,
+                                 AttemptOutcome outcome) {
+  std::erase(context->plain_attempts, attempt);
+  const std::string& id = attempt->choice.endpoint.id;
+  const MonotonicTime now = MonotonicNow();
+  context->excluded.insert(id);
+  deps_.stats->End(id, kPlainWork, outcome, now);
+  RecordWork(*context, *attempt, outcome, now);
+}
+
+// Settles the attempts that an exception has left open.
+void RelayHandler::AbandonAttempts(Context* context) {
+  const std::vector<PlainAttemptPtr> open = context->plain_attempts;
+  for (const PlainAttemptPtr& attempt : open) {
+    attempt->canceller->Cancel();
+    SettleAttempt(context, attempt, AttemptOutcome::kFailed);
+  }
+}
+
+// Handles the end of an attempt. A response that is passed on ends the other one; an error response
+// is kept back while the other one is open.
+Task<RelayHandler::NextStep> RelayHandler::FinishAttempt(ContextPtr context,
+                                                         PlainAttemptPtr attempt) {
   context->step = RelayStep::kChoice;
   context->trial.reset();
-  context->excluded.insert(choice.endpoint.id);
-  ResponseKind kind = ResponseKind::kWrongRequest;
-  if (reply) {
-    ApplyEndpointHeaders(choice, reply.value().status, reply.value().headers);
-    kind =
-        platform::ClassifyResponse(reply.value().status, reply.value().headers, context->params.id);
-    if (kind != ResponseKind::kWrongRequest) {
-      RecordRateLimit(*context, choice.endpoint, reply.value().headers);
-    }
-    const bool ran = kind == ResponseKind::kRan;
-    const bool failed = kind == ResponseKind::kWrongRequest || (ran && reply.value().status >= 500);
-    outcome = failed ? AttemptOutcome::kFailed
-              : ran  ? AttemptOutcome::kSucceeded
-                     : AttemptOutcome::kNotRun;
-  } else {
-    const bool unreachable = reply.error() == HttpError::kNotSent;
-    outcome = unreachable ? AttemptOutcome::kUnreachable : AttemptOutcome::kFailed;
-    if (unreachable && MonotonicNow() >= context->permit_until) outcome = AttemptOutcome::kNeutral;
-  }
-  if (context->caller_gone) outcome = AttemptOutcome::kNeutral;
-  end.Run();
-  if (!reply) {
-    co_await HandleFailedAttempt(context, choice.endpoint, reply.error());
+  SelectAttempt(context.get(), *attempt);
+  const ResponseKind kind = ApplyReply(*context, *attempt);
+  SettleAttempt(context.get(), attempt, OutcomeOf(*context, *attempt, kind));
+  if (!*attempt->reply) {
+    co_await HandleFailedAttempt(context, attempt->choice.endpoint, attempt->reply->error());
     co_return NextStep::kRetry;
   }
+  HttpReply reply = std::move(*attempt->reply).value();
   if (kind == ResponseKind::kNotRun || kind == ResponseKind::kMisdirected) {
-    context->reason =
-        "endpoint did not run the request, status " + std::to_string(reply.value().status);
+    context->reason = "endpoint did not run the request, status " + std::to_string(reply.status);
     co_return NextStep::kRetry;
   }
   ++context->runs;
   if (kind == ResponseKind::kWrongRequest) {
     context->reason = "response does not belong to this request";
     // The response to this request may still follow on that connection.
-    deps_.client->CloseIdle(choice.endpoint.address);
+    deps_.client->CloseIdle(attempt->choice.endpoint.address);
     co_return NextStep::kRetry;
   }
   RecordServed(context.get());
-  co_return co_await RelayResponse(context, std::move(reply).value());
+  if (reply.status >= 500 && !context->plain_attempts.empty()) {
+    context->error_response = std::move(reply);
+    co_return NextStep::kRetry;
+  }
+  CancelOthers(context.get());
+  SelectAttempt(context.get(), *attempt);
+  if (attempt->is_hedge && reply.status < 500) attempt->won = true;
+  const NextStep next_step = co_await RelayResponse(context, std::move(reply));
+  co_return next_step;
 }
 
 }  // namespace mimosabend
