--- a/tests/test_gateway_settings.cpp
+++ b/tests/test_gateway_settings.cpp
@@ -53,4 +53,33 @@
   CHECK(settings.value().cores == 0.12);
 }
 
+// Guards against hedging without a setting, and against invalid values that are taken or reported
+// without their place and range.
+TEST_CASE("settings of hedging are off by default and checked", "[settings]") {
+  const auto parse = [](const std::string& hedging) {
+    return ParseGatewaySettings("test.ini", Settings("[hedging]\n" + hedging), {});
+  };
+  CHECK_FALSE(parse("").value().hedging.enabled());
+  const auto set = parse("extra_work = 0.05\nmin_delay_ms = 2000\n");
+  REQUIRE(set);
+  CHECK(set.value().hedging == HedgingSettings{0.05, milliseconds(2000), milliseconds(2000)});
+  const auto reject = [&](const std::string& line, const std::string& key,
+                          const std::string& range) {
+    const auto rejected = parse(line);
+    CAPTURE(line);
+    REQUIRE_FALSE(rejected);
+    const std::string text = rejected.error().front().Format();
+    CAPTURE(text);
+    CHECK(text.find("test.ini:15: [hedging] " + key) != std::string::npos);
+    CHECK(text.find(range) != std::string::npos);
+  };
+  for (const char* value : {"-0.1", "0.21", "nan", "inf", "much", "0.1x"}) {
+    reject("extra_work = " + std::string(value) + "\n", "extra_work", "0.000000 to 0.200000");
+  }
+  reject("min_delay_ms = 0\n", "min_delay_ms", "1.000000 to 10000.000000");
+  reject("max_delay_ms = 19\n", "max_delay_ms", "20.000000 to 60000.000000");
+  reject("max_delay_ms = 60001\n", "max_delay_ms", "20.000000 to 60000.000000");
+  reject("extra = 1\n", "extra", "");
+}
+
 }  // namespace mimosabend::testing
