--- a/src/hedge_budget.h
+++ b/src/hedge_budget.h
@@ -18,7 +18,7 @@
   static constexpr seconds kWindow{10};
   // Part of the share that is used. The draws of many daemons vary: 340 daemons with 0.3 second
   // attempts each draw more than 1.3 times their sum in one window of a thousand.
-  static constexpr double kUsedShare = 0.7;
+  static constexpr double kUsedShare = 0.85;
 
   // A second attempt whose work is charged but not known yet.
   struct Reservation {
--- a/src/hedge_policy.cpp
+++ b/src/hedge_policy.cpp
@@ -10,12 +10,20 @@
 
 // With fewer samples, a tail is not known well enough to call a request late.
 constexpr std::size_t kMinSamples = 20;
+// First attempts that count as late, relative to the share of extra work. A second attempt takes
+// longer than the mean request, and part of the budget is kept as a margin. With a lower quantile,
+// attempts that are a little late use up the budget for those that are very late.
+constexpr double kLatePerExtraWork = 0.5;
+// The retry budget allows about 7 hedges for 100 requests.
+constexpr double kMinQuantile = 0.95;
+constexpr double kMaxQuantile = 0.995;
 // The service is slow if its recent median exceeds the usual one by this factor. A sixth of the
 // endpoints that is 2.5 times slower moves the median by less than a fifth.
 constexpr double kSlowFactor = 1.5;
-// The service is slow if more of its first attempts are late. A sixth of the endpoints that is slow
-// makes about a fifth of them late.
-constexpr double kMaxLateShare = 0.4;
+// The service is slow if more of its recent first attempts are late. By the quantile it is a
+// twentieth at most over half a minute. Shows that all endpoints have become slow before the median
+// does, since requests count that are still open.
+constexpr double kMaxLateShare = 0.25;
 // Above this utilization, a second attempt delays other requests.
 constexpr double kMaxUtilization = 0.7;
 // A request that got no second attempt is considered again when it has been open for this much
@@ -58,10 +66,12 @@
 
 }  // namespace
 
-milliseconds HedgeDelay(const HedgingSettings& settings, const ServiceTimes& service,
-                        std::optional<double> endpoint_tail) {
-  const double tail = std::min(service.tail, endpoint_tail.value_or(service.tail));
-  const auto delay = milliseconds(std::llround(std::ceil(tail)));
+double HedgeQuantile(const HedgingSettings& settings) {
+  return std::clamp(1 - settings.extra_work * kLatePerExtraWork, kMinQuantile, kMaxQuantile);
+}
+
+milliseconds HedgeDelay(const HedgingSettings& settings, const ServiceTimes& service) {
+  const auto delay = milliseconds(std::llround(std::ceil(service.tail)));
   return std::clamp(delay, settings.min_delay, settings.max_delay);
 }
 
@@ -76,7 +86,7 @@
   HedgeDecision decision;
   decision.reason = HedgeReason::kNoSamples;
   if (question.service.samples < kMinSamples) return decision;
-  const milliseconds delay = HedgeDelay(settings, question.service, question.endpoint_tail);
+  const milliseconds delay = HedgeDelay(settings, question.service);
   const MonotonicTime late_at = question.sent_at + delay;
   decision.reason = HedgeReason::kDeadline;
   if (late_at >= question.deadline) return decision;
--- a/src/hedge_policy.h
+++ b/src/hedge_policy.h
@@ -32,7 +32,7 @@
   double mean = 0;
   double median = 0;
   double usual_median = 0;
-  // Quantile kHedgeQuantile of the response times, in milliseconds.
+  // Quantile HedgeQuantile of the response times, in milliseconds.
   double tail = 0;
   // Share of the recent first attempts that were still open when a second could have been sent.
   double late_share = 0;
@@ -63,8 +63,6 @@
   bool draining = false;
   // The service.
   ServiceTimes service;
-  // Tail of the response times at the endpoint of the first attempt, in milliseconds.
-  std::optional<double> endpoint_tail;
   // Requests in flight at the endpoints of the service relative to what these run at a time.
   double utilization = 0;
   // Set if an endpoint other than that of the first attempt can be chosen.
@@ -110,13 +108,14 @@
   bool late = false;
 };
 
-// The quantile of recent response times from which on a first attempt counts as late.
-inline constexpr double kHedgeQuantile = 0.95;
+// The quantile of recent response times from which on a first attempt counts as late, so that the
+// extra work allows about as many second attempts as there are late first ones. Thread-safe.
+double HedgeQuantile(const HedgingSettings& settings);
 
-// Time from the first attempt after which it is late: the lower tail of its endpoint and of the
-// service, within the bounds of the settings. Thread-safe.
-milliseconds HedgeDelay(const HedgingSettings& settings, const ServiceTimes& service,
-                        std::optional<double> endpoint_tail);
+// Time from the first attempt after which it is late: the tail of the service within the bounds of
+// the settings. The tail of a fast endpoint would make more requests late than the budget allows to
+// hedge. Thread-safe.
+milliseconds HedgeDelay(const HedgingSettings& settings, const ServiceTimes& service);
 
 // Whether the endpoints of a service are slow or busy altogether, so that a second attempt would
 // only add load. Thread-safe.
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -86,7 +86,10 @@
 
   // Sets whether and how late plain requests get a second attempt. Applies to attempts that are
   // sent from now on.
-  void SetHedging(const HedgingSettings& settings) { hedging_ = settings; }
+  void SetHedging(const HedgingSettings& settings) {
+    hedging_ = settings;
+    response_times_.set_tail_quantile(HedgeQuantile(settings));
+  }
 
   // Drops response times that are too old to be used.
   void PruneExpired(MonotonicTime now) { response_times_.PruneExpired(now); }
--- a/src/relay_hedge.cpp
+++ b/src/relay_hedge.cpp
@@ -79,7 +79,6 @@
       std::min(limit - std::min(limit, context.attempts), left - std::min(left, open));
   question.draining = IsShuttingDown();
   question.service = response_times_.Service(context.service_name, now);
-  question.endpoint_tail = response_times_.EndpointTail(first.choice.endpoint.id, now);
   question.utilization = Utilization(context.service_name, now);
   question.retry_budget_left = RetryBudgetFor(context.service_name).HasHalf(now);
   const double mean = question.service.mean / kMillisPerSecond;
--- a/src/response_times.cpp
+++ b/src/response_times.cpp
@@ -81,7 +81,7 @@
   share += kLateSmoothing * ((late ? 1.0 : 0.0) - share);
 }
 
-void ResponseTimes::Summarize(ServiceRecord* record, MonotonicTime now) {
+void ResponseTimes::Summarize(ServiceRecord* record, MonotonicTime now) const {
   std::vector<double> values = record->samples.Values(now);
   ServiceTimes times;
   times.samples = values.size();
@@ -89,7 +89,7 @@
     times.mean =
         std::accumulate(values.begin(), values.end(), 0.0) / static_cast<double>(values.size());
     times.median = Quantile(&values, 0.5);
-    times.tail = Quantile(&values, kHedgeQuantile);
+    times.tail = Quantile(&values, tail_quantile_);
   }
   if (values.size() >= kMinUsualSamples) {
     const double elapsed = record->summary ? ToSeconds(now - record->summary_at) : 0;
@@ -112,23 +112,13 @@
   return times;
 }
 
-std::optional<double> ResponseTimes::EndpointQuantile(const std::string& endpoint, double quantile,
-                                                      MonotonicTime now) const {
+std::optional<double> ResponseTimes::EndpointMedian(const std::string& endpoint,
+                                                    MonotonicTime now) const {
   const auto it = endpoints_.find(endpoint);
   if (it == endpoints_.end()) return std::nullopt;
   std::vector<double> values = it->second.Values(now);
   if (values.size() < kMinEndpointSamples) return std::nullopt;
-  return Quantile(&values, quantile);
-}
-
-std::optional<double> ResponseTimes::EndpointTail(const std::string& endpoint,
-                                                  MonotonicTime now) const {
-  return EndpointQuantile(endpoint, kHedgeQuantile, now);
-}
-
-std::optional<double> ResponseTimes::EndpointMedian(const std::string& endpoint,
-                                                    MonotonicTime now) const {
-  return EndpointQuantile(endpoint, 0.5, now);
+  return Quantile(&values, 0.5);
 }
 
 void ResponseTimes::PruneExpired(MonotonicTime now) {
--- a/src/response_times.h
+++ b/src/response_times.h
@@ -49,6 +49,9 @@
   static constexpr std::size_t kMaxEndpoints = 1024;
   static constexpr std::size_t kMaxServices = 64;
 
+  // Sets the quantile of the times that is the tail. Precondition: 0 < quantile < 1.
+  void set_tail_quantile(double quantile) { tail_quantile_ = quantile; }
+
   // Records the time that an attempt took, or a lower bound if it was cancelled.
   void Record(const std::string& service, const std::string& endpoint, double millis,
               MonotonicTime now);
@@ -60,9 +63,6 @@
   // What is known of a service, all zero if nothing is.
   ServiceTimes Service(const std::string& service, MonotonicTime now);
 
-  // Quantile kHedgeQuantile of the times at an endpoint; std::nullopt with less than
-  // kMinEndpointSamples samples.
-  std::optional<double> EndpointTail(const std::string& endpoint, MonotonicTime now) const;
   // Median of the times at an endpoint; std::nullopt with less than kMinEndpointSamples samples.
   std::optional<double> EndpointMedian(const std::string& endpoint, MonotonicTime now) const;
 
@@ -86,10 +86,9 @@
     MonotonicTime last_at;
   };
 
-  std::optional<double> EndpointQuantile(const std::string& endpoint, double quantile,
-                                         MonotonicTime now) const;
-  static void Summarize(ServiceRecord* record, MonotonicTime now);
+  void Summarize(ServiceRecord* record, MonotonicTime now) const;
 
+  double tail_quantile_ = 0.95;
   std::map<std::string, ServiceRecord> services_;
   std::map<std::string, RecentSamples> endpoints_;
 };
