--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "hedge_policy.h"
 #include "ini_file.h"
 #include "quota_order.h"
 #include "result.h"
@@ -57,6 +58,7 @@
   GatewayBounds bounds;
   // How a customer's quota is divided among its requests while they exceed it.
   QuotaOrder quota_order = QuotaOrder::kEqual;
+  HedgingSettings hedging;
   LogSettings log;
 };
 
