Make the state of a relayed request a type of its own

Cause: relay_context.h included relay_handler.h, which is its user, since the state was declared as a member of RelayHandler.

Change: RelayContext is a struct of its own, which relay_handler.h declares. relay_context.h includes what it uses. Behaviour is unchanged; test_relay and test_relay_customers pass.

--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -10,10 +10,14 @@
 #include <vector>
 
 #include "event_pauses.h"
+#include "fleet_config.h"
+#include "http_client.h"
+#include "http_server.h"
 #include "name_table.h"
-#include "relay_handler.h"
+#include "relay_metrics.h"
 #include "relay_request.h"
 #include "stall_watch.h"
+#include "suspect_trials.h"
 
 namespace mimosabend {
 
@@ -34,8 +38,8 @@
 inline constexpr NameTable<RelayStep, 7> kRelayStepNames{
     {"choice", "model", "adapter", "permit", "endpoint", "events", "caller"}};
 
-// State of one relayed request. Internal to the relay's source files.
-struct RelayHandler::Context {
+// State of one relayed request. Internal to RelayHandler's source files. Not thread-safe.
+struct RelayContext {
   HttpExchange* exchange = nullptr;
   RelayRequest params;
   // See RequestFingerprint.
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -28,6 +28,8 @@
 
 namespace mimosabend {
 
+struct RelayContext;
+
 // Access of the relay to the placement of models and adapters, to the fleet's shared limits and to
 // the reports of engines.
 struct PlacementHooks {
@@ -100,8 +102,8 @@
   std::size_t in_flight() const { return in_flight_; }
 
  private:
-  struct Context;
-  using ContextPtr = std::shared_ptr<Context>;
+  using Context = RelayContext;
+  using ContextPtr = std::shared_ptr<RelayContext>;
   struct AdapterPlacement;
 
   // kDone: the response has been sent. kRetry: another attempt may follow.
