--- a/src/bench.cpp
+++ b/src/bench.cpp
@@ -10,12 +10,14 @@
 #include <sstream>
 
 #include "digest.h"
+#include "endpoint_selector.h"
 #include "idle_policy.h"
 #include "membership.h"
 #include "peer_message.h"
 #include "placement.h"
 #include "request_record.h"
 #include "router.h"
+#include "wait_policy.h"
 
 namespace mimosabend {
 
@@ -40,6 +42,11 @@
 constexpr int kChoices = 4000;
 constexpr int kEnvelopes = 1000;
 constexpr int kReservations = 1500;
+// The design scale.
+constexpr int kWaitEndpoints = 1000;
+constexpr int kWaitModels = 200;
+constexpr int kWaitingRequests = 500;
+constexpr int kWaitSteps = 4;
 constexpr int kSizeSampleItems = 1000;
 // Any fixed start but zero, which would hide errors with unset times.
 constexpr std::int64_t kStartMs = 1700000000000;
@@ -310,14 +317,96 @@
   return kReservations;
 }
 
+FleetDirectory MakeFleet(RandomNumbers* numbers) {
+  FleetDirectory directory;
+  for (int i = 0; i < kWaitEndpoints; ++i) {
+    FleetEndpoint endpoint;
+    endpoint.id = "engine-" + std::to_string(i);
+    endpoint.service = "models";
+    endpoint.slots = 8;
+    // No engine holds the models of the upper half.
+    for (int held = 0; held < 3; ++held) {
+      const auto model = static_cast<int>(numbers->Below(kWaitModels / 2));
+      endpoint.holdings.models.push_back({ModelName(model), {}});
+    }
+    directory.Put(endpoint);
+  }
+  return directory;
+}
+
+WaitingRequest MakeWaitingRequest(std::size_t model, RandomNumbers* numbers) {
+  const auto random = [numbers](std::uint64_t bound) {
+    return milliseconds(static_cast<std::int64_t>(numbers->Below(bound)));
+  };
+  WaitingRequest request;
+  request.model = model;
+  request.priority = static_cast<std::uint32_t>(numbers->Below(4));
+  request.arrival = TimeAt(0).monotonic - random(2000);
+  request.waiting_since = request.arrival;
+  request.first_event_by = request.arrival + milliseconds(3880);
+  request.deadline = request.arrival + milliseconds(4000) + random(8000);
+  request.target = milliseconds(950);
+  request.has_run = numbers->Chance(5);
+  request.first_event_time = random(3000);
+  request.stream_time = random(4000);
+  request.work = random(300);
+  return request;
+}
+
+// What RelayHandler knows of a model that requests wait for.
+ModelOutlook MakeOutlook(const EndpointSelector& selector, int model, RandomNumbers* numbers) {
+  const MonotonicTime now = TimeAt(0).monotonic;
+  ModelOutlook outlook;
+  outlook.has_engine = selector.HasEngine("models", ModelName(model), {}, now);
+  outlook.backoff_until = selector.BackoffUntil("models", ModelName(model), now);
+  if (numbers->Chance(20)) {
+    outlook.load_end = now + milliseconds(static_cast<std::int64_t>(numbers->Below(6000)));
+  }
+  QueuedLoads loads{{3, 12, 9}, milliseconds(900), milliseconds(300)};
+  outlook.queued_load_end = QueuedLoadEnd(loads, 1, now);
+  outlook.has_leader = numbers->Chance(90);
+  return outlook;
+}
+
+// Requests that wait at one daemon, without and with forecasts, at the design scale.
+std::uint64_t RunWaits(Signature* signature) {
+  RandomNumbers numbers(kSeed);
+  const FleetDirectory directory = MakeFleet(&numbers);
+  const EndpointStats stats;
+  const PrefixIndex prefixes;
+  const EndpointSelector selector({"north", {}}, &directory, &stats, &prefixes, kSeed);
+  for (int step = 0; step < kWaitSteps; ++step) {
+    std::vector<ModelOutlook> outlooks;
+    for (int model = 0; model < kWaitModels; ++model) {
+      outlooks.push_back(MakeOutlook(selector, model, &numbers));
+    }
+    std::vector<WaitingRequest> requests;
+    for (int i = 0; i < kWaitingRequests; ++i) {
+      requests.push_back(MakeWaitingRequest(numbers.Below(kWaitModels), &numbers));
+    }
+    const WaitRules rules{step % 2 == 1};
+    for (const WaitDecision& decision :
+         DecideWaits(requests, outlooks, rules, TimeAt(0).monotonic)) {
+      signature->Add(static_cast<std::int64_t>(decision.reason));
+      signature->Add(static_cast<std::int64_t>(decision.order));
+    }
+  }
+  return kWaitSteps * kWaitingRequests;
+}
+
 struct Benchmark {
   const char* name;
   std::uint64_t (*run)(Signature*);
 };
 
 constexpr Benchmark kBenchmarks[] = {
-    {"placement", RunPlacement},     {"router", RunRouter},      {"preferred_owner", RunMembership},
-    {"idle_timeout", RunIdlePolicy}, {"envelope", RunEnvelopes}, {"reservation", RunReservations},
+    {"placement", RunPlacement},
+    {"router", RunRouter},
+    {"preferred_owner", RunMembership},
+    {"idle_timeout", RunIdlePolicy},
+    {"envelope", RunEnvelopes},
+    {"reservation", RunReservations},
+    {"wait", RunWaits},
 };
 
 // Heap bytes per item of the container that `make` builds.
--- a/src/bench.h
+++ b/src/bench.h
@@ -6,7 +6,8 @@
 #include <vector>
 
 // Benchmark of the functions that decide on placement, routing, membership, idle replicas, peer
-// messages and reservations. Its signature shows whether a change alters any decision.
+// messages, reservations and waiting requests. Its signature shows whether a change alters any
+// decision.
 
 namespace mimosabend {
 
