Tell daemons how many loads from the weight store are queued

Cause: a daemon knows when a load ends that the leader has ordered, but not when one would end that is still in the leader's queue.

Change: answers to reports have, for each service with a queue, the number of models by priority that wait for a load from the weight store, the time of a load and the time between the starts of two. Relays pass it on. An answer grows by 4 bytes, and by about 40 for each service with a queue. Daemons of versions with and without the field reject each other's answers as malformed, as before.

New case in test_placement_leader. test_placement_leader, test_leader_link, test_decoders and test_wait_policy pass.

--- a/src/fleet_usage.h
+++ b/src/fleet_usage.h
@@ -185,6 +185,24 @@
   }
 };
 
+// Models of a service that wait for a load from the weight store which the leader has not ordered
+// yet.
+struct LoadBacklog {
+  std::string service;
+  // Their number by priority, 0 first; the last entry includes all less urgent ones.
+  std::vector<std::uint32_t> queued;
+  // How long one load takes, and the expected time between the starts of two.
+  std::uint32_t load_ms = 0;
+  std::uint32_t interval_ms = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SerializeName(archive, service);
+    SerializeNumbers(archive, queued);
+    archive(load_ms, interval_ms);
+  }
+};
+
 // An engine to which the leader recently sent an order.
 struct RecentOrder {
   std::uint32_t number = 0;
@@ -242,6 +260,8 @@
   bool resigning = false;
   std::string holder;
   std::vector<RecentOrder> recent_orders;
+  // Has no entry for a service without queued loads.
+  std::vector<LoadBacklog> backlogs;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -261,6 +281,7 @@
     SerializeList(archive, quota);
     SerializeFlag(archive, quota_known);
     plan.serialize(archive);
+    SerializeList(archive, backlogs);
   }
 };
 
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -1,6 +1,7 @@
 #ifndef MIMOSABEND_LEADER_LINK_H_
 #define MIMOSABEND_LEADER_LINK_H_
 
+#include <algorithm>
 #include <boost/asio/any_io_executor.hpp>
 #include <functional>
 #include <map>
@@ -28,6 +29,7 @@
 #include "uplink.h"
 #include "usage_collector.h"
 #include "view_age.h"
+#include "wait_policy.h"
 
 namespace mimosabend {
 
@@ -177,6 +179,17 @@
     return it == loads_.end() ? std::nullopt : std::optional(it->second);
   }
 
+  // When a load of a model should end that the leader has not ordered yet, for a request of this
+  // priority; std::nullopt if the leader has told of no queue recently.
+  std::optional<MonotonicTime> QueuedEnd(const std::string& service, std::uint32_t priority,
+                                         MonotonicTime now) const {
+    const auto it = std::find_if(backlogs_.begin(), backlogs_.end(),
+                                 [&](const auto& backlog) { return backlog.service == service; });
+    if (it == backlogs_.end()) return std::nullopt;
+    const QueuedLoads loads{it->queued, milliseconds(it->load_ms), milliseconds(it->interval_ms)};
+    return QueuedLoadEnd(loads, priority, parts_.state->leader_heard(), now);
+  }
+
   // Whether this daemon has heard of the leader recently.
   bool has_leader(MonotonicTime now) const {
     return now < parts_.state->leader_heard() + AnswerLifetime();
@@ -415,6 +428,7 @@
     MarkLeaving(answer.leaving);
     aggregator_.SetExternalLoads(answer.others);
     UpdateRemoteWork(answer, now);
+    backlogs_ = answer.backlogs;
     loads_.clear();
     for (const PendingLoad& load : answer.loads) {
       const MonotonicTime end = now + milliseconds(load.ready_in_ms);
@@ -473,6 +487,7 @@
     std::erase_if(answer.others, [&](const EndpointLoad& load) {
       return IsNegligibleLoad(state.directory(), load);
     });
+    answer.backlogs = backlogs_;
     for (const auto& [model, end] : loads_) {
       const auto left = ToMillis(end - now).count();
       answer.loads.push_back({model, static_cast<std::uint32_t>(std::max<std::int64_t>(0, left))});
@@ -501,6 +516,8 @@
   std::uint32_t daemons_ = 1;
   milliseconds report_period_ = kDefaultPeriod;
   std::map<std::string, MonotonicTime> loads_;
+  // As of the time at which the leader was last heard of.
+  std::vector<LoadBacklog> backlogs_;
   // Version of the holdings that have been applied to this daemon's directory.
   std::uint64_t applied_holdings_ = 0;
   MonotonicTime last_search_at_;
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,7 @@
 #include "fleet_usage.h"
 #include "leader_record.h"
 #include "lease_keeper.h"
+#include "load_backlog.h"
 #include "load_limiter.h"
 #include "load_totals.h"
 #include "log.h"
@@ -192,6 +194,7 @@
       return IsNegligibleLoad(state_->directory(), load);
     });
     answer.loads = table_.PendingLoads(now);
+    answer.backlogs = backlogs_;
     if (resigning_) {
       answer.resigning = true;
       answer.holder = settings_.host;
@@ -298,6 +301,7 @@
     plan_relays_from_ = now + kFirstPlanDelay;
     state_->UpdateLeader({fence, settings_.peer_address, 0}, now);
     unreachable_.clear();
+    backlogs_.clear();
     no_previous_holder_ = !last_holder.exists();
     LOG4CPLUS_INFO(
         Log(), "leads placement fence=" << fence << " last_holder=\"" << last_holder.value << "\"");
@@ -358,8 +362,12 @@
   void PlanAll(MonotonicTime now) {
     const auto config = directory_->config();
     if (config == nullptr) return;
+    backlogs_.clear();
     for (const auto& [name, service] : config->services) {
-      if (service.engine) PlanService(name, ProfileOf(name), now);
+      if (!service.engine) continue;
+      PlanService(name, ProfileOf(name), now);
+      auto backlog = BacklogOf(name, *service.engine, now);
+      if (backlog) backlogs_.push_back(std::move(*backlog));
     }
   }
 
@@ -439,6 +447,29 @@
     }
   }
 
+  // The models for which requests wait and that no engine holds, loads or can load without the
+  // weight store; std::nullopt if there are none.
+  std::optional<LoadBacklog> BacklogOf(const std::string& service, const EngineProfile& profile,
+                                       MonotonicTime now) {
+    std::set<std::string> available;
+    for (const auto& [id, engine] : table_.engines()) {
+      if (engine.service != service) continue;
+      for (const HeldModel& held : engine.holdings.models) available.insert(held.name);
+      available.insert(engine.holdings.in_memory.begin(), engine.holdings.in_memory.end());
+      available.insert(engine.holdings.on_disk.begin(), engine.holdings.on_disk.end());
+      available.insert(engine.loading);
+    }
+    std::vector<QueuedModel> models;
+    for (const auto& [name, demand] : demand_[service]) {
+      const auto model = profile.models.find(name);
+      const bool waits = demand.Waiting(now) > 0 && !available.contains(name);
+      if (!waits || model == profile.models.end()) continue;
+      models.push_back({demand.waiting_priority(), model->second.load_from_store});
+    }
+    const LoadLimiter& limiter = *LimiterOf(service, profile.loads_per_second, now);
+    return MakeLoadBacklog(service, models, profile.loads_per_second, limiter.limit());
+  }
+
   // Starts adapter loads into free slots, and marks these engines as blocked for model loads.
   void PreloadAdapters(const EngineProfilePtr& profile, const DemandRates& demand,
                        std::vector<PlannerEngine>* engines, MonotonicTime now) {
@@ -480,6 +511,8 @@
   std::map<std::string, LoadLimiter> load_limiters_;
   // By service and model.
   std::map<std::string, DemandRates> demand_;
+  // As of the last planning round.
+  std::vector<LoadBacklog> backlogs_;
 };
 
 }  // namespace mimosabend
--- a/src/wait_policy.cpp
+++ b/src/wait_policy.cpp
@@ -26,6 +26,10 @@
 // requests return later than the next leader began to order loads.
 constexpr milliseconds kQueueLifetime{500};
 
+// Bound the figures of a queue, so that times computed from them don't overflow.
+constexpr std::int64_t kMaxQueuedLoads = 10000;
+constexpr milliseconds kMaxLoadTime{600000};
+
 MonotonicTime WaitLimit(const WaitingRequest& request) {
   return std::min(request.deadline, request.first_event_by);
 }
@@ -162,7 +166,9 @@
     const bool same = i == priority || i + 1 == loads.queued.size();
     quarters_ahead += static_cast<std::int64_t>(loads.queued[i]) * (same ? 1 : 2);
   }
-  return known_at + loads.interval * quarters_ahead / 4 + loads.load_time;
+  quarters_ahead = std::min(quarters_ahead, 4 * kMaxQueuedLoads);
+  return known_at + std::min(loads.interval, kMaxLoadTime) * quarters_ahead / 4 +
+         std::min(loads.load_time, kMaxLoadTime);
 }
 
 bool MayRefuseEarly(const WaitingRequest& request, MonotonicTime now) {
--- a/tests/test_decoders.cpp
+++ b/tests/test_decoders.cpp
@@ -158,7 +158,8 @@
   UsageAnswer answer;
   answer.accepted = true;
   answer.leader = {9, {"10.0.0.1", 7380}, 40};
-  answer.view.directory = {90, true, {{"e1", 80, false, "models", {"10.0.0.9", 80}, "north-a"}}};
+  answer.view.directory = {
+      90, true, {{"e1", 80, false, "models", {"10.0.0.9", 80}, "north-a"}}, {}};
   answer.plan = {4, true, {{"north-a", {{"10.0.0.1", 7380}, {"10.0.0.2", 7380}}}}};
   answer.holdings.push_back({3, 5, {{"m", {"a", "b"}}}});
   answer.loads.push_back({"m", 4000});
@@ -166,6 +167,7 @@
   answer.evidence = Evidence();
   answer.quota = {{1, 2}};
   answer.limits = {{3, 0.5, 1200}};
+  answer.backlogs = {{"models", {1, 0, 12}, 900, 300}};
   return answer;
 }
 
--- a/tests/test_placement_leader.cpp
+++ b/tests/test_placement_leader.cpp
@@ -325,6 +325,56 @@
   }
 }
 
+// Guards against daemons that can't predict a load that has not been ordered, since the leader
+// tells them nothing or counts loads that are in progress or don't need the weight store.
+TEST_CASE("daemons learn how many loads from the weight store are queued", "[leader]") {
+  CHECK_FALSE(MakeLoadBacklog("models", {}, 4, 1));
+  const std::vector<QueuedModel> queue{
+      {0, milliseconds(600)}, {9, milliseconds(900)}, {2, milliseconds(900)}};
+  const auto by_rate = MakeLoadBacklog("models", queue, 2, 4);
+  CHECK(by_rate->queued == std::vector<std::uint32_t>{1, 0, 1, 1});
+  CHECK(by_rate->load_ms == 800);
+  CHECK(by_rate->interval_ms == 500);
+  CHECK(MakeLoadBacklog("models", queue, 100, 2)->interval_ms == 400);
+  CHECK(MakeLoadBacklog("models", queue, 0, 2)->interval_ms == 400);
+
+  Fleet fleet;
+  FleetConfig config = Config();
+  config.version = 2;
+  config.services["models"].engine->loads_per_second = 1;
+  for (int i = 6; i < 12; ++i) {
+    config.services["models"].engine->models["m" + std::to_string(i)] = {
+        kWeightsMb, 5, {}, milliseconds(5000), milliseconds(20), milliseconds(10)};
+  }
+  Daemon a(&fleet.io, &fleet.store, &fleet.engines, "a");
+  a.directory.Adopt(config);
+  fleet.Run(milliseconds(50));
+  REQUIRE(fleet.Lead(&a));
+  fleet.Run(milliseconds(50));
+  const auto wait = [&] {
+    for (int i = 4; i < 12; ++i) Fleet::ReportWaiting(&a, "m" + std::to_string(i));
+  };
+  wait();
+  fleet.Run(milliseconds(300));
+  wait();
+  fleet.Run(milliseconds(200));
+  const UsageAnswer answer = a.leader.HandleReport("other", UsageReport(), MonotonicNow());
+  REQUIRE(answer.backlogs.size() == 1);
+  const LoadBacklog& backlog = answer.backlogs.front();
+  CHECK(backlog.service == "models");
+  std::size_t in_progress = 0;
+  for (const PendingLoad& load : answer.loads) {
+    // m4 is on disk.
+    if (load.model != "m4") ++in_progress;
+  }
+  CHECK(in_progress > 0);
+  CHECK(backlog.queued[0] + in_progress == 7);
+  CHECK(backlog.interval_ms >= 1000);
+  // Nothing waits any more.
+  fleet.Run(milliseconds(2000));
+  CHECK(a.leader.HandleReport("other", UsageReport(), MonotonicNow()).backlogs.empty());
+}
+
 // Guards against an engine that exceeds its memory because it executes an order late. Each order
 // has the number of orders that the engine must have accepted before.
 TEST_CASE("an order executed late does not overcommit an engine", "[leader]") {
