Decide on waiting requests by the policy, with forecasts as a setting

Cause: a request for a rare model waits until its caller's time is over even if the load can't end by then, and a request is sent to engines whose queue takes longer than its caller waits.

Change: relay_wait.cpp decides by wait_policy in place of RelayHandler::RefusalReason. The setting [admission] forecast = off | on turns forecasts on, also while the process runs. A request that has run, one for an engine without work, and one whose weights an engine has in its memory or on its disk are not refused by forecasts.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -131,6 +131,7 @@
   Task<void> RunHousekeeping();
   void ApplyRetryLimits();
   Task<void> UpdateMetrics();
+  void SetForecast(ForecastSetting forecast);
   void ReloadSettings(const char* cause);
   Task<void> WaitForTermination();
   Task<void> WaitForReload();
@@ -269,6 +270,9 @@
   hooks.load_end = [this](const std::string& model) -> std::optional<MonotonicTime> {
     return link_.LoadEnd(model);
   };
+  hooks.queued_load_end = [this](const std::string& service, std::uint32_t priority) {
+    return link_.QueuedEnd(service, priority, MonotonicNow());
+  };
   hooks.has_leader = [this](MonotonicTime now) { return link_.has_leader(now); };
   hooks.config_may_be_stale = [this](MonotonicTime now) {
     return now - state_.confirmed() >= settings_.bounds.config_apply - kStaleConfigMargin;
@@ -529,7 +533,15 @@
   }
 }
 
-// Applies changed bounds. Other settings, such as the listen addresses, need a restart.
+void Gateway::SetForecast(ForecastSetting forecast) {
+  if (forecast == settings_.forecast) return;
+  settings_.forecast = forecast;
+  relay_.SetWaitRules({forecast == ForecastSetting::kOn});
+  LOG4CPLUS_INFO(Log(), "admission changed, forecast=" << kForecastSettingNames[forecast]);
+}
+
+// Applies changed bounds and admission settings. Other settings, such as the listen addresses, need
+// a restart.
 void Gateway::ReloadSettings(const char* cause) {
   const auto settings = read_settings_();
   if (!settings) {
@@ -537,6 +549,7 @@
                     "could not reload the settings, keeping the current ones, cause=" << cause);
     return;
   }
+  SetForecast(settings->forecast);
   if (settings->bounds == settings_.bounds) return;
   settings_.bounds = settings->bounds;
   directory_.set_reappear_time(ReappearTime(settings_.bounds));
@@ -634,6 +647,7 @@
 }
 
 Result<void, std::string> Gateway::Start() {
+  relay_.SetWaitRules({settings_.forecast == ForecastSetting::kOn});
   for (auto [server, address] : {std::pair{&caller_server_, &settings_.caller_address},
                                  std::pair{&readiness_server_, &settings_.readiness_address},
                                  std::pair{&metrics_server_, &settings_.metrics_address}}) {
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -100,6 +100,10 @@
           settings.link_mbps = section->Number("link_mbps", 0, kMaxLinkMbps, settings.link_mbps);
         }},
        {"bounds", [&](IniSection* section) { ReadBounds(section, &settings.bounds); }},
+       {"admission",
+        [&](IniSection* section) {
+          settings.forecast = section->Choice("forecast", kForecastSettingNames, settings.forecast);
+        }},
        {"log", [&](IniSection* section) {
           settings.log = ReadLogSettings(section);
           settings.log.to_standard_output = true;
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -1,12 +1,14 @@
 #ifndef MIMOSABEND_GATEWAY_SETTINGS_H_
 #define MIMOSABEND_GATEWAY_SETTINGS_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "ini_file.h"
+#include "name_table.h"
 #include "result.h"
 #include "settings.h"
 
@@ -37,6 +39,10 @@
   bool operator==(const GatewayBounds&) const = default;
 };
 
+// Whether requests for models are refused as soon as they are predicted to be served too late.
+enum class ForecastSetting : std::uint8_t { kOff, kOn };
+inline constexpr NameTable<ForecastSetting, 2> kForecastSettingNames{{"off", "on"}};
+
 struct GatewaySettings {
   std::string name;
   std::string region;
@@ -54,6 +60,7 @@
   double cores = 0.25;
   double link_mbps = 1000;
   GatewayBounds bounds;
+  ForecastSetting forecast = ForecastSetting::kOff;
   LogSettings log;
 };
 
--- a/src/notifier.h
+++ b/src/notifier.h
@@ -4,6 +4,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cstdint>
 #include <list>
 
 #include "clock.h"
@@ -23,9 +24,13 @@
 
   // Resumes all current waiters.
   void NotifyAll() {
+    ++notifications_;
     for (Timer* timer : waiters_) timer->cancel();
   }
 
+  // Number of calls of NotifyAll so far.
+  std::uint64_t notifications() const { return notifications_; }
+
   // Suspends until the next NotifyAll or the deadline, whichever comes first.
   Task<void> WaitUntil(MonotonicTime deadline) {
     Timer timer(executor_, deadline);
@@ -38,6 +43,7 @@
  private:
   boost::asio::any_io_executor executor_;
   std::list<Timer*> waiters_;
+  std::uint64_t notifications_ = 0;
 };
 
 }  // namespace mimosabend
--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -62,6 +62,8 @@
   MonotonicTime first_event_deadline = MonotonicTime::max();
   // Expected time at which the resource that the request waited for becomes available, if known.
   std::optional<MonotonicTime> ready_at;
+  // Since when the request has been waiting for its model, if it waits.
+  MonotonicTime waiting_since;
   bool caller_gone = false;
   // When the current attempt was sent.
   MonotonicTime sent_at;
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -21,8 +21,6 @@
 // the endpoint may close it while the request is in flight.
 constexpr milliseconds kNoRetryMaxIdle{2000};
 constexpr milliseconds kDefaultRouteTimeout{60000};
-// No attempt starts with less time than this before the deadline.
-constexpr milliseconds kMinAttemptTime{10};
 // An attempt of a retryable plain request gets half of the remaining time, so that there is time
 // for a retry.
 constexpr int kAttemptsPerDeadline = 2;
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -25,6 +25,7 @@
 #include "run_check.h"
 #include "suspect_trials.h"
 #include "usage_collector.h"
+#include "wait_policy.h"
 
 namespace mimosabend {
 
@@ -41,6 +42,10 @@
   std::function<Task<PermitAnswer>(PermitRequest)> request_permit;
   // Expected end of a load of the model that is in progress; std::nullopt if there is none.
   std::function<std::optional<MonotonicTime>(const std::string& model)> load_end;
+  // Expected end of a load of a model of the service that has not been ordered, for a request of
+  // this priority; std::nullopt if unknown. May be empty.
+  std::function<std::optional<MonotonicTime>(const std::string& service, std::uint32_t priority)>
+      queued_load_end;
   // Whether there is a placement leader that decides on model loads.
   std::function<bool(MonotonicTime)> has_leader;
   // Whether the current configuration may be stale, so that routes or keys may be missing from it.
@@ -82,6 +87,12 @@
   // Sets the retry budget for each service.
   void SetRetryLimits(const RetryLimits& limits);
 
+  // Sets whether forecasts refuse requests.
+  void SetWaitRules(const WaitRules& rules) {
+    wait_rules_ = rules;
+    wait_round_ = {};
+  }
+
   // Prepares for shutdown: after `stop_deadline`, no attempt starts and no request waits. Requests
   // that arrive after `refuse_from` are refused because their responses might not be complete by
   // then.
@@ -144,8 +155,14 @@
   bool HasTimeLeft(const Context& context, MonotonicTime now) const;
   MonotonicTime WaitDeadline(const Context& context) const;
   bool MayWait(const Context& context, MonotonicTime now) const;
-  std::optional<std::string> RefusalReason(Context* context, MonotonicTime start,
-                                           MonotonicTime now) const;
+  ModelOutlook OutlookOf(const Context& context, const WaitingRequest& request,
+                         MonotonicTime now) const;
+  WaitingRequest MakeWaitingRequest(const Context& context, MonotonicTime now) const;
+  WaitDecision DecideOnModelWait(Context* context, MonotonicTime now);
+  WaitDecision DecideAlone(const Context& context, bool queue_counts, MonotonicTime now) const;
+  void UpdateWaitRound(MonotonicTime now);
+  bool HasLocalWeights(const Context& context, MonotonicTime now) const;
+  bool RefuseByForecast(Context* context, const EndpointChoice& choice, MonotonicTime now) const;
   milliseconds RetryAfter(const Context& context);
   void ApplyEndpointHeaders(const EndpointChoice& choice, int status, const HttpHeaders& headers);
   Task<void> HandleFailedAttempt(ContextPtr context, FleetEndpoint endpoint, HttpError error);
@@ -173,11 +190,23 @@
   void EndRequest(Context* context);
   void LogEnd(const Context& context) const;
 
+  // Decisions on all requests that wait for a model, made when the first of them was resumed.
+  struct WaitRound {
+    std::map<const Context*, WaitDecision> decisions;
+    MonotonicTime decided_at;
+    // Value of Notifier::notifications of the endpoints when the decisions were made.
+    std::uint64_t notifications = 0;
+  };
+
   Dependencies deps_;
   std::mt19937_64 random_;
   RunChecker run_checker_;
   SuspectTrials trials_;
   RetryLimits retry_limits_;
+  WaitRules wait_rules_;
+  WaitRound wait_round_;
+  // The requests that wait for a model.
+  std::set<Context*> model_waiters_;
   std::map<std::string, RetryBudget> budgets_;
   // Expires with this object, which coroutines of its requests may outlive.
   std::shared_ptr<const int> alive_ = std::make_shared<const int>(0);
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -16,17 +16,8 @@
 
 namespace {
 
-// A request waits for a placement leader to order a load of its model for at least this long, and
-// for up to half of its time.
-constexpr milliseconds kMinLeaderWait{1000};
-// Typical time until a new leader is elected.
-constexpr milliseconds kLeaderElectionTime{2500};
 // An engine that did not run a request is not chosen for it again for this long.
 constexpr milliseconds kNotRunBackoff{300};
-// Part of the target latency for which a stream waits for a permit while all engines that hold its
-// model state rate limits. Most of those that wait are not served in time, and learn from an early
-// refusal when to come back.
-constexpr int kPermitWaitDivisor = 8;
 // Pause before another engine is chosen after an adapter could not be placed.
 constexpr milliseconds kAdapterRetryDelay{20};
 // Another engine is tried if the first event takes longer than the expected time multiplied by this
@@ -58,11 +49,6 @@
   std::optional<bool> placed;
 };
 
-bool RelayHandler::HasEngine(const Context& context, MonotonicTime now) const {
-  return deps_.selector->HasEngine(context.service_name, context.params.model,
-                                   AvoidedEndpoints(context, now), now);
-}
-
 // Whether an attempt at `endpoint` could be abandoned for one elsewhere: the route allows that the
 // request runs again, the retry budget is not exhausted, and another engine holds the model. A slow
 // engine is kept if there is no alternative.
@@ -113,6 +99,7 @@
       if (!found) break;
       continue;
     }
+    if (RefuseByForecast(context.get(), *choice, now)) break;
     if (!choice->has_adapter) {
       const bool placed = co_await PlaceAdapter(context, &*choice);
       if (!placed) continue;
@@ -129,63 +116,6 @@
   co_await FinishUnserved(context);
 }
 
-// Waits until an engine holds the model. Returns false if none will in time.
-Task<bool> RelayHandler::WaitForModel(ContextPtr context) {
-  const MonotonicTime start = MonotonicNow();
-  const std::string& model = context->params.model;
-  const std::uint32_t priority = context->priority();
-  if (!context->service->engine->models.contains(model)) {
-    context->reason = "unknown model";
-    co_return false;
-  }
-  deps_.metrics->model_waits_total->Increment();
-  deps_.usage->BeginWaiting(context->service_name, model, context->route->target_latency, priority);
-  const ScopeExit end(alive_,
-                      [&] { deps_.usage->EndWaiting(context->service_name, model, priority); });
-  context->step = RelayStep::kModel;
-  bool found = false;
-  while (!context->caller_gone) {
-    const MonotonicTime now = MonotonicNow();
-    found = HasEngine(*context, now);
-    if (found) break;
-    if (auto reason = RefusalReason(context.get(), start, now)) {
-      context->reason = std::move(*reason);
-      break;
-    }
-    co_await deps_.usage->endpoints_changed().WaitUntil(
-        std::min(WaitDeadline(*context), now + kStatePollInterval));
-  }
-  context->step = RelayStep::kChoice;
-  context->waited += ToMillis(MonotonicNow() - start);
-  co_return found;
-}
-
-// Why a request that has been waiting for its model since `start` should be refused now;
-// std::nullopt if it should keep waiting.
-std::optional<std::string> RelayHandler::RefusalReason(Context* context, MonotonicTime start,
-                                                       MonotonicTime now) const {
-  if (!MayWait(*context, now)) return "no engine loaded the model in time";
-  const MonotonicTime limit = WaitDeadline(*context);
-  const auto load_end = deps_.placement.load_end(context->params.model);
-  context->ready_at = load_end;
-  if (load_end) {
-    if (*load_end < limit) return std::nullopt;
-    return "model load ends too late";
-  }
-  context->ready_at =
-      deps_.selector->BackoffUntil(context->service_name, context->params.model, now);
-  const bool may_refuse_early =
-      !context->stream_open && context->runs == 0 &&
-      now - context->arrival >= context->route->target_latency / kPermitWaitDivisor;
-  if (may_refuse_early && AreAllEndpointsLimited(*context, now)) {
-    return "all engines of the model have a rate limit";
-  }
-  if (deps_.placement.has_leader(now)) return std::nullopt;
-  context->ready_at = std::max(context->ready_at.value_or(now), now + kLeaderElectionTime);
-  if (now - start <= std::max(kMinLeaderWait, ToMillis(limit - start) / 2)) return std::nullopt;
-  return "no placement leader to load the model";
-}
-
 // Has the adapter loaded on the chosen engine. If that fails, the engine is in backoff for
 // kNotRunBackoff.
 Task<bool> RelayHandler::PlaceAdapter(ContextPtr context, EndpointChoice* choice) {
--- a/tests/relay_fixture.cpp
+++ b/tests/relay_fixture.cpp
@@ -136,6 +136,7 @@
     if (std::exchange(load_end_throws, false)) throw std::runtime_error("load_end_throws");
     return load_end;
   };
+  hooks.queued_load_end = [this](const std::string&, std::uint32_t) { return queued_load_end; };
   hooks.has_leader = [this](MonotonicTime) { return has_leader; };
   hooks.config_may_be_stale = [this](MonotonicTime) { return config_may_be_stale; };
   return hooks;
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -117,6 +117,7 @@
   bool has_leader = true;
   bool config_may_be_stale = false;
   std::optional<MonotonicTime> load_end;
+  std::optional<MonotonicTime> queued_load_end;
   // Whether the next question for the end of a load throws.
   bool load_end_throws = false;
   RelayHandler handler;
--- a/tests/test_gateway_settings.cpp
+++ b/tests/test_gateway_settings.cpp
@@ -53,4 +53,24 @@
   CHECK(settings.value().cores == 0.12);
 }
 
+// Guards against forecasts that are on by default, and against a misspelt value that is taken for
+// one of the two without a message.
+TEST_CASE("forecasts are off unless the settings turn them on", "[settings]") {
+  const std::string text = Settings("");
+  CHECK(ParseGatewaySettings("test.ini", text, {}).value().forecast == ForecastSetting::kOff);
+  const auto on = ParseGatewaySettings("test.ini", text + "[admission]\nforecast = on\n", {});
+  CHECK(on.value().forecast == ForecastSetting::kOn);
+  for (const std::string value : {"On", "1", "true", "-1", "on off"}) {
+    CAPTURE(value);
+    const auto bad =
+        ParseGatewaySettings("test.ini", text + "[admission]\nforecast = " + value + "\n", {});
+    REQUIRE_FALSE(bad);
+    const IniIssue& issue = bad.error().front();
+    CHECK(issue.key == "forecast");
+    CHECK(issue.line > 0);
+    CHECK(issue.remedy.find("off, on") != std::string::npos);
+  }
+  CHECK_FALSE(ParseGatewaySettings("test.ini", text + "[admission]\nforecasts = on\n", {}));
+}
+
 }  // namespace mimosabend::testing
