--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -158,6 +158,7 @@
   ModelOutlook OutlookOf(const Context& context, const WaitingRequest& request,
                          MonotonicTime now) const;
   WaitingRequest MakeWaitingRequest(const Context& context, MonotonicTime now) const;
+  void RecordRefusal(Context* context, const WaitDecision& decision) const;
   WaitDecision DecideOnModelWait(Context* context, MonotonicTime now);
   WaitDecision DecideAlone(const Context& context, bool queue_counts, MonotonicTime now) const;
   void UpdateWaitRound(MonotonicTime now);
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -61,6 +61,8 @@
       "Requests that are malformed or exceed a limit, and connections above their limit.");
   model_waits_total =
       registry_.AddCounter("model_waits_total", "Requests that waited for a model.");
+  forecast_refusals_total = registry_.AddCounter(
+      "forecast_refusals_total", "Requests refused since they were predicted to be too late.");
   adapter_waits_total =
       registry_.AddCounter("adapter_waits_total", "Requests that waited for an adapter.");
   permits_total = registry_.AddCounter(
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -67,6 +67,7 @@
   prometheus::Counter* invalid_responses_total;
   prometheus::Counter* invalid_requests_total;
   prometheus::Counter* model_waits_total;
+  prometheus::Counter* forecast_refusals_total;
   prometheus::Counter* adapter_waits_total;
   prometheus::Counter* permits_total;
   prometheus::Counter* permits_denied_total;
--- a/src/relay_wait.cpp
+++ b/src/relay_wait.cpp
@@ -55,7 +55,7 @@
     const WaitDecision decision = DecideOnModelWait(context.get(), now);
     context->ready_at = decision.ready_at;
     found = decision.action == WaitAction::kSend;
-    if (decision.action == WaitAction::kRefuse) context->reason = kWaitReasonNames[decision.reason];
+    if (decision.action == WaitAction::kRefuse) RecordRefusal(context.get(), decision);
     if (found && decision.order > 0) co_await Sleep(kSendDistance * decision.order);
     if (decision.action != WaitAction::kWait) break;
     co_await deps_.usage->endpoints_changed().WaitUntil(
@@ -66,6 +66,12 @@
   co_return found;
 }
 
+void RelayHandler::RecordRefusal(Context* context, const WaitDecision& decision) const {
+  context->reason = kWaitReasonNames[decision.reason];
+  context->ready_at = decision.ready_at;
+  if (IsForecast(decision.reason)) deps_.metrics->forecast_refusals_total->Increment();
+}
+
 ModelOutlook RelayHandler::OutlookOf(const Context& context, const WaitingRequest& request,
                                      MonotonicTime now) const {
   ModelOutlook outlook;
@@ -118,7 +124,7 @@
   const auto known = wait_round_.decisions.find(context);
   WaitDecision decision =
       known == wait_round_.decisions.end() ? DecideAlone(*context, true, now) : known->second;
-  const bool by_forecast = decision.reason >= WaitReason::kFirstEventTooLate;
+  const bool by_forecast = IsForecast(decision.reason);
   // The leader's queue has no loads of weights that an engine has in its memory or on its disk.
   if (by_forecast && HasLocalWeights(*context, now)) decision = DecideAlone(*context, false, now);
   return decision;
@@ -179,8 +185,7 @@
   outlook.has_engine = true;
   const WaitDecision decision = DecideWait(request, outlook, wait_rules_, now);
   if (decision.action != WaitAction::kRefuse) return false;
-  context->reason = kWaitReasonNames[decision.reason];
-  context->ready_at = decision.ready_at;
+  RecordRefusal(context, decision);
   return true;
 }
 
--- a/src/wait_policy.h
+++ b/src/wait_policy.h
@@ -95,6 +95,11 @@
      "all engines of the model have a rate limit", "no placement leader to load the model",
      "first event is predicted too late", "end is predicted too late"}};
 
+// Whether a request is refused by a forecast. Thread-safe.
+constexpr bool IsForecast(WaitReason reason) {
+  return reason == WaitReason::kFirstEventTooLate || reason == WaitReason::kEndTooLate;
+}
+
 struct WaitDecision {
   WaitAction action = WaitAction::kWait;
   WaitReason reason = WaitReason::kNone;
--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -322,6 +322,7 @@
        << "[listen]\ncaller = " << host << ":" << ports_[0] << "\nreadiness = " << host << ":"
        << ports_[1] << "\npeer = " << host << ":" << ports_[2] << "\nmetrics = " << host << ":"
        << ports_[3] << "\n[platform]\nstore = " << ToString(store_->address())
+       << (options_.forecast ? "\n[admission]\nforecast = on" : "")
        << "\n[bounds]\nretry_extra = 2000\n[log]\nlevel = info\nformat = logfmt\n";
 }
 
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -27,6 +27,8 @@
   // Added to the command line of each engine, and of each endpoint.
   std::vector<std::string> engine_flags;
   std::vector<std::string> endpoint_flags;
+  // Whether gateways refuse requests by forecast.
+  bool forecast = false;
   // Whether endpoints add the requests that they run to a file.
   bool log_runs = false;
   // Rate limits that endpoints state from their start, by endpoint index.
--- a/tests/test_refusals.cpp
+++ b/tests/test_refusals.cpp
@@ -92,12 +92,14 @@
 }  // namespace
 
 // Guards against a refusal whose promise is false, and against an order that runs twice, with real
-// processes that are paused, killed, stopped and restarted. The endpoints count what they run.
+// processes that are paused, killed, stopped and restarted. The endpoints count what they run. The
+// last round is run with forecasts.
 TEST_CASE("what was refused has not run, and orders run once", "[refusals]") {
   const auto first = FromEnvironment("MIMOSABEND_REFUSALS_SEED", 1);
   const auto count = FromEnvironment("MIMOSABEND_REFUSALS_SEEDS", kDefaultSeeds);
-  for (std::int64_t seed = first; seed < first + count; ++seed) {
+  for (std::int64_t seed = first; seed <= first + count; ++seed) {
     PlatformFleetOptions options;
+    options.forecast = seed == first + count;
     options.engines = 3;
     options.plain_endpoints = 3;
     options.endpoint_flags = {"--max_running=3", "--start_ms=30", "--events=5"};
--- a/tests/test_relay_wait.cpp
+++ b/tests/test_relay_wait.cpp
@@ -44,6 +44,8 @@
   CHECK(relay.engine_arrivals() == 0);
   const bool at_once = MonotonicNow() - start < milliseconds(300);
   CHECK(at_once == (round.forecast && !round.on_disk));
+  const std::string refusals = "forecast_refusals_total " + std::to_string(at_once ? 1 : 0) + "\n";
+  CHECK(relay.metrics.Expose().find(refusals) != std::string::npos);
   if (!at_once) return;
   // A request with 1,880 ms for its first event is let in when four fifths of the time to the end
   // of the load are less than that: 2,350 ms before it.
--- a/tests/test_wait_policy.cpp
+++ b/tests/test_wait_policy.cpp
@@ -110,7 +110,7 @@
       const WaitingRequest& request = requests[i];
       const ModelOutlook& outlook = outlooks[request.model];
       const WaitDecision former = DecideWait(request, outlook, {false}, At(0));
-      const bool by_forecast = decisions[i].reason >= WaitReason::kFirstEventTooLate;
+      const bool by_forecast = IsForecast(decisions[i].reason);
       if (request.has_run) CHECK(decisions[i].action == former.action);
       if (former.action == WaitAction::kRefuse) CHECK(decisions[i].reason == former.reason);
       if (!by_forecast) continue;
