--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -132,6 +132,7 @@
   void ApplyRetryLimits();
   void ApplyQuotaOrder(QuotaOrder order, const char* cause);
   Task<void> UpdateMetrics();
+  void SetForecast(ForecastSetting forecast);
   void ReloadSettings(const char* cause);
   void ApplyHedging(const HedgingSettings& hedging, const char* cause);
   Task<void> WaitForTermination();
@@ -273,6 +274,9 @@
   hooks.load_end = [this](const std::string& model) -> std::optional<MonotonicTime> {
     return link_.LoadEnd(model);
   };
+  hooks.queued_load_end = [this](const std::string& service, std::uint32_t priority) {
+    return link_.QueuedEnd(service, priority, MonotonicNow());
+  };
   hooks.has_leader = [this](MonotonicTime now) { return link_.has_leader(now); };
   hooks.config_may_be_stale = [this](MonotonicTime now) {
     return now - state_.confirmed() >= settings_.bounds.config_apply - kStaleConfigMargin;
@@ -545,6 +549,13 @@
                  "quota order changed, order=" << kQuotaOrderNames[order] << " cause=" << cause);
 }
 
+void Gateway::SetForecast(ForecastSetting forecast) {
+  if (forecast == settings_.forecast) return;
+  settings_.forecast = forecast;
+  relay_.SetWaitRules({forecast == ForecastSetting::kOn});
+  LOG4CPLUS_INFO(Log(), "admission changed, forecast=" << kForecastSettingNames[forecast]);
+}
+
 // Applies settings that may change at run time. Others, such as the listen addresses, need a
 // restart.
 void Gateway::ReloadSettings(const char* cause) {
@@ -556,6 +567,7 @@
   }
   ApplyQuotaOrder(settings->quota_order, cause);
   ApplyHedging(settings->hedging, cause);
+  SetForecast(settings->forecast);
   if (settings->bounds == settings_.bounds) return;
   settings_.bounds = settings->bounds;
   directory_.set_reappear_time(ReappearTime(settings_.bounds));
@@ -663,6 +675,7 @@
 }
 
 Result<void, std::string> Gateway::Start() {
+  relay_.SetWaitRules({settings_.forecast == ForecastSetting::kOn});
   for (auto [server, address] : {std::pair{&caller_server_, &settings_.caller_address},
                                  std::pair{&readiness_server_, &settings_.readiness_address},
                                  std::pair{&metrics_server_, &settings_.metrics_address}}) {
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -125,6 +125,10 @@
           settings.quota_order = section->Choice("order", kQuotaOrderNames, settings.quota_order);
         }},
        {"hedging", [&](IniSection* section) { ReadHedging(section, &settings.hedging); }},
+       {"admission",
+        [&](IniSection* section) {
+          settings.forecast = section->Choice("forecast", kForecastSettingNames, settings.forecast);
+        }},
        {"log", [&](IniSection* section) {
           settings.log = ReadLogSettings(section);
           settings.log.to_standard_output = true;
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -1,6 +1,7 @@
 #ifndef MIMOSABEND_GATEWAY_SETTINGS_H_
 #define MIMOSABEND_GATEWAY_SETTINGS_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -8,6 +9,7 @@
 
 #include "hedge_policy.h"
 #include "ini_file.h"
+#include "name_table.h"
 #include "quota_order.h"
 #include "result.h"
 #include "settings.h"
@@ -39,6 +41,10 @@
   bool operator==(const GatewayBounds&) const = default;
 };
 
+// Whether requests for models are refused as soon as they are predicted to be served too late.
+enum class ForecastSetting : std::uint8_t { kOff, kOn };
+inline constexpr NameTable<ForecastSetting, 2> kForecastSettingNames{{"off", "on"}};
+
 struct GatewaySettings {
   std::string name;
   std::string region;
@@ -59,6 +65,7 @@
   // How a customer's quota is divided among its requests while they exceed it.
   QuotaOrder quota_order = QuotaOrder::kEqual;
   HedgingSettings hedging;
+  ForecastSetting forecast = ForecastSetting::kOff;
   LogSettings log;
 };
 
--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -9,12 +9,17 @@
 #include <string>
 #include <vector>
 
+#include "endpoint_selector.h"
 #include "event_pauses.h"
+#include "fleet_config.h"
 #include "hedge_budget.h"
+#include "http_client.h"
+#include "http_server.h"
 #include "name_table.h"
-#include "relay_handler.h"
+#include "relay_metrics.h"
 #include "relay_request.h"
 #include "stall_watch.h"
+#include "suspect_trials.h"
 
 namespace mimosabend {
 
@@ -36,14 +41,14 @@
     {"choice", "model", "adapter", "permit", "endpoint", "events", "caller"}};
 
 // One attempt of a plain request. While hedging, a request has two.
-struct RelayHandler::PlainAttempt {
+struct PlainAttempt {
   EndpointChoice choice;
   bool is_hedge = false;
   // Whether its response is passed on.
   bool won = false;
   MonotonicTime sent_at;
   MonotonicTime deadline;
-  // As in Context.
+  // As in RelayContext.
   MonotonicTime permit_until = MonotonicTime::max();
   std::shared_ptr<HttpCanceller> canceller;
   // What a hedge is charged.
@@ -52,8 +57,8 @@
   std::optional<Result<HttpReply, HttpError>> reply;
 };
 
-// State of one relayed request. Internal to the relay's source files.
-struct RelayHandler::Context {
+// State of one relayed request. Internal to RelayHandler's source files. Not thread-safe.
+struct RelayContext {
   HttpExchange* exchange = nullptr;
   RelayRequest params;
   // See RequestFingerprint.
@@ -76,6 +81,8 @@
   MonotonicTime first_event_deadline = MonotonicTime::max();
   // Expected time at which the resource that the request waited for becomes available, if known.
   std::optional<MonotonicTime> ready_at;
+  // Since when the request has been waiting for its model, if it waits.
+  MonotonicTime waiting_since;
   bool caller_gone = false;
   // When the current attempt was sent.
   MonotonicTime sent_at;
--- a/src/relay_customers.cpp
+++ b/src/relay_customers.cpp
@@ -51,7 +51,8 @@
   const RelayRequest& params = context->params;
   const double cost =
       customer->quota.CostOf(std::uint64_t{params.prompt_tokens} + params.max_output_tokens);
-  const std::uint8_t level = PriorityLevel(context->priority());
+  // A customer's own priority is that of all its requests, so only the route's can order them.
+  const std::uint8_t level = PriorityLevel(context->route->priority);
   deps_.quota->AddDemand(*customer, level, cost, MonotonicNow());
   const bool known = co_await WaitForQuota(context);
   if (!known) {
@@ -69,7 +70,7 @@
   deps_.metrics->CountQuotaRefusal(level);
   context->reason = "customer quota of " + std::to_string(std::lround(customer->quota.rate)) +
                     " per second exceeded, requested " + std::to_string(std::lround(cost)) +
-                    " at priority " + std::to_string(context->priority());
+                    " at route priority " + std::to_string(context->route->priority);
   co_await SendRefusal(context, 429, *retry_after,
                        R"({"error":"not run, the quota is used up, try again later"})");
   co_return false;
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -21,8 +21,6 @@
 // the endpoint may close it while the request is in flight.
 constexpr milliseconds kNoRetryMaxIdle{2000};
 constexpr milliseconds kDefaultRouteTimeout{60000};
-// No attempt starts with less time than this before the deadline.
-constexpr milliseconds kMinAttemptTime{10};
 // Retry-After of a refusal is at least kMinRetryAfter plus jitter. If it is known when the request
 // can be served, it is that time, at most kMaxReadyDelay, plus a smaller jitter.
 constexpr milliseconds kMinRetryAfter{150};
@@ -111,7 +109,7 @@
 // Releases what the request holds, and counts and logs its outcome.
 void RelayHandler::EndRequest(Context* context) {
   if (context->quota_cost > 0 && context->runs == 0) {
-    deps_.quota->Refund(*context->customer, PriorityLevel(context->priority()),
+    deps_.quota->Refund(*context->customer, PriorityLevel(context->route->priority),
                         context->quota_cost);
   }
   active_.erase(context);
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -28,9 +28,13 @@
 #include "run_check.h"
 #include "suspect_trials.h"
 #include "usage_collector.h"
+#include "wait_policy.h"
 
 namespace mimosabend {
 
+struct PlainAttempt;
+struct RelayContext;
+
 // Access of the relay to the placement of models and adapters, to the fleet's shared limits and to
 // the reports of engines.
 struct PlacementHooks {
@@ -42,6 +46,10 @@
   std::function<Task<PermitAnswer>(PermitRequest)> request_permit;
   // Expected end of a load of the model that is in progress; std::nullopt if there is none.
   std::function<std::optional<MonotonicTime>(const std::string& model)> load_end;
+  // Expected end of a load of a model of the service that has not been ordered, for a request of
+  // this priority; std::nullopt if unknown. May be empty.
+  std::function<std::optional<MonotonicTime>(const std::string& service, std::uint32_t priority)>
+      queued_load_end;
   // Whether there is a placement leader that decides on model loads.
   std::function<bool(MonotonicTime)> has_leader;
   // Whether the current configuration may be stale, so that routes or keys may be missing from it.
@@ -94,6 +102,12 @@
   // Drops response times that are too old to be used.
   void PruneExpired(MonotonicTime now) { response_times_.PruneExpired(now); }
 
+  // Sets whether forecasts refuse requests.
+  void SetWaitRules(const WaitRules& rules) {
+    wait_rules_ = rules;
+    wait_round_ = {};
+  }
+
   // Prepares for shutdown: after `stop_deadline`, no attempt starts and no request waits. Requests
   // that arrive after `refuse_from` are refused because their responses might not be complete by
   // then.
@@ -114,10 +128,9 @@
   std::size_t in_flight() const { return in_flight_; }
 
  private:
-  struct Context;
-  using ContextPtr = std::shared_ptr<Context>;
+  using Context = RelayContext;
+  using ContextPtr = std::shared_ptr<RelayContext>;
   struct AdapterPlacement;
-  struct PlainAttempt;
   using PlainAttemptPtr = std::shared_ptr<PlainAttempt>;
   struct HedgeWatch;
   // A second attempt that is about to be sent.
@@ -189,8 +202,15 @@
   bool HasTimeLeft(const Context& context, MonotonicTime now) const;
   MonotonicTime WaitDeadline(const Context& context) const;
   bool MayWait(const Context& context, MonotonicTime now) const;
-  std::optional<std::string> RefusalReason(Context* context, MonotonicTime start,
-                                           MonotonicTime now) const;
+  ModelOutlook OutlookOf(const Context& context, const WaitingRequest& request,
+                         MonotonicTime now) const;
+  WaitingRequest MakeWaitingRequest(const Context& context, MonotonicTime now) const;
+  void RecordRefusal(Context* context, const WaitDecision& decision) const;
+  WaitDecision DecideOnModelWait(Context* context, MonotonicTime now);
+  WaitDecision DecideAlone(const Context& context, bool queue_counts, MonotonicTime now) const;
+  void UpdateWaitRound(MonotonicTime now);
+  bool HasLocalWeights(const Context& context, MonotonicTime now) const;
+  bool RefuseByForecast(Context* context, const EndpointChoice& choice, MonotonicTime now) const;
   milliseconds RetryAfter(const Context& context);
   void ApplyEndpointHeaders(const EndpointChoice& choice, int status, const HttpHeaders& headers);
   Task<void> HandleFailedAttempt(ContextPtr context, FleetEndpoint endpoint, HttpError error);
@@ -218,6 +238,14 @@
   void EndRequest(Context* context);
   void LogEnd(const Context& context) const;
 
+  // Decisions on all requests that wait for a model, made when the first of them was resumed.
+  struct WaitRound {
+    std::map<const Context*, WaitDecision> decisions;
+    MonotonicTime decided_at;
+    // Value of Notifier::notifications of the endpoints when the decisions were made.
+    std::uint64_t notifications = 0;
+  };
+
   Dependencies deps_;
   std::mt19937_64 random_;
   HedgeBudget hedge_budget_;
@@ -226,6 +254,10 @@
   HedgingSettings hedging_;
   ResponseTimes response_times_;
   RetryLimits retry_limits_;
+  WaitRules wait_rules_;
+  WaitRound wait_round_;
+  // The requests that wait for a model.
+  std::set<Context*> model_waiters_;
   std::map<std::string, RetryBudget> budgets_;
   // Expires with this object, which coroutines of its requests may outlive.
   std::shared_ptr<const int> alive_ = std::make_shared<const int>(0);
--- a/tests/test_decoders.cpp
+++ b/tests/test_decoders.cpp
@@ -167,6 +167,7 @@
   answer.evidence = Evidence();
   answer.quota = {{1, 4, 2}};
   answer.limits = {{3, 0.5, 1200}};
+  answer.backlogs = {{"models", {1, 0, 12}, 900, 300}};
   return answer;
 }
 
