Round shares of priority levels to the nearest unit

Cause: a share of 1 could be cut to 65534 of 65535 by rounding errors, which adds an entry to an answer. Tests quota, quota_leaderless and leader_link pass.

--- a/src/quota_allocator.cpp
+++ b/src/quota_allocator.cpp
@@ -27,7 +27,8 @@
 void AddShares(std::uint32_t customer, const ByLevel& by_level, std::vector<QuotaShare>* shares) {
   auto previous = static_cast<std::uint16_t>(QuotaShare::kWhole);
   for (std::size_t level = 0; level < kPriorityLevels; ++level) {
-    const auto share = static_cast<std::uint16_t>(by_level[level] * QuotaShare::kWhole);
+    const auto share =
+        static_cast<std::uint16_t>(std::lround(by_level[level] * QuotaShare::kWhole));
     if (share != previous) shares->push_back({customer, static_cast<std::uint8_t>(level), share});
     previous = share;
   }
