Look at all endpoints only for late requests

Cause: the utilization of a service needs a look at all of its endpoints, also for the requests that are answered before a hedge is due.

Change: it is determined together with the candidate.

test_hedging (11 cases) and test_relay (29) pass.

--- a/src/relay_hedge.cpp
+++ b/src/relay_hedge.cpp
@@ -62,7 +62,8 @@
   return candidate;
 }
 
-// What DecideHedge needs to know, without a candidate.
+// What DecideHedge needs to know, without the utilization and a candidate: they need a look at all
+// endpoints of the service, for which most requests are answered too early.
 HedgeQuestion RelayHandler::MakeHedgeQuestion(const Context& context, const PlainAttempt& first,
                                               MonotonicTime now) {
   HedgeQuestion question;
@@ -79,7 +80,6 @@
       std::min(limit - std::min(limit, context.attempts), left - std::min(left, open));
   question.draining = IsShuttingDown();
   question.service = response_times_.Service(context.service_name, now);
-  question.utilization = Utilization(context.service_name, now);
   question.retry_budget_left = RetryBudgetFor(context.service_name).HasHalf(now);
   const double mean = question.service.mean / kMillisPerSecond;
   question.work_budget_left = mean > 0 && hedge_budget_.Allows(hedging_.extra_work, mean, now);
@@ -98,6 +98,7 @@
   HedgeDecision decision = DecideHedge(hedging_, question, now);
   std::optional<EndpointChoice> choice;
   if (decision.reason == HedgeReason::kNoCandidate) {
+    question.utilization = Utilization(context->service_name, now);
     choice = ChoosePlain(*context, now);
     if (choice) question.candidate = CandidateOf(*choice, now);
     decision = DecideHedge(hedging_, question, now);
