Leave requests to engines out of the work of hedging

Cause: plain requests to engines counted toward the work of plain endpoints, of which hedges may use a share.

--- a/src/relay_hedge.cpp
+++ b/src/relay_hedge.cpp
@@ -251,11 +251,11 @@
   SettleAttempt(context, attempt, outcome);
 }
 
-// Accounts for the work of an attempt and for the time that it took. The endpoint may continue to
-// run a cancelled one, so it counts with at least the mean time.
+// Accounts for the work of an attempt at a plain endpoint and for the time that it took. The
+// endpoint may continue to run a cancelled one, so it counts with at least the mean time.
 void RelayHandler::RecordWork(const Context& context, const PlainAttempt& attempt,
                               AttemptOutcome outcome, MonotonicTime now) {
-  if (!hedging_.enabled() && !attempt.is_hedge) return;
+  if (context.service->engine || (!hedging_.enabled() && !attempt.is_hedge)) return;
   const std::string& service = context.service_name;
   const bool failed = attempt.reply && !*attempt.reply;
   const bool sent = !failed || attempt.reply->error() != HttpError::kNotSent;
@@ -267,7 +267,7 @@
   } else {
     hedge_budget_.RecordWork(work, now);
   }
-  if (context.route->kind != RouteKind::kIdempotent || context.service->engine) return;
+  if (context.route->kind != RouteKind::kIdempotent) return;
   // The time of a late first attempt that was cancelled is a lower bound. A hedge is cancelled
   // early.
   const bool timed_out = failed && attempt.reply->error() == HttpError::kTimedOut;
