--- a/src/relay_hedge.cpp
+++ b/src/relay_hedge.cpp
@@ -62,7 +62,8 @@
   return candidate;
 }
 
-// What DecideHedge needs to know, without a candidate.
+// What DecideHedge needs to know, without the utilization and a candidate: they need a look at all
+// endpoints of the service, for which most requests are answered too early.
 HedgeQuestion RelayHandler::MakeHedgeQuestion(const Context& context, const PlainAttempt& first,
                                               MonotonicTime now) {
   HedgeQuestion question;
@@ -79,7 +80,6 @@
       std::min(limit - std::min(limit, context.attempts), left - std::min(left, open));
   question.draining = IsShuttingDown();
   question.service = response_times_.Service(context.service_name, now);
-  question.utilization = Utilization(context.service_name, now);
   question.retry_budget_left = RetryBudgetFor(context.service_name).HasHalf(now);
   const double mean = question.service.mean / kMillisPerSecond;
   question.work_budget_left = mean > 0 && hedge_budget_.Allows(hedging_.extra_work, mean, now);
@@ -98,6 +98,7 @@
   HedgeDecision decision = DecideHedge(hedging_, question, now);
   std::optional<EndpointChoice> choice;
   if (decision.reason == HedgeReason::kNoCandidate) {
+    question.utilization = Utilization(context->service_name, now);
     choice = ChoosePlain(*context, now);
     if (choice) question.candidate = CandidateOf(*choice, now);
     decision = DecideHedge(hedging_, question, now);
@@ -251,11 +252,11 @@
   SettleAttempt(context, attempt, outcome);
 }
 
-// Accounts for the work of an attempt and for the time that it took. The endpoint may continue to
-// run a cancelled one, so it counts with at least the mean time.
+// Accounts for the work of an attempt at a plain endpoint and for the time that it took. The
+// endpoint may continue to run a cancelled one, so it counts with at least the mean time.
 void RelayHandler::RecordWork(const Context& context, const PlainAttempt& attempt,
                               AttemptOutcome outcome, MonotonicTime now) {
-  if (!hedging_.enabled() && !attempt.is_hedge) return;
+  if (context.service->engine || (!hedging_.enabled() && !attempt.is_hedge)) return;
   const std::string& service = context.service_name;
   const bool failed = attempt.reply && !*attempt.reply;
   const bool sent = !failed || attempt.reply->error() != HttpError::kNotSent;
@@ -267,7 +268,7 @@
   } else {
     hedge_budget_.RecordWork(work, now);
   }
-  if (context.route->kind != RouteKind::kIdempotent || context.service->engine) return;
+  if (context.route->kind != RouteKind::kIdempotent) return;
   // The time of a late first attempt that was cancelled is a lower bound. A hedge is cancelled
   // early.
   const bool timed_out = failed && attempt.reply->error() == HttpError::kTimedOut;
