Don't refuse the most urgent streams by forecast, and admit requests without a model first

Change: streams that no route or customer is more urgent than are not refused by forecast; requests that use no model compete at level 0.

--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -70,8 +70,9 @@
   const Route* route = nullptr;
   // nullptr if the request needs no API key.
   const Customer* customer = nullptr;
-  // Quota units charged for the request.
+  // Quota units charged for the request, and the priority level at which they are.
   double quota_cost = 0;
+  std::uint8_t quota_level = 0;
   const RoutedService* service = nullptr;
   std::string service_name;
   MonotonicTime arrival;
--- a/src/relay_customers.cpp
+++ b/src/relay_customers.cpp
@@ -13,6 +13,14 @@
 // this time.
 constexpr milliseconds kMaxQuotaWait{1500};
 
+// The level at which a request competes for its customer's quota. A customer's own priority is that
+// of all its requests, so only the route's can order them. Requests that use no model cost a small
+// fixed amount; refusing them would leave hardly more to others.
+std::uint8_t QuotaLevel(const RelayContext& context) {
+  const bool uses_model = context.params.prompt_tokens > 0 || context.params.max_output_tokens > 0;
+  return uses_model ? PriorityLevel(context.route->priority) : std::uint8_t{0};
+}
+
 }  // namespace
 
 // Identifies the customer by the API key. Returns false if the request has been refused.
@@ -51,8 +59,8 @@
   const RelayRequest& params = context->params;
   const double cost =
       customer->quota.CostOf(std::uint64_t{params.prompt_tokens} + params.max_output_tokens);
-  // A customer's own priority is that of all its requests, so only the route's can order them.
-  const std::uint8_t level = PriorityLevel(context->route->priority);
+  const std::uint8_t level = QuotaLevel(*context);
+  context->quota_level = level;
   deps_.quota->AddDemand(*customer, level, cost, MonotonicNow());
   const bool known = co_await WaitForQuota(context);
   if (!known) {
@@ -70,7 +78,7 @@
   deps_.metrics->CountQuotaRefusal(level);
   context->reason = "customer quota of " + std::to_string(std::lround(customer->quota.rate)) +
                     " per second exceeded, requested " + std::to_string(std::lround(cost)) +
-                    " at route priority " + std::to_string(context->route->priority);
+                    " at level " + std::to_string(level);
   co_await SendRefusal(context, 429, *retry_after,
                        R"({"error":"not run, the quota is used up, try again later"})");
   co_return false;
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -109,8 +109,7 @@
 // Releases what the request holds, and counts and logs its outcome.
 void RelayHandler::EndRequest(Context* context) {
   if (context->quota_cost > 0 && context->runs == 0) {
-    deps_.quota->Refund(*context->customer, PriorityLevel(context->route->priority),
-                        context->quota_cost);
+    deps_.quota->Refund(*context->customer, context->quota_level, context->quota_cost);
   }
   active_.erase(context);
   context->exchange->StopWatchingCaller();
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -210,6 +210,7 @@
   WaitDecision DecideAlone(const Context& context, bool queue_counts, MonotonicTime now) const;
   void UpdateWaitRound(MonotonicTime now);
   bool HasLocalWeights(const Context& context, MonotonicTime now) const;
+  static bool IsMostUrgent(const Context& context);
   bool RefuseByForecast(Context* context, const EndpointChoice& choice, MonotonicTime now) const;
   milliseconds RetryAfter(const Context& context);
   void ApplyEndpointHeaders(const EndpointChoice& choice, int status, const HttpHeaders& headers);
--- a/src/relay_hedge.cpp
+++ b/src/relay_hedge.cpp
@@ -123,7 +123,7 @@
   if (cost == 0) return true;
   const Customer& customer = *context->customer;
   const MonotonicTime now = MonotonicNow();
-  const std::uint8_t level = PriorityLevel(context->route->priority);
+  const std::uint8_t level = context->quota_level;
   deps_.quota->AddDemand(customer, level, cost, now);
   const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
   if (deps_.quota->Admit(customer, level, cost, draw, now)) return false;
--- a/src/relay_wait.cpp
+++ b/src/relay_wait.cpp
@@ -173,12 +173,29 @@
   });
 }
 
+// Whether no request is more urgent. Engines admit such requests first, so the prompts that others
+// have queued there do not delay them; what daemons know of an engine's work has no priorities.
+bool RelayHandler::IsMostUrgent(const Context& context) {
+  const auto is_more_urgent = [&](std::uint32_t priority) { return priority < context.priority(); };
+  const auto& routes = context.config->routes;
+  if (std::any_of(routes.begin(), routes.end(), [&](const Route& route) {
+        return route.kind == RouteKind::kStreaming && is_more_urgent(route.priority);
+      })) {
+    return false;
+  }
+  if (!context.config->customers) return true;
+  const auto& customers = context.config->customers->customers();
+  return std::none_of(customers.begin(), customers.end(), [&](const auto& item) {
+    return item.second.priority && is_more_urgent(*item.second.priority);
+  });
+}
+
 // Whether a request that could be sent now is refused, since it is predicted to be served too late.
 bool RelayHandler::RefuseByForecast(Context* context, const EndpointChoice& choice,
                                     MonotonicTime now) const {
   // An engine without work is tried in any case, so that a wrong estimate of its speed is
   // corrected.
-  if (!wait_rules_.forecast || choice.requests == 0) return false;
+  if (!wait_rules_.forecast || choice.requests == 0 || IsMostUrgent(*context)) return false;
   WaitingRequest request = MakeWaitingRequest(*context, now);
   request.first_event_time = milliseconds(std::llround(choice.expected_ms));
   ModelOutlook outlook;
--- a/tests/test_relay_wait.cpp
+++ b/tests/test_relay_wait.cpp
@@ -55,10 +55,14 @@
 }
 
 // Guards against a request that is sent to engines whose queue takes longer than its caller waits,
-// against the refusal of one that has run, and against an engine that gets no request any more
-// because its speed was estimated wrongly.
+// against the refusal of one that has run or that goes before the queue, and against an engine that
+// gets no request any more because its speed was estimated wrongly.
 TEST_CASE("with forecasts, a request is not sent to engines that would be too late", "[relay]") {
   RelayFixture relay;
+  FleetConfig config = Config();
+  config.version = 2;
+  for (Route& route : config.routes) route.priority = route.prefix == "/once/" ? 1 : 0;
+  relay.directory.Adopt(config);
   relay.handler.SetWaitRules({true});
   const auto break_off = [&relay](HttpExchange& exchange) -> Task<void> {
     MakeBusy(&relay);
@@ -72,6 +76,8 @@
   const auto refused = relay.Send("/once/1");
   CHECK(refused.value().status == 503);
   CHECK(relay.engine_arrivals() == 2);
+  // Engines admit the most urgent requests before what others have queued.
+  CHECK(relay.Send("/resumable/1").value().status == 200);
   relay.handler.SetWaitRules({false});
   CHECK(relay.Send("/once/1").value().status == 200);
 
