Date the queue of loads by the answer that stated it

Cause: the queue was dated by the last message of the leader, which may come from another daemon and not have the queue, and a leader that may send no orders repeated the queue of its last planning round.

Change: a daemon keeps the time of the queue, a relay passes it on only if it is about as recent as the leader's last message, and a leader that may not order states none.

--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -187,7 +187,7 @@
                                  [&](const auto& backlog) { return backlog.service == service; });
     if (it == backlogs_.end()) return std::nullopt;
     const QueuedLoads loads{it->queued, milliseconds(it->load_ms), milliseconds(it->interval_ms)};
-    return QueuedLoadEnd(loads, priority, parts_.state->leader_heard(), now);
+    return QueuedLoadEnd(loads, priority, backlogs_at_, now);
   }
 
   // Whether this daemon has heard of the leader recently.
@@ -225,6 +225,9 @@
   // An answer is valid for two report periods, but at least for this long.
   static constexpr milliseconds kMinAnswerLifetime{2000};
   static constexpr int kReportsPerAnswerLifetime = 2;
+  // A relay passes the queue of loads on if it is older than the leader's last message by less than
+  // this.
+  static constexpr milliseconds kMaxBacklogLag{100};
   static constexpr milliseconds kViewRequestPeriod{300};
   // A daemon behind a relay doesn't read the store while its view is younger than this. The relays
   // read it when the leader can't.
@@ -429,6 +432,7 @@
     aggregator_.SetExternalLoads(answer.others);
     UpdateRemoteWork(answer, now);
     backlogs_ = answer.backlogs;
+    backlogs_at_ = sent_at - milliseconds(answer.leader.age_ms);
     loads_.clear();
     for (const PendingLoad& load : answer.loads) {
       const MonotonicTime end = now + milliseconds(load.ready_in_ms);
@@ -487,7 +491,8 @@
     std::erase_if(answer.others, [&](const EndpointLoad& load) {
       return IsNegligibleLoad(state.directory(), load);
     });
-    answer.backlogs = backlogs_;
+    // The answer states the age of the leader's last message, which may not have had the queue.
+    if (state.leader_heard() - backlogs_at_ < kMaxBacklogLag) answer.backlogs = backlogs_;
     for (const auto& [model, end] : loads_) {
       const auto left = ToMillis(end - now).count();
       answer.loads.push_back({model, static_cast<std::uint32_t>(std::max<std::int64_t>(0, left))});
@@ -516,8 +521,9 @@
   std::uint32_t daemons_ = 1;
   milliseconds report_period_ = kDefaultPeriod;
   std::map<std::string, MonotonicTime> loads_;
-  // As of the time at which the leader was last heard of.
   std::vector<LoadBacklog> backlogs_;
+  // When `backlogs_` was true.
+  MonotonicTime backlogs_at_;
   // Version of the holdings that have been applied to this daemon's directory.
   std::uint64_t applied_holdings_ = 0;
   MonotonicTime last_search_at_;
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -194,7 +194,8 @@
       return IsNegligibleLoad(state_->directory(), load);
     });
     answer.loads = table_.PendingLoads(now);
-    answer.backlogs = backlogs_;
+    // Without planning rounds, the queue is not counted.
+    if (MayOrder(now)) answer.backlogs = backlogs_;
     if (resigning_) {
       answer.resigning = true;
       answer.holder = settings_.host;
--- a/tests/test_leader_link.cpp
+++ b/tests/test_leader_link.cpp
@@ -371,6 +371,28 @@
   CHECK(reporter.link.has_leader(MonotonicNow()));
   // Only the reports of the relay, four a second.
   CHECK(leader->reports - leader_reports <= 5);
+
+  // The queue of loads reaches daemons behind the relay, and ends there.
+  FleetConfig config;
+  config.version = 3;
+  config.services["models"].engine = EngineProfile{8, 1000, 100, 0, 2, {}};
+  for (const std::string model : {"m1", "m2", "m3"}) {
+    config.services["models"].engine->models[model].load_from_store = milliseconds(900);
+    reporter.usage.BeginWaiting("models", model, milliseconds(500), 0);
+  }
+  leader->directory.Adopt(config);
+  io.run_for(milliseconds(1200));
+  const MonotonicTime now = MonotonicNow();
+  const auto end = reporter.link.QueuedEnd("models", 0, now);
+  REQUIRE(end);
+  // A quarter of three loads that begin 500 ms after one another, and 900 ms.
+  CHECK(*end > now + milliseconds(700));
+  CHECK(*end <= now + milliseconds(1275));
+  CHECK_FALSE(reporter.link.QueuedEnd("others", 0, now));
+  CHECK_FALSE(reporter.link.QueuedEnd("models", 0, now + milliseconds(500)));
+  for (const std::string model : {"m1", "m2", "m3"}) reporter.usage.EndWaiting("models", model, 0);
+  io.run_for(milliseconds(2500));
+  CHECK_FALSE(reporter.link.QueuedEnd("models", 0, MonotonicNow()));
   relay.silent = true;
   io.run_for(milliseconds(2500));
   CHECK(reporter.link.has_leader(MonotonicNow()));
