Limit the memory that is held for slow callers and endpoints

Cause: what a gateway buffers for callers and endpoints that read slowly had no limit in total; a gateway that exceeds the memory of its host is killed with all its requests. A stream whose caller reads slowly was not read from its endpoint, which aborts it. Change: MemoryBudget counts request bodies, whole responses and queued events. Gauge held_bytes, counter memory_refusals_total, log lines when refusing begins and ends. Without the setting, bytes are counted and nothing else changes.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -19,6 +19,7 @@
 #include "leader_link.h"
 #include "library_assertions.h"
 #include "log.h"
+#include "memory_budget.h"
 #include "metrics.h"
 #include "placement_leader.h"
 #include "platform/decode.h"
@@ -145,6 +146,7 @@
   std::string fleet_key_;
   Metrics metrics_;
   RelayMetrics relay_metrics_;
+  MemoryBudget memory_;
   Supervisor supervisor_;
   HttpClient endpoint_client_;
   HttpClient order_client_;
@@ -189,6 +191,7 @@
       settings_(settings),
       read_settings_(std::move(read_settings)),
       fleet_key_(FleetKey(settings)),
+      memory_(settings.relay_bytes()),
       supervisor_(io->get_executor(), &metrics_, "gateway",
                   [this](const std::string& task) {
                     LOG4CPLUS_ERROR(Log(), "task " << task << " failed permanently, exiting");
@@ -228,7 +231,7 @@
             RandomId()),
       relay_({&endpoint_client_, &directory_, &stats_, &prefixes_, &selector_, &usage_,
               &relay_metrics_, &evidence_, &part_evidence_, &prober_, &quota_, &limits_,
-              MakePlacementHooks()},
+              MakePlacementHooks(), &memory_},
              RandomId()),
       config_watcher_(io->get_executor(), &store_, PlatformStore::config_key(), kConfigBatchDelay,
                       ConfigHandlers()),
@@ -243,6 +246,7 @@
                       [this](HttpExchange& exchange) { return HandleMetrics(exchange); }),
       termination_signals_(*io, SIGTERM, SIGINT),
       reload_signals_(*io, SIGHUP) {
+  caller_server_.set_memory_budget(&memory_);
   directory_.set_end_listener([this](const FleetEndpoint& endpoint) {
     crash_correlator_.RecordEnd(EndpointNumber(endpoint.id, endpoint.started_ms), MonotonicNow());
   });
@@ -499,7 +503,15 @@
   std::uint64_t rejected = 0;
   std::uint64_t failed_assertions = 0;
   std::uint64_t exceptions = 0;
+  std::uint64_t memory_refusals = 0;
   for (;;) {
+    relay_metrics_.memory_refusals_total->Increment(
+        static_cast<double>(memory_.refusals() - memory_refusals));
+    memory_refusals = memory_.refusals();
+    for (std::size_t kind = 0; kind < kMemoryKindCount; ++kind) {
+      relay_metrics_.held_bytes[kind]->Set(
+          static_cast<double>(memory_.held(static_cast<MemoryKind>(kind))));
+    }
     relay_metrics_.store_calls_total->Increment(static_cast<double>(store_.calls() - calls));
     relay_metrics_.store_errors_total->Increment(static_cast<double>(store_.errors() - errors));
     relay_metrics_.connections_opened_total->Increment(
@@ -529,7 +541,8 @@
   }
 }
 
-// Applies changed bounds. Other settings, such as the listen addresses, need a restart.
+// Applies changed bounds and a changed memory limit. Other settings, such as the listen addresses,
+// need a restart.
 void Gateway::ReloadSettings(const char* cause) {
   const auto settings = read_settings_();
   if (!settings) {
@@ -537,11 +550,16 @@
                     "could not reload the settings, keeping the current ones, cause=" << cause);
     return;
   }
-  if (settings->bounds == settings_.bounds) return;
+  const bool memory_changed = settings->relay_bytes() != settings_.relay_bytes();
+  if (settings->bounds == settings_.bounds && !memory_changed) return;
   settings_.bounds = settings->bounds;
+  settings_.memory_bytes = settings->memory_bytes;
+  settings_.relay_share = settings->relay_share;
+  memory_.set_limit(settings_.relay_bytes());
   directory_.set_reappear_time(ReappearTime(settings_.bounds));
   ApplyRetryLimits();
-  LOG4CPLUS_INFO(Log(), "settings reloaded, cause=" << cause);
+  LOG4CPLUS_INFO(Log(), "settings reloaded, cause=" << cause << " memory_limit_bytes="
+                                                    << settings_.relay_bytes());
 }
 
 // Detects a suspension of the host, which the monotonic clock does not count, so that the lease is
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -13,6 +13,9 @@
 constexpr double kMaxQuotaTolerance = 1e15;
 constexpr double kMaxCores = 4096;
 constexpr double kMaxLinkMbps = 1e6;
+constexpr double kMaxMemoryMb = 1e6;
+constexpr double kMaxRelayShare = 0.8;
+constexpr double kBytesPerMb = 1 << 20;
 constexpr double kMillisPerSecond = 1000;
 
 // Accepts fractions, since the platform may write a bound as one.
@@ -98,6 +101,13 @@
         [&](IniSection* section) {
           settings.cores = section->Number("cores", 0, kMaxCores, settings.cores);
           settings.link_mbps = section->Number("link_mbps", 0, kMaxLinkMbps, settings.link_mbps);
+          const double memory = section->Number("memory_mb", 0, kMaxMemoryMb, 0.0);
+          settings.memory_bytes = static_cast<std::uint64_t>(memory * kBytesPerMb);
+        }},
+       {"memory",
+        [&](IniSection* section) {
+          settings.relay_share =
+              section->Number("relay_share", 0, kMaxRelayShare, settings.relay_share);
         }},
        {"bounds", [&](IniSection* section) { ReadBounds(section, &settings.bounds); }},
        {"log", [&](IniSection* section) {
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -1,6 +1,7 @@
 #ifndef MIMOSABEND_GATEWAY_SETTINGS_H_
 #define MIMOSABEND_GATEWAY_SETTINGS_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -53,8 +54,17 @@
   // Resources of the host that this process may use.
   double cores = 0.25;
   double link_mbps = 1000;
+  // Memory that this process may use; 0 for no limit.
+  std::uint64_t memory_bytes = 0;
+  // Part of it that may hold requests, responses and events; 0 for no limit on these.
+  double relay_share = 0.4;
   GatewayBounds bounds;
   LogSettings log;
+
+  // Bytes that may be held for callers and endpoints, 0 for no limit. See MemoryBudget.
+  std::uint64_t relay_bytes() const {
+    return static_cast<std::uint64_t>(static_cast<double>(memory_bytes) * relay_share);
+  }
 };
 
 // Parses the settings of a gateway. `file` is the name for messages, `overrides` are of the form
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -13,6 +13,7 @@
 
 #include "event_loop.h"
 #include "http_reader.h"
+#include "timer.h"
 
 namespace mimosabend {
 
@@ -34,6 +35,8 @@
 // Responses with another status are malformed.
 constexpr unsigned kMinStatus = 100;
 constexpr unsigned kMaxStatus = 599;
+// Pause between two checks whether the memory budget has room.
+constexpr milliseconds kRoomPollPeriod{20};
 // Longest size line of a chunk with its extensions, and longest trailers.
 constexpr std::size_t kMaxFramingBytes = 16 * 1024;
 
@@ -53,6 +56,7 @@
       return HttpError::kMalformed;
     case HttpReadError::kClosed:
     case HttpReadError::kBroken:
+    case HttpReadError::kNoMemory:
       break;
   }
   return HttpError::kBroken;
@@ -93,14 +97,16 @@
 
 bool IsValidStatus(unsigned status) { return status >= kMinStatus && status <= kMaxStatus; }
 
-http::request<http::string_body> BuildRequest(const HttpCall& call) {
+// Moves the body out of `call`.
+http::request<http::string_body> BuildRequest(HttpCall* moved) {
+  HttpCall& call = *moved;
   http::request<http::string_body> request;
   request.version(11);
   request.method_string(call.method);
   request.target(call.target);
   request.set(http::field::host, ToString(call.address));
   for (const auto& [name, value] : call.headers) request.set(name, value);
-  request.body() = call.body;
+  request.body() = std::move(call.body);
   request.prepare_payload();
   return request;
 }
@@ -225,8 +231,12 @@
 }
 
 HttpStream::HttpStream(HttpClient* client, Address address,
-                       std::unique_ptr<HttpConnection> connection)
-    : client_(client), address_(std::move(address)), connection_(std::move(connection)) {}
+                       std::unique_ptr<HttpConnection> connection,
+                       std::shared_ptr<MemoryHold> memory)
+    : client_(client),
+      address_(std::move(address)),
+      connection_(std::move(connection)),
+      memory_(std::move(memory)) {}
 
 HttpStream::~HttpStream() {
   if (connection_->IsReusable()) client_->ReturnIdle(address_, std::move(connection_));
@@ -267,12 +277,43 @@
   co_return bytes;
 }
 
+// Waits until the budget has room for further bytes of the body. What waits stays in the system's
+// buffers and at the peer.
+Task<Result<void, HttpError>> HttpStream::HoldMemory(std::uint64_t bytes, MonotonicTime deadline) {
+  while (memory_ != nullptr) {
+    const MemoryResult result = memory_->TryGrow(bytes);
+    if (result == MemoryResult::kHeld) break;
+    if (result == MemoryResult::kTooLarge) co_return outcome::failure(HttpError::kTooLarge);
+    if (MonotonicNow() >= deadline) co_return outcome::failure(HttpError::kTimedOut);
+    // The call has been cancelled.
+    if (!connection_->stream->socket().is_open()) co_return outcome::failure(HttpError::kBroken);
+    Timer timer(client_->executor(), kRoomPollPeriod);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  co_return outcome::success();
+}
+
 Task<Result<std::string, HttpError>> HttpStream::ReadAll(MonotonicTime deadline) {
   std::string body;
+  // A body whose length is known is held at once, so that two that are read in part can't keep each
+  // other from their end.
+  const auto length = connection_->parser->content_length();
+  const bool holds_all = memory_ != nullptr && length && !connection_->parser->is_done();
+  if (holds_all) {
+    auto held = co_await HoldMemory(std::min<std::uint64_t>(*length, kMaxBodyBytes), deadline);
+    if (!held) co_return outcome::failure(held.error());
+    // A string that grows takes up to three times its size.
+    body.reserve(std::min<std::uint64_t>(*length, kMaxBodyBytes));
+  }
   for (;;) {
     auto bytes = co_await Read(deadline);
     if (!bytes) co_return outcome::failure(bytes.error());
     if (bytes.value().empty()) co_return body;
+    if (!holds_all) {
+      auto held = co_await HoldMemory(bytes.value().size(), deadline);
+      if (!held) co_return outcome::failure(held.error());
+    }
     body += bytes.value();
     if (body.size() > kMaxBodyBytes) co_return outcome::failure(HttpError::kTooLarge);
   }
@@ -344,7 +385,8 @@
 }
 
 // Sends the request and reads the header of the final response.
-Task<Result<std::unique_ptr<HttpConnection>, HttpError>> HttpClient::Send(const HttpCall& call) {
+Task<Result<std::unique_ptr<HttpConnection>, HttpError>> HttpClient::Send(HttpCall* sent) {
+  HttpCall& call = *sent;
   std::unique_ptr<HttpConnection> connection;
   if (call.canceller != nullptr && call.canceller->cancelled()) {
     co_return outcome::failure(HttpError::kNotSent);
@@ -360,14 +402,14 @@
   if (MonotonicNow() >= call.send_by) co_return outcome::failure(HttpError::kNotSent);
   connection->stream->expires_at(call.deadline);
   if (call.body.empty()) {
-    const auto request = BuildRequest(call);
+    const auto request = BuildRequest(&call);
     boost::system::error_code error;
     co_await http::async_write(*connection->stream, request,
                                asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return outcome::failure(TranslateWriteError(error));
   } else {
     // A failed write does not end the call: the response may have arrived before.
-    connection->StartUpload(BuildRequest(call));
+    connection->StartUpload(BuildRequest(&call));
   }
   for (int heads = 0; heads <= kMaxInterimResponses; ++heads) {
     connection->parser.emplace();
@@ -385,9 +427,10 @@
 }
 
 Task<Result<std::unique_ptr<HttpStream>, HttpError>> HttpClient::Open(HttpCall call) {
-  auto connection = co_await Send(call);
+  auto connection = co_await Send(&call);
   if (!connection) co_return outcome::failure(connection.error());
-  co_return std::make_unique<HttpStream>(this, call.address, std::move(connection).value());
+  co_return std::make_unique<HttpStream>(this, call.address, std::move(connection).value(),
+                                         call.memory);
 }
 
 Task<Result<HttpReply, HttpError>> HttpClient::Call(HttpCall call) {
@@ -397,6 +440,7 @@
   HttpReply reply;
   reply.status = stream.value()->status();
   reply.headers = stream.value()->headers();
+  reply.memory = stream.value()->memory();
   auto body = co_await stream.value()->ReadAll(deadline);
   if (!body) co_return outcome::failure(body.error());
   reply.body = std::move(body).value();
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -10,6 +10,7 @@
 
 #include "clock.h"
 #include "http_types.h"
+#include "memory_budget.h"
 #include "name_table.h"
 #include "result.h"
 #include "settings.h"
@@ -68,6 +69,8 @@
   milliseconds connect_timeout{60000};
   // May be null.
   std::shared_ptr<HttpCanceller> canceller;
+  // Counts a body that is read whole. While there is no room for it, reading waits. May be null.
+  std::shared_ptr<MemoryHold> memory;
 };
 
 // TCP settings that detect a peer that vanished without closing its connections. Zero keeps the
@@ -85,6 +88,8 @@
   int status = 0;
   HttpHeaders headers;
   std::string body;
+  // Counts the body; null unless the call has one.
+  std::shared_ptr<MemoryHold> memory = nullptr;
 };
 
 class HttpClient;
@@ -92,7 +97,9 @@
 // A response whose body is read incrementally. Not thread-safe.
 class HttpStream {
  public:
-  HttpStream(HttpClient* client, Address address, std::unique_ptr<HttpConnection> connection);
+  // `memory` counts a body that is read by ReadAll. It may be null.
+  HttpStream(HttpClient* client, Address address, std::unique_ptr<HttpConnection> connection,
+             std::shared_ptr<MemoryHold> memory);
   HttpStream(const HttpStream&) = delete;
   HttpStream& operator=(const HttpStream&) = delete;
   // Returns the connection to the idle pool if it is reusable, otherwise closes it.
@@ -107,13 +114,19 @@
   // request; otherwise its end fails with kBroken.
   Task<Result<std::string, HttpError>> Read(MonotonicTime deadline);
 
-  // Reads the rest of the body. Fails with kTooLarge if it exceeds 8 MiB.
+  const std::shared_ptr<MemoryHold>& memory() const { return memory_; }
+
+  // Reads the rest of the body. Fails with kTooLarge if it exceeds 8 MiB or the share of one
+  // connection in the memory budget. Waits until the budget has room for it.
   Task<Result<std::string, HttpError>> ReadAll(MonotonicTime deadline);
 
  private:
+  Task<Result<void, HttpError>> HoldMemory(std::uint64_t bytes, MonotonicTime deadline);
+
   HttpClient* client_;
   Address address_;
   std::unique_ptr<HttpConnection> connection_;
+  std::shared_ptr<MemoryHold> memory_;
 };
 
 // HTTP/1.1 client with a pool of idle connections per address. A connection is reused only if its
@@ -147,7 +160,7 @@
  private:
   friend class HttpStream;
 
-  Task<Result<std::unique_ptr<HttpConnection>, HttpError>> Send(const HttpCall& call);
+  Task<Result<std::unique_ptr<HttpConnection>, HttpError>> Send(HttpCall* call);
   Task<Result<std::unique_ptr<HttpConnection>, HttpError>> Connect(const HttpCall& call);
   std::unique_ptr<HttpConnection> TakeIdle(const Address& address, milliseconds max_idle);
   void ReturnIdle(const Address& address, std::unique_ptr<HttpConnection> connection);
--- a/src/http_reader.h
+++ b/src/http_reader.h
@@ -23,11 +23,13 @@
   kMalformed,
   kHeaderTooLarge,
   kBodyTooLarge,
-  kFramingTooLarge
+  kFramingTooLarge,
+  // The memory budget has no room for the body.
+  kNoMemory
 };
-inline constexpr NameTable<HttpReadError, 7> kHttpReadErrorNames{
+inline constexpr NameTable<HttpReadError, 8> kHttpReadErrorNames{
     {"connection closed", "connection broken", "timed out", "malformed message", "header too large",
-     "body too large", "chunk framing or trailers too large"}};
+     "body too large", "chunk framing or trailers too large", "no memory for the body"}};
 
 using HttpRequestParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 using HttpResponseParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -25,6 +25,9 @@
 // How long idle connections may still send a request after the listener was closed.
 constexpr std::chrono::seconds kDrainIdleTimeout{1};
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
+// Send buffer of a connection if there is a memory limit, in bytes. The system's default grows to
+// some MB for each slow caller, and counts toward the memory of the host as well.
+constexpr int kSendBufferBytes = 64 * 1024;
 // Number of connections above the limit that are accepted only to reject their first request.
 constexpr std::size_t kMaxRejectingConnections = 64;
 constexpr char kRejectionRetryAfterSeconds[] = "2";
@@ -32,6 +35,9 @@
 constexpr char kInternalErrorBody[] =
     R"({"error":{"message":"internal error","type":"server_error","param":null,"code":null}})";
 
+constexpr char kNoMemoryBody[] =
+    R"({"error":"not run, too much is held for other requests, try again later"})";
+
 // The request without its body.
 HttpRequest ConvertHeader(const HttpRequestParser::value_type& message) {
   HttpRequest request;
@@ -54,6 +60,8 @@
     case HttpReadError::kHeaderTooLarge:
     case HttpReadError::kFramingTooLarge:
       return 431;
+    case HttpReadError::kNoMemory:
+      return 503;
     case HttpReadError::kClosed:
     case HttpReadError::kBroken:
     case HttpReadError::kTimedOut:
@@ -167,6 +175,8 @@
                                 });
   }
 
+  MemoryHold* memory() { return &request_memory_; }
+
   void StopWatchingPeer() {
     if (peer_watch_ == nullptr) return;
     peer_watch_.reset();
@@ -200,6 +210,8 @@
   Task<bool> ReadRequest(std::optional<HttpRequest>* request);
   Task<void> RunHandler(HttpExchange* exchange);
   Task<Result<HttpRequest, HttpReadError>> ReadMessage();
+  bool AdmitBody(const HttpRequestParser& parser);
+  bool HoldBody(const HttpRequestParser& parser);
 
   HttpServer* server_;
   std::shared_ptr<HttpServer::Connections> connections_;
@@ -210,10 +222,32 @@
   bool chunked_open_ = false;
   // The response to such a request has no body, which would be taken for the next response.
   bool is_head_request_ = false;
+  // What the request that is being read or handled holds.
+  MemoryHold request_memory_;
   // Callback for a peer that closes its connection; null unless the peer is being watched.
   std::shared_ptr<std::function<void()>> peer_watch_;
 };
 
+// Whether the memory budget has room for a request whose header has been read.
+bool ServerConnection::AdmitBody(const HttpRequestParser& parser) {
+  if (server_->memory_ == nullptr) return true;
+  const auto length = parser.content_length();
+  auto hold = server_->memory_->Admit(length ? *length : 0, MonotonicNow());
+  if (!hold) return false;
+  request_memory_ = std::move(*hold);
+  return true;
+}
+
+// Holds what has been read of a body in chunks, whose length was not known.
+bool ServerConnection::HoldBody(const HttpRequestParser& parser) {
+  if (server_->memory_ == nullptr || parser.content_length()) return true;
+  const std::uint64_t size = parser.get().body().size() * MemoryBudget::kBodyCopies;
+  const std::uint64_t more = size - request_memory_.bytes();
+  if (request_memory_.TryGrow(more) == MemoryResult::kHeld) return true;
+  server_->memory_->RecordRefusal(MonotonicNow());
+  return false;
+}
+
 // Reads the next message. Its headers are those of its header section: fields in the trailers could
 // otherwise replace what the request has been checked for.
 Task<Result<HttpRequest, HttpReadError>> ServerConnection::ReadMessage() {
@@ -234,6 +268,7 @@
   request.arrival = MonotonicNow();
   keep_alive_ = parser.keep_alive();
   is_head_request_ = request.method == "HEAD";
+  if (!AdmitBody(parser)) co_return outcome::failure(HttpReadError::kNoMemory);
   if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
     http::response<http::empty_body> interim{http::status::continue_, 11};
     boost::system::error_code error;
@@ -244,6 +279,7 @@
   while (!parser.is_done()) {
     auto read = co_await reader_.ReadSome(&stream_, &parser);
     if (!read) co_return outcome::failure(read.error());
+    if (!HoldBody(parser)) co_return outcome::failure(HttpReadError::kNoMemory);
   }
   request.body = std::move(parser.get().body());
   co_return request;
@@ -259,7 +295,16 @@
   }
   keep_alive_ = false;
   const int status = ReadErrorStatus(message.error());
+  request_memory_.Release();
   if (status == 0) co_return false;
+  const bool no_memory = message.error() == HttpReadError::kNoMemory;
+  if (no_memory) {
+    // The budget counts and logs these.
+    HttpHeaders headers{{"Content-Type", "application/json"},
+                        {"Retry-After", kRejectionRetryAfterSeconds}};
+    co_await WriteWhole(status, headers, kNoMemoryBody);
+    co_return false;
+  }
   ++server_->rejected_requests_;
   LOG4CPLUS_INFO(Log(), "request rejected, status=" << status << " error=\""
                                                     << kHttpReadErrorNames[message.error()]
@@ -302,6 +347,7 @@
     HttpExchange exchange(this, std::move(*request));
     co_await RunHandler(&exchange);
     StopWatchingPeer();
+    request_memory_.Release();
     // A handler sends no response only if the client has disconnected.
     if (!exchange.answered() || chunked_open_) break;
   }
@@ -338,6 +384,8 @@
 
 Task<bool> HttpExchange::FinishStream() { co_return co_await connection_->WriteLastChunk(); }
 
+MemoryHold* HttpExchange::memory() { return connection_->memory(); }
+
 bool HttpExchange::IsCallerGone() const { return connection_->IsPeerGone(); }
 
 void HttpExchange::WatchCaller(std::function<void()> on_closed) {
@@ -391,6 +439,10 @@
   const bool reject = connections_->open >= limits_.connections;
   if (reject) ++rejected_requests_;
   if (connections_->open >= limits_.connections + kMaxRejectingConnections) return;
+  if (memory_ != nullptr && memory_->limit() > 0) {
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::send_buffer_size(kSendBufferBytes), ignored);
+  }
   auto connection = std::make_unique<ServerConnection>(this, std::move(socket), reject);
   SpawnDetached(executor_, "connection of a caller", Serve(std::move(connection)));
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -11,6 +11,7 @@
 
 #include "clock.h"
 #include "http_types.h"
+#include "memory_budget.h"
 #include "result.h"
 #include "settings.h"
 
@@ -58,6 +59,9 @@
   // for the response; one that has closed both sides is detected by the next write.
   bool IsCallerGone() const;
 
+  // The memory that the request holds until its handler has returned. Empty without a budget.
+  MemoryHold* memory();
+
   // Calls `on_closed` once if the client closes its connection, or only its sending side, before
   // StopWatchingCaller is called. Precondition: the client is not being watched.
   void WatchCaller(std::function<void()> on_closed);
@@ -93,6 +97,10 @@
   // The new limits apply to new connections, and to open ones from their next read or write.
   void set_limits(const HttpLimits& limits) { limits_ = limits; }
 
+  // Requests are refused with 503 while the budget has no room, before their body is read if its
+  // length is known. Precondition: `budget` outlives this server; null for no budget.
+  void set_memory_budget(MemoryBudget* budget) { memory_ = budget; }
+
   std::size_t open_connections() const { return connections_->open; }
   std::uint64_t rejected_requests() const { return rejected_requests_; }
   bool stopping() const { return stopping_; }
@@ -117,6 +125,7 @@
   boost::asio::any_io_executor executor_;
   HttpLimits limits_;
   HttpHandler handler_;
+  MemoryBudget* memory_ = nullptr;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::shared_ptr<Connections> connections_ = std::make_shared<Connections>();
   std::uint64_t rejected_requests_ = 0;
--- a/src/metrics_registry.cpp
+++ b/src/metrics_registry.cpp
@@ -20,6 +20,11 @@
   return prometheus::BuildCounter().Name(prefix_ + name).Help(help).Register(*registry_);
 }
 
+prometheus::Family<prometheus::Gauge>& MetricsRegistry::GaugeFamily(const std::string& name,
+                                                                    const std::string& help) {
+  return prometheus::BuildGauge().Name(prefix_ + name).Help(help).Register(*registry_);
+}
+
 prometheus::Family<prometheus::Histogram>& MetricsRegistry::HistogramFamily(
     const std::string& name, const std::string& help) {
   return prometheus::BuildHistogram().Name(prefix_ + name).Help(help).Register(*registry_);
--- a/src/metrics_registry.h
+++ b/src/metrics_registry.h
@@ -25,6 +25,8 @@
   // this object.
   prometheus::Family<prometheus::Counter>& CounterFamily(const std::string& name,
                                                          const std::string& help);
+  prometheus::Family<prometheus::Gauge>& GaugeFamily(const std::string& name,
+                                                     const std::string& help);
   prometheus::Family<prometheus::Histogram>& HistogramFamily(const std::string& name,
                                                              const std::string& help);
 
--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "caller_queue.h"
 #include "name_table.h"
 #include "relay_handler.h"
 #include "relay_request.h"
@@ -95,6 +96,11 @@
   // Hashes of the prompt's prefixes, for cache-aware endpoint selection.
   std::vector<std::uint64_t> prefix_hashes;
 
+  // Events that the caller has not taken. Null unless there is a memory limit and an event.
+  std::shared_ptr<CallerQueue> queue;
+  // Size of the response that was sent whole.
+  std::uint64_t response_bytes = 0;
+
   // Progress of the stream to the caller.
   bool stream_open = false;
   std::uint64_t last_event_id = 0;
@@ -131,6 +137,9 @@
     return customer == nullptr ? route->priority : customer->priority.value_or(route->priority);
   }
 
+  // Empty if the request needs no API key.
+  std::string customer_name() const { return customer == nullptr ? "" : customer->name; }
+
   const HttpRequest& request() const { return exchange->request(); }
 };
 
--- a/src/relay_customers.cpp
+++ b/src/relay_customers.cpp
@@ -44,6 +44,20 @@
   co_return deps_.quota->has_shares();
 }
 
+// Refuses a request whose customer holds its whole share of the memory budget. Returns false if the
+// request has been refused.
+Task<bool> RelayHandler::AdmitByMemory(ContextPtr context) {
+  if (deps_.memory == nullptr) co_return true;
+  const std::string customer = context->customer_name();
+  if (deps_.memory->HasRoom(customer)) {
+    context->exchange->memory()->SetCustomer(customer);
+    co_return true;
+  }
+  deps_.memory->RecordRefusal(MonotonicNow());
+  co_await Refuse(context, "too many bytes are held for the customer");
+  co_return false;
+}
+
 // Charges the request to its customer's quota. Returns false if the request has been refused.
 Task<bool> RelayHandler::AdmitByQuota(ContextPtr context) {
   const Customer* customer = context->customer;
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -107,7 +107,15 @@
     if (!completed) context->outcome = RelayOutcome::kInternalError;
     EndRequest(context.get());
   });
-  co_await Serve(context);
+  std::exception_ptr thrown;
+  try {
+    co_await Serve(context);
+  } catch (...) {
+    thrown = std::current_exception();
+  }
+  // Events that are being written refer to the exchange.
+  co_await DrainCaller(context);
+  if (thrown) std::rethrow_exception(thrown);
   completed = true;
 }
 
@@ -116,6 +124,9 @@
   if (context->quota_cost > 0 && context->runs == 0) {
     deps_.quota->Refund(*context->customer, context->quota_cost);
   }
+  if (deps_.memory != nullptr && context->outcome == RelayOutcome::kAnswered) {
+    deps_.memory->RecordResponse(context->response_bytes);
+  }
   active_.erase(context);
   context->exchange->StopWatchingCaller();
   --in_flight_;
@@ -145,7 +156,9 @@
   }
   const bool authenticated = co_await Authenticate(context);
   if (!authenticated) co_return;
-  const std::string customer = context->customer == nullptr ? "" : context->customer->name;
+  const bool has_memory = co_await AdmitByMemory(context);
+  if (!has_memory) co_return;
+  const std::string customer = context->customer_name();
   context->fingerprint = RequestFingerprint(request, customer);
   context->parts = SharedPartIds(context->params.prompt);
   const Route& route = *context->route;
@@ -218,6 +231,10 @@
   call.reuse_connection = context->may_reuse_connection;
   if (!context->route->repeatable()) call.max_idle = kNoRetryMaxIdle;
   call.canceller = context->canceller;
+  if (deps_.memory != nullptr) {
+    call.memory = std::make_shared<MemoryHold>(
+        deps_.memory->Open(MemoryKind::kResponses, context->customer_name()));
+  }
   platform::ForwardOptions options;
   options.endpoint_id = choice.endpoint.id;
   options.time_left = std::max(milliseconds(1), ToMillis(deadline - now));
@@ -452,6 +469,7 @@
     headers.push_back(platform::RequestIdHeader(context->params.id));
   }
   context->step = RelayStep::kCaller;
+  context->response_bytes = body.size();
   const bool sent = co_await context->exchange->Reply(status, std::move(headers), std::move(body));
   if (!sent) context->outcome = RelayOutcome::kCallerGone;
 }
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -18,6 +18,7 @@
 #include "fleet_directory.h"
 #include "http_client.h"
 #include "http_server.h"
+#include "memory_budget.h"
 #include "part_evidence.h"
 #include "quota_meter.h"
 #include "relay_metrics.h"
@@ -65,6 +66,8 @@
     QuotaMeter* quota;
     EndpointLimits* limits;
     PlacementHooks placement;
+    // May be null.
+    MemoryBudget* memory = nullptr;
   };
 
   // `seed` initializes the random numbers for jitter and quota admission.
@@ -111,6 +114,9 @@
   Task<bool> Authenticate(ContextPtr context);
   Task<bool> WaitForQuota(ContextPtr context);
   Task<bool> AdmitByQuota(ContextPtr context);
+  Task<bool> AdmitByMemory(ContextPtr context);
+  Task<bool> WriteEvents(ContextPtr context, std::string events);
+  Task<void> DrainCaller(ContextPtr context);
   Task<bool> AcquirePermit(ContextPtr context, FleetEndpoint endpoint);
   bool AreAllEndpointsLimited(const Context& context, MonotonicTime now) const;
   void RecordRateLimit(const Context& context, const FleetEndpoint& endpoint,
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -66,6 +66,12 @@
       registry_.AddCounter("library_assertions_total", "Failed assertions of the Boost libraries.");
   exceptions_total = registry_.AddCounter(
       "exceptions_total", "Exceptions that ended a request, a connection or another task.");
+  memory_refusals_total = registry_.AddCounter(
+      "memory_refusals_total", "Requests refused since too many bytes were held for others.");
+  auto& held = registry_.GaugeFamily("held_bytes", "Bytes held for callers and endpoints.");
+  for (std::size_t i = 0; i < kMemoryKindCount; ++i) {
+    held_bytes[i] = &held.Add({{"kind", std::string(kMemoryKindNames.names[i])}});
+  }
   crash_suspects = registry_.AddGauge(
       "crash_suspects", "Requests that were running when an endpoint crashed, and since served.");
   contained_parts = registry_.AddGauge(
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "fleet_config.h"
+#include "memory_budget.h"
 #include "metrics_registry.h"
 #include "name_table.h"
 #include "run_check.h"
@@ -72,6 +73,9 @@
   prometheus::Counter* log_lines_dropped_total;
   prometheus::Counter* library_assertions_total;
   prometheus::Counter* exceptions_total;
+  prometheus::Counter* memory_refusals_total;
+  // Indexed by MemoryKind.
+  std::array<prometheus::Gauge*, kMemoryKindCount> held_bytes;
   prometheus::Gauge* crash_suspects;
   prometheus::Gauge* contained_parts;
   prometheus::Gauge* limited_endpoints;
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -303,7 +303,7 @@
         co_await HandleIncompleteResponse(context, choice.endpoint, body.error());
       }
       if (body && !context->stream_open) {
-        HttpReply reply{status, headers, std::move(body).value()};
+        HttpReply reply{status, headers, std::move(body).value(), stream.value()->memory()};
         next_step = co_await RelayResponse(context, std::move(reply));
       }
     }
@@ -383,6 +383,33 @@
                                  << "\" waited_ms=" << ToMillis(MonotonicNow() - start).count());
 }
 
+// Writes events to the caller, or queues them if a memory limit is set. Returns false if a write
+// has failed.
+Task<bool> RelayHandler::WriteEvents(ContextPtr context, std::string events) {
+  const bool limited = deps_.memory != nullptr && deps_.memory->limit() > 0;
+  // Once there is a queue, events stay behind those in it.
+  if (!limited && context->queue == nullptr) {
+    const bool sent = co_await context->exchange->Write(std::move(events));
+    co_return sent;
+  }
+  if (context->queue == nullptr) {
+    const auto executor = co_await boost::asio::this_coro::executor;
+    context->queue = std::make_shared<CallerQueue>(
+        executor, context->exchange,
+        deps_.memory->Open(MemoryKind::kEvents, context->customer_name()));
+  }
+  const bool added = co_await context->queue->Add(std::move(events));
+  co_return added;
+}
+
+// Waits until the caller has taken all events, or drops them if it has gone.
+Task<void> RelayHandler::DrainCaller(ContextPtr context) {
+  if (context->queue == nullptr) co_return;
+  if (context->caller_gone) context->queue->Discard();
+  const bool sent = co_await context->queue->Drain();
+  if (!sent) context->caller_gone = true;
+}
+
 // Relays the events of one engine to the caller until the stream ends or breaks.
 Task<RelayHandler::NextStep> RelayHandler::RelayEvents(ContextPtr context,
                                                        const EndpointChoice& choice,
@@ -450,7 +477,7 @@
       if (!opened) context->caller_gone = true;
     }
     context->step = RelayStep::kCaller;
-    const bool sent = co_await context->exchange->Write(events);
+    const bool sent = co_await WriteEvents(context, events);
     if (!sent) context->caller_gone = true;
     context->events += 1;
     if (splitter.last_id()) context->last_event_id = *splitter.last_id();
@@ -465,6 +492,12 @@
   }
   RecordServed(context.get());
   context->outcome = RelayOutcome::kAnswered;
+  // The engine is done, the caller may not be.
+  watch.Pause();
+  stream.reset();
+  context->step = RelayStep::kCaller;
+  co_await DrainCaller(context);
+  if (context->caller_gone) co_return NextStep::kRetry;
   co_await context->exchange->FinishStream();
   co_return NextStep::kDone;
 }
--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -322,7 +322,8 @@
        << "[listen]\ncaller = " << host << ":" << ports_[0] << "\nreadiness = " << host << ":"
        << ports_[1] << "\npeer = " << host << ":" << ports_[2] << "\nmetrics = " << host << ":"
        << ports_[3] << "\n[platform]\nstore = " << ToString(store_->address())
-       << "\n[bounds]\nretry_extra = 2000\n[log]\nlevel = info\nformat = logfmt\n";
+       << "\n[bounds]\nretry_extra = 2000\n[log]\nlevel = info\nformat = logfmt\n"
+       << options_.gateway_settings;
 }
 
 void PlatformFleet::StartGateway(int index) {
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -29,6 +29,8 @@
   std::vector<std::string> endpoint_flags;
   // Whether endpoints add the requests that they run to a file.
   bool log_runs = false;
+  // Added to the settings of each gateway.
+  std::string gateway_settings;
   // Rate limits that endpoints state from their start, by endpoint index.
   std::map<int, std::string> rate_limits;
   // Whether endpoints add the arrivals of callers' requests to a file.
--- a/tests/relay_fixture.cpp
+++ b/tests/relay_fixture.cpp
@@ -98,10 +98,11 @@
       usage(io.get_executor()),
       prober(&client, &directory, &crash_correlator),
       handler({&client, &directory, &stats, &prefixes, &selector, &usage, &metrics, &evidence,
-               &part_evidence, &prober, &quota, &limits, Hooks()},
+               &part_evidence, &prober, &quota, &limits, Hooks(), &memory},
               5),
       server(io.get_executor(), HttpLimits(),
              [this](HttpExchange& exchange) { return handler.Handle(exchange); }) {
+  server.set_memory_budget(&memory);
   if (configured) directory.Adopt(Config());
   Add(p1, "plain");
   Add(p2, "plain");
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -119,6 +119,8 @@
   std::optional<MonotonicTime> load_end;
   // Whether the next question for the end of a load throws.
   bool load_end_throws = false;
+  // Has no limit unless a test sets one.
+  MemoryBudget memory;
   RelayHandler handler;
   HttpServer server;
   std::uint16_t port = 0;
--- a/tests/standins/platform_endpoint_standin.cpp
+++ b/tests/standins/platform_endpoint_standin.cpp
@@ -2,7 +2,8 @@
 // service. It registers itself in the store under a lease and renews that. A request whose body
 // contains "crash" ends the process when it starts to run, like a request that crashes an engine;
 // so does a request whose prompt has a part with an id that begins with "dead". PUT /fault
-// {"rate_limit": "3"} changes the rate limit that its answers state; "" ends it.
+// {"rate_limit": "3"} changes the rate limit that its answers state; "" ends it. The header
+// "Test-Bytes" of a request is the size of its answer, for a stream without the framing of events.
 #include <fcntl.h>
 #include <gflags/gflags.h>
 #include <unistd.h>
@@ -200,8 +201,11 @@
       co_await exchange->Reply(503, std::move(headers), "");
       co_return;
     }
+    const std::string size(exchange->request().header("Test-Bytes"));
+    const std::size_t bytes = size.empty() ? 0 : std::stoul(size);
     if (FLAGS_model.empty()) {
-      co_await exchange->Reply(200, std::move(headers), "done");
+      std::string body = bytes == 0 ? "done" : std::string(bytes, 'b');
+      co_await exchange->Reply(200, std::move(headers), std::move(body));
       co_return;
     }
     headers.emplace_back("Content-Type", "text/event-stream");
@@ -210,7 +214,8 @@
     if (!last_event_id.empty()) first = std::stoll(last_event_id) + 1;
     bool open = co_await exchange->StartStream(200, std::move(headers));
     for (std::int64_t id = first; open && id <= FLAGS_events; ++id) {
-      open = co_await exchange->Write("id: " + std::to_string(id) + "\ndata: e\n\n");
+      const std::string padding(bytes / FLAGS_events, 'b');
+      open = co_await exchange->Write("id: " + std::to_string(id) + "\ndata: e" + padding + "\n\n");
       co_await Sleep(milliseconds(FLAGS_event_gap_ms));
     }
     if (open) co_await exchange->FinishStream();
