--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -19,6 +19,7 @@
 #include "leader_link.h"
 #include "library_assertions.h"
 #include "log.h"
+#include "memory_budget.h"
 #include "metrics.h"
 #include "placement_leader.h"
 #include "platform/decode.h"
@@ -148,6 +149,7 @@
   std::string fleet_key_;
   Metrics metrics_;
   RelayMetrics relay_metrics_;
+  MemoryBudget memory_;
   Supervisor supervisor_;
   HttpClient endpoint_client_;
   HttpClient order_client_;
@@ -192,6 +194,7 @@
       settings_(settings),
       read_settings_(std::move(read_settings)),
       fleet_key_(FleetKey(settings)),
+      memory_(settings.relay_bytes()),
       supervisor_(io->get_executor(), &metrics_, "gateway",
                   [this](const std::string& task) {
                     LOG4CPLUS_ERROR(Log(), "task " << task << " failed permanently, exiting");
@@ -231,7 +234,7 @@
             RandomId()),
       relay_({&endpoint_client_, &directory_, &stats_, &prefixes_, &selector_, &usage_,
               &relay_metrics_, &evidence_, &part_evidence_, &prober_, &quota_, &limits_,
-              MakePlacementHooks()},
+              MakePlacementHooks(), &memory_},
              RandomId()),
       config_watcher_(io->get_executor(), &store_, PlatformStore::config_key(), kConfigBatchDelay,
                       ConfigHandlers()),
@@ -246,6 +249,7 @@
                       [this](HttpExchange& exchange) { return HandleMetrics(exchange); }),
       termination_signals_(*io, SIGTERM, SIGINT),
       reload_signals_(*io, SIGHUP) {
+  caller_server_.set_memory_budget(&memory_);
   quota_.set_order(settings.quota_order);
   relay_.SetHedging(settings_.hedging);
   directory_.set_end_listener([this](const FleetEndpoint& endpoint) {
@@ -509,7 +513,15 @@
   std::uint64_t rejected = 0;
   std::uint64_t failed_assertions = 0;
   std::uint64_t exceptions = 0;
+  std::uint64_t memory_refusals = 0;
   for (;;) {
+    relay_metrics_.memory_refusals_total->Increment(
+        static_cast<double>(memory_.refusals() - memory_refusals));
+    memory_refusals = memory_.refusals();
+    for (std::size_t kind = 0; kind < kMemoryKindCount; ++kind) {
+      relay_metrics_.held_bytes[kind]->Set(
+          static_cast<double>(memory_.held(static_cast<MemoryKind>(kind))));
+    }
     relay_metrics_.store_calls_total->Increment(static_cast<double>(store_.calls() - calls));
     relay_metrics_.store_errors_total->Increment(static_cast<double>(store_.errors() - errors));
     relay_metrics_.connections_opened_total->Increment(
@@ -568,11 +580,16 @@
   ApplyQuotaOrder(settings->quota_order, cause);
   ApplyHedging(settings->hedging, cause);
   SetForecast(settings->forecast);
-  if (settings->bounds == settings_.bounds) return;
+  const bool memory_changed = settings->relay_bytes() != settings_.relay_bytes();
+  if (settings->bounds == settings_.bounds && !memory_changed) return;
   settings_.bounds = settings->bounds;
+  settings_.memory_bytes = settings->memory_bytes;
+  settings_.relay_share = settings->relay_share;
+  memory_.set_limit(settings_.relay_bytes());
   directory_.set_reappear_time(ReappearTime(settings_.bounds));
   ApplyRetryLimits();
-  LOG4CPLUS_INFO(Log(), "settings reloaded, cause=" << cause);
+  LOG4CPLUS_INFO(Log(), "settings reloaded, cause=" << cause << " memory_limit_bytes="
+                                                    << settings_.relay_bytes());
 }
 
 // Adopts hedging settings and logs them if they have changed.
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -13,6 +13,7 @@
 
 #include "fleet_config.h"
 #include "hedge_policy.h"
+#include "memory_budget.h"
 #include "metrics_registry.h"
 #include "name_table.h"
 #include "quota_order.h"
@@ -89,6 +90,9 @@
   prometheus::Counter* log_lines_dropped_total;
   prometheus::Counter* library_assertions_total;
   prometheus::Counter* exceptions_total;
+  prometheus::Counter* memory_refusals_total;
+  // Indexed by MemoryKind.
+  std::array<prometheus::Gauge*, kMemoryKindCount> held_bytes;
   prometheus::Gauge* crash_suspects;
   prometheus::Gauge* contained_parts;
   prometheus::Gauge* limited_endpoints;
--- a/tests/test_hedging.cpp
+++ b/tests/test_hedging.cpp
@@ -350,7 +350,7 @@
   config.customers->Add({"mint", std::nullopt, {100, 100, QuotaUnit::kTokens, 0}});
   config.customers->AddKey("mint", KeyDigest("k4"));
   relay.directory.Adopt(config);
-  relay.quota.SetShares({}, 1, MonotonicNow());
+  relay.quota.SetShares({}, 1, MonotonicNow(), false);
   const auto send = [&](const EndpointBehavior& first, const EndpointBehavior& second) {
     relay.SetBehavior(first, second);
     const auto reply = relay.Send(MakeCallWithKey(relay, "/read/1", "k4"));
