Keep the behaviors that cancelled test requests still run

Cause: the address sanitizer found that a cancelled request at a test endpoint ran a behavior that the test had replaced.

Change: the fixture of test_hedging keeps replaced behaviors.

test_hedging (11 cases) passes, also with address and undefined sanitizers.

--- a/tests/test_hedging.cpp
+++ b/tests/test_hedging.cpp
@@ -52,8 +52,15 @@
     };
   }
 
+  // As RelayFixture::SetBehavior, but keeps the former behaviors: cancelled requests still run
+  // them.
+  void SetBehavior(const EndpointBehavior& first, const EndpointBehavior& then) {
+    for (TestEndpoint* endpoint : {&p1, &p2}) former_.push_back(std::move(endpoint->behavior));
+    RelayFixture::SetBehavior(first, then);
+  }
+
   // Both endpoints take `time`, so that hedges stay within the budget of work.
-  void SetSlow(milliseconds time) { p1.behavior = p2.behavior = RespondAfter(time); }
+  void SetSlow(milliseconds time) { SetBehavior(RespondAfter(time), RespondAfter(time)); }
 
   // Sends a request whose caller leaves after `time`.
   void SendAndLeave(milliseconds time) {
@@ -86,6 +93,7 @@
     double lost = 0;
   };
   Counts before_;
+  std::vector<EndpointBehavior> former_;
 };
 
 }  // namespace
