--- a/src/directory_log.h
+++ b/src/directory_log.h
@@ -10,6 +10,7 @@
 
 #include "codec.h"
 #include "fleet_endpoint.h"
+#include "store_era.h"
 
 namespace mimosabend {
 
@@ -21,7 +22,7 @@
 // (`gone`).
 struct EndpointRecord {
   std::string id;
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   bool gone = false;
   std::string service;
   Address address;
@@ -29,6 +30,9 @@
   std::uint32_t slots = 1;
   EndpointState state = EndpointState::kReady;
   std::int64_t started_ms = 0;
+  // The entry may stem from the copy that the store was restored from, and not from a write in the
+  // era of `revision`.
+  bool restored = false;
 
   auto operator<=>(const EndpointRecord&) const = default;
 
@@ -40,7 +44,9 @@
     SerializeName(archive, failure_domain);
     SerializeEnum(archive, state, 2);
     SerializeFlag(archive, gone);
-    archive(revision, address.port, slots, started_ms);
+    SerializeFlag(archive, restored);
+    revision.serialize(archive);
+    archive(address.port, slots, started_ms);
   }
 };
 
@@ -49,45 +55,62 @@
 
 // Changes of the directory up to a revision of the store.
 struct DirectoryChanges {
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   // Lists all endpoints (a snapshot instead of a delta): others are gone.
   bool is_snapshot = false;
   std::vector<EndpointRecord> changes;
   // In a snapshot: numbers of the registered endpoints that the receiver already has.
   std::vector<std::uint32_t> unchanged;
+  // See DirectoryLog::Left. Complete in deltas, too.
+  std::vector<std::uint32_t> left;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(revision);
+    revision.serialize(archive);
     SerializeFlag(archive, is_snapshot);
     SerializeList(archive, changes);
     SerializeNumbers(archive, unchanged);
+    SerializeNumbers(archive, left);
   }
 };
 
 // The registered endpoints with the revisions of the store at which they were last changed. Daemons
-// exchange snapshots and deltas of it; older revisions never replace newer ones. Not thread-safe.
+// exchange snapshots and deltas of it; older revisions never replace newer ones. When the store was
+// restored from an older copy, its entries replace the known ones, but an incarnation that is known
+// to be draining or gone does not become ready because the copy shows it so. Not thread-safe.
 class DirectoryLog {
  public:
-  // An entry was written at a revision. Ignored if a later change is known.
-  void Put(const FleetEndpoint& endpoint, std::uint64_t revision);
+  // An entry was written at a revision. Ignored if a later change is known. Returns the state in
+  // which the endpoint is to be used; std::nullopt if it is known to have left before the store was
+  // restored.
+  std::optional<EndpointState> Put(const FleetEndpoint& endpoint, StoreRevision revision);
   // An entry was found to be deleted at a revision. Ignored if a later change is known.
-  void Remove(const std::string& id, std::uint64_t revision);
+  void Remove(const std::string& id, StoreRevision revision);
   // Exactly these entries exist at a revision.
-  void KeepOnly(const std::set<std::string>& ids, std::uint64_t revision);
+  void KeepOnly(const std::set<std::string>& ids, StoreRevision revision);
   // All changes up to a revision have been added.
-  void Advance(std::uint64_t revision);
+  void Advance(StoreRevision revision);
 
-  // Merges the changes of another daemon. Returns those that were new.
+  // Merges the changes of another daemon. Returns those that were new, as they are to be used.
+  // Changes of an older era are ignored; those of a newer one are merged if they are a snapshot.
   std::vector<EndpointRecord> Merge(const DirectoryChanges& changes);
 
-  // All changes up to this revision are known; 0 if none.
-  std::uint64_t revision() const { return revision_; }
+  // Numbers of the endpoints that are in the store only because it was restored from an older copy:
+  // they are known to be draining or gone.
+  std::vector<std::uint32_t> Left() const;
+  // Adopts what Left returned at another daemon, whose directory has an era. This daemon may have
+  // missed that the endpoints left, for example because it was started later. Returns the entries
+  // that are to be used as draining.
+  std::vector<EndpointRecord> MergeLeft(const std::vector<std::uint32_t>& numbers,
+                                        std::uint32_t era);
+
+  // All changes up to this revision are known; the default value if none.
+  StoreRevision revision() const { return revision_; }
 
   // The changes after `revision`, for a daemon that knows all changes up to it; a snapshot if it
-  // is 0 or older than the last snapshot that this log was read from, since the log lacks deletions
-  // before that one.
-  DirectoryChanges Since(std::uint64_t revision) const;
+  // is the default value or older than the last snapshot that this log was read from, since the log
+  // lacks deletions before that one.
+  DirectoryChanges Since(StoreRevision revision) const;
 
   // Whether a number belongs to the latest known incarnation of an id, registered or gone.
   bool KnowsNumber(std::uint32_t number) const { return ids_.contains(number); }
@@ -98,10 +121,17 @@
 
  private:
   void SetEntry(EndpointRecord change);
-
-  std::uint64_t revision_ = 0;
+  void SetRevision(StoreRevision revision);
+  bool MayBeRestored(StoreRevision revision) const;
+  EndpointRecord Reconcile(EndpointRecord change) const;
+  std::vector<EndpointRecord> MergeContents(const DirectoryChanges& changes);
+
+  StoreRevision revision_;
+  // The first revision of the present era up to which all changes were known. Later entries were
+  // written in this era.
+  StoreRevision era_start_;
   // Revision of the last snapshot. All changes since then are in `entries_`.
-  std::uint64_t snapshot_revision_ = 0;
+  StoreRevision snapshot_revision_;
   std::map<std::string, EndpointRecord> entries_;
   std::map<std::uint32_t, std::string> ids_;
 };
--- a/src/fleet_state.h
+++ b/src/fleet_state.h
@@ -67,7 +67,7 @@
   }
 
   // The view of the store, with the directory's changes after a revision.
-  StoreView ViewSince(std::uint64_t directory_revision, MonotonicTime now) const {
+  StoreView ViewSince(StoreRevision directory_revision, MonotonicTime now) const {
     return {AgeMillis(confirmed_, now), config_.version(), directory_.Since(directory_revision)};
   }
 
--- a/src/fleet_store.h
+++ b/src/fleet_store.h
@@ -13,14 +13,15 @@
 // All items under a prefix, and the revision at which a watch continues.
 struct KvSnapshot {
   std::vector<KvItem> items;
-  std::uint64_t revision = 0;
+  StoreRevision revision;
 };
 
 // Changes under a prefix, in order. An entry with version 0 was deleted.
 struct KvChanges {
   std::vector<KvItem> items;
-  std::uint64_t revision = 0;
-  // The store no longer has the requested history; a new snapshot is needed.
+  StoreRevision revision;
+  // The store does not have the requested history, because it was compacted or the store was
+  // restored; a new snapshot is needed.
   bool compacted = false;
 };
 
@@ -34,8 +35,9 @@
 // A KvStore with snapshots and watches of a prefix, and atomic writes of several keys.
 template <class T>
 concept FleetStore = KvStore<T> &&
-    requires(T& store, std::string text, std::uint64_t revision, milliseconds wait,
+    requires(T& store, std::string text, StoreRevision revision, milliseconds wait,
              std::vector<KvItem> expected, std::vector<KvPut> puts) {
+  // All items are of the era of the snapshot's revision.
   { store.Snapshot(text) } -> std::same_as<Task<Result<KvSnapshot, KvError>>>;
   // Waits for changes after `revision`, up to `wait`.
   { store.WatchPrefix(text, revision, wait) } -> std::same_as<Task<Result<KvChanges, KvError>>>;
--- a/src/fleet_usage.h
+++ b/src/fleet_usage.h
@@ -15,6 +15,7 @@
 #include "peer_message.h"
 #include "quota_usage.h"
 #include "relay_plan.h"
+#include "store_era.h"
 
 namespace mimosabend {
 
@@ -111,13 +112,14 @@
 // Versions of the fleet state that a daemon has, so that answers carry only deltas.
 struct KnownVersions {
   std::uint64_t config_version = 0;
-  std::uint64_t directory_revision = 0;
+  StoreRevision directory_revision;
   std::uint64_t holdings_version = 0;
   std::uint64_t plan_version = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(config_version, directory_revision, holdings_version, plan_version);
+    directory_revision.serialize(archive);
+    archive(config_version, holdings_version, plan_version);
   }
 };
 
@@ -149,6 +151,8 @@
   // Numbers of endpoints that a daemon can't reach, and of those that announced a shutdown.
   std::vector<std::uint32_t> unreachable;
   std::vector<std::uint32_t> leaving;
+  // See DirectoryLog::Left.
+  std::vector<std::uint32_t> left;
   // The rate limits of endpoints that the daemon knows.
   std::vector<LimitNotice> limits;
   EvidenceMessage evidence;
@@ -163,6 +167,7 @@
     known.serialize(archive);
     SerializeNumbers(archive, unreachable);
     SerializeNumbers(archive, leaving);
+    SerializeNumbers(archive, left);
     SerializeList(archive, limits);
     SerializeList(archive, models);
     SerializeList(archive, loads);
@@ -293,12 +298,12 @@
 // Asks any daemon for its view of the store's contents. TCP.
 struct ViewRequest {
   static constexpr PeerMessageType kType = PeerMessageType::kViewRequest;
-  std::uint64_t directory_revision = 0;
+  StoreRevision directory_revision;
   EvidenceMessage evidence;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(directory_revision);
+    directory_revision.serialize(archive);
     evidence.serialize(archive);
   }
 };
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -59,6 +59,9 @@
 // The load balancer still opens connections during two of its checks after the daemon has become
 // unready.
 constexpr milliseconds kBalancerDelay{2300};
+// A daemon that starts after a restore of the store waits this long to hear from the others which
+// of the restored endpoints have left.
+constexpr milliseconds kLeftEndpointsWait{3000};
 // Part of the grace period that is kept for closing what is still open.
 constexpr milliseconds kExitMargin{300};
 // Time to tell all daemons that this one resigns, and to release the lease.
@@ -116,6 +119,7 @@
   using Link = LeaderLink<PlatformStore, EngineOrders>;
 
   bool IsReady() const;
+  bool KnowsLeftEndpoints(MonotonicTime now) const;
   Task<void> HandleReadiness(HttpExchange& exchange);
   Task<void> HandleMetrics(HttpExchange& exchange);
   Task<Result<Envelope, PeerError>> HandlePeer(Envelope request);
@@ -126,6 +130,7 @@
   void PutItem(const KvItem& item, MonotonicTime now);
   void PutEndpoint(FleetEndpoint endpoint, MonotonicTime read_at);
   void ConfirmReading();
+  void BeginEra(std::uint32_t era);
   StateHooks MakeStateHooks();
   LinkSettings MakeLinkSettings();
   Task<void> RunHousekeeping();
@@ -179,6 +184,8 @@
   HttpServer metrics_server_;
   asio::signal_set termination_signals_;
   asio::signal_set reload_signals_;
+  MonotonicTime started_at_ = MonotonicNow();
+  bool heard_leader_ = false;
   bool stopping_ = false;
   int exit_code_ = 0;
 };
@@ -243,6 +250,7 @@
                       [this](HttpExchange& exchange) { return HandleMetrics(exchange); }),
       termination_signals_(*io, SIGTERM, SIGINT),
       reload_signals_(*io, SIGHUP) {
+  store_.era().set_listener([this](std::uint32_t era) { BeginEra(era); });
   directory_.set_end_listener([this](const FleetEndpoint& endpoint) {
     crash_correlator_.RecordEnd(EndpointNumber(endpoint.id, endpoint.started_ms), MonotonicNow());
   });
@@ -280,11 +288,11 @@
   ItemHandlers handlers;
   handlers.put = [this](const KvItem& item, MonotonicTime) {
     if (item.key != PlatformStore::config_key()) return;
-    AdoptConfig(item.entry.value, "the store, revision " + std::to_string(item.entry.version));
+    AdoptConfig(item.entry.value, "the store, revision " + ToString(item.entry.revision()));
   };
-  handlers.remove = [](const std::string&, std::uint64_t, MonotonicTime) {};
-  handlers.keep_only = [](const std::set<std::string>&, std::uint64_t, MonotonicTime) {};
-  handlers.done = [](std::uint64_t, MonotonicTime) {};
+  handlers.remove = [](const std::string&, StoreRevision, MonotonicTime) {};
+  handlers.keep_only = [](const std::set<std::string>&, StoreRevision, MonotonicTime) {};
+  handlers.done = [](StoreRevision, MonotonicTime) {};
   return handlers;
 }
 
@@ -292,20 +300,20 @@
   const std::size_t prefix = PlatformStore::endpoint_prefix().size();
   ItemHandlers handlers;
   handlers.put = [this](const KvItem& item, MonotonicTime now) { PutItem(item, now); };
-  handlers.remove = [this, prefix](const std::string& key, std::uint64_t revision,
+  handlers.remove = [this, prefix](const std::string& key, StoreRevision revision,
                                    MonotonicTime now) {
     LOG4CPLUS_INFO(Log(), "endpoint " << key.substr(prefix) << " was deleted from the store");
     directory_.Remove(key.substr(prefix), now);
     state_.directory().Remove(key.substr(prefix), revision);
   };
-  handlers.keep_only = [this, prefix](const std::set<std::string>& keys, std::uint64_t revision,
+  handlers.keep_only = [this, prefix](const std::set<std::string>& keys, StoreRevision revision,
                                       MonotonicTime now) {
     std::set<std::string> ids;
     for (const std::string& key : keys) ids.insert(key.substr(prefix));
     directory_.KeepOnly(ids, now);
     state_.directory().KeepOnly(ids, revision);
   };
-  handlers.done = [this](std::uint64_t revision, MonotonicTime) {
+  handlers.done = [this](StoreRevision revision, MonotonicTime) {
     state_.directory().Advance(revision);
     usage_.endpoints_changed().NotifyAll();
   };
@@ -342,10 +350,16 @@
   if (!endpoint) {
     LOG4CPLUS_WARN(Log(), "entry " << item.key << " is not a valid endpoint, ignored");
     directory_.Remove(id, now);
-    state_.directory().Remove(id, item.entry.version);
+    state_.directory().Remove(id, item.entry.revision());
     return;
   }
-  state_.directory().Put(*endpoint, item.entry.version);
+  const auto state = state_.directory().Put(*endpoint, item.entry.revision());
+  if (!state) {
+    LOG4CPLUS_WARN(Log(), "endpoint " << id << " was gone before the store was restored, ignored");
+    directory_.Remove(id, now);
+    return;
+  }
+  endpoint->state = *state;
   PutEndpoint(std::move(*endpoint), now);
 }
 
@@ -379,8 +393,24 @@
   state_.Confirm(std::min(confirmed(config_watcher_), confirmed(endpoint_watcher_)));
 }
 
+// The store was restored from an older copy: what this daemon wrote may be lost, and its lease may
+// belong to another daemon.
+void Gateway::BeginEra(std::uint32_t era) {
+  lease_.Drop();
+  const bool led = leader_.BeginEra(era);
+  config_watcher_.Restart();
+  endpoint_watcher_.Restart();
+  if (!led) return;
+  // Claims leadership again without delay.
+  state_.ForgetLeader();
+  usage_.waiting_began().NotifyAll();
+}
+
 StateHooks Gateway::MakeStateHooks() {
   StateHooks hooks;
+  hooks.learn_era = [this](std::uint32_t era, const Address& daemon) {
+    store_.era().Learn(era, ToString(daemon));
+  };
   hooks.put = [this](FleetEndpoint endpoint) { PutEndpoint(std::move(endpoint), MonotonicTime()); };
   hooks.adopt_config = [this](const MultipartDocument& document) {
     return AdoptConfig(document.Text(), "another daemon");
@@ -398,13 +428,20 @@
   link.quota_tolerance = settings_.bounds.quota_tolerance;
   link.suspend_reading = [this](MonotonicTime until) {
     if (state_.config().version() > 0) config_watcher_.Suspend(until);
-    if (state_.directory().revision() > 0) endpoint_watcher_.Suspend(until);
+    if (state_.directory().revision().exists()) endpoint_watcher_.Suspend(until);
   };
   return link;
 }
 
 bool Gateway::IsReady() const {
-  return !stopping_ && directory_.config() != nullptr && state_.directory().revision() > 0;
+  return !stopping_ && directory_.config() != nullptr && state_.directory().revision().exists() &&
+         KnowsLeftEndpoints(MonotonicNow());
+}
+
+// Whether this daemon knows which of the restored endpoints have left, as far as others know it.
+bool Gateway::KnowsLeftEndpoints(MonotonicTime now) const {
+  return state_.directory().revision().era == 0 || heard_leader_ ||
+         now >= started_at_ + kLeftEndpointsWait;
 }
 
 Task<void> Gateway::HandleReadiness(HttpExchange& exchange) {
@@ -424,6 +461,7 @@
   if (request.type == PeerMessageType::kUsageReport) {
     auto report = Unwrap<UsageReport>(request);
     if (!report) co_return outcome::failure(report.error());
+    store_.era().Learn(report.value().known.directory_revision.era, request.sender);
     const UsageAnswer answer = link_.HandleReport(request.sender, report.value(), MonotonicNow());
     co_return Wrap(answer, settings_.name, 0, WallNow());
   }
@@ -436,6 +474,7 @@
   if (request.type == PeerMessageType::kViewRequest) {
     auto message = Unwrap<ViewRequest>(request);
     if (!message) co_return outcome::failure(message.error());
+    store_.era().Learn(message.value().directory_revision.era, request.sender);
     const MonotonicTime now = MonotonicNow();
     const ViewAnswer answer{state_.ViewSince(message.value().directory_revision, now),
                             state_.MakeLeaderNotice(now),
@@ -464,6 +503,7 @@
 
 Task<void> Gateway::RunHousekeeping() {
   for (;;) {
+    heard_leader_ = heard_leader_ || link_.has_leader(MonotonicNow());
     directory_.PruneExpired(MonotonicNow());
     crash_correlator_.PruneExpired(MonotonicNow());
     evidence_.PruneExpired(MonotonicNow());
@@ -494,6 +534,9 @@
 Task<void> Gateway::UpdateMetrics() {
   std::uint64_t calls = 0;
   std::uint64_t errors = 0;
+  std::uint64_t restores = 0;
+  std::uint64_t dropped_responses = 0;
+  std::uint64_t invalid_eras = 0;
   std::uint64_t connections = 0;
   std::uint64_t dropped_lines = 0;
   std::uint64_t rejected = 0;
@@ -502,6 +545,15 @@
   for (;;) {
     relay_metrics_.store_calls_total->Increment(static_cast<double>(store_.calls() - calls));
     relay_metrics_.store_errors_total->Increment(static_cast<double>(store_.errors() - errors));
+    const StoreEra& era = store_.era();
+    relay_metrics_.store_restores_total->Increment(static_cast<double>(era.begun() - restores));
+    restores = era.begun();
+    relay_metrics_.store_dropped_responses_total->Increment(
+        static_cast<double>(era.dropped() - dropped_responses));
+    dropped_responses = era.dropped();
+    relay_metrics_.store_invalid_eras_total->Increment(
+        static_cast<double>(era.invalid() - invalid_eras));
+    invalid_eras = era.invalid();
     relay_metrics_.connections_opened_total->Increment(
         static_cast<double>(endpoint_client_.connections_opened() - connections));
     relay_metrics_.log_lines_dropped_total->Increment(
--- a/src/kv_store.h
+++ b/src/kv_store.h
@@ -9,6 +9,7 @@
 #include "clock.h"
 #include "name_table.h"
 #include "result.h"
+#include "store_era.h"
 
 namespace mimosabend {
 
@@ -25,8 +26,11 @@
 struct KvEntry {
   std::string value;
   std::uint64_t version = 0;
+  // Era of the response that the entry was read from; 0 for stores that have no eras.
+  std::uint32_t era = 0;
 
   bool exists() const { return version != 0; }
+  StoreRevision revision() const { return {era, version}; }
 };
 
 struct KvItem {
@@ -38,6 +42,11 @@
 struct KvSwap {
   bool swapped = false;
   std::uint64_t version = 0;
+  // Era of the response. If the expected version was read in another era, a swap may have replaced
+  // a value that was never read.
+  std::uint32_t era = 0;
+
+  StoreRevision revision() const { return {era, version}; }
 };
 
 // Identifies a lease; empty for none.
--- a/src/leader_finder.h
+++ b/src/leader_finder.h
@@ -18,13 +18,13 @@
 namespace mimosabend {
 
 // Finds the placement leader in the store, or claims leadership if there is none. Not thread-safe.
-template <FleetStore Store, FleetEngines Engines>
+template <FleetStore Store, FleetEngines Engines, class Peers = PeerClient>
 class LeaderFinder {
  public:
   using Leader = PlacementLeader<Store, Engines>;
 
   // Precondition: all pointers outlive this object. `capacity` is the HostCapacity of this daemon.
-  LeaderFinder(Store* store, LeaseKeeper<Store>* lease, PeerClient* peers, Leader* leader,
+  LeaderFinder(Store* store, LeaseKeeper<Store>* lease, Peers* peers, Leader* leader,
                FleetState* state, std::uint32_t capacity, std::uint64_t seed)
       : store_(store),
         lease_(lease),
@@ -68,14 +68,15 @@
     const auto record = ParseLeaderRecord(entry.value().value);
     if (!entry.value().exists() || !record) co_return LookupResult::kNone;
     // May be a claim of this process whose answer was lost.
-    if (leader_->AdoptClaim(*record, entry.value().version)) co_return LookupResult::kLeader;
+    if (leader_->AdoptClaim(*record, entry.value().revision())) co_return LookupResult::kLeader;
     if (record->address == leader_->peer_address()) {
       co_await EndFormerLease(*record);
       co_return LookupResult::kLeader;
     }
     leader_->OnOtherLeader();
-    state_->UpdateLeader({entry.value().version, record->address, kUnheardAgeMillis},
-                         MonotonicNow());
+    state_->UpdateLeader(
+        {FencingToken(entry.value().revision()), record->address, kUnheardAgeMillis},
+        MonotonicNow());
     // Only a leader or a daemon that claims leadership needs a lease.
     lease_->SetWanted(false);
     co_return LookupResult::kLeader;
@@ -116,7 +117,7 @@
     if (predecessor && *predecessor != leader_->peer_address()) {
       const StandDownRequest request{leader_->fence()};
       auto answer =
-          co_await peers_->Call<StandDownAnswer>(*predecessor, request, kStandDownTimeout);
+          co_await peers_->template Call<StandDownAnswer>(*predecessor, request, kStandDownTimeout);
       if (answer) handover = ToHandover(answer.value());
     }
     leader_->EndPredecessorWait(handover);
@@ -137,7 +138,7 @@
 
   Store* store_;
   LeaseKeeper<Store>* lease_;
-  PeerClient* peers_;
+  Peers* peers_;
   Leader* leader_;
   FleetState* state_;
   std::uint32_t capacity_;
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -117,6 +117,7 @@
   UsageAnswer HandleReport(const std::string& sender, const UsageReport& report,
                            MonotonicTime now) {
     MarkLeaving(report.leaving);
+    parts_.sync->ApplyLeft(report, sender);
     AdoptLimits(report.limits, sender, now);
     UsageAnswer answer = parts_.leader->IsLeader(now) ? AnswerAsLeader(sender, report, now)
                                                       : AnswerAsRelay(sender, report, now);
@@ -335,6 +336,7 @@
       if (number) report.unreachable.push_back(*number);
     }
     report.leaving = LeavingEndpoints();
+    report.left = parts_.state->directory().Left();
     report.limits = parts_.limits->Notices(MonotonicNow());
     report.quota = parts_.quota->TakeUsage();
     report.urgent = report_is_urgent_;
--- a/src/leader_record.cpp
+++ b/src/leader_record.cpp
@@ -2,6 +2,8 @@
 
 #include <sstream>
 
+#include "store_era.h"
+
 namespace mimosabend {
 
 std::string ToString(const LeaderRecord& record) {
@@ -19,4 +21,15 @@
   return record;
 }
 
+std::string ToString(const HolderRecord& record) {
+  return record.era == 0 ? record.host : record.host + "\n" + std::to_string(record.era);
+}
+
+HolderRecord ParseHolderRecord(const std::string& text) {
+  const std::size_t end = text.find('\n');
+  if (end == std::string::npos) return {text, 0};
+  const std::string_view era = std::string_view(text).substr(end + 1);
+  return {text.substr(0, end), ParseStoreEra(era).value_or(0)};
+}
+
 }  // namespace mimosabend
--- a/src/lease_keeper.h
+++ b/src/lease_keeper.h
@@ -36,6 +36,14 @@
   // that the monotonic clock does not count.
   void MarkUnsafe() { renewed_at_ = MonotonicTime(); }
 
+  // Forgets the lease without revoking it. Called when the service was restored from an older copy,
+  // since the id may belong to another daemon now.
+  void Drop() {
+    if (lease_) LOG4CPLUS_WARN(Log(), "dropped the lease " << *lease_);
+    lease_.reset();
+    renewed_at_ = MonotonicTime();
+  }
+
   // Sets whether the daemon needs the lease. While it does not, the lease is revoked: each renewal
   // is a write to the service, and most daemons of a large fleet own nothing.
   void SetWanted(bool wanted) { wanted_ = wanted; }
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -52,8 +52,8 @@
 };
 
 // The placement leader: the only daemon that orders engines to load and unload models and adapters.
-// It is elected by a key in the store that is bound to its lease; the key's version is the fencing
-// token of its orders. Not thread-safe.
+// It is elected by a key in the store that is bound to its lease; the fencing token of its orders
+// follows from the key's revision. Not thread-safe.
 template <FleetStore Store, FleetEngines Engines>
 class PlacementLeader {
  public:
@@ -95,26 +95,40 @@
     const LeaseId held = *lease;
     auto holder = co_await store_->Read(kLastHolderKey);
     if (!holder) co_return false;
+    const std::uint32_t era = holder.value().era;
     const LeaderRecord record{settings_.peer_address, held};
     std::vector<KvItem> expected{{kLeaderKey, {"", 0}},
                                  {kLastHolderKey, {"", holder.value().version}}};
     std::vector<KvPut> puts{{kLeaderKey, ToString(record), held},
-                            {kLastHolderKey, settings_.host, {}}};
+                            {kLastHolderKey, ToString(HolderRecord{settings_.host, era}), {}}};
     auto claimed = co_await store_->Claim(std::move(expected), std::move(puts));
     if (!claimed || !claimed.value().swapped || !lease_->Holds(held)) co_return false;
-    BeginTerm(held, claimed.value().version, holder.value());
+    // After a restore, the versions may stand for other values than those that were read. The next
+    // search reads back what was written.
+    if (claimed.value().era != era) co_return false;
+    BeginTerm(held, claimed.value().revision(), holder.value());
     co_return true;
   }
 
   // Begins a term if the leader record in the store was written by this process, for example by a
   // claim whose answer was lost. Returns whether it was.
-  bool AdoptClaim(const LeaderRecord& record, std::uint64_t version) {
+  bool AdoptClaim(const LeaderRecord& record, StoreRevision revision) {
     const bool own = record.address == settings_.peer_address && lease_->Holds(record.lease);
     // The former holder is unknown, so orders wait as after a change of holder.
-    if (own && !term_) BeginTerm(record.lease, version, KvEntry{"unknown", 1});
+    if (own && !term_) BeginTerm(record.lease, revision, KvEntry{"unknown", 1, revision.era});
     return own;
   }
 
+  // The store was restored from an older copy: ends the term, whose key is lost or may belong to
+  // another lease. Returns whether this daemon led until then.
+  bool BeginEra(std::uint32_t era) {
+    if (!term_) return false;
+    // If other eras lie between, other daemons may have led in them.
+    if (era == term_->era + 1) led_until_era_ = era;
+    EndTerm("the store was restored");
+    return true;
+  }
+
   // Ends this daemon's term if the request has a higher fencing token. Returns the orders that were
   // sent within the holder gap, unless this daemon still leads.
   StandDownAnswer StandDown(const StandDownRequest& request, MonotonicTime now) {
@@ -134,10 +148,11 @@
 
   // Ends the wait for the predecessor. `handover` has its last orders, after which it sends none;
   // std::nullopt if it could not be reached, in which case the wait ends only if fencing is
-  // required. No effect unless WaitsForPredecessor, or if the handover is from another host.
+  // required. No effect unless WaitsForPredecessor, if the handover is from another host, or if the
+  // record of the last holder was restored with the store.
   void EndPredecessorWait(const std::optional<Handover>& handover) {
     const MonotonicTime now = MonotonicNow();
-    if (!WaitsForPredecessor(now)) return;
+    if (!WaitsForPredecessor(now) || !holder_is_known_) return;
     const bool stood_down = handover && handover->holder == last_holder_;
     if (stood_down) DelayOrders(*handover);
     // Engines that check fencing tokens reject orders of a predecessor that can't be reached.
@@ -259,6 +274,7 @@
 
   struct Term {
     LeaseId lease;
+    std::uint32_t era = 0;
     std::uint64_t fence = 0;
     MonotonicTime began;
     // From this time on the former holder's orders lie at least the holder gap back.
@@ -278,15 +294,26 @@
     return IsLeader(now) && !resigning_ && now >= term_->orders_from;
   }
 
-  void BeginTerm(const LeaseId& lease, std::uint64_t fence, const KvEntry& last_holder) {
-    const bool other = last_holder.exists() && last_holder.value != settings_.host;
-    const bool handed_over = other && handover_ && handover_->holder == last_holder.value;
-    const bool wait = other && !handed_over;
+  // Whether the holder record names the daemon that led last. A restored one may name an earlier
+  // holder, unless it names this daemon and that led until it learned of the restore.
+  bool IsLastHolder(const HolderRecord& holder, std::uint32_t era) const {
+    if (holder.era == era) return true;
+    return holder.host == settings_.host && era > 0 && led_until_era_ == era;
+  }
+
+  void BeginTerm(const LeaseId& lease, StoreRevision claimed, const KvEntry& last_holder) {
+    const std::uint64_t fence = FencingToken(claimed);
+    const HolderRecord holder = ParseHolderRecord(last_holder.value);
+    holder_is_known_ = IsLastHolder(holder, claimed.era);
+    const bool other = last_holder.exists() && holder.host != settings_.host;
+    const bool handed_over =
+        holder_is_known_ && other && handover_ && handover_->holder == holder.host;
+    const bool wait = !holder_is_known_ || (other && !handed_over);
     const MonotonicTime now = MonotonicNow();
-    last_holder_ = last_holder.value;
+    last_holder_ = holder.host;
     // A predecessor whose lease was revoked may send orders until its safe time has passed.
     const milliseconds gap = settings_.holder_gap + lease_->safe_time();
-    term_ = Term{lease, fence, now, now + (wait ? gap : milliseconds(0))};
+    term_ = Term{lease, claimed.era, fence, now, now + (wait ? gap : milliseconds(0))};
     resigning_ = false;
     table_.BeginTerm(fence << kVersionBits);
     table_.Sync(*directory_, now);
@@ -298,9 +325,10 @@
     plan_relays_from_ = now + kFirstPlanDelay;
     state_->UpdateLeader({fence, settings_.peer_address, 0}, now);
     unreachable_.clear();
-    no_previous_holder_ = !last_holder.exists();
-    LOG4CPLUS_INFO(
-        Log(), "leads placement fence=" << fence << " last_holder=\"" << last_holder.value << "\"");
+    no_previous_holder_ = !last_holder.exists() && holder_is_known_;
+    LOG4CPLUS_INFO(Log(), "leads placement fence="
+                              << fence << " last_holder=\"" << holder.host << "\""
+                              << (holder_is_known_ ? "" : " restored, waiting for the holder gap"));
     wake_.NotifyAll();
   }
 
@@ -466,6 +494,10 @@
   std::optional<Handover> handover_;
   // The host that led before this term.
   std::string last_holder_;
+  // False if the holder record was restored with the store, so that an unknown daemon may have led.
+  bool holder_is_known_ = true;
+  // The era whose begin ended a term of this daemon; 0 for none.
+  std::uint32_t led_until_era_ = 0;
   bool resigning_ = false;
   // No leader preceded this term, so no load has been counted against the ceiling yet.
   bool no_previous_holder_ = false;
--- a/src/prefix_watcher.h
+++ b/src/prefix_watcher.h
@@ -2,9 +2,12 @@
 #define MIMOSABEND_PREFIX_WATCHER_H_
 
 #include <functional>
+#include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
+#include "event_loop.h"
 #include "fleet_directory.h"
 #include "fleet_store.h"
 #include "log.h"
@@ -18,17 +21,18 @@
   // An item was written.
   std::function<void(const KvItem&, MonotonicTime)> put;
   // An item was deleted, at `revision` or before.
-  std::function<void(const std::string& key, std::uint64_t revision, MonotonicTime)> remove;
+  std::function<void(const std::string& key, StoreRevision revision, MonotonicTime)> remove;
   // Exactly these keys exist at a revision.
-  std::function<void(const std::set<std::string>&, std::uint64_t revision, MonotonicTime)>
+  std::function<void(const std::set<std::string>&, StoreRevision revision, MonotonicTime)>
       keep_only;
   // A batch of changes is complete: everything up to a revision is known.
-  std::function<void(std::uint64_t revision, MonotonicTime)> done;
+  std::function<void(StoreRevision revision, MonotonicTime)> done;
 };
 
 // Follows all items under a prefix of the store: reads a snapshot, then watches for changes. Reads
-// a new snapshot after a failed call and when the store has compacted the history. While the store
-// can't be read, the known items stay. Not thread-safe.
+// a new snapshot after a failed call, when the store has compacted the history, and when it was
+// restored from an older copy. While the store can't be read, the known items stay. Not
+// thread-safe.
 template <FleetStore Store>
 class PrefixWatcher {
  public:
@@ -37,7 +41,8 @@
   // each call is charged.
   PrefixWatcher(boost::asio::any_io_executor executor, Store* store, std::string prefix,
                 milliseconds batch_delay, ItemHandlers handlers)
-      : store_(store),
+      : executor_(executor),
+        store_(store),
         prefix_(std::move(prefix)),
         batch_delay_(batch_delay),
         handlers_(std::move(handlers)),
@@ -80,6 +85,14 @@
     wake_.NotifyAll();
   }
 
+  // The store was restored: abandons an open watch, which may hang on a connection to the former
+  // contents, and reads a snapshot next. While reading is suspended, it stays so.
+  void Restart() {
+    synced_ = false;
+    restart_ = true;
+    wake_.NotifyAll();
+  }
+
   // Whether a snapshot was read at least once.
   bool has_snapshot() const { return has_read_; }
   // Whether a snapshot has been read and the last call to the store succeeded.
@@ -94,6 +107,30 @@
   static constexpr milliseconds kMaxRetryDelay{400};
   // Maximum age of the answer to a watch when it arrives.
   static constexpr milliseconds kMaxAnswerAge{250};
+  // Above the time-out of a call to the store, so that it ends only a watch that got lost.
+  static constexpr milliseconds kWatchTimeoutMargin{3000};
+
+  using WatchAnswer = std::optional<Result<KvChanges, KvError>>;
+
+  // Watches and stores the answer, which nobody reads if the watch was abandoned meanwhile.
+  Task<void> Watch(std::shared_ptr<WatchAnswer> answer) {
+    auto changes = co_await store_->WatchPrefix(prefix_, revision_, kWatchWait);
+    *answer = std::move(changes);
+    wake_.NotifyAll();
+  }
+
+  // Watches until there are changes, the wait is over or the watch is abandoned, in which case it
+  // returns std::nullopt.
+  Task<WatchAnswer> WatchOrRestart() {
+    restart_ = false;
+    const auto answer = std::make_shared<WatchAnswer>();
+    SpawnDetached(executor_, "watch", Watch(answer));
+    const MonotonicTime deadline = MonotonicNow() + kWatchWait + kWatchTimeoutMargin;
+    while (!*answer && !restart_ && MonotonicNow() < deadline) co_await wake_.WaitUntil(deadline);
+    if (restart_) co_return std::nullopt;
+    if (!*answer) co_return WatchAnswer(outcome::failure(KvError::kOutcomeUnknown));
+    co_return std::move(*answer);
+  }
 
   Task<void> ReadSnapshot() {
     const MonotonicTime sent_at = MonotonicNow();
@@ -115,12 +152,16 @@
   }
 
   Task<void> ReadChanges() {
-    auto changes = co_await store_->WatchPrefix(prefix_, revision_, kWatchWait);
+    const auto answer = co_await WatchOrRestart();
+    if (!answer) co_return;
+    const auto& changes = *answer;
     if (!changes) co_return co_await BackOff(changes.error());
     RecordSuccess();
     if (changes.value().compacted) {
-      LOG4CPLUS_WARN(Log(), "history of " << prefix_ << " after revision " << revision_
-                                          << " was compacted, reading a snapshot");
+      const bool restored = changes.value().revision.era != revision_.era;
+      LOG4CPLUS_WARN(Log(), "history of " << prefix_ << " after revision " << ToString(revision_)
+                                          << (restored ? " was lost" : " was compacted")
+                                          << ", reading a snapshot");
       synced_ = false;
       co_return;
     }
@@ -156,17 +197,19 @@
     failures_ = 0;
   }
 
+  boost::asio::any_io_executor executor_;
   Store* store_;
   std::string prefix_;
   milliseconds batch_delay_;
   ItemHandlers handlers_;
-  std::uint64_t revision_ = 0;
+  StoreRevision revision_;
   int failures_ = 0;
   Notifier wake_;
   MonotonicTime suspended_until_;
   milliseconds max_retry_delay_ = kMaxRetryDelay;
   MonotonicTime confirmed_;
   bool read_now_ = false;
+  bool restart_ = false;
   bool synced_ = false;
   bool has_read_ = false;
   bool stopping_ = false;
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -60,6 +60,13 @@
       registry_.AddCounter("store_calls_total", "Calls to the store, watches included.");
   store_errors_total =
       registry_.AddCounter("store_errors_total", "Calls to the store that failed.");
+  store_restores_total = registry_.AddCounter(
+      "store_restores_total", "Times that the store was found to be restored from an older copy.");
+  store_dropped_responses_total =
+      registry_.AddCounter("store_dropped_responses_total",
+                           "Responses of the store that were dropped because their era had ended.");
+  store_invalid_eras_total = registry_.AddCounter(
+      "store_invalid_eras_total", "Responses of the store whose era was not valid.");
   log_lines_dropped_total =
       registry_.AddCounter("log_lines_dropped_total", "Log lines that were left out.");
   library_assertions_total =
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -69,6 +69,9 @@
   prometheus::Counter* connections_opened_total;
   prometheus::Counter* store_calls_total;
   prometheus::Counter* store_errors_total;
+  prometheus::Counter* store_restores_total;
+  prometheus::Counter* store_dropped_responses_total;
+  prometheus::Counter* store_invalid_eras_total;
   prometheus::Counter* log_lines_dropped_total;
   prometheus::Counter* library_assertions_total;
   prometheus::Counter* exceptions_total;
--- a/src/state_sync.cpp
+++ b/src/state_sync.cpp
@@ -21,14 +21,13 @@
   return holdings;
 }
 
-void StateSync::Apply(const StoreView& view, const Address& daemon, MonotonicTime asked_at) {
+// Uses changed entries that were known from another daemon.
+void StateSync::ApplyChanges(const std::vector<EndpointRecord>& changes,
+                             const std::string& daemon) {
   const MonotonicTime now = MonotonicNow();
-  const MonotonicTime confirmed_at = asked_at - milliseconds(view.age_ms);
-  const std::vector<EndpointRecord> merged = state_->directory().Merge(view.directory);
-  for (const EndpointRecord& change : merged) {
+  for (const EndpointRecord& change : changes) {
     if (change.gone) {
-      LOG4CPLUS_INFO(Log(),
-                     "endpoint " << change.id << " was deleted, known from " << ToString(daemon));
+      LOG4CPLUS_INFO(Log(), "endpoint " << change.id << " was deleted, known from " << daemon);
       directory_->Remove(change.id, now);
       continue;
     }
@@ -37,7 +36,18 @@
     if (known != nullptr) endpoint.holdings = known->endpoint.holdings;
     hooks_.put(std::move(endpoint));
   }
-  if (!merged.empty()) usage_->endpoints_changed().NotifyAll();
+  if (!changes.empty()) usage_->endpoints_changed().NotifyAll();
+}
+
+void StateSync::ApplyLeft(const UsageReport& report, const std::string& daemon) {
+  ApplyChanges(state_->directory().MergeLeft(report.left, report.known.directory_revision.era),
+               daemon);
+}
+
+void StateSync::Apply(const StoreView& view, const Address& daemon, MonotonicTime asked_at) {
+  const MonotonicTime confirmed_at = asked_at - milliseconds(view.age_ms);
+  hooks_.learn_era(view.directory.revision.era, daemon);
+  ApplyChanges(state_->directory().Merge(view.directory), ToString(daemon));
   if (view.config_version > state_->config().version()) {
     if (!fetching_config_) {
       SpawnDetached(executor_, "configuration request", FetchConfig(daemon, confirmed_at));
--- a/src/state_sync.h
+++ b/src/state_sync.h
@@ -19,6 +19,9 @@
   std::function<void(FleetEndpoint)> put;
   // Applies a configuration; returns false if it is invalid or too old.
   std::function<bool(const MultipartDocument&)> adopt_config;
+  // Another daemon knows a newer era of the store.
+  std::function<void(std::uint32_t era, const Address& daemon)> learn_era = [](std::uint32_t,
+                                                                               const Address&) {};
   // Another daemon has a newer configuration, but it could not be fetched from there.
   std::function<void()> read_config;
 };
@@ -42,10 +45,14 @@
   // Merges the view of a daemon. `asked_at` is when the request for it was sent.
   void Apply(const StoreView& view, const Address& daemon, MonotonicTime asked_at);
 
+  // Adopts the endpoints that a daemon's report names as having left before the store was restored.
+  void ApplyLeft(const UsageReport& report, const std::string& daemon);
+
   // Requests the view of a daemon and merges it. Does nothing if there is no answer.
   Task<void> RequestView(Address daemon);
 
  private:
+  void ApplyChanges(const std::vector<EndpointRecord>& changes, const std::string& daemon);
   Task<void> FetchConfig(Address daemon, MonotonicTime confirmed);
 
   boost::asio::any_io_executor executor_;
--- a/tests/fake_fleet_store.h
+++ b/tests/fake_fleet_store.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -26,19 +27,30 @@
   // The next claim succeeds, but its answer is lost.
   void LoseNextClaimAnswer() { lose_claim_answer_ = true; }
 
+  // The contents at some time, leases included.
+  class Copy;
+  Copy MakeCopy() const;
+  // Replaces the contents by an older copy and begins an era. Open watches end. The store is up
+  // then.
+  void Restore(const Copy& copy);
+  std::uint32_t era() const { return era_; }
+  const std::map<LeaseId, bool>& leases() const { return leases_; }
+
   void Put(const std::string& key, const std::string& value, const LeaseId& lease = {}) {
     items_[key] = {{value, ++revision_}, lease};
-    history_.push_back({key, {value, revision_}});
+    history_.push_back({key, {value, revision_, era_}});
   }
   void Erase(const std::string& key) {
     if (items_.erase(key) == 0) return;
     ++revision_;
-    history_.push_back({key, {}});
+    history_.push_back({key, {{}, 0, era_}});
     erased_at_[history_.size() - 1] = revision_;
   }
   KvEntry Get(const std::string& key) const {
     const auto it = items_.find(key);
-    return it == items_.end() ? KvEntry{} : it->second.entry;
+    KvEntry entry = it == items_.end() ? KvEntry{} : it->second.entry;
+    entry.era = era_;
+    return entry;
   }
   // Ends a lease and deletes the keys that are bound to it.
   void EndLease(const LeaseId& lease) {
@@ -112,14 +124,14 @@
     if (down_) co_return outcome::failure(KvError::kUnavailable);
     ++snapshots_;
     KvSnapshot snapshot;
-    snapshot.revision = revision_;
+    snapshot.revision = {era_, revision_};
     for (const auto& [key, item] : items_) {
-      if (key.starts_with(prefix)) snapshot.items.push_back({key, item.entry});
+      if (key.starts_with(prefix)) snapshot.items.push_back({key, Get(key)});
     }
     co_return snapshot;
   }
 
-  Task<Result<KvChanges, KvError>> WatchPrefix(std::string prefix, std::uint64_t after,
+  Task<Result<KvChanges, KvError>> WatchPrefix(std::string prefix, StoreRevision after,
                                                milliseconds wait) {
     co_await Sleep(kCallTime);
     if (down_ || break_watch_) {
@@ -144,17 +156,17 @@
     co_await Sleep(kCallTime);
     if (down_) co_return outcome::failure(KvError::kUnavailable);
     for (const KvItem& item : expected) {
-      if (Get(item.key).version != item.entry.version) co_return KvSwap{};
+      if (Get(item.key).version != item.entry.version) co_return KvSwap{false, 0, era_};
     }
     for (const KvPut& put : puts) {
-      if (!put.lease.empty() && !leases_.contains(put.lease)) co_return KvSwap{};
+      if (!put.lease.empty() && !leases_.contains(put.lease)) co_return KvSwap{false, 0, era_};
     }
     for (const KvPut& put : puts) Put(put.key, put.value, put.lease);
     if (lose_claim_answer_) {
       lose_claim_answer_ = false;
       co_return outcome::failure(KvError::kOutcomeUnknown);
     }
-    co_return KvSwap{true, revision_};
+    co_return KvSwap{true, revision_, era_};
   }
 
  private:
@@ -165,10 +177,10 @@
     LeaseId lease;
   };
 
-  KvChanges After(const std::string& prefix, std::uint64_t after) const {
+  KvChanges After(const std::string& prefix, StoreRevision after) const {
     KvChanges changes;
-    changes.revision = revision_;
-    if (after < compacted_) {
+    changes.revision = {era_, revision_};
+    if (after.era != era_ || after.revision < compacted_ || after.revision > revision_) {
       changes.compacted = true;
       return changes;
     }
@@ -176,7 +188,7 @@
       const KvItem& item = history_[i];
       const auto erased = erased_at_.find(i);
       const std::uint64_t at = erased == erased_at_.end() ? item.entry.version : erased->second;
-      if (at > after && item.key.starts_with(prefix)) changes.items.push_back(item);
+      if (at > after.revision && item.key.starts_with(prefix)) changes.items.push_back(item);
     }
     return changes;
   }
@@ -185,6 +197,7 @@
   std::vector<KvItem> history_;
   std::map<std::size_t, std::uint64_t> erased_at_;
   std::map<LeaseId, bool> leases_;
+  std::uint32_t era_ = 0;
   std::uint64_t revision_ = 0;
   std::uint64_t compacted_ = 0;
   std::uint64_t last_lease_ = 0;
@@ -195,6 +208,23 @@
   bool lose_claim_answer_ = false;
 };
 
+class FakeFleetStore::Copy {
+ private:
+  friend class FakeFleetStore;
+  explicit Copy(const FakeFleetStore& store) : store_(std::make_shared<FakeFleetStore>(store)) {}
+
+  std::shared_ptr<const FakeFleetStore> store_;
+};
+
+inline FakeFleetStore::Copy FakeFleetStore::MakeCopy() const { return Copy(*this); }
+
+inline void FakeFleetStore::Restore(const Copy& copy) {
+  const std::uint32_t era = era_ + 1;
+  *this = *copy.store_;
+  era_ = era;
+  down_ = false;
+}
+
 static_assert(FleetStore<FakeFleetStore>);
 
 }  // namespace mimosabend::testing
--- a/tests/test_decoders.cpp
+++ b/tests/test_decoders.cpp
@@ -158,7 +158,8 @@
   UsageAnswer answer;
   answer.accepted = true;
   answer.leader = {9, {"10.0.0.1", 7380}, 40};
-  answer.view.directory = {90, true, {{"e1", 80, false, "models", {"10.0.0.9", 80}, "north-a"}}};
+  answer.view.directory = {
+      {1, 90}, true, {{"e1", {1, 80}, false, "models", {"10.0.0.9", 80}, "north-a"}}, {}, {5}};
   answer.plan = {4, true, {{"north-a", {{"10.0.0.1", 7380}, {"10.0.0.2", 7380}}}}};
   answer.holdings.push_back({3, 5, {{"m", {"a", "b"}}}});
   answer.loads.push_back({"m", 4000});
@@ -231,7 +232,7 @@
   Fuzz("permit answer", {Encode(PermitAnswer{false, 350})}, CheckStable<PermitAnswer>);
   const ViewAnswer view{ReportAnswer().view, ReportAnswer().leader, Evidence()};
   Fuzz("evidence", {Encode(Evidence())}, CheckStable<EvidenceMessage>);
-  Fuzz("view request", {Encode(ViewRequest{7, Evidence()})}, CheckStable<ViewRequest>);
+  Fuzz("view request", {Encode(ViewRequest{{1, 7}, Evidence()})}, CheckStable<ViewRequest>);
   Fuzz("view answer", {Encode(view)}, CheckStable<ViewAnswer>);
   Fuzz("adapter request", {Encode(AdapterRequest{"e1", "m", "a"})}, CheckStable<AdapterRequest>);
   RequestRecord record;
--- a/tests/test_fleet_state.cpp
+++ b/tests/test_fleet_state.cpp
@@ -11,6 +11,9 @@
 
 constexpr MonotonicTime kStart{seconds(1000)};
 
+// A revision of the store before any restore.
+constexpr StoreRevision At(std::uint64_t revision) { return {0, revision}; }
+
 FleetEndpoint Endpoint(const std::string& id, std::int64_t started_ms = 1) {
   FleetEndpoint endpoint;
   endpoint.id = id;
@@ -57,31 +60,31 @@
 // another daemon and not from the store.
 TEST_CASE("a directory merges only newer changes from others", "[state]") {
   DirectoryLog reader;
-  reader.Put(Endpoint("e1"), 3);
-  reader.Put(Endpoint("e2"), 5);
-  reader.Advance(6);
+  reader.Put(Endpoint("e1"), At(3));
+  reader.Put(Endpoint("e2"), At(5));
+  reader.Advance(At(6));
   DirectoryLog other;
   CHECK(other.Merge(reader.Since(other.revision())).size() == 2);
-  CHECK(other.revision() == 6);
+  CHECK(other.revision() == At(6));
 
-  const DirectoryChanges old = reader.Since(0);
-  reader.Remove("e1", 8);
+  const DirectoryChanges old = reader.Since({});
+  reader.Remove("e1", At(8));
   FleetEndpoint draining = Endpoint("e2");
   draining.state = EndpointState::kDraining;
-  reader.Put(draining, 9);
-  reader.Advance(9);
+  reader.Put(draining, At(9));
+  reader.Advance(At(9));
   const auto merged = other.Merge(reader.Since(other.revision()));
   CHECK(merged.size() == 2);
   CHECK(Gone(merged) == std::vector<std::string>{"e1"});
   CHECK_FALSE(other.NumberOf("e1"));
   // An older delta changes nothing.
   CHECK(other.Merge(old).empty());
-  CHECK(other.revision() == 9);
+  CHECK(other.revision() == At(9));
 
   // A daemon that knows no revision gets a snapshot and drops what is not in it.
   DirectoryLog lost;
-  lost.Put(Endpoint("e3"), 2);
-  CHECK(Gone(lost.Merge(reader.Since(0))) == std::vector<std::string>{"e3"});
+  lost.Put(Endpoint("e3"), At(2));
+  CHECK(Gone(lost.Merge(reader.Since({}))) == std::vector<std::string>{"e3"});
   CHECK(lost.NumberOf("e2"));
 }
 
@@ -90,19 +93,19 @@
 // at all other daemons.
 TEST_CASE("a deletion before a snapshot reaches daemons with an older view", "[state]") {
   DirectoryLog reader;
-  reader.Put(Endpoint("e1"), 3);
-  reader.Put(Endpoint("e2"), 5);
-  reader.KeepOnly({"e1", "e2"}, 6);
-  reader.Advance(6);
+  reader.Put(Endpoint("e1"), At(3));
+  reader.Put(Endpoint("e2"), At(5));
+  reader.KeepOnly({"e1", "e2"}, At(6));
+  reader.Advance(At(6));
   DirectoryLog other;
-  other.Merge(reader.Since(0));
+  other.Merge(reader.Since({}));
 
   // e1 is deleted at revision 7 while the reader restarts.
   DirectoryLog restarted;
-  restarted.Put(Endpoint("e2"), 5);
-  restarted.Put(Endpoint("e3"), 8);
-  restarted.KeepOnly({"e2", "e3"}, 9);
-  restarted.Advance(9);
+  restarted.Put(Endpoint("e2"), At(5));
+  restarted.Put(Endpoint("e3"), At(8));
+  restarted.KeepOnly({"e2", "e3"}, At(9));
+  restarted.Advance(At(9));
   // A relay with the older view passes the deletion on.
   const auto merged = other.Merge(restarted.Since(other.revision()));
   CHECK(merged.size() == 2);
@@ -113,18 +116,18 @@
   // e4 is registered and deleted while the reader can't read the store, but a third daemon has
   // seen it.
   DirectoryLog third;
-  third.Merge(other.Since(0));
-  third.Put(Endpoint("e4"), 10);
-  third.Advance(10);
-  other.KeepOnly({"e2", "e3"}, 12);
-  other.Advance(12);
+  third.Merge(other.Since({}));
+  third.Put(Endpoint("e4"), At(10));
+  third.Advance(At(10));
+  other.KeepOnly({"e2", "e3"}, At(12));
+  other.Advance(At(12));
   CHECK(Gone(third.Merge(other.Since(third.revision()))) == std::vector<std::string>{"e4"});
   CHECK(third.NumberOf("e2"));
   // Without such a gap, an answer lists only what has changed.
-  CHECK(other.Since(12).changes.empty());
-  other.Remove("e3", 13);
-  other.Advance(13);
-  const DirectoryChanges delta = other.Since(12);
+  CHECK(other.Since(At(12)).changes.empty());
+  other.Remove("e3", At(13));
+  other.Advance(At(13));
+  const DirectoryChanges delta = other.Since(At(12));
   CHECK_FALSE(delta.is_snapshot);
   CHECK(delta.changes.size() == 1);
 }
@@ -132,9 +135,9 @@
 // Guards against loads of a former incarnation that are counted for the present one.
 TEST_CASE("a restarted endpoint has another number", "[state]") {
   DirectoryLog log;
-  log.Put(Endpoint("e1", 1), 1);
+  log.Put(Endpoint("e1", 1), At(1));
   const auto first = log.NumberOf("e1");
-  log.Put(Endpoint("e1", 2), 2);
+  log.Put(Endpoint("e1", 2), At(2));
   CHECK(log.NumberOf("e1") != first);
   CHECK(log.FindNumber(*first) == nullptr);
   REQUIRE(log.FindNumber(*log.NumberOf("e1")) != nullptr);
--- a/tests/test_leader_link.cpp
+++ b/tests/test_leader_link.cpp
@@ -63,7 +63,7 @@
     config.version = version;
     directory.Adopt(config);
     state.SetConfig(MultipartDocument(version, {"config ", std::to_string(version)}));
-    ++revision;
+    ++revision.revision;
     std::set<std::string> ids;
     for (const FleetEndpoint& endpoint : endpoints) {
       ids.insert(endpoint.id);
@@ -142,7 +142,7 @@
   Finder finder;
   Link link;
   MonotonicTime suspended_until;
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   int config_reads = 0;
   int reports = 0;
   bool silent = false;
--- a/tests/test_placement_leader.cpp
+++ b/tests/test_placement_leader.cpp
@@ -57,9 +57,9 @@
     directory.Adopt(Config());
     for (int i = 0; i < 3; ++i) {
       directory.Put(Endpoint(i));
-      state.directory().Put(Endpoint(i), static_cast<std::uint64_t>(i) + 1);
+      state.directory().Put(Endpoint(i), {0, static_cast<std::uint64_t>(i) + 1});
     }
-    state.directory().Advance(3);
+    state.directory().Advance({0, 3});
     boost::asio::co_spawn(*io, lease.Run(), boost::asio::detached);
     boost::asio::co_spawn(*io, leader.Run(), boost::asio::detached);
   }
@@ -297,10 +297,10 @@
   CHECK_FALSE(fleet.Lead(&a));
   const KvEntry entry = fleet.store.Get(kLeaderKey);
   REQUIRE(entry.exists());
-  CHECK(a.leader.AdoptClaim(*ParseLeaderRecord(entry.value), entry.version));
+  CHECK(a.leader.AdoptClaim(*ParseLeaderRecord(entry.value), entry.revision()));
   CHECK(a.leader.IsLeader(MonotonicNow()));
   CHECK(a.leader.fence() == entry.version);
-  CHECK_FALSE(a.leader.AdoptClaim({{"127.0.0.1", 7000}, "another lease"}, 99));
+  CHECK_FALSE(a.leader.AdoptClaim({{"127.0.0.1", 7000}, "another lease"}, {0, 99}));
 }
 
 TEST_CASE("a model that requests wait for is loaded and reported to daemons", "[leader]") {
--- a/tests/test_prefix_watcher.cpp
+++ b/tests/test_prefix_watcher.cpp
@@ -22,13 +22,13 @@
     handlers.put = [this](const KvItem& item, MonotonicTime) {
       known[item.key] = item.entry.value;
     };
-    handlers.remove = [this](const std::string& key, std::uint64_t, MonotonicTime) {
+    handlers.remove = [this](const std::string& key, StoreRevision, MonotonicTime) {
       known.erase(key);
     };
-    handlers.keep_only = [this](const std::set<std::string>& keys, std::uint64_t, MonotonicTime) {
+    handlers.keep_only = [this](const std::set<std::string>& keys, StoreRevision, MonotonicTime) {
       std::erase_if(known, [&](const auto& item) { return !keys.contains(item.first); });
     };
-    handlers.done = [this](std::uint64_t revision, MonotonicTime) { done_revision = revision; };
+    handlers.done = [this](StoreRevision revision, MonotonicTime) { done_revision = revision; };
     return handlers;
   }
 
@@ -36,7 +36,7 @@
   boost::asio::io_context io{1};
   FakeFleetStore store;
   std::map<std::string, std::string> known;
-  std::uint64_t done_revision = 0;
+  StoreRevision done_revision;
   PrefixWatcher<FakeFleetStore> watcher;
 };
 
@@ -118,7 +118,7 @@
   fixture.watcher.ReadNow();
   fixture.time.RunFor(&fixture.io, milliseconds(50));
   CHECK(fixture.known.size() == 2);
-  CHECK(fixture.done_revision == 2);
+  CHECK(fixture.done_revision == StoreRevision{0, 2});
   // The known items were confirmed recently, so they may be passed on.
   CHECK(MonotonicNow() - fixture.watcher.confirmed() <= milliseconds(50));
   fixture.store.Put("endpoints/c", "1");
