--- a/tests/fault_proxy.cpp
+++ b/tests/fault_proxy.cpp
@@ -97,6 +97,9 @@
   // Thread-safe.
   void InjectFaults(bool inject) { injecting_ = inject; }
 
+  // Thread-safe.
+  void Cut(bool cut) { cut_ = cut; }
+
   // Thread-safe.
   std::map<LinkFault, int> injected() const {
     const std::lock_guard lock(mutex_);
@@ -132,7 +135,7 @@
       auto accepted =
           co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
       if (error) co_return;
-      if (self->Draw(self->options_.reset_connection_rate)) {
+      if (self->cut_ || self->Draw(self->options_.reset_connection_rate)) {
         Reset(&accepted);
         continue;
       }
@@ -162,6 +165,10 @@
     for (;;) {
       std::string bytes = co_await ReadSome(&link->client);
       if (bytes.empty()) break;
+      if (self->cut_) {
+        Reset(&link->client);
+        break;
+      }
       if (first || !link->answer.empty()) {
         first = false;
         self->BeginExchange(link.get());
@@ -201,6 +208,10 @@
     for (;;) {
       std::string bytes = co_await ReadSome(&link->server);
       if (bytes.empty()) break;
+      if (self->cut_) {
+        Reset(&link->client);
+        break;
+      }
       const bool begins = link->answer.empty();
       if (link->answer.size() <= kMaxCopyBytes) link->answer += bytes;
       if (link->fault == LinkFault::kSilence) continue;
@@ -248,6 +259,7 @@
   std::mt19937_64 random_;
   // Thread-safe.
   std::atomic<bool> injecting_ = false;
+  std::atomic<bool> cut_ = false;
   mutable std::mutex mutex_;
   // Guarded by mutex_.
   std::map<LinkFault, int> injected_;
@@ -273,6 +285,8 @@
   return port;
 }
 
+void FaultProxy::Cut(bool cut) { impl_->Cut(cut); }
+
 void FaultProxy::InjectFaults(bool inject) { impl_->InjectFaults(inject); }
 
 std::map<LinkFault, int> FaultProxy::injected() const { return impl_->injected(); }
--- a/tests/fault_proxy.h
+++ b/tests/fault_proxy.h
@@ -86,6 +86,10 @@
   // Until this is called with `true`, and after it is called with `false`, no faults are injected.
   void InjectFaults(bool inject);
 
+  // Until this is called with `false` again, no byte passes in either direction: connections that
+  // carry one are reset, and new ones, too.
+  void Cut(bool cut);
+
   // How often each fault was injected.
   std::map<LinkFault, int> injected() const;
 
--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -32,6 +32,7 @@
 constexpr const char* kKeepLogs = "MIMOSABEND_KEEP_LOGS";
 // Names the program of the gateways in place of the one that was built with the tests.
 constexpr const char* kGatewayProgram = "MIMOSABEND_TEST_GATEWAY";
+constexpr const char* kCopyPeriod = "--copy_period_ms=100";
 
 std::string HostOf(int index) { return "127.0.0." + std::to_string(kFirstHostNumber + index); }
 
@@ -65,12 +66,17 @@
           {"resumable", resumable}};
 }
 
-json::object ConfigObject() {
+json::object ConfigObject(int extra_models) {
   json::object model{{"name", "m"},        {"weights-mb", 100}, {"adapters", 0}, {"adapter-mb", 1},
                      {"load-time-s", 6.0}, {"disk-s", 0.8},     {"warm-s", 0.4}};
-  json::object engine{{"slots", 64},        {"kv-capacity", 200000},
-                      {"weights-mb", 1000}, {"adapter-slots", 8},
-                      {"loads-per-s", 2},   {"models", json::array{model}}};
+  json::array models{model};
+  for (int i = 0; i < extra_models; ++i) {
+    model["name"] = "n" + std::to_string(i);
+    model["weights-mb"] = 400;
+    models.push_back(model);
+  }
+  json::object engine{{"slots", 64},        {"kv-capacity", 200000}, {"weights-mb", 1000},
+                      {"adapter-slots", 8}, {"loads-per-s", 2},      {"models", std::move(models)}};
   return {{"version", 1},
           {"routes", json::array{RouteObject("/chat/", "streaming", 2, "models"),
                                  RouteObject("/once/", "streaming", 1, "models"),
@@ -121,8 +127,16 @@
   std::string pattern = (std::filesystem::temp_directory_path() / "mimosabend-XXXXXX").string();
   if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("mkdtemp failed");
   directory_ = pattern;
-  store_ = std::make_unique<Process>(Program("tests/platform_store_standin"),
-                                     std::vector<std::string>{}, Log("store"), true);
+  std::vector<std::string> store_flags;
+  if (options_.restore_store) store_flags.emplace_back(kCopyPeriod);
+  store_ = std::make_unique<Process>(Program("tests/platform_store_standin"), store_flags,
+                                     Log("store"), true);
+  for (int i = 0; options_.restore_store && i < options_.gateways; ++i) {
+    FaultProxyOptions sound;
+    sound.reset_connection_rate = 0;
+    store_proxies_.push_back(std::make_unique<FaultProxy>(sound));
+    store_proxy_ports_.push_back(store_proxies_.back()->Forward(store_->address()));
+  }
   WriteConfig();
   if (options_.link_faults) endpoint_proxy_ = std::make_unique<FaultProxy>(*options_.link_faults);
   const int count = options_.engines + options_.plain_endpoints;
@@ -166,8 +180,9 @@
 }
 
 void PlatformFleet::WriteConfig() {
-  const json::object put{{"key", "op/config"},
-                         {"value", EncodeBase64(json::serialize(ConfigObject()))}};
+  const json::object put{
+      {"key", "op/config"},
+      {"value", EncodeBase64(json::serialize(ConfigObject(options_.extra_models)))}};
   const json::object body{{"expected", json::array()}, {"puts", json::array{put}}};
   auto reply = CallOne(StoreCall(store_->address(), "POST", "/mimosabend/kv-txn", body));
   if (!reply || reply.value().status != 200)
@@ -178,12 +193,14 @@
   ++endpoint->starts;
   const std::string id = endpoint->service + "-" + std::to_string(endpoint->port) + "-" +
                          std::to_string(endpoint->starts);
+  endpoint->id = id;
   std::vector<std::string> flags{"--port=" + std::to_string(endpoint->port), "--id=" + id,
                                  "--service=" + endpoint->service,
                                  "--registered_port=" + std::to_string(endpoint->registered_port),
                                  "--store=" + ToString(store_->address())};
   if (endpoint->service == "models") {
     flags.emplace_back("--model=m");
+    if (options_.extra_models > 0) flags.push_back("--order_log=" + OrderLog());
     flags.insert(flags.end(), options_.engine_flags.begin(), options_.engine_flags.end());
   }
   flags.insert(flags.end(), options_.endpoint_flags.begin(), options_.endpoint_flags.end());
@@ -331,8 +348,18 @@
   gateways_.at(index).reset();
   const std::string config = (directory_ / (name + ".ini")).string();
   const std::string log = Log(name + "-" + std::to_string(++gateway_starts_.at(index)));
+  std::vector<std::string> command{GatewayProgram(), "gateway", "--config=" + config};
+  if (options_.restore_store) {
+    // All gateways name the same store, since their messages are signed with a key that follows
+    // from its address. Each reaches it through a proxy of its own.
+    const std::string redirection =
+        std::to_string(store_->address().port) + ":" + std::to_string(store_proxy_ports_.at(index));
+    command.insert(command.begin(),
+                   {"/usr/bin/env", "LD_PRELOAD=" + Program("tests/libredirect_connect.so"),
+                    "MIMOSABEND_REDIRECT_CONNECT=" + redirection});
+  }
   gateways_.at(index) = std::make_unique<Process>(
-      GatewayProgram(), std::vector<std::string>{"gateway", "--config=" + config}, log, false);
+      command.front(), std::vector<std::string>(command.begin() + 1, command.end()), log, false);
   HttpCall ready;
   ready.address = {HostOf(index), ports_[1]};
   ready.target = "/mimosabend/ready";
@@ -371,6 +398,43 @@
   if (!reply) throw std::runtime_error("the store did not respond");
 }
 
+MonotonicTime PlatformFleet::RestoreStore(milliseconds age, milliseconds down) {
+  const json::object body{{"age-ms", age.count()}, {"down-ms", down.count()}};
+  const auto reply = CallOne(StoreCall(store_->address(), "PUT", "/restore", body));
+  if (!reply || reply.value().status != 200) throw std::runtime_error("the store has no such copy");
+  return MonotonicNow();
+}
+
+void PlatformFleet::CutFromStore(int gateway, bool cut) { store_proxies_.at(gateway)->Cut(cut); }
+
+void PlatformFleet::DeleteEntry(int endpoint) {
+  std::string key;
+  {
+    const std::lock_guard lock(mutex_);
+    key = "servers/" + endpoints_.at(endpoint).id;
+  }
+  const json::object body{
+      {"expected", json::array()}, {"puts", json::array()}, {"remove", json::array{key}}};
+  const auto reply = CallOne(StoreCall(store_->address(), "POST", "/mimosabend/kv-txn", body));
+  if (!reply || reply.value().status != 200) throw std::runtime_error("the entry was not deleted");
+}
+
+std::vector<AcceptedOrder> PlatformFleet::Orders() const {
+  std::vector<AcceptedOrder> orders;
+  std::ifstream file(OrderLog());
+  std::int64_t micros = 0;
+  std::uint16_t port = 0;
+  AcceptedOrder order;
+  while (file >> micros >> port >> order.fence && std::getline(file, order.holder)) {
+    order.at = MonotonicTime(std::chrono::microseconds(micros));
+    order.engine = IndexOfPort(port);
+    orders.push_back(order);
+  }
+  std::stable_sort(orders.begin(), orders.end(),
+                   [](const auto& a, const auto& b) { return a.at < b.at; });
+  return orders;
+}
+
 HttpCall PlatformFleet::MakeCall(int gateway, const std::string& target, const std::string& body) {
   HttpCall call;
   call.address = caller_address(gateway);
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -37,6 +37,20 @@
   std::optional<FaultProxyOptions> link_faults;
   // If set, callers reach the gateways through such a proxy.
   std::optional<FaultProxyOptions> caller_faults;
+  // Number of further models, "n0" and up, of which an engine holds two at a time. Engines then
+  // execute orders and add them to a file.
+  int extra_models = 0;
+  // Whether the store keeps copies of its contents, and gateways can be cut off from it.
+  bool restore_store = false;
+};
+
+// An order that an engine accepted.
+struct AcceptedOrder {
+  MonotonicTime at;
+  // Counts from 0.
+  int engine = 0;
+  std::uint64_t fence = 0;
+  std::string holder;
 };
 
 // An arrival of a caller's request at an endpoint, or the answer to one.
@@ -87,6 +101,17 @@
   // Makes the store refuse all calls, or accept them again.
   void RefuseStoreCalls(bool refuse);
 
+  // Makes the store unavailable for a time, and then restores it to a copy that is `age` old now.
+  // Returns the time of the restore. Precondition: `restore_store`, and the fleet is older.
+  MonotonicTime RestoreStore(milliseconds age, milliseconds down);
+  // Cuts the connections between a gateway and the store, or allows them again. Precondition:
+  // `restore_store`.
+  void CutFromStore(int gateway, bool cut);
+  // Deletes the entry of an endpoint, which does not notice and goes on running.
+  void DeleteEntry(int endpoint);
+  // The orders that engines accepted, by time. Precondition: `extra_models`.
+  std::vector<AcceptedOrder> Orders() const;
+
   // Sends a signal to an endpoint. `index` counts from 0, engines first.
   void SignalEndpoint(int index, int signal_number);
   int endpoints() const { return options_.engines + options_.plain_endpoints; }
@@ -123,6 +148,7 @@
     // The port that gateways connect to: that of the proxy, if there is one.
     std::uint16_t registered_port = 0;
     int starts = 0;
+    std::string id;
     std::unique_ptr<Process> process;
     MonotonicTime exited_at;
   };
@@ -133,6 +159,7 @@
   int IndexOfPort(std::uint16_t port) const;
   void RestartEndpoints();
   std::string RunLog() const { return (directory_ / "runs").string(); }
+  std::string OrderLog() const { return (directory_ / "orders").string(); }
   std::string ArrivalLog() const { return (directory_ / "arrivals").string(); }
   std::string Log(const std::string& name) const { return (directory_ / (name + ".log")).string(); }
 
@@ -142,6 +169,9 @@
   // addresses.
   std::vector<std::uint16_t> ports_;
   std::unique_ptr<Process> store_;
+  // Between each gateway and the store.
+  std::vector<std::unique_ptr<FaultProxy>> store_proxies_;
+  std::vector<std::uint16_t> store_proxy_ports_;
   std::unique_ptr<FaultProxy> endpoint_proxy_;
   std::unique_ptr<FaultProxy> caller_proxy_;
   // Ports of the proxy by gateway.
--- a/tests/simulated_time.h
+++ b/tests/simulated_time.h
@@ -14,8 +14,10 @@
 // be pending when it is created or destroyed.
 class SimulatedTime {
  public:
-  SimulatedTime() : real_(time_source) {
+  // Time passes in steps of `tick`, which is the maximum delay of a timer.
+  explicit SimulatedTime(milliseconds tick = milliseconds(1)) : real_(time_source) {
     elapsed_ = milliseconds(0);
+    tick_ = tick;
     time_source = {Monotonic, Wall, TimerClock, true};
   }
   ~SimulatedTime() { time_source = real_; }
@@ -31,8 +33,6 @@
   }
 
  private:
-  // Maximum delay of a timer.
-  static constexpr milliseconds kTick{1};
   // 2026-01-01 UTC, in milliseconds since 1970.
   static constexpr milliseconds kStartTime{1767225600000};
 
@@ -42,14 +42,14 @@
   // While handlers run, the timer clock is one tick behind so that no timer is due. Otherwise the
   // order of handlers would depend on when the kernel reports the event loop's timer descriptor.
   static MonotonicTime TimerClock() {
-    return Monotonic() - (timers_may_fire_ ? milliseconds(0) : kTick);
+    return Monotonic() - (timers_may_fire_ ? milliseconds(0) : tick_);
   }
 
   void RunUntil(boost::asio::io_context* io, MonotonicTime end) {
     while (MonotonicNow() < end) {
       while (FireTimers(io)) continue;
       if (io->stopped()) break;
-      elapsed_ += kTick;
+      elapsed_ += tick_;
     }
     io->restart();
   }
@@ -71,6 +71,7 @@
   }
 
   static inline milliseconds elapsed_{0};
+  static inline milliseconds tick_{1};
   static inline bool timers_may_fire_ = false;
   TimeSource real_;
 };
--- a/tests/standins/platform_endpoint_standin.cpp
+++ b/tests/standins/platform_endpoint_standin.cpp
@@ -2,7 +2,9 @@
 // service. It registers itself in the store under a lease and renews that. A request whose body
 // contains "crash" ends the process when it starts to run, like a request that crashes an engine;
 // so does a request whose prompt has a part with an id that begins with "dead". PUT /fault
-// {"rate_limit": "3"} changes the rate limit that its answers state; "" ends it.
+// {"rate_limit": "3"} changes the rate limit that its answers state; "" ends it. With --order_log
+// it executes orders for models as an engine that checks fencing tokens; otherwise it accepts all
+// orders and does nothing.
 #include <fcntl.h>
 #include <gflags/gflags.h>
 #include <unistd.h>
@@ -12,6 +14,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <random>
+#include <set>
 
 #include "digest.h"
 #include "http_client.h"
@@ -36,6 +39,7 @@
 DEFINE_int32(anonymous_refusal_rate, 0, "percentage of refusals without Request-Id");
 DEFINE_uint64(fault_seed, 1, "seed of the faults; the id of the endpoint is mixed in");
 DEFINE_string(rate_limit, "", "Server-Limit of all answers to callers' requests; empty for none");
+DEFINE_string(order_log, "", "file to which each accepted order is added");
 DEFINE_string(
     arrival_log, "",
     "file to which each arrival of a caller's request and the head of its answer are added");
@@ -62,7 +66,8 @@
       co_return;
     }
     if (path == "/mimosabend/order") {
-      co_await ReplyJson(&exchange, 200, json::object());
+      const int status = FLAGS_order_log.empty() ? 200 : ExecuteOrder(JsonBody(exchange));
+      co_await ReplyJson(&exchange, status, json::object());
       co_return;
     }
     if (path == "/fault") {
@@ -155,6 +160,28 @@
                                       (rate_limit_.empty() ? "-" : rate_limit_));
   }
 
+  // Executes an order for a model at once and returns the status of the answer. Records it as time
+  // in microseconds of the monotonic clock, port, fencing token and holder.
+  int ExecuteOrder(const json::value& order) {
+    const std::int64_t fence = IntegerMember(order, "fence-token").value_or(0);
+    if (fence < fence_) return 412;
+    fence_ = fence;
+    if (IntegerMember(order, "expected").value_or(0) != sequence_) return 409;
+    ++sequence_;
+    const std::string model = StringMember(order, "model");
+    if (StringMember(order, "op-type") == "load") {
+      models_.insert(model);
+    } else {
+      models_.erase(model);
+    }
+    const auto time =
+        std::chrono::duration_cast<std::chrono::microseconds>(MonotonicNow().time_since_epoch());
+    AppendLine(FLAGS_order_log, std::to_string(time.count()) + " " + std::to_string(FLAGS_port) +
+                                    " " + std::to_string(fence) + " " +
+                                    StringMember(order, "holder"));
+    return 200;
+  }
+
   // Adds a line to a file that other processes write to as well.
   static void AppendLine(const std::string& path, std::string line) {
     line += "\n";
@@ -182,12 +209,16 @@
   }
 
   json::object Description() const {
-    json::object description{
-        {"service", FLAGS_service}, {"address", ToString(address_)},  {"zone", "a"}, {"slots", 64},
-        {"state", "ready"},         {"born", ToUnixMillis(started_)}, {"seq-no", 0}};
+    json::object description{{"service", FLAGS_service},
+                             {"address", ToString(address_)},
+                             {"zone", "a"},
+                             {"slots", 64},
+                             {"state", "ready"},
+                             {"born", ToUnixMillis(started_)},
+                             {"seq-no", sequence_}};
     json::array models;
-    if (!FLAGS_model.empty()) {
-      models.push_back(json::object{{"name", FLAGS_model}, {"adapters", json::array()}});
+    for (const std::string& model : models_) {
+      models.push_back(json::object{{"name", model}, {"adapters", json::array()}});
     }
     description["models"] = std::move(models);
     return description;
@@ -221,6 +252,11 @@
   Address address_;
   WallTime started_ = WallNow();
   std::string rate_limit_ = FLAGS_rate_limit;
+  std::set<std::string> models_ =
+      FLAGS_model.empty() ? std::set<std::string>{} : std::set<std::string>{FLAGS_model};
+  // Number of executed orders, and the highest fencing token of an order.
+  std::int64_t sequence_ = 0;
+  std::int64_t fence_ = 0;
   int running_ = 0;
   int waiting_ = 0;
   std::mt19937_64 random_{FLAGS_fault_seed ^ Hash64(FLAGS_id)};
--- a/tests/standins/platform_store_standin.cpp
+++ b/tests/standins/platform_store_standin.cpp
@@ -1,10 +1,15 @@
 // Stand-in for the users' platform store: keys with revisions, leases that expire and watches on
-// prefixes. PUT /fault {"refuse": true} makes it reject all further calls with 503.
+// prefixes. PUT /fault {"refuse": true} makes it reject all further calls with 503. PUT /restore
+// {"age-ms": 3000, "down-ms": 200} rejects calls for 200 ms and then restores the contents to a
+// copy that was 3 s old at the time of the call; the answer is sent afterwards. Responses have
+// Store-Era from the first restore on.
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <charconv>
+#include <deque>
 #include <map>
 
 #include "base64.h"
@@ -12,6 +17,7 @@
 #include "standin.h"
 
 DEFINE_int32(port, 0, "port to listen on; 0 picks a free one");
+DEFINE_int32(copy_period_ms, 0, "time between two copies of the contents; 0 for no copies");
 
 namespace mimosabend::standin {
 
@@ -21,6 +27,8 @@
 
 constexpr milliseconds kLeaseCheckPeriod{20};
 constexpr std::string_view kCallPrefix = "/mimosabend/";
+// Older copies are dropped.
+constexpr milliseconds kMaxCopyAge{15000};
 
 std::uint64_t NumberParameter(std::string_view target, std::string_view name) {
   const std::string text = QueryParameter(target, name);
@@ -57,6 +65,10 @@
       co_await ReplyJson(&exchange, 200, "ok");
       co_return;
     }
+    if (target == "/restore") {
+      co_await Restore(&exchange);
+      co_return;
+    }
     if (refuse_) {
       co_await ReplyJson(&exchange, 503, "refused");
       co_return;
@@ -76,6 +88,16 @@
     if (call.starts_with("kv-lease-end/")) co_await End(&exchange, call.substr(13));
   }
 
+  // Copies the contents at regular times. Returns at once if no copies are wanted.
+  Task<void> MakeCopies() {
+    while (FLAGS_copy_period_ms > 0) {
+      const MonotonicTime now = MonotonicNow();
+      copies_.push_back({now, store_.MakeCopy(), leases_});
+      while (now - copies_.front().made_at > kMaxCopyAge) copies_.pop_front();
+      co_await Sleep(milliseconds(FLAGS_copy_period_ms));
+    }
+  }
+
   Task<void> ExpireLeases() {
     for (;;) {
       co_await Sleep(kLeaseCheckPeriod);
@@ -93,27 +115,66 @@
     MonotonicTime expires_at;
   };
 
+  struct Copy {
+    MonotonicTime made_at;
+    testing::FakeFleetStore::Copy contents;
+    std::map<LeaseId, Lease> leases;
+  };
+
+  // Leases of the copy get their full time to live again.
+  Task<void> Restore(HttpExchange* exchange) {
+    const json::value body = JsonBody(*exchange);
+    const milliseconds age(IntegerMember(body, "age-ms").value_or(0));
+    const MonotonicTime until = MonotonicNow() - age;
+    const auto later = std::find_if(copies_.begin(), copies_.end(),
+                                    [&](const Copy& copy) { return copy.made_at > until; });
+    if (later == copies_.begin()) {
+      co_await ReplyJson(exchange, 404, "no copy that old");
+      co_return;
+    }
+    const Copy copy = *std::prev(later);
+    refuse_ = true;
+    co_await Sleep(milliseconds(IntegerMember(body, "down-ms").value_or(0)));
+    refuse_ = false;
+    store_.Restore(copy.contents);
+    leases_ = copy.leases;
+    for (auto& [id, lease] : leases_) lease.expires_at = MonotonicNow() + lease.time_to_live;
+    co_await ReplyJson(exchange, 200, "restored");
+  }
+
+  // Sends a response of the store.
+  Task<void> Respond(HttpExchange* exchange, int status, json::value body) {
+    HttpHeaders headers{{"Content-Type", "application/json"}};
+    if (store_.era() > 0) headers.emplace_back("Store-Era", std::to_string(store_.era()));
+    std::string text = json::serialize(body);
+    co_await exchange->Reply(status, std::move(headers), std::move(text));
+  }
+
   Task<void> Read(HttpExchange* exchange, std::string key) {
     const KvEntry entry = store_.Get(key);
     json::value body = ItemObject({key, entry});
-    co_await ReplyJson(exchange, entry.exists() ? 200 : 404, std::move(body));
+    co_await Respond(exchange, entry.exists() ? 200 : 404, std::move(body));
   }
 
   Task<void> List(HttpExchange* exchange, std::string prefix) {
     auto snapshot = co_await store_.Snapshot(prefix);
     json::object body{{"items", ItemArray(snapshot.value().items)},
                       {"truncated", false},
-                      {"store-revision", snapshot.value().revision}};
-    co_await ReplyJson(exchange, 200, std::move(body));
+                      {"store-revision", snapshot.value().revision.revision}};
+    co_await Respond(exchange, 200, std::move(body));
   }
 
   Task<void> Watch(HttpExchange* exchange, std::string target) {
     const milliseconds wait(NumberParameter(target, "wait-ms"));
-    auto changes = co_await store_.WatchPrefix(QueryParameter(target, "prefix"),
-                                               NumberParameter(target, "after"), wait);
+    const StoreRevision after{store_.era(), NumberParameter(target, "after")};
+    auto changes = co_await store_.WatchPrefix(QueryParameter(target, "prefix"), after, wait);
+    if (changes.value().compacted) {
+      co_await Respond(exchange, 410, "no such history");
+      co_return;
+    }
     json::object body{{"events", ItemArray(changes.value().items)},
-                      {"store-revision", changes.value().revision}};
-    co_await ReplyJson(exchange, 200, std::move(body));
+                      {"store-revision", changes.value().revision.revision}};
+    co_await Respond(exchange, 200, std::move(body));
   }
 
   Task<void> Write(HttpExchange* exchange) {
@@ -137,7 +198,7 @@
       }
     }
     json::object answer{{"revision", swap.value().version}};
-    co_await ReplyJson(exchange, swap.value().swapped ? 200 : 412, std::move(answer));
+    co_await Respond(exchange, swap.value().swapped ? 200 : 412, std::move(answer));
   }
 
   Task<void> Grant(HttpExchange* exchange) {
@@ -145,23 +206,24 @@
     auto lease = co_await store_.GrantLease(time_to_live);
     leases_[lease.value()] = {time_to_live, MonotonicNow() + time_to_live};
     json::object body{{"lease", std::stoll(lease.value())}, {"ttl-ms", time_to_live.count()}};
-    co_await ReplyJson(exchange, 200, std::move(body));
+    co_await Respond(exchange, 200, std::move(body));
   }
 
   Task<void> Renew(HttpExchange* exchange, std::string lease) {
     const auto it = leases_.find(lease);
     if (it != leases_.end()) it->second.expires_at = MonotonicNow() + it->second.time_to_live;
-    co_await ReplyJson(exchange, it == leases_.end() ? 404 : 200, json::object());
+    co_await Respond(exchange, it == leases_.end() ? 404 : 200, json::object());
   }
 
   Task<void> End(HttpExchange* exchange, std::string lease) {
     store_.EndLease(lease);
     leases_.erase(lease);
-    co_await ReplyJson(exchange, 200, json::object());
+    co_await Respond(exchange, 200, json::object());
   }
 
   testing::FakeFleetStore store_;
   std::map<LeaseId, Lease> leases_;
+  std::deque<Copy> copies_;
   bool refuse_ = false;
 };
 
@@ -174,6 +236,7 @@
   boost::asio::io_context io(1);
   mimosabend::standin::PlatformStoreStandin standin;
   boost::asio::co_spawn(io, standin.ExpireLeases(), boost::asio::detached);
+  boost::asio::co_spawn(io, standin.MakeCopies(), boost::asio::detached);
   return mimosabend::standin::RunStandin(
       &io, static_cast<std::uint16_t>(FLAGS_port),
       [&](mimosabend::HttpExchange& exchange) { return standin.Handle(exchange); });
