Tell lapsed endpoints from those that left after a restore

Cause: in test_store_restore, the engines' leases ended while the store was down. An entry that a restore lost also counted as an end of its endpoint, which makes the requests that ran there suspects of a crash.

Change: records carry the revision of the last write. The copy has no later write than that, so a higher revision is a write in the new era. An entry that a restore lost is no end of its endpoint. The endpoints' stand-in writes its entry again in a new era, and can leave while it goes on serving; the configuration is changed and lost in test_store_restore.

--- a/src/directory_log.cpp
+++ b/src/directory_log.cpp
@@ -50,12 +50,14 @@
   const auto it = entries_.find(change.id);
   if (it == entries_.end() || change.gone) return change;
   const EndpointRecord& known = it->second;
-  // The copy is a part of the former era's history, in which the removal is the last change of the
-  // entry. A later revision can only be a write in the new era.
-  const bool written_later = change.revision.era == known.revision.era + 1 &&
-                             change.revision.revision > known.revision.revision;
-  const bool ended = change.started_ms < known.started_ms ||
-                     (change.started_ms == known.started_ms && known.gone && !written_later);
+  // The copy is a part of the former era's history, which has no later write of the entry than the
+  // known one. A later revision can only be a write in the new era.
+  if (change.revision.era == known.written.era + 1 &&
+      change.revision.revision > known.written.revision) {
+    change.restored = false;
+  }
+  const bool ended =
+      change.started_ms < known.started_ms || (change.started_ms == known.started_ms && known.gone);
   if (change.restored && ended) {
     change.gone = true;
     return change;
@@ -73,7 +75,7 @@
   if (known != entries_.end() && known->second.revision > revision) return endpoint.state;
   const EndpointRecord entry = Reconcile(
       {endpoint.id, revision, false, endpoint.service, endpoint.address, endpoint.failure_domain,
-       endpoint.slots, endpoint.state, endpoint.started_ms, MayBeRestored(revision)});
+       endpoint.slots, endpoint.state, endpoint.started_ms, MayBeRestored(revision), revision});
   SetEntry(entry);
   return entry.gone ? std::nullopt : std::optional(entry.state);
 }
--- a/src/directory_log.h
+++ b/src/directory_log.h
@@ -33,6 +33,8 @@
   // The entry may stem from the copy that the store was restored from, and not from a write in the
   // era of `revision`.
   bool restored = false;
+  // The last known write of the entry; differs from `revision` if that is the deletion.
+  StoreRevision written{};
 
   auto operator<=>(const EndpointRecord&) const = default;
 
@@ -46,6 +48,7 @@
     SerializeFlag(archive, gone);
     SerializeFlag(archive, restored);
     revision.serialize(archive);
+    written.serialize(archive);
     archive(address.port, slots, started_ms);
   }
 };
--- a/src/fleet_directory.cpp
+++ b/src/fleet_directory.cpp
@@ -52,7 +52,7 @@
   return false;
 }
 
-void FleetDirectory::Remove(const std::string& id, MonotonicTime now) {
+void FleetDirectory::Remove(const std::string& id, MonotonicTime now, MissingCause cause) {
   const auto it = entries_.find(id);
   if (it == entries_.end()) return;
   // A draining endpoint has left as announced.
@@ -60,22 +60,25 @@
     entries_.erase(it);
   } else if (!it->second.missing_since) {
     it->second.missing_since = now;
+    it->second.missing_cause = cause;
   }
 }
 
-void FleetDirectory::KeepOnly(const std::set<std::string>& ids, MonotonicTime now) {
+void FleetDirectory::KeepOnly(const std::set<std::string>& ids, MonotonicTime now,
+                              MissingCause cause) {
   std::vector<std::string> missing;
   for (const auto& [id, entry] : entries_) {
     if (!ids.contains(id)) missing.push_back(id);
   }
-  for (const std::string& id : missing) Remove(id, now);
+  for (const std::string& id : missing) Remove(id, now, cause);
 }
 
 void FleetDirectory::PruneExpired(MonotonicTime now) {
   std::erase_if(entries_, [&](const auto& item) {
     const auto& since = item.second.missing_since;
     const bool gone = since && now - *since >= reappear_time_;
-    if (gone) NotifyUnannouncedEnd(item.second);
+    const bool ended = item.second.missing_cause == MissingCause::kDeleted;
+    if (gone && ended) NotifyUnannouncedEnd(item.second);
     return gone;
   });
   for (auto& [id, entry] : entries_) {
--- a/src/fleet_directory.h
+++ b/src/fleet_directory.h
@@ -33,12 +33,23 @@
   kUnusable
 };
 
+// Why an entry is missing from the store.
+enum class MissingCause : std::uint8_t {
+  // It was deleted or has expired.
+  kDeleted,
+  // The store was restored from a copy that was made before the entry was written. The endpoint may
+  // go on running.
+  kRestored
+};
+
 struct DirectoryEntry {
   FleetEndpoint endpoint;
   // The endpoint itself has announced that it leaves. Takes precedence over its entry in the store.
   bool announced_leaving = false;
   // Set while the entry is missing from the store.
   std::optional<MonotonicTime> missing_since;
+  // Valid while missing_since is set.
+  MissingCause missing_cause = MissingCause::kDeleted;
   std::optional<LeaderHoldings> leader_holdings;
   // When the entry, with the registered holdings, was last read from the store.
   MonotonicTime read_at;
@@ -74,7 +85,8 @@
 
   void set_reappear_time(milliseconds time) { reappear_time_ = time; }
 
-  // Called when an incarnation has ended without having announced it.
+  // Called when an incarnation has ended without having announced it. An endpoint that is missing
+  // because the store was restored is not known to have ended.
   using EndListener = std::function<void(const FleetEndpoint&)>;
   void set_end_listener(EndListener listener) { end_listener_ = std::move(listener); }
 
@@ -86,9 +98,11 @@
   // including the registered holdings. Returns true if it is a new incarnation.
   bool Put(FleetEndpoint endpoint, MonotonicTime read_at = MonotonicTime());
   // The entry is missing from the store.
-  void Remove(const std::string& id, MonotonicTime now);
+  void Remove(const std::string& id, MonotonicTime now,
+              MissingCause cause = MissingCause::kDeleted);
   // All other entries are missing from the store.
-  void KeepOnly(const std::set<std::string>& ids, MonotonicTime now);
+  void KeepOnly(const std::set<std::string>& ids, MonotonicTime now,
+                MissingCause cause = MissingCause::kDeleted);
   // Removes entries that have been missing for long enough, and expired holdings and refusals.
   void PruneExpired(MonotonicTime now);
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -310,7 +310,8 @@
                                       MonotonicTime now) {
     std::set<std::string> ids;
     for (const std::string& key : keys) ids.insert(key.substr(prefix));
-    directory_.KeepOnly(ids, now);
+    const bool new_era = revision.era > state_.directory().revision().era;
+    directory_.KeepOnly(ids, now, new_era ? MissingCause::kRestored : MissingCause::kDeleted);
     state_.directory().KeepOnly(ids, revision);
   };
   handlers.done = [this](StoreRevision revision, MonotonicTime) {
@@ -356,7 +357,7 @@
   const auto state = state_.directory().Put(*endpoint, item.entry.revision());
   if (!state) {
     LOG4CPLUS_WARN(Log(), "endpoint " << id << " was gone before the store was restored, ignored");
-    directory_.Remove(id, now);
+    directory_.Remove(id, now, MissingCause::kRestored);
     return;
   }
   endpoint->state = *state;
--- a/src/leader_record.cpp
+++ b/src/leader_record.cpp
@@ -28,7 +28,8 @@
 HolderRecord ParseHolderRecord(const std::string& text) {
   const std::size_t end = text.find('\n');
   if (end == std::string::npos) return {text, 0};
-  const std::string_view era = std::string_view(text).substr(end + 1);
+  std::string_view era = text;
+  era.remove_prefix(end + 1);
   return {text.substr(0, end), ParseStoreEra(era).value_or(0)};
 }
 
--- a/src/state_sync.cpp
+++ b/src/state_sync.cpp
@@ -22,13 +22,13 @@
 }
 
 // Uses changed entries that were known from another daemon.
-void StateSync::ApplyChanges(const std::vector<EndpointRecord>& changes,
+void StateSync::ApplyChanges(const std::vector<EndpointRecord>& changes, MissingCause cause,
                              const std::string& daemon) {
   const MonotonicTime now = MonotonicNow();
   for (const EndpointRecord& change : changes) {
     if (change.gone) {
       LOG4CPLUS_INFO(Log(), "endpoint " << change.id << " was deleted, known from " << daemon);
-      directory_->Remove(change.id, now);
+      directory_->Remove(change.id, now, cause);
       continue;
     }
     FleetEndpoint endpoint = ToEndpoint(change);
@@ -41,13 +41,15 @@
 
 void StateSync::ApplyLeft(const UsageReport& report, const std::string& daemon) {
   ApplyChanges(state_->directory().MergeLeft(report.left, report.known.directory_revision.era),
-               daemon);
+               MissingCause::kDeleted, daemon);
 }
 
 void StateSync::Apply(const StoreView& view, const Address& daemon, MonotonicTime asked_at) {
   const MonotonicTime confirmed_at = asked_at - milliseconds(view.age_ms);
   hooks_.learn_era(view.directory.revision.era, daemon);
-  ApplyChanges(state_->directory().Merge(view.directory), ToString(daemon));
+  const bool new_era = view.directory.revision.era > state_->directory().revision().era;
+  ApplyChanges(state_->directory().Merge(view.directory),
+               new_era ? MissingCause::kRestored : MissingCause::kDeleted, ToString(daemon));
   if (view.config_version > state_->config().version()) {
     if (!fetching_config_) {
       SpawnDetached(executor_, "configuration request", FetchConfig(daemon, confirmed_at));
--- a/src/state_sync.h
+++ b/src/state_sync.h
@@ -52,7 +52,8 @@
   Task<void> RequestView(Address daemon);
 
  private:
-  void ApplyChanges(const std::vector<EndpointRecord>& changes, const std::string& daemon);
+  void ApplyChanges(const std::vector<EndpointRecord>& changes, MissingCause cause,
+                    const std::string& daemon);
   Task<void> FetchConfig(Address daemon, MonotonicTime confirmed);
 
   boost::asio::any_io_executor executor_;
--- a/tests/era_simulation.h
+++ b/tests/era_simulation.h
@@ -577,10 +577,10 @@
     left_.insert("e" + std::to_string(endpoint));
   }
 
-  // An endpoint writes its entry again after a restore. One that had left does so once all daemons
-  // have read the restored entries: until then, its write can't be told from the copy.
-  Task<void> WriteAgain(int endpoint, bool left) {
-    co_await Sleep(TimeBelow(600) + milliseconds(left ? 5000 : 0));
+  // An endpoint writes its entry again after a restore. `late`: once all daemons have read the
+  // restored entries.
+  Task<void> WriteAgain(int endpoint, bool late) {
+    co_await Sleep(TimeBelow(600) + milliseconds(late ? 5000 : 0));
     left_.erase("e" + std::to_string(endpoint));
     store_.Put(Key(endpoint), "ready");
   }
@@ -622,7 +622,8 @@
       const milliseconds age = std::vector<milliseconds>{milliseconds(500), milliseconds(3000),
                                                          milliseconds(10000)}[Below(3)];
       const milliseconds down(Below(2) == 0 ? 200 : 3000);
-      Spawn(Leave(2 * i, Below(2) == 0, milliseconds(0)));
+      const bool drains = Below(2) == 0;
+      Spawn(Leave(2 * i, drains, milliseconds(0)));
       co_await Sleep(milliseconds(600 + Below(2500)));
       Daemon* leader = Leader();
       if (leader != nullptr && i == 0) {
@@ -633,7 +634,8 @@
       co_await Restore(age, down);
       for (int endpoint = 0; endpoint < kEngines; ++endpoint) {
         const bool left = left_.contains("e" + std::to_string(endpoint));
-        if (!left || (i + 1 == restores && Below(3) == 0)) Spawn(WriteAgain(endpoint, left));
+        if (!left || (i + 1 == restores && Below(3) == 0))
+          Spawn(WriteAgain(endpoint, left && (drains || restores > 1)));
       }
       if (i + 1 < restores) co_await Sleep(milliseconds(Below(6000)));
     }
--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -66,7 +66,7 @@
           {"resumable", resumable}};
 }
 
-json::object ConfigObject(int extra_models) {
+json::object ConfigObject(int version, int extra_models) {
   json::object model{{"name", "m"},        {"weights-mb", 100}, {"adapters", 0}, {"adapter-mb", 1},
                      {"load-time-s", 6.0}, {"disk-s", 0.8},     {"warm-s", 0.4}};
   json::array models{model};
@@ -77,7 +77,7 @@
   }
   json::object engine{{"slots", 64},        {"kv-capacity", 200000}, {"weights-mb", 1000},
                       {"adapter-slots", 8}, {"loads-per-s", 2},      {"models", std::move(models)}};
-  return {{"version", 1},
+  return {{"version", version},
           {"routes", json::array{RouteObject("/chat/", "streaming", 2, "models"),
                                  RouteObject("/once/", "streaming", 1, "models"),
                                  RouteObject("/read/", "idempotent", 2, "plain"),
@@ -137,7 +137,7 @@
     store_proxies_.push_back(std::make_unique<FaultProxy>(sound));
     store_proxy_ports_.push_back(store_proxies_.back()->Forward(store_->address()));
   }
-  WriteConfig();
+  WriteConfig(1);
   if (options_.link_faults) endpoint_proxy_ = std::make_unique<FaultProxy>(*options_.link_faults);
   const int count = options_.engines + options_.plain_endpoints;
   const std::vector<std::uint16_t> ports = FreePorts(count);
@@ -179,10 +179,10 @@
   std::filesystem::remove_all(directory_, ignored);
 }
 
-void PlatformFleet::WriteConfig() {
+void PlatformFleet::WriteConfig(int version) {
   const json::object put{
       {"key", "op/config"},
-      {"value", EncodeBase64(json::serialize(ConfigObject(options_.extra_models)))}};
+      {"value", EncodeBase64(json::serialize(ConfigObject(version, options_.extra_models)))}};
   const json::object body{{"expected", json::array()}, {"puts", json::array{put}}};
   auto reply = CallOne(StoreCall(store_->address(), "POST", "/mimosabend/kv-txn", body));
   if (!reply || reply.value().status != 200)
@@ -193,7 +193,6 @@
   ++endpoint->starts;
   const std::string id = endpoint->service + "-" + std::to_string(endpoint->port) + "-" +
                          std::to_string(endpoint->starts);
-  endpoint->id = id;
   std::vector<std::string> flags{"--port=" + std::to_string(endpoint->port), "--id=" + id,
                                  "--service=" + endpoint->service,
                                  "--registered_port=" + std::to_string(endpoint->registered_port),
@@ -257,17 +256,20 @@
   return runs;
 }
 
-void PlatformFleet::SetRateLimit(int index, const std::string& rate_limit) {
+void PlatformFleet::ChangeEndpoint(int index, const json::object& change) {
   std::uint16_t port = 0;
   {
     const std::lock_guard lock(mutex_);
     port = endpoints_.at(index).port;
   }
-  const json::object body{{"rate_limit", rate_limit}};
-  const auto reply = CallOne(StoreCall({"127.0.0.1", port}, "PUT", "/fault", body));
+  const auto reply = CallOne(StoreCall({"127.0.0.1", port}, "PUT", "/fault", change));
   if (!reply) throw std::runtime_error("the endpoint did not respond");
 }
 
+void PlatformFleet::SetRateLimit(int index, const std::string& rate_limit) {
+  ChangeEndpoint(index, {{"rate_limit", rate_limit}});
+}
+
 std::vector<EndpointEvent> PlatformFleet::EndpointEvents() const {
   std::vector<EndpointEvent> events;
   std::ifstream file(ArrivalLog());
@@ -407,17 +409,7 @@
 
 void PlatformFleet::CutFromStore(int gateway, bool cut) { store_proxies_.at(gateway)->Cut(cut); }
 
-void PlatformFleet::DeleteEntry(int endpoint) {
-  std::string key;
-  {
-    const std::lock_guard lock(mutex_);
-    key = "servers/" + endpoints_.at(endpoint).id;
-  }
-  const json::object body{
-      {"expected", json::array()}, {"puts", json::array()}, {"remove", json::array{key}}};
-  const auto reply = CallOne(StoreCall(store_->address(), "POST", "/mimosabend/kv-txn", body));
-  if (!reply || reply.value().status != 200) throw std::runtime_error("the entry was not deleted");
-}
+void PlatformFleet::LetLeave(int endpoint) { ChangeEndpoint(endpoint, {{"leave", true}}); }
 
 std::vector<AcceptedOrder> PlatformFleet::Orders() const {
   std::vector<AcceptedOrder> orders;
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -14,6 +14,7 @@
 #include "fault_proxy.h"
 #include "fleet.h"
 #include "http_client.h"
+#include "json.h"
 
 namespace mimosabend::testing {
 
@@ -101,14 +102,16 @@
   // Makes the store refuse all calls, or accept them again.
   void RefuseStoreCalls(bool refuse);
 
+  // Writes the operator's configuration under a version. The first version is 1.
+  void WriteConfig(int version);
   // Makes the store unavailable for a time, and then restores it to a copy that is `age` old now.
   // Returns the time of the restore. Precondition: `restore_store`, and the fleet is older.
   MonotonicTime RestoreStore(milliseconds age, milliseconds down);
   // Cuts the connections between a gateway and the store, or allows them again. Precondition:
   // `restore_store`.
   void CutFromStore(int gateway, bool cut);
-  // Deletes the entry of an endpoint, which does not notice and goes on running.
-  void DeleteEntry(int endpoint);
+  // Makes an endpoint delete its entry. It still answers requests.
+  void LetLeave(int endpoint);
   // The orders that engines accepted, by time. Precondition: `extra_models`.
   std::vector<AcceptedOrder> Orders() const;
 
@@ -148,15 +151,14 @@
     // The port that gateways connect to: that of the proxy, if there is one.
     std::uint16_t registered_port = 0;
     int starts = 0;
-    std::string id;
     std::unique_ptr<Process> process;
     MonotonicTime exited_at;
   };
 
-  void WriteConfig();
   void WriteSettings(int index);
   void StartEndpoint(Endpoint* endpoint);
   int IndexOfPort(std::uint16_t port) const;
+  void ChangeEndpoint(int index, const boost::json::object& change);
   void RestartEndpoints();
   std::string RunLog() const { return (directory_ / "runs").string(); }
   std::string OrderLog() const { return (directory_ / "orders").string(); }
--- a/tests/standins/platform_endpoint_standin.cpp
+++ b/tests/standins/platform_endpoint_standin.cpp
@@ -2,7 +2,8 @@
 // service. It registers itself in the store under a lease and renews that. A request whose body
 // contains "crash" ends the process when it starts to run, like a request that crashes an engine;
 // so does a request whose prompt has a part with an id that begins with "dead". PUT /fault
-// {"rate_limit": "3"} changes the rate limit that its answers state; "" ends it. With --order_log
+// {"rate_limit": "3"} changes the rate limit that its answers state; "" ends it; {"leave": true}
+// deletes its entry, although it still answers requests. With --order_log
 // it executes orders for models as an engine that checks fencing tokens; otherwise it accepts all
 // orders and does nothing.
 #include <fcntl.h>
@@ -71,7 +72,9 @@
       co_return;
     }
     if (path == "/fault") {
-      rate_limit_ = StringMember(JsonBody(exchange), "rate_limit");
+      const json::value fault = JsonBody(exchange);
+      rate_limit_ = StringMember(fault, "rate_limit");
+      leaves_ = leaves_ || BoolMember(fault, "leave");
       co_await ReplyJson(&exchange, 200, json::object());
       co_return;
     }
@@ -101,10 +104,11 @@
     --running_;
   }
 
-  // Registers the endpoint under a new lease, and again whenever the lease expires.
+  // Registers the endpoint under a new lease, and again whenever the lease expires or the store was
+  // restored. Returns once the endpoint has left.
   Task<void> Register() {
     const milliseconds time_to_live(FLAGS_lapse_ms);
-    for (;;) {
+    while (!leaves_) {
       auto lease = co_await store_.GrantLease(time_to_live);
       if (lease) {
         const std::string key = platform::PlatformStore::endpoint_prefix() + FLAGS_id;
@@ -200,12 +204,17 @@
     return headers;
   }
 
+  // Renews a lease until it expires, the store was restored, or the endpoint leaves.
   Task<void> RenewUntilExpired(LeaseId lease, milliseconds time_to_live) {
-    for (;;) {
+    const std::uint32_t era = store_.era().current();
+    while (!leaves_) {
       co_await Sleep(time_to_live / kRenewalsPerLease);
       auto renewed = co_await store_.RenewLease(lease);
       if (renewed && !renewed.value()) co_return;
+      if (store_.era().current() != era) co_return;
     }
+    auto revoked = co_await store_.RevokeLease(lease);
+    if (!revoked) std::abort();
   }
 
   json::object Description() const {
@@ -257,6 +266,7 @@
   // Number of executed orders, and the highest fencing token of an order.
   std::int64_t sequence_ = 0;
   std::int64_t fence_ = 0;
+  bool leaves_ = false;
   int running_ = 0;
   int waiting_ = 0;
   std::mt19937_64 random_{FLAGS_fault_seed ^ Hash64(FLAGS_id)};
--- a/tests/test_placement_leader.cpp
+++ b/tests/test_placement_leader.cpp
@@ -303,6 +303,41 @@
   CHECK_FALSE(a.leader.AdoptClaim({{"127.0.0.1", 7000}, "another lease"}, {0, 99}));
 }
 
+// Guards against a leader that goes on with the key of an earlier era, and against orders within
+// the holder gap of a holder whose record was lost.
+TEST_CASE("after a restore, only the former leader orders at once", "[leader]") {
+  Fleet fleet;
+  Daemon a(&fleet.io, &fleet.store, &fleet.engines, "a");
+  Daemon b(&fleet.io, &fleet.store, &fleet.engines, "b");
+  fleet.Run(milliseconds(50));
+  REQUIRE(fleet.Lead(&a));
+  const std::uint64_t fence = a.leader.fence();
+  fleet.store.Restore(fleet.store.MakeCopy());
+  CHECK(a.leader.BeginEra(1));
+  CHECK_FALSE(b.leader.BeginEra(1));
+  CHECK_FALSE(a.leader.IsLeader(MonotonicNow()));
+  const LeaseId lost = *a.lease.SafeLease(MonotonicNow());
+  a.lease.Drop();
+  CHECK(a.lease.SafeLease(MonotonicNow()) == nullptr);
+  // The lease was not revoked.
+  CHECK(fleet.store.leases().contains(lost));
+  fleet.store.EndLease(lost);
+  fleet.Run(milliseconds(80));
+  Daemon& next = GENERATE(false, true) ? b : a;
+  const bool former = &next == &a;
+  REQUIRE(fleet.Lead(&next));
+  CHECK(next.leader.fence() == FencingToken(fleet.store.Get(kLastHolderKey).revision()));
+  CHECK(next.leader.fence() > fence);
+  CHECK(next.leader.WaitsForPredecessor(MonotonicNow()) == !former);
+  // Nobody knows whose handover would be that of the last holder.
+  next.leader.EndPredecessorWait(std::nullopt);
+  next.leader.EndPredecessorWait(Handover{"a", {}});
+  CHECK(next.leader.WaitsForPredecessor(MonotonicNow()) == !former);
+  const HolderRecord holder = ParseHolderRecord(fleet.store.Get(kLastHolderKey).value);
+  CHECK(holder.host == (former ? "a" : "b"));
+  CHECK(holder.era == 1);
+}
+
 TEST_CASE("a model that requests wait for is loaded and reported to daemons", "[leader]") {
   Fleet fleet;
   Daemon a(&fleet.io, &fleet.store, &fleet.engines, "a");
--- a/tests/test_prefix_watcher.cpp
+++ b/tests/test_prefix_watcher.cpp
@@ -82,6 +82,27 @@
   CHECK(fixture.known == std::map<std::string, std::string>{{"endpoints/b", "1"}});
 }
 
+// Guards against a watch that hangs on a connection to the contents before a restore, and against
+// changes that are applied to contents of another era.
+TEST_CASE("a watcher reads a new snapshot when the store was restored", "[watcher]") {
+  const bool told = GENERATE(false, true);
+  WatcherFixture fixture;
+  fixture.store.Put("endpoints/a", "1");
+  const FakeFleetStore::Copy copy = fixture.store.MakeCopy();
+  fixture.store.Put("endpoints/b", "1");
+  fixture.time.RunFor(&fixture.io, milliseconds(50));
+  CHECK(fixture.done_revision == StoreRevision{0, 2});
+  fixture.store.set_mute_watches(told);
+  fixture.store.Restore(copy);
+  fixture.store.Put("endpoints/c", "1");
+  if (told) fixture.watcher.Restart();
+  fixture.time.RunFor(&fixture.io, milliseconds(50));
+  CHECK(fixture.known ==
+        std::map<std::string, std::string>{{"endpoints/a", "1"}, {"endpoints/c", "1"}});
+  CHECK(fixture.done_revision == StoreRevision{1, 2});
+  CHECK(fixture.watcher.in_sync());
+}
+
 // Guards against a daemon that drops its endpoints while the store is down.
 TEST_CASE("a watcher keeps the known items while the store is down", "[watcher]") {
   WatcherFixture fixture;
--- a/tests/test_store_era.cpp
+++ b/tests/test_store_era.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 
 #include "era_simulation.h"
+#include "fleet_directory.h"
 #include "fleet_state.h"
 #include "store_era.h"
 
@@ -142,6 +143,22 @@
   CHECK(behind.revision() == StoreRevision{0, 2});
 }
 
+// Guards against requests that count as the cause of a crash because the entry of an endpoint that
+// goes on running was lost with the store's last writes.
+TEST_CASE("an entry that a restore lost is no end of its endpoint", "[era]") {
+  const bool restored = GENERATE(false, true);
+  FleetDirectory directory(milliseconds(2000));
+  std::vector<std::string> ended;
+  directory.set_end_listener([&](const FleetEndpoint& endpoint) { ended.push_back(endpoint.id); });
+  const MonotonicTime start{seconds(1000)};
+  directory.Put(Endpoint("e1"));
+  directory.KeepOnly({}, start, restored ? MissingCause::kRestored : MissingCause::kDeleted);
+  CHECK(directory.UsabilityOf(*directory.Find("e1"), start) == Usability::kLastResort);
+  directory.PruneExpired(start + seconds(3));
+  CHECK(directory.Find("e1") == nullptr);
+  CHECK(ended.size() == (restored ? 0 : 1));
+}
+
 // Guards against a leader that goes on with a lost key, or claims again with a token that was used,
 // and against daemons that use endpoints that have left. With the era ignored, the same rounds must
 // show such violations, so that the simulation is known to find them.
--- a/tests/test_store_restore.cpp
+++ b/tests/test_store_restore.cpp
@@ -24,6 +24,7 @@
 constexpr milliseconds kMetricsDelay{1000};
 constexpr milliseconds kOrderBound{8000};
 constexpr milliseconds kDrainBound{4000};
+constexpr milliseconds kConfigBound{4000};
 
 constexpr milliseconds kPlainPeriod{25};
 constexpr int kPlainCallsPerModelCall = 6;
@@ -145,6 +146,16 @@
             << ordered_after.count() << " ms\n";
 }
 
+// Whether all gateways use a version of the configuration, waiting for `time`.
+bool AllUseConfig(PlatformFleet* fleet, int version, milliseconds time) {
+  return WaitFor(time, [&] {
+    for (int i = 0; i < fleet->gateways(); ++i) {
+      if (fleet->Metric(i, "mimosabend_gateway_config_version") != version) return false;
+    }
+    return true;
+  });
+}
+
 // Checks at the engines that no token was used by two holders or is lower than an earlier one.
 void CheckTokens(const std::vector<AcceptedOrder>& orders) {
   std::map<std::uint64_t, std::set<std::string>> holders;
@@ -163,7 +174,8 @@
 }  // namespace
 
 // Guards against a store that is restored from an older copy: endpoints that left are used again,
-// the leader goes on with a lost key, or leads again with a token that engines refuse.
+// the leader goes on with a lost key, or leads again with a token that engines refuse, and a
+// configuration is replaced by an older one.
 TEST_CASE("gateways recover when the store is restored from an older copy", "[restore]") {
   PlatformFleetOptions options;
   options.gateways = 3;
@@ -176,19 +188,26 @@
   Callers callers(&fleet);
   std::this_thread::sleep_for(milliseconds(2500));
 
-  // The endpoint stays out of use over all restores.
-  const int deleted = fleet.endpoints() - 1;
-  fleet.DeleteEntry(deleted);
-  const MonotonicTime deleted_at = MonotonicNow();
-  std::this_thread::sleep_for(milliseconds(2500));
-  CheckRecovery(&fleet, "leader alive, copy 3 s old",
-                fleet.RestoreStore(milliseconds(3000), milliseconds(200)), -1);
+  // The endpoint stays out of use over all restores, since it does not write its entry again.
+  const int left = fleet.endpoints() - 1;
+  fleet.LetLeave(left);
+  const MonotonicTime left_at = MonotonicNow();
+  std::this_thread::sleep_for(milliseconds(1000));
+  fleet.WriteConfig(2);
+  CHECK(AllUseConfig(&fleet, 2, kConfigBound));
+  std::this_thread::sleep_for(milliseconds(500));
+  MonotonicTime restored_at = fleet.RestoreStore(milliseconds(3000), milliseconds(200));
+  CheckRecovery(&fleet, "leader alive, copy 3 s old", restored_at, -1);
+  // The store has lost the configuration, the gateways have not.
+  CHECK(AllUseConfig(&fleet, 2, milliseconds(0)));
+  fleet.WriteConfig(3);
+  CHECK(AllUseConfig(&fleet, 3, kConfigBound));
 
   int leader = std::max(0, fleet.Leader());
   callers.Avoid(leader);
   fleet.gateway(leader).Signal(SIGSTOP);
   std::this_thread::sleep_for(milliseconds(500));
-  MonotonicTime restored_at = fleet.RestoreStore(milliseconds(500), milliseconds(200));
+  restored_at = fleet.RestoreStore(milliseconds(500), milliseconds(200));
   std::this_thread::sleep_for(milliseconds(2300));
   fleet.gateway(leader).Signal(SIGCONT);
   CheckRecovery(&fleet, "leader paused for 3 s, copy 0.5 s old", restored_at, -1);
@@ -209,13 +228,14 @@
   fleet.CutFromStore(leader, false);
   std::this_thread::sleep_for(milliseconds(2500));
   CHECK(OnlyLeader(&fleet, -1) >= 0);
+  CHECK(AllUseConfig(&fleet, 3, milliseconds(0)));
 
   callers.Stop();
   CheckTokens(fleet.Orders());
   int late = 0;
   for (const EndpointEvent& event : fleet.EndpointEvents()) {
-    const bool arrived = !event.is_answer && event.endpoint == deleted;
-    if (arrived && event.at > deleted_at + kDrainBound) ++late;
+    const bool arrived = !event.is_answer && event.endpoint == left;
+    if (arrived && event.at > left_at + kDrainBound) ++late;
   }
   CHECK(late == 0);
   CHECK(callers.served() > 0);
@@ -224,7 +244,7 @@
     CHECK(count == 0);
   }
   std::cout << callers.served() << " plain requests served, " << late
-            << " sent to the deleted endpoint\n";
+            << " sent to the endpoint that left\n";
 }
 
 }  // namespace mimosabend::testing
