Let the store's stand-in do nothing while it is down for a restore

Cause: while it was down, the stand-in ended leases and reported that on open watches. A store that is down does neither.

Change: no lease ends and no watch reports anything until the restore. The endpoint that leaves deletes its entry and goes on renewing its lease, so that a restored entry stays; without that, the test no longer showed that the former gateway uses such an endpoint.

--- a/tests/fake_fleet_store.h
+++ b/tests/fake_fleet_store.h
@@ -223,6 +223,7 @@
   *this = *copy.store_;
   era_ = era;
   down_ = false;
+  mute_watches_ = false;
 }
 
 static_assert(FleetStore<FakeFleetStore>);
--- a/tests/standins/platform_endpoint_standin.cpp
+++ b/tests/standins/platform_endpoint_standin.cpp
@@ -105,7 +105,7 @@
   }
 
   // Registers the endpoint under a new lease, and again whenever the lease expires or the store was
-  // restored. Returns once the endpoint has left.
+  // restored. Returns once the endpoint has left and the lease has ended.
   Task<void> Register() {
     const milliseconds time_to_live(FLAGS_lapse_ms);
     while (!leaves_) {
@@ -204,17 +204,26 @@
     return headers;
   }
 
-  // Renews a lease until it expires, the store was restored, or the endpoint leaves.
+  // Renews a lease until it expires or the store was restored. An endpoint that leaves deletes its
+  // entry and goes on renewing the lease, so that an entry that is restored stays.
   Task<void> RenewUntilExpired(LeaseId lease, milliseconds time_to_live) {
     const std::uint32_t era = store_.era().current();
-    while (!leaves_) {
+    bool deleted = false;
+    for (;;) {
       co_await Sleep(time_to_live / kRenewalsPerLease);
+      if (leaves_ && !deleted) deleted = co_await DeleteEntry();
       auto renewed = co_await store_.RenewLease(lease);
       if (renewed && !renewed.value()) co_return;
-      if (store_.era().current() != era) co_return;
+      if (!leaves_ && store_.era().current() != era) co_return;
     }
-    auto revoked = co_await store_.RevokeLease(lease);
-    if (!revoked) std::abort();
+  }
+
+  Task<bool> DeleteEntry() {
+    const std::string key = platform::PlatformStore::endpoint_prefix() + FLAGS_id;
+    auto known = co_await store_.Read(key);
+    if (!known) co_return false;
+    auto removed = co_await store_.Delete(key, known.value().version);
+    co_return removed&& removed.value();
   }
 
   json::object Description() const {
--- a/tests/standins/platform_store_standin.cpp
+++ b/tests/standins/platform_store_standin.cpp
@@ -92,8 +92,8 @@
   Task<void> MakeCopies() {
     while (FLAGS_copy_period_ms > 0) {
       const MonotonicTime now = MonotonicNow();
-      copies_.push_back({now, store_.MakeCopy(), leases_});
-      while (now - copies_.front().made_at > kMaxCopyAge) copies_.pop_front();
+      if (!down_) copies_.push_back({now, store_.MakeCopy(), leases_});
+      while (!copies_.empty() && now - copies_.front().made_at > kMaxCopyAge) copies_.pop_front();
       co_await Sleep(milliseconds(FLAGS_copy_period_ms));
     }
   }
@@ -101,6 +101,7 @@
   Task<void> ExpireLeases() {
     for (;;) {
       co_await Sleep(kLeaseCheckPeriod);
+      if (down_) continue;
       for (auto it = leases_.begin(); it != leases_.end();) {
         const bool expired = MonotonicNow() >= it->second.expires_at;
         if (expired) store_.EndLease(it->first);
@@ -133,9 +134,13 @@
       co_return;
     }
     const Copy copy = *std::prev(later);
+    // Nothing happens meanwhile: no lease ends, and open watches report nothing.
     refuse_ = true;
+    down_ = true;
+    store_.set_mute_watches(true);
     co_await Sleep(milliseconds(IntegerMember(body, "down-ms").value_or(0)));
     refuse_ = false;
+    down_ = false;
     store_.Restore(copy.contents);
     leases_ = copy.leases;
     for (auto& [id, lease] : leases_) lease.expires_at = MonotonicNow() + lease.time_to_live;
@@ -225,6 +230,8 @@
   std::map<LeaseId, Lease> leases_;
   std::deque<Copy> copies_;
   bool refuse_ = false;
+  // Being restored.
+  bool down_ = false;
 };
 
 }  // namespace
--- a/tests/test_prefix_watcher.cpp
+++ b/tests/test_prefix_watcher.cpp
@@ -92,8 +92,8 @@
   fixture.store.Put("endpoints/b", "1");
   fixture.time.RunFor(&fixture.io, milliseconds(50));
   CHECK(fixture.done_revision == StoreRevision{0, 2});
-  fixture.store.set_mute_watches(told);
   fixture.store.Restore(copy);
+  fixture.store.set_mute_watches(told);
   fixture.store.Put("endpoints/c", "1");
   if (told) fixture.watcher.Restart();
   fixture.time.RunFor(&fixture.io, milliseconds(50));
