--- a/src/leader_record.cpp
+++ b/src/leader_record.cpp
@@ -2,6 +2,8 @@
 
 #include <sstream>
 
+#include "store_era.h"
+
 namespace mimosabend {
 
 std::string ToString(const LeaderRecord& record) {
@@ -19,4 +21,16 @@
   return record;
 }
 
+std::string ToString(const HolderRecord& record) {
+  return record.era == 0 ? record.host : record.host + "\n" + std::to_string(record.era);
+}
+
+HolderRecord ParseHolderRecord(const std::string& text) {
+  const std::size_t end = text.find('\n');
+  if (end == std::string::npos) return {text, 0};
+  std::string_view era = text;
+  era.remove_prefix(end + 1);
+  return {text.substr(0, end), ParseStoreEra(era).value_or(0)};
+}
+
 }  // namespace mimosabend
--- a/tests/test_prefix_watcher.cpp
+++ b/tests/test_prefix_watcher.cpp
@@ -22,13 +22,13 @@
     handlers.put = [this](const KvItem& item, MonotonicTime) {
       known[item.key] = item.entry.value;
     };
-    handlers.remove = [this](const std::string& key, std::uint64_t, MonotonicTime) {
+    handlers.remove = [this](const std::string& key, StoreRevision, MonotonicTime) {
       known.erase(key);
     };
-    handlers.keep_only = [this](const std::set<std::string>& keys, std::uint64_t, MonotonicTime) {
+    handlers.keep_only = [this](const std::set<std::string>& keys, StoreRevision, MonotonicTime) {
       std::erase_if(known, [&](const auto& item) { return !keys.contains(item.first); });
     };
-    handlers.done = [this](std::uint64_t revision, MonotonicTime) { done_revision = revision; };
+    handlers.done = [this](StoreRevision revision, MonotonicTime) { done_revision = revision; };
     return handlers;
   }
 
@@ -36,7 +36,7 @@
   boost::asio::io_context io{1};
   FakeFleetStore store;
   std::map<std::string, std::string> known;
-  std::uint64_t done_revision = 0;
+  StoreRevision done_revision;
   PrefixWatcher<FakeFleetStore> watcher;
 };
 
@@ -82,6 +82,27 @@
   CHECK(fixture.known == std::map<std::string, std::string>{{"endpoints/b", "1"}});
 }
 
+// Guards against a watch that hangs on a connection to the contents before a restore, and against
+// changes that are applied to contents of another era.
+TEST_CASE("a watcher reads a new snapshot when the store was restored", "[watcher]") {
+  const bool told = GENERATE(false, true);
+  WatcherFixture fixture;
+  fixture.store.Put("endpoints/a", "1");
+  const FakeFleetStore::Copy copy = fixture.store.MakeCopy();
+  fixture.store.Put("endpoints/b", "1");
+  fixture.time.RunFor(&fixture.io, milliseconds(50));
+  CHECK(fixture.done_revision == StoreRevision{0, 2});
+  fixture.store.Restore(copy);
+  fixture.store.set_mute_watches(told);
+  fixture.store.Put("endpoints/c", "1");
+  if (told) fixture.watcher.Restart();
+  fixture.time.RunFor(&fixture.io, milliseconds(50));
+  CHECK(fixture.known ==
+        std::map<std::string, std::string>{{"endpoints/a", "1"}, {"endpoints/c", "1"}});
+  CHECK(fixture.done_revision == StoreRevision{1, 2});
+  CHECK(fixture.watcher.in_sync());
+}
+
 // Guards against a daemon that drops its endpoints while the store is down.
 TEST_CASE("a watcher keeps the known items while the store is down", "[watcher]") {
   WatcherFixture fixture;
@@ -118,7 +139,7 @@
   fixture.watcher.ReadNow();
   fixture.time.RunFor(&fixture.io, milliseconds(50));
   CHECK(fixture.known.size() == 2);
-  CHECK(fixture.done_revision == 2);
+  CHECK(fixture.done_revision == StoreRevision{0, 2});
   // The known items were confirmed recently, so they may be passed on.
   CHECK(MonotonicNow() - fixture.watcher.confirmed() <= milliseconds(50));
   fixture.store.Put("endpoints/c", "1");
