--- a/tests/test_decoders.cpp
+++ b/tests/test_decoders.cpp
@@ -144,7 +144,7 @@
   UsageReport report;
   report.sender = {{"10.0.0.1", 7380}, "north-a", 100};
   report.relayed.push_back({{"10.0.0.2", 7380}, "north-a", 20});
-  report.known = {7, 90, 12, 3};
+  report.known = {7, {1, 90}, 12, 3};
   report.loads.emplace_back(3, EndpointWork{2, 100, 300});
   report.runs.push_back({3, {{"m", 2, {"a", "b"}}}});
   report.unreachable = {4, 5};
