Describe the stated era without the platform's header name

Cause: only platform/ knows the platform's names, and a comment in store_era.h named its header. Change: the comment speaks of the era that a response states. Result: a comment only; format clean, store_era.cpp compiles; no test was run for it.

--- a/src/store_era.h
+++ b/src/store_era.h
@@ -74,7 +74,7 @@
 
   std::uint32_t current() const { return current_; }
 
-  // Handles the `Store-Era` header of a response; empty if it has none. Returns whether the
+  // Handles the era that a response states, as text; empty if it states none. Returns whether the
   // response may be used. `call` names the call in logs.
   bool HandleResponse(std::string_view header, const std::string& call);
 
