--- a/review/common-2/harness.cpp
+++ b/review/common-2/harness.cpp
@@ -35,6 +35,9 @@
 constexpr std::int64_t kPollMs = 10;
 // Events that the store keeps, far more than a run writes in its `history-s`.
 constexpr std::size_t kMaxEvents = 100000;
+// The stand-ins listen at the first address, and the gateways at the others.
+constexpr const char* kHosts[] = {"127.0.0.1",  "127.0.0.41", "127.0.0.42",
+                                  "127.0.0.43", "127.0.0.44", "127.0.0.45"};
 constexpr int kFirstHost = 41;
 constexpr char kTemplate[] = "deploy/gateway.ini.tmpl";
 
@@ -342,12 +345,14 @@
   std::mt19937 random(std::random_device{}());
   while (static_cast<int>(ports.size()) < count) {
     const auto port = static_cast<std::uint16_t>(12000 + random() % 18000);
-    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in address = MakeAddress("0.0.0.0", port);
-    if (bind(probe, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) {
-      ports.insert(port);
-    }
-    close(probe);
+    const bool is_free = std::all_of(std::begin(kHosts), std::end(kHosts), [&](const char* ip) {
+      const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      const sockaddr_in address = MakeAddress(ip, port);
+      const int bound = bind(probe, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+      close(probe);
+      return bound == 0;
+    });
+    if (is_free) ports.insert(port);
   }
   return {ports.begin(), ports.end()};
 }
--- a/review/common-2/harness.h
+++ b/review/common-2/harness.h
@@ -89,7 +89,7 @@
 // Serves HTTP/1.1 at an address, one thread a connection, until the process ends. Returns the port.
 std::uint16_t Serve(const std::string& ip, std::uint16_t port, Handler handler);
 
-// Ports that are free on all loopback addresses at the time of the call.
+// Ports that are free at the time of the call on the loopback addresses that the cases use.
 std::vector<std::uint16_t> FreePorts(int count);
 
 // The platform's metadata store, with the calls that PROTOCOL.md names for `form=kv`.
