--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -1,11 +1,13 @@
 #include "platform_fleet.h"
 
 #include <algorithm>
+#include <boost/algorithm/string/replace.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdlib>
 #include <fstream>
+#include <iterator>
 #include <optional>
 #include <sstream>
 #include <stdexcept>
@@ -66,7 +68,7 @@
           {"resumable", resumable}};
 }
 
-json::object ConfigObject(int version, int extra_models) {
+json::object ConfigObject(int version, int extra_models, const std::optional<HttpLimits>& limits) {
   json::object model{{"name", "m"},        {"weights-mb", 100}, {"adapters", 0}, {"adapter-mb", 1},
                      {"load-time-s", 6.0}, {"disk-s", 0.8},     {"warm-s", 0.4}};
   json::array models{model};
@@ -77,13 +79,20 @@
   }
   json::object engine{{"slots", 64},        {"kv-capacity", 200000}, {"weights-mb", 1000},
                       {"adapter-slots", 8}, {"loads-per-s", 2},      {"models", std::move(models)}};
-  return {{"version", version},
-          {"routes", json::array{RouteObject("/chat/", "streaming", 2, "models"),
-                                 RouteObject("/once/", "streaming", 1, "models"),
-                                 RouteObject("/read/", "idempotent", 2, "plain"),
-                                 RouteObject("/order/", "non_idempotent", 1, "plain")}},
-          {"services", json::array{json::object{{"name", "models"}, {"engine", engine}},
-                                   json::object{{"name", "plain"}}}}};
+  json::object config{{"version", version},
+                      {"routes", json::array{RouteObject("/chat/", "streaming", 2, "models"),
+                                             RouteObject("/once/", "streaming", 1, "models"),
+                                             RouteObject("/read/", "idempotent", 2, "plain"),
+                                             RouteObject("/order/", "non_idempotent", 1, "plain")}},
+                      {"services", json::array{json::object{{"name", "models"}, {"engine", engine}},
+                                               json::object{{"name", "plain"}}}}};
+  if (limits) {
+    config["limits"] = json::object{{"max-header-bytes", limits->header_bytes},
+                                    {"max-body-bytes", limits->body_bytes},
+                                    {"header-timeout-ms", 3000},
+                                    {"idle-timeout-ms", limits->idle_timeout.count()}};
+  }
+  return config;
 }
 
 HttpCall StoreCall(const Address& store, const std::string& method, const std::string& target,
@@ -180,9 +189,9 @@
 }
 
 void PlatformFleet::WriteConfig(int version) {
-  const json::object put{
-      {"key", "op/config"},
-      {"value", EncodeBase64(json::serialize(ConfigObject(version, options_.extra_models)))}};
+  const json::object put{{"key", "op/config"},
+                         {"value", EncodeBase64(json::serialize(ConfigObject(
+                                       version, options_.extra_models, options_.limits)))}};
   const json::object body{{"expected", json::array()}, {"puts", json::array{put}}};
   auto reply = CallOne(StoreCall(store_->address(), "POST", "/mimosabend/kv-txn", body));
   if (!reply || reply.value().status != 200)
@@ -333,8 +342,52 @@
   return sum;
 }
 
+// Fills in the settings file of deploy/ as the platform does, as far as that file uses it.
+std::string PlatformFleet::DeployedSettings(int index) const {
+  const std::string host = HostOf(index);
+  const auto at = [&](int port) { return host + ":" + std::to_string(ports_[port]); };
+  const std::map<std::string, std::string> values{
+      {"#zones}}{{@}}:{{.}}{{,}}{{/zones", "a:north"},
+      {"#bounds.quota-slack}}\nquota_tolerance = {{.}}\n{{/bounds.quota-slack", ""},
+      {"node-name", "g" + std::to_string(index)},
+      {"region", "north"},
+      {"zone", "a"},
+      {"seeds", HostOf(0) + ":1," + HostOf(1) + ":1"},
+      {"listen.front", at(0)},
+      {"listen.readiness", at(1)},
+      {"ip", host},
+      {"internal-ports.0", std::to_string(ports_[2])},
+      {"internal-ports.1", std::to_string(ports_[3])},
+      {"platform.address", ToString(store_->address())},
+      {"limits.cpu-share", "0.25"},
+      {"limits.link-mbps", "1000.0"},
+      {"limits.memory-mb", std::to_string(options_.host->memory_mb)},
+      {"limits.max-fds", std::to_string(options_.host->max_fds)},
+      {"bounds.drain-ms", "2500"},
+      {"bounds.config-apply-ms", "2500"},
+      {"bounds.grace-s", "8"},
+      {"bounds.retry-budget-ratio", "0.2"},
+      {"bounds.budget-slack", "52"},
+      {"bounds.budget-window-s", "10"},
+      {"bounds.lease-ms", "3000"},
+      {"bounds.require-fencing", "true"},
+      {"bounds.ceiling-window-s", "5"},
+      {"bounds.ceiling-over", "1.1"}};
+  std::ifstream file(MIMOSABEND_SOURCE_DIRECTORY "/deploy/gateway.ini.tmpl");
+  std::string text(std::istreambuf_iterator<char>(file), {});
+  for (const auto& [name, value] : values) {
+    boost::replace_all(text, "{{" + name + "}}", value);
+  }
+  if (text.find("{{") != std::string::npos) throw std::runtime_error("not filled in: " + text);
+  return text;
+}
+
 void PlatformFleet::WriteSettings(int index) {
   std::ofstream file(directory_ / ("gateway-" + std::to_string(index) + ".ini"));
+  if (options_.host) {
+    file << DeployedSettings(index) << options_.gateway_settings;
+    return;
+  }
   const std::string host = HostOf(index);
   file << "[gateway]\nname = g" << index << "\nregion = north\nfailure_domain = a\n"
        << "seeds = " << HostOf(0) << ":1, " << HostOf(1) << ":1\ndomains = a:north\n"
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -18,6 +18,12 @@
 
 namespace mimosabend::testing {
 
+// What the platform says of a host in the settings that it fills in.
+struct DeployedHost {
+  int memory_mb = 0;
+  int max_fds = 0;
+};
+
 // Size and timing of a PlatformFleet.
 struct PlatformFleetOptions {
   int gateways = 3;
@@ -47,6 +53,10 @@
   int extra_models = 0;
   // Whether the store keeps copies of its contents, and gateways can be cut off from it.
   bool restore_store = false;
+  // If set, gateways run with the settings file of deploy/, filled in for such a host.
+  std::optional<DeployedHost> host;
+  // If set, the operator's configuration names these limits.
+  std::optional<HttpLimits> limits;
 };
 
 // An order that an engine accepted.
@@ -160,6 +170,7 @@
   };
 
   void WriteSettings(int index);
+  std::string DeployedSettings(int index) const;
   void StartEndpoint(Endpoint* endpoint);
   int IndexOfPort(std::uint16_t port) const;
   void ChangeEndpoint(int index, const boost::json::object& change);
