End unfinished requests that cost most when others need their room

What callers saw: 503 for as long as the idle time-out lasts, beside clients that stop just short of the end of their bodies; no answer at all beside 2,000 connections that are open and send nothing.

Cause: room and places belonged to whoever took them first, until the idle time-out. A body in chunks took all that was left, one with a length up to three quarters. The number of connections had nothing that ends one for another. Ruled out: the endpoints, which had no work.

Change: memory and places are accounted for in one table of connections, for all ways of sending. - Without room in memory, the unfinished request that has cost most (bytes held, times the time since its first byte) is ended with 503 and Retry-After. It has not run. A request displaces only what has cost more than it will itself within a second. - A request gets half of the room that the others leave at most, with a length as in chunks. Its header counts as well. - Without a place, a new connection closes the one that has waited longest for a request, its rest, or its client's end. - Up to 65 connections are accepted at a time, so that they do not wait with their bytes behind reads of others. Requests that are handled are never ended.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -558,7 +558,14 @@
   std::uint64_t failed_assertions = 0;
   std::uint64_t exceptions = 0;
   std::uint64_t memory_refusals = 0;
+  std::array<std::uint64_t, kEvictionCauseCount> evictions{};
   for (;;) {
+    for (std::size_t cause = 0; cause < kEvictionCauseCount; ++cause) {
+      const std::uint64_t now = caller_server_.evictions(static_cast<EvictionCause>(cause));
+      relay_metrics_.evictions_total[cause]->Increment(static_cast<double>(now - evictions[cause]));
+      evictions[cause] = now;
+    }
+    relay_metrics_.caller_connections->Set(static_cast<double>(caller_server_.open_connections()));
     relay_metrics_.memory_refusals_total->Increment(
         static_cast<double>(memory_.refusals() - memory_refusals));
     memory_refusals = memory_.refusals();
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -57,6 +57,7 @@
     case HttpReadError::kClosed:
     case HttpReadError::kBroken:
     case HttpReadError::kNoMemory:
+    case HttpReadError::kEvicted:
       break;
   }
   return HttpError::kBroken;
--- a/src/http_reader.cpp
+++ b/src/http_reader.cpp
@@ -81,14 +81,28 @@
   return true;
 }
 
-// Receives more bytes, or tells the parser that there are none.
-template <class Parser>
-Task<Result<void, HttpReadError>> HttpReader::Fill(beast::tcp_stream* stream, Parser* parser) {
+// Receives more bytes.
+Task<boost::system::error_code> HttpReader::Receive(beast::tcp_stream* stream) {
   boost::system::error_code error;
   const auto space = buffer_.prepare(beast::read_size(buffer_, kMaxReadBytes));
   const std::size_t received =
       co_await stream->async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
   buffer_.commit(received);
+  co_return error;
+}
+
+Task<Result<void, HttpReadError>> HttpReader::AwaitMessage(beast::tcp_stream* stream) {
+  if (!empty()) co_return outcome::success();
+  const boost::system::error_code error = co_await Receive(stream);
+  if (!error) co_return outcome::success();
+  co_return outcome::failure(error == beast::error::timeout ? HttpReadError::kTimedOut
+                                                            : HttpReadError::kClosed);
+}
+
+// Receives more bytes, or tells the parser that there are none.
+template <class Parser>
+Task<Result<void, HttpReadError>> HttpReader::Fill(beast::tcp_stream* stream, Parser* parser) {
+  boost::system::error_code error = co_await Receive(stream);
   if (!error) co_return outcome::success();
   if (error == beast::error::timeout) co_return outcome::failure(HttpReadError::kTimedOut);
   const bool begun = parser->got_some();
--- a/src/http_reader.h
+++ b/src/http_reader.h
@@ -25,11 +25,14 @@
   kBodyTooLarge,
   kFramingTooLarge,
   // The memory budget has no room for the body.
-  kNoMemory
+  kNoMemory,
+  // The connection is closed in favour of another one.
+  kEvicted
 };
-inline constexpr NameTable<HttpReadError, 8> kHttpReadErrorNames{
+inline constexpr NameTable<HttpReadError, 9> kHttpReadErrorNames{
     {"connection closed", "connection broken", "timed out", "malformed message", "header too large",
-     "body too large", "chunk framing or trailers too large", "no memory for the body"}};
+     "body too large", "chunk framing or trailers too large", "no memory for the body",
+     "closed for another"}};
 
 using HttpRequestParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 using HttpResponseParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
@@ -50,6 +53,10 @@
   // Limit for the messages that are read from now on.
   void set_max_framing_bytes(std::size_t bytes) { max_framing_bytes_ = bytes; }
 
+  // Waits until a byte of a message has been received. Fails with kClosed or kTimedOut. The caller
+  // sets the time limit of `stream`. Precondition: as for ReadHeader.
+  Task<Result<void, HttpReadError>> AwaitMessage(boost::beast::tcp_stream* stream);
+
   // Reads until the header is complete. The caller sets the time limit of `stream`. Precondition:
   // `parser` is new, and both pointers are valid until the coroutine has ended.
   template <class Parser>
@@ -67,6 +74,7 @@
  private:
   template <class Parser>
   Result<bool, HttpReadError> Parse(Parser* parser);
+  Task<boost::system::error_code> Receive(boost::beast::tcp_stream* stream);
   template <class Parser>
   Task<Result<void, HttpReadError>> Fill(boost::beast::tcp_stream* stream, Parser* parser);
   bool FramingExceedsLimit() const;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cassert>
+#include <limits>
 
 #include "event_loop.h"
 #include "http_reader.h"
@@ -30,6 +31,10 @@
 constexpr int kSendBufferBytes = 64 * 1024;
 // Number of connections above the limit that are accepted only to reject their first request.
 constexpr std::size_t kMaxRejectingConnections = 64;
+constexpr std::size_t kMaxExtraConnections = kMaxRejectingConnections + kMaxLeavingConnections;
+// Number of connections that are accepted at a time, so that reading from those that are open does
+// not leave others, and what they have sent, in the queue of the listener.
+constexpr std::size_t kAcceptBatch = 64;
 constexpr char kRejectionRetryAfterSeconds[] = "2";
 // Does not say whether the request was executed.
 constexpr char kInternalErrorBody[] =
@@ -61,6 +66,7 @@
     case HttpReadError::kFramingTooLarge:
       return 431;
     case HttpReadError::kNoMemory:
+    case HttpReadError::kEvicted:
       return 503;
     case HttpReadError::kClosed:
     case HttpReadError::kBroken:
@@ -79,32 +85,38 @@
          R"(","type":"invalid_request_error","param":null,"code":"bad_request"},"outcome":"not_run"})";
 }
 
+// Bytes of a header as the request keeps it.
+std::uint64_t HeaderBytes(const HttpRequest& request) {
+  std::uint64_t bytes = request.method.size() + request.target.size();
+  for (const auto& [name, value] : request.headers) bytes += name.size() + value.size();
+  return bytes;
+}
+
 }  // namespace
 
 class ServerConnection {
  public:
   // With `reject`, the first request gets a 503 response because too many connections are open.
-  ServerConnection(HttpServer* server, asio::ip::tcp::socket socket, bool reject)
-      : server_(server),
-        connections_(server->connections_),
-        stream_(std::move(socket)),
-        reader_(server->limits_.header_bytes),
-        reject_(reject) {
-    ++connections_->open;
-  }
+  ServerConnection(HttpServer* server, asio::ip::tcp::socket socket, bool reject);
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
-  ~ServerConnection() {
-    connections_->idle.erase(this);
-    --connections_->open;
-  }
+  ~ServerConnection();
 
   Task<void> Run();
 
   // Cancels the wait for the next request unless a part of it has been received.
   void CloseIfIdle() {
-    if (reader_.empty() && Peek() <= 0) stream_.cancel();
+    if (waits_ && Peek() <= 0) stream_.cancel();
+  }
+
+  // See Evictable. A connection without a part of a request is closed without a response.
+  void Evict(bool with_response) {
+    evicted_ = true;
+    answers_eviction_ = with_response && (!waits_ || Peek() > 0);
+    request_memory_.Release();
+    stream_.cancel();
   }
+  std::uint64_t held_bytes() const { return request_memory_.bytes(); }
 
   // A peer that has closed only its sending side does not count as gone: it may still wait for the
   // response.
@@ -209,9 +221,10 @@
 
   Task<bool> ReadRequest(std::optional<HttpRequest>* request);
   Task<void> RunHandler(HttpExchange* exchange);
+  Task<Result<void, HttpReadError>> ReadHeader(HttpRequestParser* parser);
   Task<Result<HttpRequest, HttpReadError>> ReadMessage();
-  bool AdmitBody(const HttpRequestParser& parser);
-  bool HoldBody(const HttpRequestParser& parser);
+  bool Admit(std::uint64_t bytes);
+  bool HoldBody(std::uint64_t bytes);
 
   HttpServer* server_;
   std::shared_ptr<HttpServer::Connections> connections_;
@@ -222,53 +235,88 @@
   bool chunked_open_ = false;
   // The response to such a request has no body, which would be taken for the next response.
   bool is_head_request_ = false;
+  // Whether no byte of the next request has been received.
+  bool waits_ = true;
+  // Whether it is closed in favour of another connection, and whether it answers before.
+  bool evicted_ = false;
+  bool answers_eviction_ = false;
   // What the request that is being read or handled holds.
   MemoryHold request_memory_;
   // Callback for a peer that closes its connection; null unless the peer is being watched.
   std::shared_ptr<std::function<void()>> peer_watch_;
 };
 
-// Whether the memory budget has room for a request whose header has been read.
-bool ServerConnection::AdmitBody(const HttpRequestParser& parser) {
-  if (server_->memory_ == nullptr) return true;
-  const auto length = parser.content_length();
-  auto hold = server_->memory_->Admit(length ? *length : 0, MonotonicNow());
+struct HttpServer::Connections : ConnectionTable<ServerConnection> {};
+
+ServerConnection::ServerConnection(HttpServer* server, asio::ip::tcp::socket socket, bool reject)
+    : server_(server),
+      connections_(server->connections_),
+      stream_(std::move(socket)),
+      reader_(server->limits_.header_bytes),
+      reject_(reject) {
+  connections_->Add(this);
+}
+
+ServerConnection::~ServerConnection() { connections_->Remove(this); }
+
+// Holds memory for a request of `bytes` whose header has been read. Returns false without room.
+bool ServerConnection::Admit(std::uint64_t bytes) {
+  MemoryBudget* budget = server_->memory_;
+  if (budget == nullptr) return true;
+  const MonotonicTime now = MonotonicNow();
+  connections_->MakeRoomInMemory(*budget, this, nullptr, bytes, now);
+  auto hold = budget->Admit(bytes, now);
   if (!hold) return false;
   request_memory_ = std::move(*hold);
   return true;
 }
 
-// Holds what has been read of a body in chunks, whose length was not known.
-bool ServerConnection::HoldBody(const HttpRequestParser& parser) {
-  if (server_->memory_ == nullptr || parser.content_length()) return true;
-  const std::uint64_t size = parser.get().body().size() * MemoryBudget::kBodyCopies;
-  const std::uint64_t more = size - request_memory_.bytes();
-  if (request_memory_.TryGrow(more) == MemoryResult::kHeld) return true;
-  server_->memory_->RecordRefusal(MonotonicNow());
+// Holds memory for the `bytes` that have been read of an admitted request.
+bool ServerConnection::HoldBody(std::uint64_t bytes) {
+  MemoryBudget* budget = server_->memory_;
+  if (budget == nullptr || budget->GrowRequest(&request_memory_, bytes)) return true;
+  const MonotonicTime now = MonotonicNow();
+  connections_->MakeRoomInMemory(*budget, this, &request_memory_, bytes, now);
+  if (budget->GrowRequest(&request_memory_, bytes)) return true;
+  budget->RecordRefusal(now);
   return false;
 }
 
+// Reads a header.
+Task<Result<void, HttpReadError>> ServerConnection::ReadHeader(HttpRequestParser* parser) {
+  const HttpLimits& limits = server_->limits_;
+  parser->header_limit(limits.header_bytes);
+  parser->body_limit(limits.body_bytes);
+  reader_.set_max_framing_bytes(limits.header_bytes);
+  // A response whose header was sent before StopAccepting did not carry "Connection: close", so the
+  // client may keep the connection open.
+  const bool short_wait = server_->stopping() || reject_;
+  stream_.expires_after(short_wait ? kDrainIdleTimeout : limits.idle_timeout);
+  connections_->SetReceiving(this, MonotonicNow());
+  waits_ = reader_.empty();
+  auto begun = co_await reader_.AwaitMessage(&stream_);
+  if (!begun) co_return outcome::failure(begun.error());
+  waits_ = false;
+  connections_->SetReceiving(this, MonotonicNow());
+  auto header = co_await reader_.ReadHeader(&stream_, parser);
+  co_return header;
+}
+
 // Reads the next message. Its headers are those of its header section: fields in the trailers could
 // otherwise replace what the request has been checked for.
 Task<Result<HttpRequest, HttpReadError>> ServerConnection::ReadMessage() {
   is_head_request_ = false;
   HttpRequestParser parser;
-  parser.header_limit(server_->limits_.header_bytes);
-  parser.body_limit(server_->limits_.body_bytes);
-  reader_.set_max_framing_bytes(server_->limits_.header_bytes);
-  // A response whose header was sent before StopAccepting did not carry "Connection: close", so the
-  // client may keep the connection open.
-  const bool short_wait = server_->stopping() || reject_;
-  stream_.expires_after(short_wait ? kDrainIdleTimeout : server_->limits_.idle_timeout);
-  connections_->idle.insert(this);
-  auto header = co_await reader_.ReadHeader(&stream_, &parser);
-  connections_->idle.erase(this);
+  auto header = co_await ReadHeader(&parser);
+  if (evicted_) co_return outcome::failure(HttpReadError::kEvicted);
   if (!header) co_return outcome::failure(header.error());
   HttpRequest request = ConvertHeader(parser.get());
   request.arrival = MonotonicNow();
   keep_alive_ = parser.keep_alive();
   is_head_request_ = request.method == "HEAD";
-  if (!AdmitBody(parser)) co_return outcome::failure(HttpReadError::kNoMemory);
+  const std::uint64_t header_bytes = HeaderBytes(request);
+  const bool admitted = Admit(header_bytes + parser.content_length().value_or(0));
+  if (!admitted) co_return outcome::failure(HttpReadError::kNoMemory);
   if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
     http::response<http::empty_body> interim{http::status::continue_, 11};
     boost::system::error_code error;
@@ -278,8 +326,10 @@
   stream_.expires_after(server_->limits_.idle_timeout);
   while (!parser.is_done()) {
     auto read = co_await reader_.ReadSome(&stream_, &parser);
+    if (evicted_) co_return outcome::failure(HttpReadError::kEvicted);
     if (!read) co_return outcome::failure(read.error());
-    if (!HoldBody(parser)) co_return outcome::failure(HttpReadError::kNoMemory);
+    const bool held = HoldBody(header_bytes + parser.get().body().size());
+    if (!held) co_return outcome::failure(HttpReadError::kNoMemory);
   }
   request.body = std::move(parser.get().body());
   co_return request;
@@ -289,6 +339,7 @@
 // be closed.
 Task<bool> ServerConnection::ReadRequest(std::optional<HttpRequest>* request) {
   auto message = co_await ReadMessage();
+  connections_->SetBusy(this);
   if (message) {
     *request = std::move(message).value();
     co_return true;
@@ -296,10 +347,10 @@
   keep_alive_ = false;
   const int status = ReadErrorStatus(message.error());
   request_memory_.Release();
-  if (status == 0) co_return false;
-  const bool no_memory = message.error() == HttpReadError::kNoMemory;
-  if (no_memory) {
-    // The budget counts and logs these.
+  if (status == 0 || (evicted_ && !answers_eviction_)) co_return false;
+  const bool no_room = evicted_ || message.error() == HttpReadError::kNoMemory;
+  if (no_room) {
+    // The budget and the connection table count and log these.
     HttpHeaders headers{{"Content-Type", "application/json"},
                         {"Retry-After", kRejectionRetryAfterSeconds}};
     co_await WriteWhole(status, headers, kNoMemoryBody);
@@ -352,16 +403,17 @@
     if (!exchange.answered() || chunked_open_) break;
   }
   stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  if (chunked_open_ || (evicted_ && !answers_eviction_)) co_return;
   // Discards what the client still sends: closing with unread data would send a reset, which can
   // destroy a response that the client has not read yet.
-  if (!chunked_open_) {
-    stream_.expires_after(kDrainIdleTimeout);
-    std::array<char, 4096> discarded;
-    boost::system::error_code error;
-    while (!error) {
-      co_await stream_.async_read_some(asio::buffer(discarded),
-                                       asio::redirect_error(asio::use_awaitable, error));
-    }
+  connections_->SetClosing(this, MonotonicNow());
+  evicted_ = false;
+  stream_.expires_after(kDrainIdleTimeout);
+  std::array<char, 4096> discarded;
+  boost::system::error_code error;
+  while (!error && !evicted_) {
+    co_await stream_.async_read_some(asio::buffer(discarded),
+                                     asio::redirect_error(asio::use_awaitable, error));
   }
 }
 
@@ -398,10 +450,17 @@
     : executor_(std::move(executor)),
       limits_(limits),
       handler_(std::move(handler)),
-      acceptor_(executor_) {}
+      acceptor_(executor_),
+      connections_(std::make_shared<Connections>()) {}
 
 HttpServer::~HttpServer() = default;
 
+std::size_t HttpServer::open_connections() const { return connections_->open(); }
+
+std::uint64_t HttpServer::evictions(EvictionCause cause) const {
+  return connections_->log().evictions(cause);
+}
+
 Result<std::uint16_t, std::string> HttpServer::Listen(const Address& address) {
   auto port = OpenListener(address, &acceptor_);
   if (port) SpawnDetached(executor_, "listener", Accept());
@@ -410,7 +469,8 @@
 
 void HttpServer::StopAccepting() {
   stopping_ = true;
-  AcceptQueued();
+  // Closing the listener resets the connections in its queue.
+  AcceptQueued(std::numeric_limits<std::size_t>::max());
   boost::system::error_code ignored;
   acceptor_.close(ignored);
   SpawnDetached(executor_, "closing of idle connections", CloseIdleConnections());
@@ -421,14 +481,14 @@
   Timer timer(executor_, kDrainIdleTimeout);
   boost::system::error_code ignored;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-  for (ServerConnection* connection : connections_->idle) connection->CloseIfIdle();
+  for (ServerConnection* connection : connections_->receiving()) connection->CloseIfIdle();
 }
 
-// Accepts the connections in the listener's queue, because closing the listener would reset them.
-void HttpServer::AcceptQueued() {
+// Accepts connections that are in the listener's queue.
+void HttpServer::AcceptQueued(std::size_t most) {
   boost::system::error_code error;
   acceptor_.non_blocking(true, error);
-  while (!error) {
+  for (std::size_t i = 0; !error && i < most; ++i) {
     asio::ip::tcp::socket socket(executor_);
     acceptor_.accept(socket, error);
     if (!error) Admit(std::move(socket));
@@ -436,9 +496,9 @@
 }
 
 void HttpServer::Admit(asio::ip::tcp::socket socket) {
-  const bool reject = connections_->open >= limits_.connections;
+  const bool reject = !connections_->MakeRoomForConnection(limits_.connections, MonotonicNow());
   if (reject) ++rejected_requests_;
-  if (connections_->open >= limits_.connections + kMaxRejectingConnections) return;
+  if (connections_->open() >= limits_.connections + kMaxExtraConnections) return;
   if (memory_ != nullptr && memory_->limit() > 0) {
     boost::system::error_code ignored;
     socket.set_option(asio::socket_base::send_buffer_size(kSendBufferBytes), ignored);
@@ -460,6 +520,7 @@
       continue;
     }
     Admit(std::move(socket));
+    AcceptQueued(kAcceptBatch);
   }
 }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -6,10 +6,10 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
 
 #include "clock.h"
+#include "connection_table.h"
 #include "http_types.h"
 #include "memory_budget.h"
 #include "result.h"
@@ -75,9 +75,11 @@
 
 using HttpHandler = std::function<Task<void>(HttpExchange&)>;
 
-// HTTP/1.1 server with one coroutine per connection. Not thread-safe: all calls must run on its
-// executor. Destroy it only after the executor has stopped or when open_connections() is zero. If a
-// handler throws, its request is answered with 500 unless its response has begun.
+// HTTP/1.1 server with one coroutine per connection. At the limit of connections, a new one
+// replaces the one that has waited longest for a request or for its end, if there is any; otherwise
+// its first request is refused with 503. Not thread-safe: all calls must run on its executor.
+// Destroy it only after the executor has stopped or when open_connections() is zero. If a handler
+// throws, its request is answered with 500 unless its response has begun.
 class HttpServer {
  public:
   HttpServer(boost::asio::any_io_executor executor, HttpLimits limits, HttpHandler handler);
@@ -97,11 +99,14 @@
   // The new limits apply to new connections, and to open ones from their next read or write.
   void set_limits(const HttpLimits& limits) { limits_ = limits; }
 
-  // Requests are refused with 503 while the budget has no room, before their body is read if its
-  // length is known. Precondition: `budget` outlives this server; null for no budget.
+  // If the budget has no room for a request, connections with unfinished requests that have cost
+  // more are closed. If that does not suffice the request is refused with 503, before its body is
+  // read if its length is known. Precondition: `budget` outlives this server; null for no budget.
   void set_memory_budget(MemoryBudget* budget) { memory_ = budget; }
 
-  std::size_t open_connections() const { return connections_->open; }
+  std::size_t open_connections() const;
+  // Connections that were closed in favour of others.
+  std::uint64_t evictions(EvictionCause cause) const;
   std::uint64_t rejected_requests() const { return rejected_requests_; }
   bool stopping() const { return stopping_; }
   bool closing() const { return closing_ || stopping_; }
@@ -109,16 +114,11 @@
  private:
   friend class ServerConnection;
 
-  // Shared with the coroutines of the connections, which may outlive the server.
-  struct Connections {
-    std::size_t open = 0;
-    // Those that wait for a request.
-    std::set<ServerConnection*> idle;
-  };
+  struct Connections;
 
   Task<void> Accept();
   Task<void> CloseIdleConnections();
-  void AcceptQueued();
+  void AcceptQueued(std::size_t most);
   void Admit(boost::asio::ip::tcp::socket socket);
   static Task<void> Serve(std::unique_ptr<ServerConnection> connection);
 
@@ -127,7 +127,8 @@
   HttpHandler handler_;
   MemoryBudget* memory_ = nullptr;
   boost::asio::ip::tcp::acceptor acceptor_;
-  std::shared_ptr<Connections> connections_ = std::make_shared<Connections>();
+  // Shared with the coroutines of the connections, which may outlive the server.
+  std::shared_ptr<Connections> connections_;
   std::uint64_t rejected_requests_ = 0;
   bool stopping_ = false;
   bool closing_ = false;
--- a/src/memory_budget.cpp
+++ b/src/memory_budget.cpp
@@ -13,6 +13,8 @@
 // Part of the limit up to which new requests are admitted. The rest is for what the admitted ones
 // turn out to need.
 constexpr double kAdmittedShare = 0.75;
+// Part of the room that the others leave which one request may take.
+constexpr double kRequestShare = 0.5;
 // Part of the limit that one connection and one customer may hold.
 constexpr std::uint64_t kConnectionDivisor = 4;
 constexpr std::uint64_t kCustomerDivisor = 2;
@@ -98,24 +100,32 @@
 
 std::uint64_t MemoryBudget::limit() const { return totals_->limit; }
 
-std::optional<MemoryHold> MemoryBudget::Admit(std::uint64_t body_bytes, MonotonicTime now) {
-  MemoryHold hold(totals_, MemoryKind::kRequests);
-  const std::uint64_t copies = body_bytes * kBodyCopies;
-  if (totals_->limit > 0) {
-    const auto responses = static_cast<double>(held(MemoryKind::kResponses));
-    const double expected = static_cast<double>(totals_->admitted + 1) * expected_response_;
-    const double others = static_cast<double>(held() - held(MemoryKind::kResponses) + copies);
-    const double allowed = static_cast<double>(totals_->limit) * kAdmittedShare;
-    if (others + std::max(responses, expected) > allowed) {
-      RecordRefusal(now);
-      return std::nullopt;
-    }
-    if (refused_at_ && now - *refused_at_ >= kRefusingPause) {
-      refused_at_.reset();
-      LOG4CPLUS_INFO(Log(), "memory: no longer refusing requests, held_bytes=" << held());
-    }
+bool MemoryBudget::WouldFit(std::uint64_t bytes, const MemoryHold* own, std::uint64_t freed) const {
+  if (totals_->limit == 0) return true;
+  const std::uint64_t copies = bytes * kBodyCopies;
+  if (copies > totals_->limit / kConnectionDivisor) return false;
+  const std::uint64_t admitted = totals_->admitted + (own == nullptr ? 1 : 0);
+  const std::uint64_t own_bytes = own == nullptr ? 0 : own->bytes();
+  const auto responses = static_cast<double>(held(MemoryKind::kResponses));
+  const double expected = static_cast<double>(admitted) * expected_response_;
+  const auto others =
+      static_cast<double>(held() - held(MemoryKind::kResponses) - own_bytes - freed);
+  const double allowed = static_cast<double>(totals_->limit) * kAdmittedShare;
+  const double room = allowed - others - std::max(responses, expected);
+  return room >= 0 && static_cast<double>(copies) <= room * kRequestShare;
+}
+
+std::optional<MemoryHold> MemoryBudget::Admit(std::uint64_t bytes, MonotonicTime now) {
+  if (!WouldFit(bytes, nullptr, 0)) {
+    RecordRefusal(now);
+    return std::nullopt;
+  }
+  if (refused_at_ && now - *refused_at_ >= kRefusingPause) {
+    refused_at_.reset();
+    LOG4CPLUS_INFO(Log(), "memory: no longer refusing requests, held_bytes=" << held());
   }
-  if (hold.TryGrow(copies) != MemoryResult::kHeld) {
+  MemoryHold hold(totals_, MemoryKind::kRequests);
+  if (hold.TryGrow(bytes * kBodyCopies) != MemoryResult::kHeld) {
     RecordRefusal(now);
     return std::nullopt;
   }
@@ -124,6 +134,13 @@
   return hold;
 }
 
+bool MemoryBudget::GrowRequest(MemoryHold* hold, std::uint64_t bytes) const {
+  const std::uint64_t copies = bytes * kBodyCopies;
+  if (copies <= hold->bytes()) return true;
+  if (!WouldFit(bytes, hold, 0)) return false;
+  return hold->TryGrow(copies - hold->bytes()) == MemoryResult::kHeld;
+}
+
 bool MemoryBudget::HasRoom(const std::string& customer) const {
   if (totals_->limit == 0) return true;
   const auto it = totals_->customers.find(customer);
--- a/src/memory_budget.h
+++ b/src/memory_budget.h
@@ -66,7 +66,8 @@
 
 // Limits the bytes that a daemon holds for slow callers and endpoints. New requests are refused
 // while too much is held or expected; what has been admitted may fill the rest of the limit, and
-// waits for room beyond it. Not thread-safe.
+// waits for room beyond it. A request gets half of what the others leave, so that some room remains
+// for smaller ones. Not thread-safe.
 class MemoryBudget {
  public:
   // A body of a request is held as received, and as the copy that is written to an endpoint.
@@ -79,13 +80,22 @@
   void set_limit(std::uint64_t limit);
   std::uint64_t limit() const;
 
-  // A hold for a new request with a body of `body_bytes` (0 if not known yet), or std::nullopt if
-  // the request must be refused because the body, its copies and the expected response have no
+  // A hold for a new request of `bytes`: its header, and its body if its length is known. Returns
+  // std::nullopt and counts a refusal if the request, its copy and the expected response have no
   // room. Logs when refusing begins and ends.
-  std::optional<MemoryHold> Admit(std::uint64_t body_bytes, MonotonicTime now);
+  std::optional<MemoryHold> Admit(std::uint64_t bytes, MonotonicTime now);
+
+  // Grows the hold of an admitted request to `bytes` and its copy, with the limits of Admit.
+  // Returns false and changes nothing if there is no room. Precondition: `hold` comes from Admit.
+  bool GrowRequest(MemoryHold* hold, std::uint64_t bytes) const;
+
+  // Whether a request of `bytes`, new or with the hold `own`, would have room if `freed` bytes that
+  // are held for other requests were released.
+  bool WouldFit(std::uint64_t bytes, const MemoryHold* own, std::uint64_t freed) const;
 
   // Whether the customer holds less than its share.
   bool HasRoom(const std::string& customer) const;
+
   // Counts a request that is refused, and logs when refusing begins.
   void RecordRefusal(MonotonicTime now);
 
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -11,6 +11,7 @@
 #include <mutex>
 #include <string>
 
+#include "connection_table.h"
 #include "fleet_config.h"
 #include "hedge_policy.h"
 #include "memory_budget.h"
@@ -94,6 +95,9 @@
   prometheus::Counter* library_assertions_total;
   prometheus::Counter* exceptions_total;
   prometheus::Counter* memory_refusals_total;
+  // By EvictionCause.
+  std::array<prometheus::Counter*, kEvictionCauseCount> evictions_total;
+  prometheus::Gauge* caller_connections;
   // Indexed by MemoryKind.
   std::array<prometheus::Gauge*, kMemoryKindCount> held_bytes;
   prometheus::Gauge* crash_suspects;
--- a/tests/test_memory_budget.cpp
+++ b/tests/test_memory_budget.cpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "caller_queue.h"
+#include "connection_table.h"
 #include "gateway_settings.h"
 #include "memory_budget.h"
 #include "relay_fixture.h"
@@ -272,6 +273,46 @@
   CHECK(relay.memory.held() == 0);
 }
 
+// Guards against room that is kept by unfinished requests, against large requests that displace
+// small ones, and against connections that are closed in vain.
+TEST_CASE("unfinished requests that cost most make room", "[memory]") {
+  struct Client {
+    MemoryHold hold;
+    int evictions = 0;
+    std::uint64_t held_bytes() const { return hold.bytes(); }
+    void Evict(bool) {
+      ++evictions;
+      hold.Release();
+    }
+  };
+  MemoryBudget budget(64 * kMb);
+  ConnectionTable<Client> table;
+  std::array<Client, 4> clients;
+  MonotonicTime now{};
+  const std::array<std::uint64_t, 4> sizes{5 * kMb, 5 * kMb, 4 * kMb, 0};
+  for (std::size_t i = 0; i < clients.size(); ++i, now += milliseconds(400)) {
+    table.Add(&clients[i]);
+    table.SetReceiving(&clients[i], now);
+    if (sizes[i] > 0) clients[i].hold = budget.Admit(sizes[i], now).value();
+  }
+  // 28 MB are held and 20 MB left, of which a request gets half.
+  Client& last = clients[3];
+  CHECK(table.MakeRoomInMemory(budget, &last, nullptr, 4 * kMb, now));
+  CHECK(!table.MakeRoomInMemory(budget, &last, nullptr, 32 * kMb, now));
+  CHECK(!table.MakeRoomInMemory(budget, &last, nullptr, 8 * kMb, now));
+  CHECK(table.log().evictions(EvictionCause::kMemory) == 0);
+  CHECK(table.MakeRoomInMemory(budget, &last, nullptr, 6 * kMb, now));
+  CHECK(clients[0].evictions == 1);
+  CHECK(table.log().evictions(EvictionCause::kMemory) == 1);
+  // A place is made by the one that has waited longest, unless its request may be on its way.
+  CHECK(table.MakeRoomForConnection(4, now));
+  CHECK(table.MakeRoomForConnection(3, now));
+  CHECK(clients[1].evictions == 1);
+  table.SetBusy(&clients[2]);
+  table.SetReceiving(&last, now);
+  CHECK(!table.MakeRoomForConnection(2, now));
+}
+
 // Guards against a limit that is taken from an invalid setting.
 TEST_CASE("settings of the memory limit are checked", "[memory]") {
   const std::string text =
