Derive the number of connections from memory and descriptors

What callers saw: a gateway killed at its memory limit by connections that each stay far below the limits, and a host out of descriptors.

Cause: 2,000 connections were allowed on every host. The buffer of a connection and what the system receives for it were not counted: with 1,900 clients, 92 MB waited in sockets. Descriptors (3,075 on the smallest hosts) were not known to the process.

Change: connections are limited to 0.4 of the descriptors beyond 200, and to what 0.4 of the memory beyond relay_share holds, at 12 KiB, the largest header and twice the receive buffer each. The receive buffer is 16 KB, set on the listener, so that it holds for connections that wait to be accepted. The reader's buffer is limited to a header and 4 KiB and released behind large headers. New settings [host] descriptors and [callers] connections, receive_buffer_kb; a log line, gauges, docs. The other listeners accept 64 connections each instead of 256.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -72,7 +72,7 @@
 constexpr milliseconds kAcceptTime{2800};
 // Requests that still wait are refused this long before the end.
 constexpr milliseconds kRefusalMargin{500};
-constexpr HttpLimits kInternalLimits{256, 8192, 8192, milliseconds(15000)};
+constexpr HttpLimits kInternalLimits{64, 8192, 8192, milliseconds(15000)};
 // Bound the time until the loss of a peer's host or of the link is detected.
 constexpr HttpClientOptions kEndpointOptions{milliseconds(1500), seconds(2)};
 constexpr HttpClientOptions kStoreOptions{milliseconds(1500), seconds(1)};
@@ -128,6 +128,7 @@
   ItemHandlers EndpointHandlers();
   PlacementHooks MakePlacementHooks();
   bool AdoptConfig(const std::string& raw_text, const std::string& source);
+  void ApplyCallerLimits();
   void PutItem(const KvItem& item, MonotonicTime now);
   void PutEndpoint(FleetEndpoint endpoint, MonotonicTime read_at);
   void ConfirmReading();
@@ -185,6 +186,8 @@
   PrefixWatcher<PlatformStore> config_watcher_;
   PrefixWatcher<PlatformStore> endpoint_watcher_;
   HttpServer caller_server_;
+  // The operator's limits of requests.
+  HttpLimits caller_limits_;
   HttpServer readiness_server_;
   HttpServer metrics_server_;
   asio::signal_set termination_signals_;
@@ -257,6 +260,7 @@
       termination_signals_(*io, SIGTERM, SIGINT),
       reload_signals_(*io, SIGHUP) {
   caller_server_.set_memory_budget(&memory_);
+  ApplyCallerLimits();
   quota_.set_order(settings.quota_order);
   relay_.SetHedging(settings_.hedging);
   store_.era().set_listener([this](std::uint32_t era) { BeginEra(era); });
@@ -343,7 +347,7 @@
   }
   const std::uint64_t version = config.value().version;
   const bool known = version == state_.config().version();
-  const HttpLimits limits = config.value().limits;
+  caller_limits_ = config.value().limits;
   if (!directory_.Adopt(std::move(config).value())) {
     LOG4CPLUS_WARN(Log(),
                    "configuration " << version << " is older than the one in force, ignored");
@@ -351,12 +355,27 @@
   }
   if (known) return true;
   if (version > 0) state_.SetConfig(MultipartDocument(version, SplitJsonDocument(text)));
-  caller_server_.set_limits(limits);
+  ApplyCallerLimits();
   relay_metrics_.config_version->Set(static_cast<double>(version));
   LOG4CPLUS_INFO(Log(), "configuration " << version << " is in force, from " << source);
   return true;
 }
 
+// Applies the operator's limits of requests, and those that follow from the resources of the host.
+void Gateway::ApplyCallerLimits() {
+  HttpLimits limits = caller_limits_;
+  limits.connections = CallerConnections(settings_, limits.header_bytes, DescriptorLimit());
+  if (limits.connections != caller_server_.connection_limit()) {
+    LOG4CPLUS_INFO(Log(), "connections of callers are limited, connections="
+                              << limits.connections << " header_bytes=" << limits.header_bytes
+                              << " receive_buffer_bytes=" << settings_.receive_buffer_bytes);
+  }
+  caller_server_.set_limits(limits);
+  if (settings_.memory_bytes > 0) {
+    caller_server_.SetReceiveBuffer(settings_.receive_buffer_bytes);
+  }
+}
+
 void Gateway::PutItem(const KvItem& item, MonotonicTime now) {
   const std::string id = item.key.substr(PlatformStore::endpoint_prefix().size());
   auto endpoint = platform::DecodeEndpoint(id, item.entry.value);
@@ -566,6 +585,8 @@
       evictions[cause] = now;
     }
     relay_metrics_.caller_connections->Set(static_cast<double>(caller_server_.open_connections()));
+    relay_metrics_.caller_connection_limit->Set(
+        static_cast<double>(caller_server_.connection_limit()));
     relay_metrics_.memory_refusals_total->Increment(
         static_cast<double>(memory_.refusals() - memory_refusals));
     memory_refusals = memory_.refusals();
@@ -640,12 +661,16 @@
   ApplyQuotaOrder(settings->quota_order, cause);
   ApplyHedging(settings->hedging, cause);
   SetForecast(settings->forecast);
-  const bool memory_changed = settings->relay_bytes() != settings_.relay_bytes();
-  if (settings->bounds == settings_.bounds && !memory_changed) return;
+  if (settings->bounds == settings_.bounds && settings->resources() == settings_.resources())
+    return;
   settings_.bounds = settings->bounds;
   settings_.memory_bytes = settings->memory_bytes;
   settings_.relay_share = settings->relay_share;
+  settings_.descriptors = settings->descriptors;
+  settings_.caller_connections = settings->caller_connections;
+  settings_.receive_buffer_bytes = settings->receive_buffer_bytes;
   memory_.set_limit(settings_.relay_bytes());
+  ApplyCallerLimits();
   directory_.set_reappear_time(ReappearTime(settings_.bounds));
   ApplyRetryLimits();
   LOG4CPLUS_INFO(Log(), "settings reloaded, cause=" << cause << " memory_limit_bytes="
--- a/src/http_reader.cpp
+++ b/src/http_reader.cpp
@@ -1,5 +1,6 @@
 #include "http_reader.h"
 
+#include <algorithm>
 #include <boost/asio/error.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -20,6 +21,10 @@
 namespace {
 
 constexpr std::size_t kMaxReadBytes = 64 * 1024;
+// Space in a buffer beside a header of the largest size.
+constexpr std::size_t kReadSlackBytes = 4096;
+// A larger buffer is released between two messages.
+constexpr std::size_t kKeptBufferBytes = 4096;
 
 // A position that grows by the number of body bytes that the parser stores.
 std::int64_t BodyPosition(const std::string& body) {
@@ -81,6 +86,14 @@
   return true;
 }
 
+void HttpReader::LimitBuffer(std::size_t header_bytes) {
+  buffer_.max_size(std::max(header_bytes + kReadSlackBytes, buffer_.capacity()));
+}
+
+void HttpReader::ReleaseBuffer() {
+  if (empty() && buffer_.capacity() > kKeptBufferBytes) buffer_.shrink_to_fit();
+}
+
 // Receives more bytes.
 Task<boost::system::error_code> HttpReader::Receive(beast::tcp_stream* stream) {
   boost::system::error_code error;
@@ -102,6 +115,10 @@
 // Receives more bytes, or tells the parser that there are none.
 template <class Parser>
 Task<Result<void, HttpReadError>> HttpReader::Fill(beast::tcp_stream* stream, Parser* parser) {
+  if (buffer_.size() == buffer_.max_size()) {
+    co_return outcome::failure(parser->is_header_done() ? HttpReadError::kFramingTooLarge
+                                                        : HttpReadError::kHeaderTooLarge);
+  }
   boost::system::error_code error = co_await Receive(stream);
   if (!error) co_return outcome::success();
   if (error == beast::error::timeout) co_return outcome::failure(HttpReadError::kTimedOut);
--- a/src/http_reader.h
+++ b/src/http_reader.h
@@ -53,6 +53,12 @@
   // Limit for the messages that are read from now on.
   void set_max_framing_bytes(std::size_t bytes) { max_framing_bytes_ = bytes; }
 
+  // Limits the buffer to a header of `header_bytes` and what is received with it.
+  void LimitBuffer(std::size_t header_bytes);
+
+  // Releases the buffer if it is empty and larger than most requests need.
+  void ReleaseBuffer();
+
   // Waits until a byte of a message has been received. Fails with kClosed or kTimedOut. The caller
   // sets the time limit of `stream`. Precondition: as for ReadHeader.
   Task<Result<void, HttpReadError>> AwaitMessage(boost::beast::tcp_stream* stream);
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -288,6 +288,7 @@
   parser->header_limit(limits.header_bytes);
   parser->body_limit(limits.body_bytes);
   reader_.set_max_framing_bytes(limits.header_bytes);
+  reader_.LimitBuffer(limits.header_bytes);
   // A response whose header was sent before StopAccepting did not carry "Connection: close", so the
   // client may keep the connection open.
   const bool short_wait = server_->stopping() || reject_;
@@ -331,6 +332,7 @@
     const bool held = HoldBody(header_bytes + parser.get().body().size());
     if (!held) co_return outcome::failure(HttpReadError::kNoMemory);
   }
+  reader_.ReleaseBuffer();
   request.body = std::move(parser.get().body());
   co_return request;
 }
@@ -461,8 +463,16 @@
   return connections_->log().evictions(cause);
 }
 
+void HttpServer::SetReceiveBuffer(int bytes) {
+  receive_buffer_ = bytes;
+  boost::system::error_code ignored;
+  if (acceptor_.is_open()) {
+    acceptor_.set_option(asio::socket_base::receive_buffer_size(bytes), ignored);
+  }
+}
+
 Result<std::uint16_t, std::string> HttpServer::Listen(const Address& address) {
-  auto port = OpenListener(address, &acceptor_);
+  auto port = OpenListener(address, receive_buffer_, &acceptor_);
   if (port) SpawnDetached(executor_, "listener", Accept());
   return port;
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "clock.h"
@@ -96,6 +97,10 @@
   // Sends "Connection: close" with each further response but keeps accepting connections.
   void AnnounceClose() { closing_ = true; }
 
+  // Size of the system's receive buffer of connections that are accepted from now on, in bytes.
+  // Without a call the system chooses it.
+  void SetReceiveBuffer(int bytes);
+
   // The new limits apply to new connections, and to open ones from their next read or write.
   void set_limits(const HttpLimits& limits) { limits_ = limits; }
 
@@ -105,6 +110,7 @@
   void set_memory_budget(MemoryBudget* budget) { memory_ = budget; }
 
   std::size_t open_connections() const;
+  std::size_t connection_limit() const { return limits_.connections; }
   // Connections that were closed in favour of others.
   std::uint64_t evictions(EvictionCause cause) const;
   std::uint64_t rejected_requests() const { return rejected_requests_; }
@@ -129,6 +135,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   // Shared with the coroutines of the connections, which may outlive the server.
   std::shared_ptr<Connections> connections_;
+  std::optional<int> receive_buffer_;
   std::uint64_t rejected_requests_ = 0;
   bool stopping_ = false;
   bool closing_ = false;
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -158,7 +158,7 @@
       acceptor_(executor_) {}
 
 Result<void, std::string> PeerServer::Listen(const Address& address) {
-  auto port = OpenListener(address, &acceptor_);
+  auto port = OpenListener(address, std::nullopt, &acceptor_);
   if (!port) return outcome::failure(port.error());
   SpawnDetached(executor_, "listener for daemons", Accept());
   return outcome::success();
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -112,6 +112,8 @@
     evictions_total[i] = &evictions.Add({{"cause", std::string(kEvictionCauseNames.names[i])}});
   }
   caller_connections = registry_.AddGauge("caller_connections", "Open connections of callers.");
+  caller_connection_limit =
+      registry_.AddGauge("caller_connection_limit", "Connections of callers that may be open.");
   auto& held = registry_.GaugeFamily("held_bytes", "Bytes held for callers and endpoints.");
   for (std::size_t i = 0; i < kMemoryKindCount; ++i) {
     held_bytes[i] = &held.Add({{"kind", std::string(kMemoryKindNames.names[i])}});
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -98,6 +98,7 @@
   // By EvictionCause.
   std::array<prometheus::Counter*, kEvictionCauseCount> evictions_total;
   prometheus::Gauge* caller_connections;
+  prometheus::Gauge* caller_connection_limit;
   // Indexed by MemoryKind.
   std::array<prometheus::Gauge*, kMemoryKindCount> held_bytes;
   prometheus::Gauge* crash_suspects;
--- a/tests/test_memory_budget.cpp
+++ b/tests/test_memory_budget.cpp
@@ -313,6 +313,23 @@
   CHECK(!table.MakeRoomForConnection(2, now));
 }
 
+// Guards against limits of connections that memory or descriptors do not suffice for, or that a
+// host without limits meets.
+TEST_CASE("connections follow from memory and descriptors", "[memory]") {
+  GatewaySettings settings;
+  CHECK(CallerConnections(settings, 16384, 20000) == 2000);
+  CHECK(CallerConnections(settings, 16384, 1200) == 400);
+  settings.descriptors = 700;
+  CHECK(CallerConnections(settings, 16384, 20000) == 200);
+  settings.descriptors = 10;
+  CHECK(CallerConnections(settings, 16384, 20000) == 16);
+  settings.descriptors = 0;
+  settings.memory_bytes = 120 * kMb;
+  const std::size_t connections = CallerConnections(settings, 16384, 20000);
+  CHECK(connections * (16384 + 2 * settings.receive_buffer_bytes) < 30 * kMb);
+  CHECK(connections > 400);
+}
+
 // Guards against a limit that is taken from an invalid setting.
 TEST_CASE("settings of the memory limit are checked", "[memory]") {
   const std::string text =
@@ -328,7 +345,9 @@
   for (const std::string invalid :
        {"host.memory_mb=-1", "host.memory_mb=nan", "host.memory_mb=many", "host.memory_mb=2e6",
         "memory.relay_share=0.81", "memory.relay_share=-0.1", "memory.relay_share=nan",
-        "memory.share=0.5"}) {
+        "memory.share=0.5", "host.descriptors=-1", "host.descriptors=2e6", "callers.connections=15",
+        "callers.connections=100001", "callers.receive_buffer_kb=3",
+        "callers.receive_buffer_kb=1025"}) {
     CAPTURE(invalid);
     const auto settings = parse({invalid});
     REQUIRE(!settings);
