Apply the operator's time-out for headers

What callers saw: places held by headers that come a byte at a time, for the idle time-out instead of the operator's header-timeout-ms.

Cause: DecodeLimits did not read that limit, and the idle time-out ran for the header as a whole. Change: the idle time-out ends with the first byte of a request; from there, the header has its own time and 1 s for delays on the way, which a client inside the limit does not meet. In the settings of daemons it is [limits] header_timeout_ms, by default 30 s as the idle time-out was.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -35,6 +35,8 @@
 // Number of connections that are accepted at a time, so that reading from those that are open does
 // not leave others, and what they have sent, in the queue of the listener.
 constexpr std::size_t kAcceptBatch = 64;
+// Added to the time for a header, for delays of the network and of this process.
+constexpr milliseconds kHeaderTimeMargin{1000};
 constexpr char kRejectionRetryAfterSeconds[] = "2";
 // Does not say whether the request was executed.
 constexpr char kInternalErrorBody[] =
@@ -282,7 +284,7 @@
   return false;
 }
 
-// Reads a header.
+// Reads a header within the time for it, which begins with its first byte.
 Task<Result<void, HttpReadError>> ServerConnection::ReadHeader(HttpRequestParser* parser) {
   const HttpLimits& limits = server_->limits_;
   parser->header_limit(limits.header_bytes);
@@ -299,6 +301,7 @@
   if (!begun) co_return outcome::failure(begun.error());
   waits_ = false;
   connections_->SetReceiving(this, MonotonicNow());
+  if (!short_wait) stream_.expires_after(server_->limits_.header_timeout + kHeaderTimeMargin);
   auto header = co_await reader_.ReadHeader(&stream_, parser);
   co_return header;
 }
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -59,6 +59,8 @@
   limits.body_bytes = section->Integer("body_bytes", 1024, 1 << 26, limits.body_bytes);
   limits.idle_timeout =
       milliseconds(section->Integer("idle_timeout_ms", 100, 600000, limits.idle_timeout.count()));
+  limits.header_timeout = milliseconds(
+      section->Integer("header_timeout_ms", 100, 600000, limits.header_timeout.count()));
   settings->drain_delay =
       milliseconds(section->Integer("drain_delay_ms", 0, 60000, settings->drain_delay.count()));
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -49,6 +49,8 @@
   milliseconds idle_timeout{30000};
   // Longest time without write progress to a slow peer.
   milliseconds write_timeout{30000};
+  // Longest time from the first byte of a header to its end.
+  milliseconds header_timeout{30000};
 };
 
 // Addresses of the platform's services, for daemons and operator commands.
--- a/tests/test_http_messages.cpp
+++ b/tests/test_http_messages.cpp
@@ -41,15 +41,19 @@
   return cuts;
 }
 
-Task<void> WritePieces(Tcp::socket* socket, Pieces pieces) {
+// Returns the number of pieces that could be written.
+Task<std::size_t> WritePieces(Tcp::socket* socket, Pieces pieces) {
   boost::system::error_code error;
+  std::size_t written = 0;
   for (const std::string& piece : pieces) {
     co_await boost::asio::async_write(
         *socket, boost::asio::buffer(piece),
         boost::asio::redirect_error(boost::asio::use_awaitable, error));
-    if (error) co_return;
+    if (error) break;
+    ++written;
     if (pieces.size() > 1) co_await Sleep(kPieceInterval);
   }
+  co_return written;
 }
 
 // Writes `filler` until the peer closes the connection, and counts the bytes.
@@ -67,8 +71,8 @@
 // A server that responds with the method, the path, the header "X" and the body that it received.
 class EchoServer {
  public:
-  EchoServer()
-      : server_(io_.get_executor(), HttpLimits(), [this](HttpExchange& exchange) -> Task<void> {
+  explicit EchoServer(const HttpLimits& limits = {})
+      : server_(io_.get_executor(), limits, [this](HttpExchange& exchange) -> Task<void> {
           ++requests_;
           const HttpRequest& request = exchange.request();
           if (request.target == "/stream") {
@@ -85,17 +89,21 @@
   }
 
   int requests() const { return requests_; }
+  // Number of pieces of the last message that could be written.
+  std::size_t written() const { return written_; }
   const HttpServer& server() const { return server_; }
 
-  // Sends a message on a new connection, closes the sending side and returns all that is received.
-  std::string Send(const Pieces& pieces) {
+  // Sends a message on a new connection after a pause, closes the sending side and returns all that
+  // is received.
+  std::string Send(const Pieces& pieces, milliseconds pause = milliseconds(0)) {
     std::string received;
     bool done = false;
     const auto run = [&]() -> Task<void> {
       Tcp::socket socket(io_);
       co_await socket.async_connect({boost::asio::ip::address_v4::loopback(), port_},
                                     boost::asio::use_awaitable);
-      co_await WritePieces(&socket, pieces);
+      co_await Sleep(pause);
+      written_ = co_await WritePieces(&socket, pieces);
       boost::system::error_code error;
       socket.shutdown(Tcp::socket::shutdown_send, error);
       co_await ReadToEnd(&socket, &received);
@@ -151,6 +159,7 @@
   HttpServer server_;
   std::uint16_t port_ = 0;
   int requests_ = 0;
+  std::size_t written_ = 0;
 };
 
 // A client, and an endpoint that sends given bytes in response to each request.
@@ -389,4 +398,19 @@
   }
 }
 
+// Guards against headers that arrive without end in small pieces, and against a time-out that a
+// connection meets before its request begins.
+TEST_CASE("a header has a time limit of its own", "[http]") {
+  HttpLimits limits;
+  limits.header_timeout = milliseconds(0);
+  EchoServer server(limits);
+  const std::string request = "GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+  CHECK(server.Send({request}, milliseconds(1500)).find("GET /a") != std::string::npos);
+  Pieces slow{"GET /a HTTP/1.1\r\n"};
+  for (int i = 0; i < 1500; ++i) slow.emplace_back("a: b\r\n");
+  slow.emplace_back("\r\n");
+  CHECK(server.Send(slow).empty());
+  CHECK(server.requests() == 1);
+}
+
 }  // namespace mimosabend::testing
