Let clients that still send read their refusal

Cause: after a refusal the connection was read for 1 s and then closed. Closing with unread bytes sends a reset. Such connections are the first to be closed for others, and end within 1 s while the process stops.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -227,6 +227,7 @@
   Task<Result<HttpRequest, HttpReadError>> ReadMessage();
   bool Admit(std::uint64_t bytes);
   bool HoldBody(std::uint64_t bytes);
+  Task<void> DiscardInput();
 
   HttpServer* server_;
   std::shared_ptr<HttpServer::Connections> connections_;
@@ -409,16 +410,25 @@
   }
   stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   if (chunked_open_ || (evicted_ && !answers_eviction_)) co_return;
-  // Discards what the client still sends: closing with unread data would send a reset, which can
-  // destroy a response that the client has not read yet.
-  connections_->SetClosing(this, MonotonicNow());
+  co_await DiscardInput();
+}
+
+// Discards what the client still sends, up to the size of a body: closing with unread data would
+// send a reset, which can destroy a response that the client has not read yet.
+Task<void> ServerConnection::DiscardInput() {
+  const MonotonicTime start = MonotonicNow();
+  connections_->SetClosing(this, start);
   evicted_ = false;
-  stream_.expires_after(kDrainIdleTimeout);
   std::array<char, 4096> discarded;
+  std::uint64_t bytes = 0;
   boost::system::error_code error;
-  while (!error && !evicted_) {
-    co_await stream_.async_read_some(asio::buffer(discarded),
-                                     asio::redirect_error(asio::use_awaitable, error));
+  while (!error && !evicted_ && bytes <= server_->limits_.body_bytes) {
+    const milliseconds most =
+        server_->closing() ? milliseconds(kDrainIdleTimeout) : server_->limits_.idle_timeout;
+    if (MonotonicNow() - start >= most) break;
+    stream_.expires_after(kDrainIdleTimeout);
+    bytes += co_await stream_.async_read_some(asio::buffer(discarded),
+                                              asio::redirect_error(asio::use_awaitable, error));
   }
 }
 
--- a/tests/test_http_messages.cpp
+++ b/tests/test_http_messages.cpp
@@ -413,4 +413,14 @@
   CHECK(server.requests() == 1);
 }
 
+// Guards against a reset that replaces the response to a client that still sends its body.
+TEST_CASE("a client that sends its body slowly gets a refusal", "[http]") {
+  EchoServer server;
+  Pieces pieces{"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 100000000\r\n\r\n"};
+  for (int i = 0; i < 1500; ++i) pieces.emplace_back(64, 'a');
+  CHECK(server.Send(pieces).starts_with("HTTP/1.1 413 "));
+  CHECK(server.written() == pieces.size());
+  CHECK(server.requests() == 0);
+}
+
 }  // namespace mimosabend::testing
