Keep the limits of a configuration only if it is adopted

Cause: AdoptConfig stored the operator's limits before the directory had accepted the configuration. The limits of an older one, which is ignored, would have taken effect with the next change of the settings. Change: they are stored where they are applied.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -347,7 +347,7 @@
   }
   const std::uint64_t version = config.value().version;
   const bool known = version == state_.config().version();
-  caller_limits_ = config.value().limits;
+  const HttpLimits limits = config.value().limits;
   if (!directory_.Adopt(std::move(config).value())) {
     LOG4CPLUS_WARN(Log(),
                    "configuration " << version << " is older than the one in force, ignored");
@@ -355,6 +355,7 @@
   }
   if (known) return true;
   if (version > 0) state_.SetConfig(MultipartDocument(version, SplitJsonDocument(text)));
+  caller_limits_ = limits;
   ApplyCallerLimits();
   relay_metrics_.config_version->Set(static_cast<double>(version));
   LOG4CPLUS_INFO(Log(), "configuration " << version << " is in force, from " << source);
