Count the fields of a header by the memory that they take

What callers saw: a gateway of 120 MB that ended, by 1,900 clients inside the limits of a header (16 KiB).

Cause: the memory budget counted a header by its bytes. A field of 4 bytes takes some 80 in the parser and 64 or more in each copy of the request, so a header of 15 KB took half a MB. A header that was not complete was not counted at all, though the parser stores its fields. Ruled out: the buffers of the connections, which have their share.

Change: the reader counts each part of a header as it is parsed, 128 bytes for a field beside its own, and the request holds that of the budget from the first part on, with the same limits and evictions as its body.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -418,8 +418,9 @@
     connection->parser->header_limit(kMaxHeaderBytes);
     connection->parser->body_limit(boost::none);
     if (call.method == "HEAD") connection->parser->skip(true);
-    auto read =
-        co_await connection->reader.ReadHeader(connection->stream.get(), &*connection->parser);
+    HeaderHold no_limit;
+    auto read = co_await connection->reader.ReadHeader(connection->stream.get(),
+                                                       &*connection->parser, std::move(no_limit));
     if (!read) co_return outcome::failure(TranslateReadError(read.error()));
     const unsigned status = connection->parser->get().result_int();
     if (!IsValidStatus(status)) co_return outcome::failure(HttpError::kMalformed);
--- a/src/http_reader.cpp
+++ b/src/http_reader.cpp
@@ -25,6 +25,9 @@
 constexpr std::size_t kReadSlackBytes = 4096;
 // A larger buffer is released between two messages.
 constexpr std::size_t kKeptBufferBytes = 4096;
+// Memory of a header field beside its bytes: two strings or an element of the parser's list, and
+// what the allocator adds.
+constexpr std::uint64_t kFieldOverheadBytes = 128;
 
 // A position that grows by the number of body bytes that the parser stores.
 std::int64_t BodyPosition(const std::string& body) {
@@ -47,6 +50,13 @@
   return framing_bytes_ > max_framing_bytes_ + kFramingPerBodyByte * body_bytes_;
 }
 
+// Counts the memory of the part of a header that begins the buffer.
+void HttpReader::CountHeader(std::size_t bytes) {
+  const auto* begin = static_cast<const char*>(buffer_.cdata().data());
+  const auto lines = static_cast<std::uint64_t>(std::count(begin, begin + bytes, '\n'));
+  header_memory_ += bytes + lines * kFieldOverheadBytes;
+}
+
 // Passes the buffered bytes to the parser. Returns whether the parser has advanced; otherwise it
 // needs more bytes.
 template <class Parser>
@@ -67,6 +77,7 @@
     LOG4CPLUS_WARN(Log(), "HTTP parser failed, error=\"" << thrown.what() << "\"");
     return outcome::failure(HttpReadError::kMalformed);
   }
+  if (!in_body) CountHeader(consumed);
   buffer_.consume(consumed);
   if (in_body) {
     const auto stored =
@@ -149,21 +160,30 @@
 }
 
 template <class Parser>
-Task<Result<void, HttpReadError>> HttpReader::ReadHeader(beast::tcp_stream* stream,
-                                                         Parser* parser) {
+Task<Result<void, HttpReadError>> HttpReader::ReadHeader(beast::tcp_stream* stream, Parser* parser,
+                                                         HeaderHold hold) {
+  header_memory_ = 0;
   framing_bytes_ = 0;
   body_bytes_ = 0;
-  while (!parser->is_header_done()) {
-    auto advanced = co_await ReadSome(stream, parser);
-    if (!advanced) co_return outcome::failure(advanced.error());
+  for (;;) {
+    if (!empty()) {
+      const auto advanced = Parse(parser);
+      if (!advanced) co_return outcome::failure(advanced.error());
+      // The parser stores the fields of a header that is not complete, too.
+      const bool held = !hold || hold(header_memory_);
+      if (!held) co_return outcome::failure(HttpReadError::kNoMemory);
+      if (parser->is_header_done()) co_return outcome::success();
+      if (advanced.value()) continue;
+    }
+    auto filled = co_await Fill(stream, parser);
+    if (!filled) co_return outcome::failure(filled.error());
   }
-  co_return outcome::success();
 }
 
 template Task<Result<void, HttpReadError>> HttpReader::ReadHeader(beast::tcp_stream*,
-                                                                  HttpRequestParser*);
+                                                                  HttpRequestParser*, HeaderHold);
 template Task<Result<void, HttpReadError>> HttpReader::ReadHeader(beast::tcp_stream*,
-                                                                  HttpResponseParser*);
+                                                                  HttpResponseParser*, HeaderHold);
 template Task<Result<void, HttpReadError>> HttpReader::ReadSome(beast::tcp_stream*,
                                                                 HttpRequestParser*);
 template Task<Result<void, HttpReadError>> HttpReader::ReadSome(beast::tcp_stream*,
--- a/src/http_reader.h
+++ b/src/http_reader.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstdint>
+#include <functional>
 
 #include "name_table.h"
 #include "result.h"
@@ -37,6 +38,10 @@
 using HttpRequestParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 using HttpResponseParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+// Called with the memory that a header takes so far, in bytes, before more of it is received.
+// Returns false if there is no room for it.
+using HeaderHold = std::function<bool(std::uint64_t bytes)>;
+
 // Reads the messages of one connection. The parser limits headers and bodies. This class limits
 // the framing of a chunked body, which the parser does not: size lines, extensions and trailers. It
 // calls the parser in the reading coroutine and not in a completion handler, so that an exception
@@ -63,10 +68,15 @@
   // sets the time limit of `stream`. Precondition: as for ReadHeader.
   Task<Result<void, HttpReadError>> AwaitMessage(boost::beast::tcp_stream* stream);
 
-  // Reads until the header is complete. The caller sets the time limit of `stream`. Precondition:
-  // `parser` is new, and both pointers are valid until the coroutine has ended.
+  // Reads until the header is complete. Fails with kNoMemory if `hold` returns false; it may be
+  // empty. The caller sets the time limit of `stream`. Precondition: `parser` is new, and both
+  // pointers are valid until the coroutine has ended.
   template <class Parser>
-  Task<Result<void, HttpReadError>> ReadHeader(boost::beast::tcp_stream* stream, Parser* parser);
+  Task<Result<void, HttpReadError>> ReadHeader(boost::beast::tcp_stream* stream, Parser* parser,
+                                               HeaderHold hold);
+
+  // Memory that the last header takes, in bytes. Small fields take many times their size.
+  std::uint64_t header_memory() const { return header_memory_; }
 
   // Reads until the parser has advanced: by a part of the body, a size line or the end of the
   // message. Preconditions: the message is not complete, and both pointers are valid until the
@@ -80,6 +90,7 @@
  private:
   template <class Parser>
   Result<bool, HttpReadError> Parse(Parser* parser);
+  void CountHeader(std::size_t bytes);
   Task<boost::system::error_code> Receive(boost::beast::tcp_stream* stream);
   template <class Parser>
   Task<Result<void, HttpReadError>> Fill(boost::beast::tcp_stream* stream, Parser* parser);
@@ -88,14 +99,17 @@
   std::size_t max_framing_bytes_;
   boost::beast::flat_buffer buffer_;
   // Of the message that is being read.
+  std::uint64_t header_memory_ = 0;
   std::uint64_t framing_bytes_ = 0;
   std::uint64_t body_bytes_ = 0;
 };
 
 extern template Task<Result<void, HttpReadError>> HttpReader::ReadHeader(boost::beast::tcp_stream*,
-                                                                         HttpRequestParser*);
+                                                                         HttpRequestParser*,
+                                                                         HeaderHold);
 extern template Task<Result<void, HttpReadError>> HttpReader::ReadHeader(boost::beast::tcp_stream*,
-                                                                         HttpResponseParser*);
+                                                                         HttpResponseParser*,
+                                                                         HeaderHold);
 extern template Task<Result<void, HttpReadError>> HttpReader::ReadSome(boost::beast::tcp_stream*,
                                                                        HttpRequestParser*);
 extern template Task<Result<void, HttpReadError>> HttpReader::ReadSome(boost::beast::tcp_stream*,
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -50,6 +50,7 @@
   HttpRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
+  request.headers.reserve(std::distance(message.begin(), message.end()));
   for (const auto& field : message) {
     request.headers.emplace_back(field.name_string(), field.value());
   }
@@ -87,13 +88,6 @@
          R"(","type":"invalid_request_error","param":null,"code":"bad_request"},"outcome":"not_run"})";
 }
 
-// Bytes of a header as the request keeps it.
-std::uint64_t HeaderBytes(const HttpRequest& request) {
-  std::uint64_t bytes = request.method.size() + request.target.size();
-  for (const auto& [name, value] : request.headers) bytes += name.size() + value.size();
-  return bytes;
-}
-
 }  // namespace
 
 class ServerConnection {
@@ -226,7 +220,7 @@
   Task<Result<void, HttpReadError>> ReadHeader(HttpRequestParser* parser);
   Task<Result<HttpRequest, HttpReadError>> ReadMessage();
   bool Admit(std::uint64_t bytes);
-  bool HoldBody(std::uint64_t bytes);
+  bool HoldReceived(std::uint64_t bytes);
   Task<void> DiscardInput();
 
   HttpServer* server_;
@@ -267,6 +261,7 @@
   MemoryBudget* budget = server_->memory_;
   if (budget == nullptr) return true;
   const MonotonicTime now = MonotonicNow();
+  request_memory_.Release();
   connections_->MakeRoomInMemory(*budget, this, nullptr, bytes, now);
   auto hold = budget->Admit(bytes, now);
   if (!hold) return false;
@@ -274,8 +269,8 @@
   return true;
 }
 
-// Holds memory for the `bytes` that have been read of an admitted request.
-bool ServerConnection::HoldBody(std::uint64_t bytes) {
+// Holds memory for the `bytes` that have been read of a request. Returns false without room.
+bool ServerConnection::HoldReceived(std::uint64_t bytes) {
   MemoryBudget* budget = server_->memory_;
   if (budget == nullptr || budget->GrowRequest(&request_memory_, bytes)) return true;
   const MonotonicTime now = MonotonicNow();
@@ -303,7 +298,11 @@
   waits_ = false;
   connections_->SetReceiving(this, MonotonicNow());
   if (!short_wait) stream_.expires_after(server_->limits_.header_timeout + kHeaderTimeMargin);
-  auto header = co_await reader_.ReadHeader(&stream_, parser);
+  if (server_->memory_ != nullptr) {
+    request_memory_ = server_->memory_->Open(MemoryKind::kRequests, "");
+  }
+  HeaderHold hold = [this](std::uint64_t bytes) { return HoldReceived(bytes); };
+  auto header = co_await reader_.ReadHeader(&stream_, parser, std::move(hold));
   co_return header;
 }
 
@@ -319,7 +318,7 @@
   request.arrival = MonotonicNow();
   keep_alive_ = parser.keep_alive();
   is_head_request_ = request.method == "HEAD";
-  const std::uint64_t header_bytes = HeaderBytes(request);
+  const std::uint64_t header_bytes = reader_.header_memory();
   const bool admitted = Admit(header_bytes + parser.content_length().value_or(0));
   if (!admitted) co_return outcome::failure(HttpReadError::kNoMemory);
   if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
@@ -333,7 +332,7 @@
     auto read = co_await reader_.ReadSome(&stream_, &parser);
     if (evicted_) co_return outcome::failure(HttpReadError::kEvicted);
     if (!read) co_return outcome::failure(read.error());
-    const bool held = HoldBody(header_bytes + parser.get().body().size());
+    const bool held = HoldReceived(header_bytes + parser.get().body().size());
     if (!held) co_return outcome::failure(HttpReadError::kNoMemory);
   }
   reader_.ReleaseBuffer();
--- a/src/memory_budget.h
+++ b/src/memory_budget.h
@@ -85,8 +85,9 @@
   // room. Logs when refusing begins and ends.
   std::optional<MemoryHold> Admit(std::uint64_t bytes, MonotonicTime now);
 
-  // Grows the hold of an admitted request to `bytes` and its copy, with the limits of Admit.
-  // Returns false and changes nothing if there is no room. Precondition: `hold` comes from Admit.
+  // Grows the hold of a request to `bytes` and its copy, with the limits of Admit. Returns false
+  // and changes nothing if there is no room. Precondition: `hold` comes from Admit, or from Open
+  // for a request that is not admitted yet.
   bool GrowRequest(MemoryHold* hold, std::uint64_t bytes) const;
 
   // Whether a request of `bytes`, new or with the hold `own`, would have room if `freed` bytes that
--- a/tests/client_crowd.cpp
+++ b/tests/client_crowd.cpp
@@ -22,6 +22,7 @@
 
 // What is written at once of a body in small chunks.
 constexpr std::uint64_t kWriteBytes = 64 * 1024;
+constexpr std::string_view kSmallField = "a:\r\n";
 constexpr milliseconds kReturnDelay{10};
 // Of the status code in "HTTP/1.1 200".
 constexpr std::size_t kStatusStart = 9;
@@ -51,9 +52,11 @@
 }
 
 std::string Head(const CrowdBehavior& behavior, const std::string& id) {
-  const std::string head = "POST " + behavior.path +
-                           " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id +
-                           "\r\nDeadline-Ms: 10000\r\nModel: m\r\nToken-Count: 100,10\r\n";
+  std::string head = "POST " + behavior.path + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id +
+                     "\r\nDeadline-Ms: 10000\r\nModel: m\r\nToken-Count: 100,10\r\n";
+  for (std::uint64_t i = 0; i < behavior.small_field_bytes / kSmallField.size(); ++i) {
+    head += kSmallField;
+  }
   switch (behavior.framing) {
     case CrowdFraming::kLength:
       return head + "Content-Length: " + std::to_string(behavior.body_bytes) + "\r\n\r\n";
--- a/tests/client_crowd.h
+++ b/tests/client_crowd.h
@@ -36,6 +36,8 @@
   bool returns = false;
   // Each client with a number that is a multiple of this sends its whole body; 0: none does.
   int whole_every = 0;
+  // Size of fields of a few bytes each that the header has besides the others.
+  std::uint64_t small_field_bytes = 0;
 };
 
 // Clients on connections of their own, in a thread of their own. The destructor closes them.
--- a/tests/test_untrusted_clients.cpp
+++ b/tests/test_untrusted_clients.cpp
@@ -149,6 +149,7 @@
 
 using enum CrowdFraming;
 constexpr std::uint64_t kShort = kBodyLimit - 1;
+constexpr std::uint64_t kFields = 15 * 1024;
 const std::vector<CrowdBehavior> kCrowds{
     {"bodies at once", 60, kLength, "/order/1", kBodyLimit, kShort, kBodyLimit, false, 10},
     {"bodies in pieces", 60, kLength, "/order/1", kBodyLimit, kShort, 64 * 1024, false, 10},
@@ -164,6 +165,9 @@
     {"endless headers", 1900, kHeader, "/order/1", 15 * 1024, 15 * 1024},
     {"nothing sent", 2300, kNothing},
     {"bytes behind a request", 1000, kPipelined, "/once/1", kMb, kMb},
+    {"small fields without end", 1900, kHeader, "/order/1", 0, 0, 1, false, 0, kFields},
+    {"small fields, short body", 1900, kLength, "/order/1", 9 * 1024, 1, 1, false, 0, kFields},
+    {"small fields, slow endpoints", 1900, kLength, "/once/1", 1, 1, 1, false, 1, kFields},
 };
 
 }  // namespace
