--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -206,6 +206,19 @@
         "Request-Priority=2;Last-Event-Id=8;");
 }
 
+// Guards against a header that keeps the process busy, by many fields and many that it lists.
+TEST_CASE("the fields that a header lists are not forwarded, however many", "[platform]") {
+  constexpr int kFields = 2000;
+  std::string listed;
+  for (int i = 0; i < kFields; ++i) listed += "B,";
+  HttpRequest request = RequestWith({{"Connection", listed + "a"}, {"Host", "a.example"}});
+  for (int i = 0; i < kFields; ++i) request.headers.emplace_back(i % 2 == 0 ? "A" : "b", "");
+  platform::ForwardOptions options;
+  options.time_left = milliseconds(700);
+  CHECK(Joined(platform::ForwardedHeaders(request, options)) ==
+        "Host=a.example;Deadline-Ms=700;Expect-Instance=;");
+}
+
 // Guards against accepting a response to another request, and against confusing a refusal with an
 // execution.
 TEST_CASE("a response is classified by its headers", "[platform]") {
