Limit the prefixes that are remembered of all engines

What callers saw: a gateway whose memory grows with each request until the platform ends it.

Cause: PrefixIndex drops parts of prompts by the tokens that an engine holds. Parts of no or few tokens, some 1,400 of which fit in a legal header, count little or nothing there and take some 120 bytes each. In lawful use the index grows up to 900 parts an engine as well, which is 100 MB at the design size of 1,000 replicas.

Change: [memory] prefix_parts, 65,536 by default (some 8 MB), beyond which the oldest parts of the engine with the most are forgotten. No request is refused; routes by prefix get less precise.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -217,6 +217,7 @@
       store_(&store_client_, settings.store),
       orders_(&order_client_),
       directory_(ReappearTime(settings.bounds)),
+      prefixes_(settings.prefix_parts),
       selector_({settings.region, settings.domain_regions}, &directory_, &stats_, &prefixes_,
                 RandomId()),
       usage_(io->get_executor()),
@@ -578,6 +579,7 @@
   std::uint64_t failed_assertions = 0;
   std::uint64_t exceptions = 0;
   std::uint64_t memory_refusals = 0;
+  std::uint64_t prefix_evictions = 0;
   std::array<std::uint64_t, kEvictionCauseCount> evictions{};
   for (;;) {
     for (std::size_t cause = 0; cause < kEvictionCauseCount; ++cause) {
@@ -623,6 +625,10 @@
     calls = store_.calls();
     errors = store_.errors();
     connections = endpoint_client_.connections_opened();
+    relay_metrics_.prefix_parts->Set(static_cast<double>(prefixes_.parts()));
+    relay_metrics_.prefix_evictions_total->Increment(
+        static_cast<double>(prefixes_.evictions() - prefix_evictions));
+    prefix_evictions = prefixes_.evictions();
     relay_metrics_.crash_suspects->Set(static_cast<double>(evidence_.suspects()));
     relay_metrics_.contained_parts->Set(static_cast<double>(part_evidence_.contained()));
     relay_metrics_.limited_endpoints->Set(static_cast<double>(limits_.size()));
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -24,6 +24,8 @@
 constexpr double kBytesPerMb = 1 << 20;
 constexpr double kMillisPerSecond = 1000;
 constexpr double kMaxDescriptors = 1e6;
+constexpr std::int64_t kMinPrefixParts = 1024;
+constexpr std::int64_t kMaxPrefixParts = 10000000;
 constexpr std::int64_t kMinConnections = 16;
 constexpr std::int64_t kMaxConnections = 100000;
 constexpr std::int64_t kMaxReceiveBufferKb = 1024;
@@ -181,6 +183,9 @@
         [&](IniSection* section) {
           settings.relay_share =
               section->Number("relay_share", 0, kMaxRelayShare, settings.relay_share);
+          settings.prefix_parts =
+              section->Integer("prefix_parts", kMinPrefixParts, kMaxPrefixParts,
+                               static_cast<std::int64_t>(settings.prefix_parts));
         }},
        {"bounds", [&](IniSection* section) { ReadBounds(section, &settings.bounds); }},
        {"quotas",
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -11,6 +11,7 @@
 #include "hedge_policy.h"
 #include "ini_file.h"
 #include "name_table.h"
+#include "prefix_index.h"
 #include "quota_order.h"
 #include "result.h"
 #include "settings.h"
@@ -72,6 +73,8 @@
   std::uint64_t caller_connections = 2000;
   // Receive buffer of each of them in the system, in bytes. Applies with a memory limit.
   int receive_buffer_bytes = 16 * 1024;
+  // Parts of prompts that are remembered as processed by engines.
+  std::uint64_t prefix_parts = PrefixIndex::kDefaultMaxParts;
   GatewayBounds bounds;
   // How a customer's quota is divided among its requests while they exceed it.
   QuotaOrder quota_order = QuotaOrder::kEqual;
--- a/src/prefix_index.cpp
+++ b/src/prefix_index.cpp
@@ -1,11 +1,20 @@
 #include "prefix_index.h"
 
+#include <algorithm>
 #include <cassert>
 
 #include "digest.h"
+#include "log.h"
 
 namespace mimosabend {
 
+namespace {
+
+// Part of the largest cache that is evicted at a time when there are too many parts.
+constexpr std::size_t kEvictedDivisor = 8;
+
+}  // namespace
+
 std::vector<std::uint64_t> PrefixHashes(const std::string& model, const std::string& adapter,
                                         const std::vector<PromptPart>& prompt) {
   std::vector<std::uint64_t> hashes;
@@ -46,13 +55,38 @@
     cache.parts.push_front({hashes[i], prompt[i].tokens});
     cache.index[hashes[i]] = cache.parts.begin();
     cache.tokens += prompt[i].tokens;
+    ++parts_;
   }
-  while (cache.tokens > capacity_tokens && !cache.parts.empty()) {
-    const Part& oldest = cache.parts.back();
-    cache.tokens -= oldest.tokens;
-    cache.index.erase(oldest.hash);
-    cache.parts.pop_back();
+  while (cache.tokens > capacity_tokens && !cache.parts.empty()) EvictOldest(&cache);
+  while (parts_ > max_parts_) {
+    const auto largest =
+        std::max_element(caches_.begin(), caches_.end(), [](const auto& left, const auto& right) {
+          return left.second.parts.size() < right.second.parts.size();
+        });
+    if (evictions_ == 0) {
+      LOG4CPLUS_WARN(Log(), "prefixes: forgetting parts beyond the limit, parts="
+                                << parts_ << " engines=" << caches_.size());
+    }
+    const std::size_t count = largest->second.parts.size() / kEvictedDivisor + 1;
+    for (std::size_t i = 0; i < count; ++i) EvictOldest(&largest->second);
+    evictions_ += count;
   }
 }
 
+// Precondition: the cache is not empty.
+void PrefixIndex::EvictOldest(Cache* cache) {
+  const Part& oldest = cache->parts.back();
+  cache->tokens -= oldest.tokens;
+  cache->index.erase(oldest.hash);
+  cache->parts.pop_back();
+  --parts_;
+}
+
+void PrefixIndex::Forget(const std::string& endpoint) {
+  const auto cache = caches_.find(endpoint);
+  if (cache == caches_.end()) return;
+  parts_ -= cache->second.parts.size();
+  caches_.erase(cache);
+}
+
 }  // namespace mimosabend
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -120,6 +120,10 @@
   }
   crash_suspects = registry_.AddGauge(
       "crash_suspects", "Requests that were running when an endpoint crashed, and since served.");
+  prefix_parts = registry_.AddGauge(
+      "prefix_parts", "Parts of prompts that are remembered as processed by engines.");
+  prefix_evictions_total = registry_.AddCounter(
+      "prefix_evictions_total", "Parts of prompts that were forgotten beyond the limit.");
   contained_parts = registry_.AddGauge(
       "contained_parts", "Parts of prompts that are contained because endpoints crashed.");
   limited_endpoints = registry_.AddGauge("limited_endpoints", "Endpoints that state a rate limit.");
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -103,6 +103,8 @@
   std::array<prometheus::Gauge*, kMemoryKindCount> held_bytes;
   prometheus::Gauge* crash_suspects;
   prometheus::Gauge* contained_parts;
+  prometheus::Gauge* prefix_parts;
+  prometheus::Counter* prefix_evictions_total;
   prometheus::Gauge* limited_endpoints;
   prometheus::Gauge* config_version;
   prometheus::Gauge* endpoints;
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -235,6 +235,26 @@
   CHECK(index.CachedTokens("e1", hashes, prompt) == 300);
 }
 
+// Guards against memory that grows with each request, by parts of a prompt that have no tokens.
+TEST_CASE("the prefixes that are remembered have a limit", "[fleet]") {
+  constexpr std::uint64_t kCapacity = 1000;
+  constexpr std::uint64_t kPartsPerPrompt = 1000;
+  constexpr std::size_t kMaxParts = 10000;
+  PrefixIndex index(kMaxParts);
+  std::vector<PromptPart> prompt(kPartsPerPrompt);
+  for (std::uint64_t id = 0; id < 2 * kMaxParts; ++id) {
+    prompt[id % kPartsPerPrompt] = {id, 0};
+    if (id % kPartsPerPrompt < kPartsPerPrompt - 1) continue;
+    index.Insert("flood", PrefixHashes("m", "", prompt), prompt, kCapacity);
+    CHECK(index.parts() <= kMaxParts);
+    const std::vector<PromptPart> other{{1, 600}, {2, 300}};
+    if (id < kPartsPerPrompt) index.Insert("other", PrefixHashes("m", "", other), other, kCapacity);
+    CHECK(index.CachedTokens("other", PrefixHashes("m", "", other), other) == 900);
+  }
+  index.Forget("flood");
+  CHECK(index.parts() == 2);
+}
+
 namespace {
 
 // Three engines in this region and one in another, all with model "m".
