Share the limits of callers between commands

Cause: the limits that follow from the host, their settings and metrics stood in the gateway alone; the daemon command has none. Change: HostResources holds what a process may use and reads it from settings, ApplyCallerLimits sets a listener's limits, and CallerMetrics shows them. src/gateway.cpp loses 44 lines. An overload of ConnectionTable::log that nothing used is gone.

--- a/src/connection_table.h
+++ b/src/connection_table.h
@@ -85,7 +85,6 @@
   std::size_t open() const { return records_.size(); }
   // The connections that wait for a request or receive one, those that began first in front.
   const std::list<Connection*>& receiving() const { return receiving_; }
-  EvictionLog& log() { return log_; }
   const EvictionLog& log() const { return log_; }
 
  private:
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 
 #include "bounded_appender.h"
+#include "caller_limits.h"
 #include "crash_correlator.h"
 #include "crash_evidence.h"
 #include "digest.h"
@@ -128,7 +129,6 @@
   ItemHandlers EndpointHandlers();
   PlacementHooks MakePlacementHooks();
   bool AdoptConfig(const std::string& raw_text, const std::string& source);
-  void ApplyCallerLimits();
   void PutItem(const KvItem& item, MonotonicTime now);
   void PutEndpoint(FleetEndpoint endpoint, MonotonicTime read_at);
   void ConfirmReading();
@@ -155,6 +155,7 @@
   std::string fleet_key_;
   Metrics metrics_;
   RelayMetrics relay_metrics_;
+  CallerMetrics caller_metrics_{relay_metrics_.registry()};
   MemoryBudget memory_;
   Supervisor supervisor_;
   HttpClient endpoint_client_;
@@ -204,7 +205,7 @@
       settings_(settings),
       read_settings_(std::move(read_settings)),
       fleet_key_(FleetKey(settings)),
-      memory_(settings.relay_bytes()),
+      memory_(settings.resources.relay_bytes()),
       supervisor_(io->get_executor(), &metrics_, "gateway",
                   [this](const std::string& task) {
                     LOG4CPLUS_ERROR(Log(), "task " << task << " failed permanently, exiting");
@@ -261,7 +262,7 @@
       termination_signals_(*io, SIGTERM, SIGINT),
       reload_signals_(*io, SIGHUP) {
   caller_server_.set_memory_budget(&memory_);
-  ApplyCallerLimits();
+  ApplyCallerLimits(settings_.resources, caller_limits_, &caller_server_, &memory_);
   quota_.set_order(settings.quota_order);
   relay_.SetHedging(settings_.hedging);
   store_.era().set_listener([this](std::uint32_t era) { BeginEra(era); });
@@ -357,27 +358,12 @@
   if (known) return true;
   if (version > 0) state_.SetConfig(MultipartDocument(version, SplitJsonDocument(text)));
   caller_limits_ = limits;
-  ApplyCallerLimits();
+  ApplyCallerLimits(settings_.resources, caller_limits_, &caller_server_, &memory_);
   relay_metrics_.config_version->Set(static_cast<double>(version));
   LOG4CPLUS_INFO(Log(), "configuration " << version << " is in force, from " << source);
   return true;
 }
 
-// Applies the operator's limits of requests, and those that follow from the resources of the host.
-void Gateway::ApplyCallerLimits() {
-  HttpLimits limits = caller_limits_;
-  limits.connections = CallerConnections(settings_, limits.header_bytes, DescriptorLimit());
-  if (limits.connections != caller_server_.connection_limit()) {
-    LOG4CPLUS_INFO(Log(), "connections of callers are limited, connections="
-                              << limits.connections << " header_bytes=" << limits.header_bytes
-                              << " receive_buffer_bytes=" << settings_.receive_buffer_bytes);
-  }
-  caller_server_.set_limits(limits);
-  if (settings_.memory_bytes > 0) {
-    caller_server_.SetReceiveBuffer(settings_.receive_buffer_bytes);
-  }
-}
-
 void Gateway::PutItem(const KvItem& item, MonotonicTime now) {
   const std::string id = item.key.substr(PlatformStore::endpoint_prefix().size());
   auto endpoint = platform::DecodeEndpoint(id, item.entry.value);
@@ -578,25 +564,9 @@
   std::uint64_t rejected = 0;
   std::uint64_t failed_assertions = 0;
   std::uint64_t exceptions = 0;
-  std::uint64_t memory_refusals = 0;
   std::uint64_t prefix_evictions = 0;
-  std::array<std::uint64_t, kEvictionCauseCount> evictions{};
   for (;;) {
-    for (std::size_t cause = 0; cause < kEvictionCauseCount; ++cause) {
-      const std::uint64_t now = caller_server_.evictions(static_cast<EvictionCause>(cause));
-      relay_metrics_.evictions_total[cause]->Increment(static_cast<double>(now - evictions[cause]));
-      evictions[cause] = now;
-    }
-    relay_metrics_.caller_connections->Set(static_cast<double>(caller_server_.open_connections()));
-    relay_metrics_.caller_connection_limit->Set(
-        static_cast<double>(caller_server_.connection_limit()));
-    relay_metrics_.memory_refusals_total->Increment(
-        static_cast<double>(memory_.refusals() - memory_refusals));
-    memory_refusals = memory_.refusals();
-    for (std::size_t kind = 0; kind < kMemoryKindCount; ++kind) {
-      relay_metrics_.held_bytes[kind]->Set(
-          static_cast<double>(memory_.held(static_cast<MemoryKind>(kind))));
-    }
+    caller_metrics_.Update(caller_server_, memory_);
     relay_metrics_.store_calls_total->Increment(static_cast<double>(store_.calls() - calls));
     relay_metrics_.store_errors_total->Increment(static_cast<double>(store_.errors() - errors));
     const StoreEra& era = store_.era();
@@ -668,20 +638,14 @@
   ApplyQuotaOrder(settings->quota_order, cause);
   ApplyHedging(settings->hedging, cause);
   SetForecast(settings->forecast);
-  if (settings->bounds == settings_.bounds && settings->resources() == settings_.resources())
-    return;
+  if (settings->bounds == settings_.bounds && settings->resources == settings_.resources) return;
   settings_.bounds = settings->bounds;
-  settings_.memory_bytes = settings->memory_bytes;
-  settings_.relay_share = settings->relay_share;
-  settings_.descriptors = settings->descriptors;
-  settings_.caller_connections = settings->caller_connections;
-  settings_.receive_buffer_bytes = settings->receive_buffer_bytes;
-  memory_.set_limit(settings_.relay_bytes());
-  ApplyCallerLimits();
+  settings_.resources = settings->resources;
+  ApplyCallerLimits(settings_.resources, caller_limits_, &caller_server_, &memory_);
   directory_.set_reappear_time(ReappearTime(settings_.bounds));
   ApplyRetryLimits();
   LOG4CPLUS_INFO(Log(), "settings reloaded, cause=" << cause << " memory_limit_bytes="
-                                                    << settings_.relay_bytes());
+                                                    << settings_.resources.relay_bytes());
 }
 
 // Adopts hedging settings and logs them if they have changed.
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -1,10 +1,7 @@
 #include "gateway_settings.h"
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 #include "settings_reader.h"
 
@@ -19,29 +16,11 @@
 constexpr double kMaxLinkMbps = 1e6;
 constexpr double kMaxMinDelayMillis = 10000;
 constexpr double kMaxMaxDelayMillis = 60000;
-constexpr double kMaxMemoryMb = 1e6;
-constexpr double kMaxRelayShare = 0.8;
-constexpr double kBytesPerMb = 1 << 20;
 constexpr double kMillisPerSecond = 1000;
-constexpr double kMaxDescriptors = 1e6;
 constexpr std::int64_t kMinPrefixParts = 1024;
 constexpr std::int64_t kMaxPrefixParts = 10000000;
 constexpr std::int64_t kMinConnections = 16;
 constexpr std::int64_t kMaxConnections = 100000;
-constexpr std::int64_t kMaxReceiveBufferKb = 1024;
-constexpr std::int64_t kBytesPerKb = 1024;
-// Descriptors for files and the like, as many as the platform sets apart for them.
-constexpr double kFileDescriptors = 200;
-// Share of the other descriptors for callers. Each of their requests may need as many again for an
-// endpoint; the rest is for other daemons, the store and the other listeners.
-constexpr double kCallerDescriptorShare = 0.4;
-// Share of the memory for connections: this part of what is not for requests and responses, and no
-// more than kMaxConnectionShare.
-constexpr double kConnectionShareOfRest = 0.4;
-constexpr double kMaxConnectionShare = 0.25;
-// Memory of a connection beside its header and its receive buffer. The system doubles the latter.
-constexpr double kConnectionBytes = 12 * 1024;
-constexpr double kReceiveBufferFactor = 2;
 
 // Accepts fractions, since the platform may write a bound as one.
 milliseconds ReadMillis(IniSection* section, const std::string& key, milliseconds fallback) {
@@ -115,28 +94,6 @@
 
 }  // namespace
 
-std::size_t CallerConnections(const GatewaySettings& settings, std::uint64_t header_bytes,
-                              std::uint64_t process_descriptors) {
-  auto connections = static_cast<double>(settings.caller_connections);
-  const std::uint64_t own = settings.descriptors > 0 ? settings.descriptors : process_descriptors;
-  const auto descriptors = static_cast<double>(std::min(own, process_descriptors));
-  connections = std::min(connections, kCallerDescriptorShare * (descriptors - kFileDescriptors));
-  if (settings.memory_bytes > 0) {
-    const double share =
-        std::min(kMaxConnectionShare, kConnectionShareOfRest * (1 - settings.relay_share));
-    const double each = kConnectionBytes + static_cast<double>(header_bytes) +
-                        kReceiveBufferFactor * settings.receive_buffer_bytes;
-    connections = std::min(connections, static_cast<double>(settings.memory_bytes) * share / each);
-  }
-  return static_cast<std::size_t>(std::max(connections, static_cast<double>(kMinConnections)));
-}
-
-std::uint64_t DescriptorLimit() {
-  rlimit limit{};
-  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return std::numeric_limits<std::uint64_t>::max();
-  return limit.rlim_cur;
-}
-
 Result<GatewaySettings, IniIssues> ParseGatewaySettings(const std::string& file,
                                                         std::string_view text,
                                                         const std::vector<std::string>& overrides) {
@@ -165,24 +122,18 @@
         [&](IniSection* section) {
           settings.cores = section->Number("cores", 0, kMaxCores, settings.cores);
           settings.link_mbps = section->Number("link_mbps", 0, kMaxLinkMbps, settings.link_mbps);
-          const double memory = section->Number("memory_mb", 0, kMaxMemoryMb, 0.0);
-          settings.memory_bytes = static_cast<std::uint64_t>(memory * kBytesPerMb);
-          settings.descriptors =
-              static_cast<std::uint64_t>(section->Number("descriptors", 0, kMaxDescriptors, 0.0));
+          ReadHostResources(section, &settings.resources);
         }},
        {"callers",
         [&](IniSection* section) {
-          settings.caller_connections =
+          settings.resources.caller_connections =
               section->Integer("connections", kMinConnections, kMaxConnections,
-                               static_cast<std::int64_t>(settings.caller_connections));
-          settings.receive_buffer_bytes = static_cast<int>(
-              kBytesPerKb * section->Integer("receive_buffer_kb", 4, kMaxReceiveBufferKb,
-                                             settings.receive_buffer_bytes / kBytesPerKb));
+                               static_cast<std::int64_t>(settings.resources.caller_connections));
+          ReadReceiveBuffer(section, &settings.resources);
         }},
        {"memory",
         [&](IniSection* section) {
-          settings.relay_share =
-              section->Number("relay_share", 0, kMaxRelayShare, settings.relay_share);
+          ReadMemoryShare(section, &settings.resources);
           settings.prefix_parts =
               section->Integer("prefix_parts", kMinPrefixParts, kMaxPrefixParts,
                                static_cast<std::int64_t>(settings.prefix_parts));
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -5,10 +5,10 @@
 #include <map>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <vector>
 
 #include "hedge_policy.h"
+#include "host_resources.h"
 #include "ini_file.h"
 #include "name_table.h"
 #include "prefix_index.h"
@@ -60,19 +60,11 @@
   Address store;
   // Daemons to ask for the fleet's state when the store can't be read. They may no longer exist.
   std::vector<Address> seeds;
-  // Resources of the host that this process may use.
+  // Processor cores and bandwidth that this process may use.
   double cores = 0.25;
   double link_mbps = 1000;
-  // Memory that this process may use; 0 for no limit.
-  std::uint64_t memory_bytes = 0;
-  // Part of it that may hold requests, responses and events; 0 for no limit on these.
-  double relay_share = 0.4;
-  // Descriptors that this process may use; 0 for no limit but that of the process.
-  std::uint64_t descriptors = 0;
-  // Most connections of callers, whatever memory and descriptors allow.
-  std::uint64_t caller_connections = 2000;
-  // Receive buffer of each of them in the system, in bytes. Applies with a memory limit.
-  int receive_buffer_bytes = 16 * 1024;
+  // What this process may use of the host, for callers in particular.
+  HostResources resources;
   // Parts of prompts that are remembered as processed by engines.
   std::uint64_t prefix_parts = PrefixIndex::kDefaultMaxParts;
   GatewayBounds bounds;
@@ -81,28 +73,8 @@
   HedgingSettings hedging;
   ForecastSetting forecast = ForecastSetting::kOff;
   LogSettings log;
-
-  // What the limits of memory and connections follow from.
-  auto resources() const {
-    return std::tie(memory_bytes, relay_share, descriptors, caller_connections,
-                    receive_buffer_bytes);
-  }
-
-  // Bytes that may be held for callers and endpoints, 0 for no limit. See MemoryBudget.
-  std::uint64_t relay_bytes() const {
-    return static_cast<std::uint64_t>(static_cast<double>(memory_bytes) * relay_share);
-  }
 };
 
-// Number of connections of callers that a gateway may keep open: `caller_connections`, or fewer if
-// the memory or the descriptors suffice for fewer. `header_bytes`: largest header of a request.
-// `process_descriptors`: the limit of the process, see DescriptorLimit. Thread-safe.
-std::size_t CallerConnections(const GatewaySettings& settings, std::uint64_t header_bytes,
-                              std::uint64_t process_descriptors);
-
-// Number of descriptors that the system lets this process open. Thread-safe.
-std::uint64_t DescriptorLimit();
-
 // Parses the settings of a gateway. `file` is the name for messages, `overrides` are of the form
 // "section.key=value". Returns all issues found if there are any. Thread-safe.
 Result<GatewaySettings, IniIssues> ParseGatewaySettings(const std::string& file,
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -104,20 +104,6 @@
       registry_.AddCounter("library_assertions_total", "Failed assertions of the Boost libraries.");
   exceptions_total = registry_.AddCounter(
       "exceptions_total", "Exceptions that ended a request, a connection or another task.");
-  memory_refusals_total = registry_.AddCounter(
-      "memory_refusals_total", "Requests refused since too many bytes were held for others.");
-  auto& evictions = registry_.CounterFamily(
-      "evictions_total", "Connections of callers that were closed in favour of others.");
-  for (std::size_t i = 0; i < kEvictionCauseCount; ++i) {
-    evictions_total[i] = &evictions.Add({{"cause", std::string(kEvictionCauseNames.names[i])}});
-  }
-  caller_connections = registry_.AddGauge("caller_connections", "Open connections of callers.");
-  caller_connection_limit =
-      registry_.AddGauge("caller_connection_limit", "Connections of callers that may be open.");
-  auto& held = registry_.GaugeFamily("held_bytes", "Bytes held for callers and endpoints.");
-  for (std::size_t i = 0; i < kMemoryKindCount; ++i) {
-    held_bytes[i] = &held.Add({{"kind", std::string(kMemoryKindNames.names[i])}});
-  }
   crash_suspects = registry_.AddGauge(
       "crash_suspects", "Requests that were running when an endpoint crashed, and since served.");
   prefix_parts = registry_.AddGauge(
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -69,6 +69,8 @@
   // Observes the longest pause between two events of a stream, as far as endpoints caused it.
   void ObserveLongestPause(const Route& route, std::chrono::steady_clock::duration pause);
 
+  MetricsRegistry* registry() { return &registry_; }
+
   prometheus::Counter* requests_total;
   prometheus::Counter* tries_total;
   prometheus::Counter* repeats_total;
@@ -94,13 +96,6 @@
   prometheus::Counter* log_lines_dropped_total;
   prometheus::Counter* library_assertions_total;
   prometheus::Counter* exceptions_total;
-  prometheus::Counter* memory_refusals_total;
-  // By EvictionCause.
-  std::array<prometheus::Counter*, kEvictionCauseCount> evictions_total;
-  prometheus::Gauge* caller_connections;
-  prometheus::Gauge* caller_connection_limit;
-  // Indexed by MemoryKind.
-  std::array<prometheus::Gauge*, kMemoryKindCount> held_bytes;
   prometheus::Gauge* crash_suspects;
   prometheus::Gauge* contained_parts;
   prometheus::Gauge* prefix_parts;
--- a/tests/test_memory_budget.cpp
+++ b/tests/test_memory_budget.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <string>
 
+#include "caller_limits.h"
 #include "caller_queue.h"
 #include "connection_table.h"
 #include "gateway_settings.h"
@@ -316,17 +317,17 @@
 // Guards against limits of connections that memory or descriptors do not suffice for, or that a
 // host without limits meets.
 TEST_CASE("connections follow from memory and descriptors", "[memory]") {
-  GatewaySettings settings;
-  CHECK(CallerConnections(settings, 16384, 20000) == 2000);
-  CHECK(CallerConnections(settings, 16384, 1200) == 400);
-  settings.descriptors = 700;
-  CHECK(CallerConnections(settings, 16384, 20000) == 200);
-  settings.descriptors = 10;
-  CHECK(CallerConnections(settings, 16384, 20000) == 16);
-  settings.descriptors = 0;
-  settings.memory_bytes = 120 * kMb;
-  const std::size_t connections = CallerConnections(settings, 16384, 20000);
-  CHECK(connections * (16384 + 2 * settings.receive_buffer_bytes) < 30 * kMb);
+  HostResources resources;
+  CHECK(CallerConnections(resources, 16384, 20000) == 2000);
+  CHECK(CallerConnections(resources, 16384, 1200) == 400);
+  resources.descriptors = 700;
+  CHECK(CallerConnections(resources, 16384, 20000) == 200);
+  resources.descriptors = 10;
+  CHECK(CallerConnections(resources, 16384, 20000) == 16);
+  resources.descriptors = 0;
+  resources.memory_bytes = 120 * kMb;
+  const std::size_t connections = CallerConnections(resources, 16384, 20000);
+  CHECK(connections * (16384 + 2 * resources.receive_buffer_bytes) < 30 * kMb);
   CHECK(connections > 400);
 }
 
@@ -339,9 +340,10 @@
   const auto parse = [&](const std::vector<std::string>& overrides) {
     return ParseGatewaySettings("test.ini", text, overrides);
   };
-  CHECK(parse({}).value().relay_bytes() == 0);
-  CHECK(parse({"host.memory_mb=100"}).value().relay_bytes() == 40 * kMb);
-  CHECK(parse({"host.memory_mb=100", "memory.relay_share=0.8"}).value().relay_bytes() == 80 * kMb);
+  CHECK(parse({}).value().resources.relay_bytes() == 0);
+  CHECK(parse({"host.memory_mb=100"}).value().resources.relay_bytes() == 40 * kMb);
+  CHECK(parse({"host.memory_mb=100", "memory.relay_share=0.8"}).value().resources.relay_bytes() ==
+        80 * kMb);
   for (const std::string invalid :
        {"host.memory_mb=-1", "host.memory_mb=nan", "host.memory_mb=many", "host.memory_mb=2e6",
         "memory.relay_share=0.81", "memory.relay_share=-0.1", "memory.relay_share=nan",
--- a/tests/test_metrics.cpp
+++ b/tests/test_metrics.cpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <sstream>
 
+#include "caller_limits.h"
 #include "metrics.h"
 #include "relay_metrics.h"
 
@@ -70,7 +71,9 @@
 // Guards against metrics that are not documented, and against documented metrics that do not exist
 // or have a different type or other labels.
 TEST_CASE("docs/METRICS.md and /metrics list the same metrics, types and labels") {
-  const Descriptions exposed = ParseExposition(Metrics().Expose() + RelayMetrics().Expose());
+  RelayMetrics gateway;
+  const CallerMetrics gateway_callers(gateway.registry());
+  const Descriptions exposed = ParseExposition(Metrics().Expose() + gateway.Expose());
   const Descriptions documented = ParseDocumentation();
   REQUIRE(exposed.size() > 20);
   for (const std::string& metric : exposed) {
