Give the daemon command the memory limits of the gateway

What callers saw: a daemon that ended, since it had no memory limit. 200 clients with bodies of 1 MiB, its default limit, were enough for a host of 120 MB, and needed no key: a body is read before its key is checked.

Cause: only the gateway had a memory budget, a number of connections that follows from the host, and bounded receive buffers. Change: the daemon command reads [host], [memory] and [callers] as well and applies the same limits with the same code; its metrics show them.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -9,6 +9,7 @@
 #include <iostream>
 
 #include "admission_gate.h"
+#include "caller_limits.h"
 #include "completion_handler.h"
 #include "document_sync.h"
 #include "event_loop.h"
@@ -71,6 +72,7 @@
   using Engine = HttpEngine;
 
   Task<void> HandleClient(HttpExchange& exchange);
+  Task<void> RouteRequest(HttpExchange& exchange);
   Task<void> HandleAdmin(HttpExchange& exchange);
   Task<Result<Envelope, PeerError>> HandlePeer(Envelope request);
   Task<DemandAnswer> SendDemandToOwner(DemandRequest request);
@@ -91,6 +93,8 @@
   asio::io_context* io_;
   DaemonSettings settings_;
   Metrics metrics_;
+  CallerMetrics caller_metrics_{metrics_.registry()};
+  MemoryBudget memory_;
   Supervisor supervisor_;
   HttpClient client_;
   Kv kv_;
@@ -187,7 +191,10 @@
                      [this](HttpExchange& exchange) { return HandleClient(exchange); }),
       admin_server_(io->get_executor(), kAdminLimits,
                     [this](HttpExchange& exchange) { return HandleAdmin(exchange); }),
-      signals_(*io, SIGTERM, SIGINT) {}
+      signals_(*io, SIGTERM, SIGINT) {
+  caller_server_.set_memory_budget(&memory_);
+  ApplyCallerLimits(settings_.resources, settings_.limits, &caller_server_, &memory_);
+}
 
 Result<void, std::string> Daemon::Start() {
   auto peer = peer_server_.Listen(settings_.peer_address);
@@ -222,7 +229,13 @@
   io_->stop();
 }
 
+// Handles a request, and learns from it what memory responses take.
 Task<void> Daemon::HandleClient(HttpExchange& exchange) {
+  co_await RouteRequest(exchange);
+  memory_.RecordResponse(exchange.whole_response_bytes());
+}
+
+Task<void> Daemon::RouteRequest(HttpExchange& exchange) {
   const HttpRequest& request = exchange.request();
   auto context = ParseRequestContext(document_.environment(), request, MonotonicNow());
   if (!context) {
@@ -497,6 +510,7 @@
     kv_calls = kv_.calls();
     metrics_.kv_errors_total->Increment(static_cast<double>(kv_.errors() - kv_errors));
     kv_errors = kv_.errors();
+    caller_metrics_.Update(caller_server_, memory_);
     co_await Sleep(kMetricsPeriod);
   }
 }
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -434,6 +434,7 @@
 Task<bool> HttpExchange::Reply(int status, HttpHeaders headers, std::string body) {
   assert(!answered_);
   answered_ = true;
+  whole_response_bytes_ = body.size();
   co_return co_await connection_->WriteWhole(status, headers, std::move(body));
 }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -42,6 +42,8 @@
 
   const HttpRequest& request() const { return request_; }
   bool answered() const { return answered_; }
+  // Size of the body of a complete response; 0 for none, and for a stream.
+  std::uint64_t whole_response_bytes() const { return whole_response_bytes_; }
 
   // Sends a complete response. Returns false if the write failed. Precondition: !answered().
   Task<bool> Reply(int status, HttpHeaders headers, std::string body);
@@ -72,6 +74,7 @@
   ServerConnection* connection_;
   HttpRequest request_;
   bool answered_ = false;
+  std::uint64_t whole_response_bytes_ = 0;
 };
 
 using HttpHandler = std::function<Task<void>(HttpExchange&)>;
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -29,6 +29,8 @@
  public:
   Metrics();
 
+  MetricsRegistry* registry() { return &registry_; }
+
   // Returns all metrics in the Prometheus text exposition format.
   std::string Expose() const;
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -168,12 +168,16 @@
           }
         }},
        {"limits", [&](IniSection* section) { ReadLimits(section, &settings); }},
+       {"host", [&](IniSection* section) { ReadHostResources(section, &settings.resources); }},
+       {"memory", [&](IniSection* section) { ReadMemoryShare(section, &settings.resources); }},
+       {"callers", [&](IniSection* section) { ReadReceiveBuffer(section, &settings.resources); }},
        {"policy",
         [&](IniSection* section) {
           settings.coordinate_cold_starts = section->Flag("coordinate_cold_starts", true);
         }},
        {"log", [&](IniSection* section) { settings.log = ReadLogSettings(section); }}});
   if (!issues.empty()) return outcome::failure(std::move(issues));
+  settings.resources.caller_connections = settings.limits.connections;
   return settings;
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "clock.h"
+#include "host_resources.h"
 #include "ini_file.h"
 #include "name_table.h"
 
@@ -74,6 +75,7 @@
   // Peers that this daemon sends nothing to. Simulates a network partition.
   std::set<Address> blocked_peers;
   HttpLimits limits;
+  HostResources resources;
   milliseconds drain_delay{2000};
   // Regions serve each other's cold requests, and the daemons start no more loads than the weight
   // store serves at full speed. With false, each region loads on its own: a baseline for
--- a/tests/client_crowd.cpp
+++ b/tests/client_crowd.cpp
@@ -53,7 +53,8 @@
 
 std::string Head(const CrowdBehavior& behavior, const std::string& id) {
   std::string head = "POST " + behavior.path + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id +
-                     "\r\nDeadline-Ms: 10000\r\nModel: m\r\nToken-Count: 100,10\r\n";
+                     "\r\nDeadline-Ms: 10000\r\nModel: m\r\nToken-Count: 100,10\r\nAuthorization: "
+                     "Bearer background-key\r\n";
   for (std::uint64_t i = 0; i < behavior.small_field_bytes / kSmallField.size(); ++i) {
     head += kSmallField;
   }
--- a/tests/test_metrics.cpp
+++ b/tests/test_metrics.cpp
@@ -71,9 +71,11 @@
 // Guards against metrics that are not documented, and against documented metrics that do not exist
 // or have a different type or other labels.
 TEST_CASE("docs/METRICS.md and /metrics list the same metrics, types and labels") {
+  Metrics daemon;
   RelayMetrics gateway;
+  const CallerMetrics daemon_callers(daemon.registry());
   const CallerMetrics gateway_callers(gateway.registry());
-  const Descriptions exposed = ParseExposition(Metrics().Expose() + gateway.Expose());
+  const Descriptions exposed = ParseExposition(daemon.Expose() + gateway.Expose());
   const Descriptions documented = ParseDocumentation();
   REQUIRE(exposed.size() > 20);
   for (const std::string& metric : exposed) {
--- a/tests/test_untrusted_clients.cpp
+++ b/tests/test_untrusted_clients.cpp
@@ -6,12 +6,14 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <set>
 #include <sstream>
 #include <thread>
 #include <utility>
 
 #include "client_crowd.h"
+#include "fleet.h"
 #include "platform_fleet.h"
 
 namespace mimosabend::testing {
@@ -29,11 +31,12 @@
 constexpr milliseconds kSendTimeout{120000};
 // A crowd whose clients come back is observed for this long.
 constexpr milliseconds kReturnTime{10000};
+constexpr milliseconds kCallTimeout{20000};
 constexpr milliseconds kQuietTime{1000};
 constexpr milliseconds kSampleInterval{20};
 constexpr int kMaxCalls = 12;
 
-// Bytes in the sockets of connections to an address.
+// Bytes in the sockets of connections to a listener.
 struct SocketQueues {
   // Received there and not yet read.
   std::uint64_t unread = 0;
@@ -43,11 +46,11 @@
   bool operator==(const SocketQueues&) const = default;
 };
 
-SocketQueues QueuesOf(const std::string& ip) {
-  const auto bytes = boost::asio::ip::make_address_v4(ip).to_bytes();
-  std::array<char, 9> address;
-  std::snprintf(address.data(), address.size(), "%02X%02X%02X%02X", bytes[3], bytes[2], bytes[1],
-                bytes[0]);
+SocketQueues QueuesOf(const Address& listener) {
+  const auto bytes = boost::asio::ip::make_address_v4(listener.ip).to_bytes();
+  std::array<char, 14> address;
+  std::snprintf(address.data(), address.size(), "%02X%02X%02X%02X:%04X", bytes[3], bytes[2],
+                bytes[1], bytes[0], listener.port);
   SocketQueues found;
   std::ifstream sockets("/proc/net/tcp");
   std::string number, local, remote, state, queues;
@@ -63,12 +66,12 @@
   return found;
 }
 
-// Waits until what has been sent to an address has been read, or is not read any more.
-void WaitUntilRead(const std::string& ip, milliseconds timeout) {
+// Waits until what has been sent to a listener has been read, or is not read any more.
+void WaitUntilRead(const Address& listener, milliseconds timeout) {
   SocketQueues last;
   MonotonicTime changed = MonotonicNow();
   WaitFor(timeout, [&] {
-    const SocketQueues now = QueuesOf(ip);
+    const SocketQueues now = QueuesOf(listener);
     if (now != std::exchange(last, now)) changed = MonotonicNow();
     return MonotonicNow() - changed > kQuietTime;
   });
@@ -76,13 +79,13 @@
 
 // Memory that the platform counts for a process: what is resident, and what its sockets have
 // received and the process has not read yet. In bytes; 0 if the process has ended.
-std::uint64_t CountedMemory(int pid, const std::string& ip) {
+std::uint64_t CountedMemory(int pid, const Address& listener) {
   std::uint64_t kilobytes = 0;
   std::ifstream status("/proc/" + std::to_string(pid) + "/status");
   for (std::string line; std::getline(status, line);) {
     if (line.starts_with("VmRSS:")) kilobytes = std::stoull(line.substr(6));
   }
-  return kilobytes == 0 ? 0 : kilobytes * 1024 + QueuesOf(ip).unread;
+  return kilobytes == 0 ? 0 : kilobytes * 1024 + QueuesOf(listener).unread;
 }
 
 int OpenDescriptors(int pid) {
@@ -94,10 +97,10 @@
 // Samples what a process uses, in a thread of its own.
 class UsageSampler {
  public:
-  UsageSampler(int pid, const std::string& ip)
-      : thread_([this, pid, ip] {
+  UsageSampler(int pid, const Address& listener)
+      : thread_([this, pid, listener] {
           while (!stop_) {
-            memory_ = std::max(memory_.load(), CountedMemory(pid, ip));
+            memory_ = std::max(memory_.load(), CountedMemory(pid, listener));
             descriptors_ = std::max(descriptors_.load(), OpenDescriptors(pid));
             std::this_thread::sleep_for(kSampleInterval);
           }
@@ -118,10 +121,10 @@
 
 // Calls as a client of the users does: again after a refusal, when it asks to. Returns the last
 // status, 0 if the connection was lost.
-int CallWithRetries(PlatformFleet* fleet, const std::string& path) {
+int CallWithRetries(const std::function<HttpCall()>& make_call) {
   int status = 0;
   for (int i = 0; i < kMaxCalls && status != 200; ++i) {
-    const auto reply = CallOne(fleet->MakeCall(0, path, "x"));
+    const auto reply = CallOne(make_call());
     status = reply ? reply.value().status : 0;
     if (status == 200) break;
     const std::string after(reply ? FindHeader(reply.value().headers, "Retry-After") : "");
@@ -131,6 +134,43 @@
   return status;
 }
 
+bool IsSelected(const CrowdBehavior& behavior) {
+  const char* only = std::getenv(kOnlyCrowd);
+  return only == nullptr || behavior.name == only;
+}
+
+// A process of the system, where callers reach it, and an ordinary request to it.
+struct Target {
+  Process* process;
+  Address address;
+  std::function<HttpCall()> call;
+};
+
+Target GatewayOf(PlatformFleet* fleet) {
+  return {&fleet->gateway(0), fleet->caller_address(0),
+          [fleet] { return fleet->MakeCall(0, "/read/1", "x"); }};
+}
+
+// Checks that a process on a host survives a crowd within its memory and descriptors, and serves an
+// ordinary request beside the crowd and after it.
+void CheckCrowd(const Target& target, const DeployedHost& host, const CrowdBehavior& behavior) {
+  INFO("crowd: " << behavior.name);
+  const UsageSampler usage(target.process->pid(), target.address);
+  CHECK(CallWithRetries(target.call) == 200);
+  {
+    const ClientCrowd crowd(target.address, behavior);
+    crowd.WaitUntilSent(kSendTimeout);
+    WaitUntilRead(target.address, behavior.returns ? kReturnTime : kSendTimeout);
+    CHECK(CallWithRetries(target.call) == 200);
+  }
+  CHECK(CallWithRetries(target.call) == 200);
+  CHECK(target.process->running());
+  CHECK(usage.peak_mb() < host.memory_mb);
+  CHECK(usage.peak_descriptors() < host.max_fds);
+  WARN(behavior.name << ": peak of " << usage.peak_mb() << " MB, " << usage.peak_descriptors()
+                     << " descriptors");
+}
+
 PlatformFleetOptions Deployed(const DeployedHost& host) {
   PlatformFleetOptions options;
   options.gateways = 1;
@@ -170,40 +210,63 @@
     {"small fields, slow endpoints", 1900, kLength, "/once/1", 1, 1, 1, false, 1, kFields},
 };
 
+constexpr char kCompletions[] = "/v1/completions";
+const std::vector<CrowdBehavior> kDaemonCrowds{
+    {"daemon: bodies at once", 200, kLength, kCompletions, kMb, kMb - 1, kMb, false, 10},
+    {"daemon: large chunks", 200, kChunks, kCompletions, kMb, kMb - 1, 64 * 1024, false, 10},
+    {"daemon: one-byte chunks", 200, kChunks, kCompletions, kMb, kMb - 1, 1, false, 10},
+    {"daemon: endless chunks", 200, kChunks, kCompletions, kEndless, kEndless},
+    {"daemon: small fields", 1900, kLength, kCompletions, 9 * 1024, 1, 1, false, 0, kFields},
+    {"daemon: nothing sent", 2300, kNothing},
+};
+
+FleetOptions OneDaemon(const DeployedHost& host) {
+  FleetOptions options;
+  options.daemons = 1;
+  options.regions = {"nordeste"};
+  options.engines_per_region = 1;
+  options.daemon_settings =
+      "idle_timeout_ms = 120000\n[host]\nmemory_mb = " + std::to_string(host.memory_mb) +
+      "\ndescriptors = " + std::to_string(host.max_fds) + "\n";
+  return options;
+}
+
 }  // namespace
 
 // Guards against clients that make the process exceed the memory or the descriptors of its host, or
 // that hold all room so that others are refused.
 TEST_CASE("a crowd of clients neither ends the process nor shuts others out", "[crowd]") {
-  const CrowdBehavior crowd_behavior = GENERATE(from_range(kCrowds));
-  const char* only = std::getenv(kOnlyCrowd);
-  if (only != nullptr && crowd_behavior.name != only) return;
-  INFO("crowd: " << crowd_behavior.name);
+  const CrowdBehavior behavior = GENERATE(from_range(kCrowds));
+  if (!IsSelected(behavior)) return;
   PlatformFleet fleet(Deployed(kHost));
-  const UsageSampler usage(fleet.gateway(0).pid(), fleet.caller_address(0).ip);
-  CHECK(CallWithRetries(&fleet, "/read/1") == 200);
-  {
-    const ClientCrowd crowd(fleet.caller_address(0), crowd_behavior);
-    crowd.WaitUntilSent(kSendTimeout);
-    WaitUntilRead(fleet.caller_address(0).ip, crowd_behavior.returns ? kReturnTime : kSendTimeout);
-    CHECK(CallWithRetries(&fleet, "/read/1") == 200);
-  }
-  CHECK(CallWithRetries(&fleet, "/read/1") == 200);
-  CHECK(fleet.gateway(0).running());
-  CHECK(usage.peak_mb() < kHost.memory_mb);
-  CHECK(usage.peak_descriptors() < kHost.max_fds);
-  WARN(crowd_behavior.name << ": peak of " << usage.peak_mb() << " MB, " << usage.peak_descriptors()
-                           << " descriptors");
+  CheckCrowd(GatewayOf(&fleet), kHost, behavior);
+}
+
+// Guards against the same in a daemon of the product, and against what a request takes beside the
+// bytes of its body.
+TEST_CASE("a crowd of clients neither ends a daemon nor shuts others out", "[crowd]") {
+  const CrowdBehavior behavior = GENERATE(from_range(kDaemonCrowds));
+  if (!IsSelected(behavior)) return;
+  Fleet fleet(OneDaemon(kHost));
+  fleet.StartDaemons();
+  fleet.DeployDocument(TestDocument(fleet.options()));
+  const Target daemon{&fleet.daemon(0), fleet.caller_address(0), [&fleet] {
+                        HttpCall call = PostAs("urgent-key", fleet.caller_address(0), kCompletions,
+                                               CompletionBody("recipes", "tea", 5, false));
+                        call.deadline = MonotonicNow() + kCallTimeout;
+                        return call;
+                      }};
+  CheckCrowd(daemon, kHost, behavior);
 }
 
 // Guards against connections without requests that take all descriptors of a small host.
 TEST_CASE("descriptors stay within the host's limit", "[crowd]") {
   constexpr DeployedHost kFewDescriptors{120, 600};
   PlatformFleet fleet(Deployed(kFewDescriptors));
-  const UsageSampler usage(fleet.gateway(0).pid(), fleet.caller_address(0).ip);
+  const UsageSampler usage(fleet.gateway(0).pid(), fleet.caller_address(0));
   const ClientCrowd crowd(fleet.caller_address(0), {"nothing sent", 700, kNothing});
   crowd.WaitUntilSent(kSendTimeout);
-  CHECK(CallWithRetries(&fleet, "/read/1") == 200);
+  CHECK(CallWithRetries(GatewayOf(&fleet).call) == 200);
   CHECK(usage.peak_descriptors() < kFewDescriptors.max_fds);
   WARN("peak of " << usage.peak_descriptors() << " descriptors");
 }
@@ -226,7 +289,7 @@
   const ClientCrowd crowd(fleet.caller_address(0), {"refused", 300, kChunks, "/order/1", 64 * 1024,
                                                     60 * 1024, 4096, false, 2});
   crowd.WaitUntilSent(kSendTimeout);
-  CHECK(CallWithRetries(&fleet, "/read/1") == 200);
+  CHECK(CallWithRetries(GatewayOf(&fleet).call) == 200);
   std::set<std::string> ran;
   for (const EndpointRun& run : fleet.Runs()) ran.insert(run.request_id);
   int refused = 0;
