Count what a JSON body takes while a daemon parses it

What callers saw: a daemon that ended although it had a memory limit. 30 callers with a key, and legal bodies of 1 MiB that hold many small values, were enough for a host of 120 MB.

Cause: a body was parsed twice, and what its values take (up to 24 times its text) was not counted. The second time, for the engine, they were kept until the engine began to answer. Ruled out: the bodies themselves, which the budget holds.

Change: HeldJsonMemory takes the memory of parsed values from the hold of the request, up to all that the budget leaves, and gives it back before the next request is served; without room the request gets 503 with Retry-After, and has not run. The body for the engine is made from this one pass: without the members that the daemon sets, which each attempt appends. The text and the prompt that are kept count as well.

--- a/src/completion_handler.h
+++ b/src/completion_handler.h
@@ -53,7 +53,8 @@
 
   // Handles one request.
   Task<void> Handle(RequestContext context, HttpExchange* exchange) {
-    auto parsed = ParseCompletionRequest(exchange->request().target, exchange->request().body);
+    auto parsed = ParseCompletionRequest(exchange->request().target, exchange->request().body,
+                                         exchange->memory());
     std::optional<ApiError> invalid;
     if (!parsed) {
       invalid = parsed.error();
--- a/src/engine.h
+++ b/src/engine.h
@@ -90,7 +90,7 @@
   std::string request_id;
   // "/v1/completions" or "/v1/chat/completions".
   std::string path;
-  // JSON request body for `path`; Open sets "stream" in it.
+  // The body of a CompletionRequest for `path`.
   std::string body;
   Rank rank = Rank::kStandard;
   // Number of tokens that the caller already has; generation resumes after them.
--- /dev/null
+++ b/src/held_json.cpp
@@ -0,0 +1,31 @@
+#include "held_json.h"
+
+#include <new>
+
+namespace mimosabend {
+
+namespace json = boost::json;
+
+std::optional<json::value> HeldJsonMemory::Parse(std::string_view text) {
+  // The parser keeps elements of arrays that are not complete in memory of its own.
+  json::parser parser{json::storage_ptr(this)};
+  parser.reset(json::storage_ptr(this));
+  json::error_code error;
+  parser.write(text.data(), text.size(), error);
+  if (error) return std::nullopt;
+  return parser.release();
+}
+
+void* HeldJsonMemory::do_allocate(std::size_t bytes, std::size_t alignment) {
+  const bool held =
+      hold_ == nullptr || hold_->TryGrow(bytes, HoldShare::kBriefly) == MemoryResult::kHeld;
+  if (!held) throw std::bad_alloc();
+  return ::operator new(bytes, std::align_val_t(alignment));
+}
+
+void HeldJsonMemory::do_deallocate(void* memory, std::size_t bytes, std::size_t alignment) {
+  ::operator delete(memory, bytes, std::align_val_t(alignment));
+  if (hold_ != nullptr) hold_->Shrink(bytes);
+}
+
+}  // namespace mimosabend
--- a/src/http_engine.cpp
+++ b/src/http_engine.cpp
@@ -3,6 +3,7 @@
 #include <limits>
 
 #include "json.h"
+#include "openai.h"
 
 namespace mimosabend {
 
@@ -211,20 +212,15 @@
 
 Task<Result<std::unique_ptr<TokenStream>, EngineError>> HttpEngine::Open(Address endpoint,
                                                                          GenerateCall call) {
-  auto body = ParseJson(call.body);
-  if (!body || !body->is_object()) co_return outcome::failure(EngineError::kRejected);
-  json::object& object = body->get_object();
-  object["stream"] = true;
-  object["request_id"] = call.request_id;
-  object["priority"] = static_cast<std::int64_t>(call.rank);
-  object["resume_from"] = call.resume_from;
   HttpCall http;
   http.address = endpoint;
   http.method = "POST";
   http.target = call.path;
   http.headers.emplace_back("Content-Type", "application/json");
   http.headers.emplace_back("X-Request-Id", call.request_id);
-  http.body = json::serialize(*body);
+  http.body = EngineBody(call);
+  call.body.clear();
+  call.body.shrink_to_fit();
   http.deadline = call.deadline;
   auto stream = co_await client_->Open(std::move(http));
   if (!stream) co_return outcome::failure(ToEngineError(stream.error()));
--- a/src/memory_budget.cpp
+++ b/src/memory_budget.cpp
@@ -58,10 +58,12 @@
   return *this;
 }
 
-MemoryResult MemoryHold::TryGrow(std::uint64_t bytes) {
+MemoryResult MemoryHold::TryGrow(std::uint64_t bytes, HoldShare share) {
   if (totals_ == nullptr) return MemoryResult::kHeld;
   if (totals_->limit > 0) {
-    if (bytes_ + bytes > totals_->limit / kConnectionDivisor) return MemoryResult::kTooLarge;
+    const std::uint64_t most =
+        totals_->limit / (share == HoldShare::kConnection ? kConnectionDivisor : 1);
+    if (bytes_ + bytes > most) return MemoryResult::kTooLarge;
     if (totals_->sum() + bytes > totals_->limit) return MemoryResult::kNoRoom;
   }
   bytes_ += bytes;
--- a/src/memory_budget.h
+++ b/src/memory_budget.h
@@ -23,6 +23,10 @@
 // kNoRoom: bytes that are released later make room. kTooLarge: exceeds the share of one connection.
 enum class MemoryResult : std::uint8_t { kHeld, kNoRoom, kTooLarge };
 
+// How much of the limit a hold may take. kBriefly: all of it, for what is released before the next
+// request is served.
+enum class HoldShare : std::uint8_t { kConnection, kBriefly };
+
 class MemoryBudget;
 
 // Bytes that count toward a budget until this object is destroyed. It may outlive the budget. Not
@@ -36,7 +40,7 @@
   ~MemoryHold() { Release(); }
 
   // Adds bytes, or changes nothing unless the result is kHeld.
-  MemoryResult TryGrow(std::uint64_t bytes);
+  MemoryResult TryGrow(std::uint64_t bytes, HoldShare share = HoldShare::kConnection);
 
   // Precondition: at least `bytes` are held.
   void Shrink(std::uint64_t bytes);
--- a/src/openai.cpp
+++ b/src/openai.cpp
@@ -1,5 +1,9 @@
 #include "openai.h"
 
+#include <cassert>
+#include <new>
+
+#include "held_json.h"
 #include "json.h"
 
 namespace mimosabend {
@@ -9,6 +13,9 @@
 namespace {
 
 constexpr std::int64_t kMaxTokens = 1000000;
+constexpr seconds kNoMemoryRetryAfter{2};
+// Members that EngineBody sets.
+constexpr const char* kEngineMembers[] = {"stream", "request_id", "priority", "resume_from"};
 
 ApiError InvalidBody(std::string param, std::string message) {
   ApiError error;
@@ -20,6 +27,16 @@
   return error;
 }
 
+ApiError NoMemory() {
+  ApiError error;
+  error.status = 503;
+  error.type = "server_error";
+  error.code = "no_memory";
+  error.message = "not run, too much is held for other requests, try again later";
+  error.retry_after = RetryAfter(kNoMemoryRetryAfter);
+  return error;
+}
+
 // Returns all chat messages as text, one "role: content" line each, or std::nullopt if they are
 // malformed.
 std::optional<std::string> MessagesText(const json::value& body) {
@@ -48,15 +65,16 @@
 
 }  // namespace
 
-Result<CompletionRequest, ApiError> ParseCompletionRequest(const std::string& path,
-                                                           const std::string& body) {
-  const auto parsed = ParseJson(body);
+namespace {
+
+Result<CompletionRequest, ApiError> Parse(const std::string& path, const std::string& body,
+                                          HeldJsonMemory* memory) {
+  auto parsed = memory->Parse(body);
   if (!parsed || !parsed->is_object()) {
     return outcome::failure(InvalidBody("", "the body is not a JSON object"));
   }
   CompletionRequest request;
   request.path = path;
-  request.body = body;
   request.model = StringMember(*parsed, "model");
   if (request.model.empty()) return outcome::failure(InvalidBody("model", "name a model"));
   if (const json::value* stream = JsonMember(*parsed, "stream")) {
@@ -73,16 +91,46 @@
   if (const auto choices = IntegerMember(*parsed, "n"); choices && *choices != 1) {
     return outcome::failure(InvalidBody("n", "only one choice per request is served"));
   }
-  const auto text = request.is_chat() ? MessagesText(*parsed) : PromptText(*parsed);
+  auto text = request.is_chat() ? MessagesText(*parsed) : PromptText(*parsed);
   if (!text) {
     return outcome::failure(request.is_chat()
                                 ? InvalidBody("messages", "send messages with role and content")
                                 : InvalidBody("prompt", "send a prompt text"));
   }
-  request.prompt = *text;
+  request.prompt = std::move(*text);
+  for (const char* name : kEngineMembers) parsed->get_object().erase(name);
+  request.body = json::serialize(*parsed);
   return request;
 }
 
+}  // namespace
+
+Result<CompletionRequest, ApiError> ParseCompletionRequest(const std::string& path,
+                                                           const std::string& body,
+                                                           MemoryHold* memory) {
+  try {
+    HeldJsonMemory parse_memory(memory);
+    auto request = Parse(path, body, &parse_memory);
+    if (!request || memory == nullptr) return request;
+    const std::uint64_t bytes = request.value().body.size() + request.value().prompt.size();
+    if (memory->TryGrow(bytes) != MemoryResult::kHeld) return outcome::failure(NoMemory());
+    return request;
+  } catch (const std::bad_alloc&) {
+    return outcome::failure(NoMemory());
+  }
+}
+
+std::string EngineBody(const GenerateCall& call) {
+  assert(call.body.ends_with('}'));
+  json::object members;
+  members["stream"] = true;
+  members["request_id"] = call.request_id;
+  members["priority"] = static_cast<std::int64_t>(call.rank);
+  members["resume_from"] = call.resume_from;
+  const std::string added = json::serialize(members);
+  return call.body.substr(0, call.body.size() - 1) + "," + added.substr(1);
+}
+
 CompletionWriter::CompletionWriter(const CompletionRequest& request, const std::string& request_id,
                                    WallTime now)
     : chat_(request.is_chat()),
--- a/src/openai.h
+++ b/src/openai.h
@@ -8,6 +8,7 @@
 
 #include "caller_api.h"
 #include "engine.h"
+#include "memory_budget.h"
 
 namespace mimosabend {
 
@@ -21,15 +22,22 @@
   bool stream = false;
   // The prompt or the chat messages as text, used for prefix affinity and request fingerprints.
   std::string prompt;
-  // The unmodified body, forwarded to the engine.
+  // The body as a JSON object, without the members that EngineBody adds.
   std::string body;
 
   bool is_chat() const { return path == kChatCompletionsPath; }
 };
 
-// Parses and validates a request body. Thread-safe.
+// Parses and validates a request body. `memory` grows by what the request takes beside its body,
+// and for a moment by what parsing takes; without room, the error says that the request was not
+// run. It may be null. Thread-safe but for `memory`.
 Result<CompletionRequest, ApiError> ParseCompletionRequest(const std::string& path,
-                                                           const std::string& body);
+                                                           const std::string& body,
+                                                           MemoryHold* memory);
+
+// The JSON body for the engine: that of a CompletionRequest and what concerns one attempt.
+// Precondition: `call.body` is the body of a CompletionRequest. Thread-safe.
+std::string EngineBody(const GenerateCall& call);
 
 // Formats the response to one request, as a whole or as server-sent events. Thread-safe.
 class CompletionWriter {
--- a/tests/client_crowd.cpp
+++ b/tests/client_crowd.cpp
@@ -104,6 +104,11 @@
   boost::system::error_code error;
   co_await asio::async_write(*socket, asio::buffer(Head(behavior_, id)),
                              asio::redirect_error(asio::use_awaitable, error));
+  if (!error && !behavior_.body.empty()) {
+    co_await asio::async_write(*socket, asio::buffer(behavior_.body),
+                               asio::redirect_error(asio::use_awaitable, error));
+    co_return;
+  }
   const bool whole = behavior_.whole_every > 0 && number % behavior_.whole_every == 0;
   const std::uint64_t end = whole ? behavior_.body_bytes : behavior_.sent_bytes;
   const Piece full = MakePiece(behavior_, behavior_.piece_bytes);
--- a/tests/client_crowd.h
+++ b/tests/client_crowd.h
@@ -38,6 +38,8 @@
   int whole_every = 0;
   // Size of fields of a few bytes each that the header has besides the others.
   std::uint64_t small_field_bytes = 0;
+  // A body that each client sends whole instead, if it is not empty.
+  std::string body = "";
 };
 
 // Clients on connections of their own, in a thread of their own. The destructor closes them.
--- a/tests/test_decoders.cpp
+++ b/tests/test_decoders.cpp
@@ -338,7 +338,7 @@
       R"({"model":"m","messages":[{"role":"user","content":"hello"}],"temperature":0.5})"};
   Fuzz("completion request", bodies, [](const std::string& text) {
     for (const char* path : {"/v1/completions", "/v1/chat/completions"}) {
-      const auto request = ParseCompletionRequest(path, text);
+      const auto request = ParseCompletionRequest(path, text, nullptr);
       if (!request) CHECK(request.error().status >= 400);
     }
   });
--- a/tests/test_memory_budget.cpp
+++ b/tests/test_memory_budget.cpp
@@ -11,7 +11,10 @@
 #include "caller_queue.h"
 #include "connection_table.h"
 #include "gateway_settings.h"
+#include "held_json.h"
+#include "host_resources.h"
 #include "memory_budget.h"
+#include "openai.h"
 #include "relay_fixture.h"
 
 namespace mimosabend::testing {
@@ -331,6 +334,35 @@
   CHECK(connections > 400);
 }
 
+// Guards against parsed values that are not counted, and against members of a client that replace
+// those for the engine.
+TEST_CASE("what a body takes while it is parsed is counted", "[memory]") {
+  MemoryBudget budget(4 * kMb);
+  MemoryHold hold = budget.Open(MemoryKind::kRequests, "");
+  const std::string body = R"({"model":"m","prompt":"p","priority":-1,"resume_from":7,"x":[)" +
+                           std::string(100000, '[') + std::string(100000, ']') + "]}";
+  CHECK(ParseCompletionRequest("/v1/completions", body, &hold).error().status == 400);
+  std::string dense = R"({"model":"m","prompt":"p","priority":-1,"resume_from":7,"x":[0)";
+  while (dense.size() < 50000) dense += ",0";
+  {
+    HeldJsonMemory memory(&hold);
+    const auto value = memory.Parse(dense + "]}");
+    REQUIRE(value);
+    CHECK(hold.bytes() > 4 * dense.size());
+  }
+  CHECK(hold.bytes() == 0);
+  auto request = ParseCompletionRequest("/v1/completions", dense + "]}", &hold);
+  REQUIRE(request);
+  CHECK(hold.bytes() == request.value().body.size() + request.value().prompt.size());
+  GenerateCall call;
+  call.body = request.value().body;
+  CHECK(EngineBody(call).starts_with(R"({"model":"m","prompt":"p","x":[0,)"));
+  CHECK(EngineBody(call).ends_with(
+      R"(],"stream":true,"request_id":"","priority":1,"resume_from":0})"));
+  while (dense.size() < 500000) dense += ",0";
+  CHECK(ParseCompletionRequest("/v1/completions", dense + "]}", &hold).error().status == 503);
+}
+
 // Guards against a limit that is taken from an invalid setting.
 TEST_CASE("settings of the memory limit are checked", "[memory]") {
   const std::string text =
--- a/tests/test_untrusted_clients.cpp
+++ b/tests/test_untrusted_clients.cpp
@@ -210,6 +210,13 @@
     {"small fields, slow endpoints", 1900, kLength, "/once/1", 1, 1, 1, false, 1, kFields},
 };
 
+// A legal body that takes many times its size when it is parsed.
+std::string DenseBody(std::uint64_t bytes) {
+  std::string body = R"({"model":"recipes","prompt":"tea","max_tokens":2,"dense":[0)";
+  while (body.size() + 4 < bytes) body += ",0";
+  return body + "]}";
+}
+
 constexpr char kCompletions[] = "/v1/completions";
 const std::vector<CrowdBehavior> kDaemonCrowds{
     {"daemon: bodies at once", 200, kLength, kCompletions, kMb, kMb - 1, kMb, false, 10},
@@ -218,6 +225,8 @@
     {"daemon: endless chunks", 200, kChunks, kCompletions, kEndless, kEndless},
     {"daemon: small fields", 1900, kLength, kCompletions, 9 * 1024, 1, 1, false, 0, kFields},
     {"daemon: nothing sent", 2300, kNothing},
+    {"daemon: dense bodies", 30, kLength, kCompletions, DenseBody(kMb).size(), 0, 1, false, 0, 0,
+     DenseBody(kMb)},
 };
 
 FleetOptions OneDaemon(const DeployedHost& host) {
@@ -225,6 +234,8 @@
   options.daemons = 1;
   options.regions = {"nordeste"};
   options.engines_per_region = 1;
+  // An engine sends nothing of its response before, so that requests wait for it.
+  options.engine_flags = {"--prefill_ms=1000"};
   options.daemon_settings =
       "idle_timeout_ms = 120000\n[host]\nmemory_mb = " + std::to_string(host.memory_mb) +
       "\ndescriptors = " + std::to_string(host.max_fds) + "\n";
@@ -281,6 +292,17 @@
   for (const auto& [id, status] : client.Statuses()) CHECK(status == 200);
 }
 
+// Guards against a limit that a legal body meets since it takes much memory while it is parsed.
+TEST_CASE("a body of many small values is served by a daemon in calm", "[crowd]") {
+  Fleet fleet(OneDaemon(kHost));
+  fleet.StartDaemons();
+  fleet.DeployDocument(TestDocument(fleet.options()));
+  HttpCall call = PostAs("urgent-key", fleet.caller_address(0), kCompletions, DenseBody(kMb));
+  const auto reply = fleet.Call(std::move(call));
+  REQUIRE(reply);
+  CHECK(reply.value().status == 200);
+}
+
 // Guards against refusals that say that a request has not run although it has.
 TEST_CASE("what is refused beside a crowd does not run", "[crowd]") {
   PlatformFleetOptions options = Deployed({24, 3075});
