Take memory for a frame between daemons as it is received

What callers saw: a gateway that ended, if somebody reaches the port for other daemons. 60 connections that send four bytes each were enough on a host of 120 MB.

Cause: the length in front of a frame, 4 MiB at most, was allocated and filled before a byte of the frame had come, and before its sender could be checked. Change: the memory doubles with what has been received, from 4 KiB on.

--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -23,6 +24,8 @@
 
 constexpr std::size_t kMaxFrameBytes = 4 * 1024 * 1024;
 constexpr std::size_t kLengthPrefixBytes = 4;
+// Memory for the first part of a frame.
+constexpr std::size_t kMinReadBytes = 4096;
 constexpr std::size_t kMaxIdleConnectionsPerPeer = 16;
 constexpr std::size_t kMaxConnections = 4096;
 // The client stops reusing an idle connection well before the server closes it, so that no request
@@ -53,9 +56,14 @@
   std::size_t length = 0;
   for (unsigned char byte : prefix) length = (length << 8) | byte;
   if (length > kMaxFrameBytes) co_return outcome::failure(PeerError::kMalformed);
-  std::string frame(length, '\0');
-  co_await asio::async_read(*stream, asio::buffer(frame),
-                            asio::redirect_error(asio::use_awaitable, error));
+  // Takes memory for what has been received, and not for what is announced.
+  std::string frame;
+  while (!error && frame.size() < length) {
+    const std::size_t received = frame.size();
+    frame.resize(std::min(length, std::max(kMinReadBytes, 2 * received)));
+    co_await asio::async_read(*stream, asio::buffer(frame) + received,
+                              asio::redirect_error(asio::use_awaitable, error));
+  }
   if (error == beast::error::timeout) co_return outcome::failure(PeerError::kTimedOut);
   if (error) co_return outcome::failure(PeerError::kTruncated);
   co_return frame;
--- a/tests/client_crowd.cpp
+++ b/tests/client_crowd.cpp
@@ -67,6 +67,13 @@
       return head + "Filler: ";
     case CrowdFraming::kPipelined:
       return head + "Content-Length: 0\r\n\r\n";
+    case CrowdFraming::kFrame: {
+      std::string prefix;
+      for (int shift = 24; shift >= 0; shift -= 8) {
+        prefix += static_cast<char>((behavior.body_bytes >> shift) & 0xff);
+      }
+      return prefix;
+    }
     case CrowdFraming::kNothing:
       break;
   }
--- a/tests/client_crowd.h
+++ b/tests/client_crowd.h
@@ -17,8 +17,9 @@
 namespace mimosabend::testing {
 
 // How a client sends the body of its request. kHeader: a header that does not end instead.
-// kNothing: no bytes at all. kPipelined: a complete request, and the body behind it.
-enum class CrowdFraming : std::uint8_t { kLength, kChunks, kHeader, kNothing, kPipelined };
+// kNothing: no bytes at all. kPipelined: a complete request, and the body behind it. kFrame: a
+// frame as between daemons, with its length in front.
+enum class CrowdFraming : std::uint8_t { kLength, kChunks, kHeader, kNothing, kPipelined, kFrame };
 
 // What each client of a crowd sends.
 struct CrowdBehavior {
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -107,6 +107,8 @@
   Process& gateway(int index) { return *gateways_.at(index); }
   int gateways() const { return options_.gateways; }
   Address caller_address(int index) const;
+  // Where other daemons reach a gateway.
+  Address peer_address(int index) const { return {caller_address(index).ip, ports_[2]}; }
 
   // The index of the gateway that reports to be the placement leader; -1 if none does.
   int Leader();
--- a/tests/test_untrusted_clients.cpp
+++ b/tests/test_untrusted_clients.cpp
@@ -289,6 +289,16 @@
   CheckCrowds(daemon, kHost, behavior.name, {behavior});
 }
 
+// Guards against frames whose length takes memory before they have been received.
+TEST_CASE("a crowd at the port for daemons does not end the process", "[crowd]") {
+  const CrowdBehavior behavior{"announced frames", 60, kFrame, "", kBodyLimit, 1, 1};
+  if (!IsSelected(behavior)) return;
+  PlatformFleet fleet(Deployed(kHost));
+  Target target = GatewayOf(&fleet);
+  target.address = fleet.peer_address(0);
+  CheckCrowds(target, kHost, behavior.name, {behavior});
+}
+
 // Guards against connections without requests that take all descriptors of a small host.
 TEST_CASE("descriptors stay within the host's limit", "[crowd]") {
   constexpr DeployedHost kFewDescriptors{120, 600};
