--- a/src/held_json.cpp
+++ b/src/held_json.cpp
@@ -20,11 +20,11 @@
   const bool held =
       hold_ == nullptr || hold_->TryGrow(bytes, HoldShare::kBriefly) == MemoryResult::kHeld;
   if (!held) throw std::bad_alloc();
-  return ::operator new(bytes, std::align_val_t(alignment));
+  return ::operator new(bytes, static_cast<std::align_val_t>(alignment));
 }
 
 void HeldJsonMemory::do_deallocate(void* memory, std::size_t bytes, std::size_t alignment) {
-  ::operator delete(memory, bytes, std::align_val_t(alignment));
+  ::operator delete(memory, static_cast<std::align_val_t>(alignment));
   if (hold_ != nullptr) hold_->Shrink(bytes);
 }
 
