Limit the memory and the connections of other daemons

What callers saw: a gateway that ended, if somebody reaches the port for other daemons: 60 connections with frames that stop short of their 4 MiB were enough on a host of 120 MB, and 3,000 idle ones took nearly all descriptors. Clients of the platform do not reach that port.

Cause: frames were not counted, and up to 4,096 connections allowed on every host. Change: the port uses the table of connections and the memory budget of the port for callers, with a limit of its own: [memory] peer_mb, 32 by default. Without room, the connection is closed whose unfinished frame has cost most, and at the limit of connections (0.15 of the descriptors beyond 200) the one that has waited longest. Daemons send such a message again. peer_errors_total counts them as no_room.

--- a/src/caller_limits.cpp
+++ b/src/caller_limits.cpp
@@ -19,6 +19,10 @@
   if (resources.memory_bytes > 0) server->SetReceiveBuffer(resources.receive_buffer_bytes);
 }
 
+void ApplyPeerLimits(const HostResources& resources, PeerServer* server) {
+  server->SetLimits(resources.peer_bytes, PeerConnections(resources, DescriptorLimit()));
+}
+
 CallerMetrics::CallerMetrics(MetricsRegistry* registry) {
   auto& evictions = registry->CounterFamily(
       "evictions_total", "Connections of callers that were closed in favour of others.");
--- a/src/caller_limits.h
+++ b/src/caller_limits.h
@@ -12,6 +12,7 @@
 #include "http_server.h"
 #include "memory_budget.h"
 #include "metrics_registry.h"
+#include "peer_transport.h"
 #include "settings.h"
 
 namespace mimosabend {
@@ -22,6 +23,9 @@
 void ApplyCallerLimits(const HostResources& resources, HttpLimits limits, HttpServer* server,
                        MemoryBudget* memory);
 
+// Sets the limits of the listener for other daemons. Not thread-safe.
+void ApplyPeerLimits(const HostResources& resources, PeerServer* server);
+
 // Metrics of a listener for callers and of the memory that is held for them. Not thread-safe.
 class CallerMetrics {
  public:
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -194,6 +194,7 @@
       signals_(*io, SIGTERM, SIGINT) {
   caller_server_.set_memory_budget(&memory_);
   ApplyCallerLimits(settings_.resources, settings_.limits, &caller_server_, &memory_);
+  ApplyPeerLimits(settings_.resources, &peer_server_);
 }
 
 Result<void, std::string> Daemon::Start() {
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -263,6 +263,7 @@
       reload_signals_(*io, SIGHUP) {
   caller_server_.set_memory_budget(&memory_);
   ApplyCallerLimits(settings_.resources, caller_limits_, &caller_server_, &memory_);
+  ApplyPeerLimits(settings_.resources, &peer_server_);
   quota_.set_order(settings.quota_order);
   relay_.SetHedging(settings_.hedging);
   store_.era().set_listener([this](std::uint32_t era) { BeginEra(era); });
@@ -642,6 +643,7 @@
   settings_.bounds = settings->bounds;
   settings_.resources = settings->resources;
   ApplyCallerLimits(settings_.resources, caller_limits_, &caller_server_, &memory_);
+  ApplyPeerLimits(settings_.resources, &peer_server_);
   directory_.set_reappear_time(ReappearTime(settings_.bounds));
   ApplyRetryLimits();
   LOG4CPLUS_INFO(Log(), "settings reloaded, cause=" << cause << " memory_limit_bytes="
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -133,7 +133,7 @@
         }},
        {"memory",
         [&](IniSection* section) {
-          ReadMemoryShare(section, &settings.resources);
+          ReadMemoryShares(section, &settings.resources);
           settings.prefix_parts =
               section->Integer("prefix_parts", kMinPrefixParts, kMaxPrefixParts,
                                static_cast<std::int64_t>(settings.prefix_parts));
--- a/src/host_resources.h
+++ b/src/host_resources.h
@@ -14,6 +14,8 @@
   std::uint64_t memory_bytes = 0;
   // Part of it that may hold requests, responses and events; 0 for no limit on these.
   double relay_share = 0.4;
+  // Memory for frames of other daemons, in bytes. Applies with or without a memory limit.
+  std::uint64_t peer_bytes = 32 << 20;
   // Descriptors that this process may use; 0 for no limit but that of the process.
   std::uint64_t descriptors = 0;
   // Most connections of callers, whatever memory and descriptors allow.
@@ -29,10 +31,10 @@
   }
 };
 
-// Read the keys of these resources from the settings: memory_mb and descriptors, relay_share, and
-// receive_buffer_kb. Report invalid values. Thread-safe.
+// Read the keys of these resources from the settings: memory_mb and descriptors, relay_share and
+// peer_mb, and receive_buffer_kb. Report invalid values. Thread-safe.
 void ReadHostResources(IniSection* section, HostResources* resources);
-void ReadMemoryShare(IniSection* section, HostResources* resources);
+void ReadMemoryShares(IniSection* section, HostResources* resources);
 void ReadReceiveBuffer(IniSection* section, HostResources* resources);
 
 // Number of connections of callers that may be open: `caller_connections`, or fewer if the memory
@@ -41,6 +43,10 @@
 std::size_t CallerConnections(const HostResources& resources, std::uint64_t header_bytes,
                               std::uint64_t process_descriptors);
 
+// Number of connections of other daemons that may be open, as their descriptors suffice for.
+// Otherwise as above.
+std::size_t PeerConnections(const HostResources& resources, std::uint64_t process_descriptors);
+
 // Number of descriptors that the system lets this process open. Thread-safe.
 std::uint64_t DescriptorLimit();
 
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -28,12 +28,14 @@
   kMalformed,
   kNotSent,
   kTimedOut,
-  kBroken
+  kBroken,
+  // Its memory or its connection is needed for others.
+  kNoRoom
 };
-inline constexpr std::uint8_t kPeerErrorCount = 10;
+inline constexpr std::uint8_t kPeerErrorCount = 11;
 inline constexpr NameTable<PeerError, kPeerErrorCount> kPeerErrorNames{
     {"truncated", "bad_magic", "bad_version", "unknown_type", "bad_mac", "outside_replay_window",
-     "malformed", "not_sent", "timed_out", "broken"}};
+     "malformed", "not_sent", "timed_out", "broken", "no_room"}};
 
 enum class PeerMessageType : std::uint8_t {
   kPing,
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -9,9 +9,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "connection_table.h"
 #include "event_loop.h"
-#include "log.h"
-#include "scope_exit.h"
+#include "memory_budget.h"
 #include "supervisor.h"
 #include "tcp_listener.h"
 
@@ -27,7 +27,8 @@
 // Memory for the first part of a frame.
 constexpr std::size_t kMinReadBytes = 4096;
 constexpr std::size_t kMaxIdleConnectionsPerPeer = 16;
-constexpr std::size_t kMaxConnections = 4096;
+constexpr std::size_t kDefaultConnections = 4096;
+constexpr std::uint64_t kDefaultFrameMemory = 32 << 20;
 // The client stops reusing an idle connection well before the server closes it, so that no request
 // is sent on a connection that is just being closed.
 constexpr seconds kServerIdleTimeout{60};
@@ -45,8 +46,11 @@
   return frame;
 }
 
-// Reads one frame. Precondition: the stream's timeout has been set.
-Task<Result<std::string, PeerError>> ReadFrame(beast::tcp_stream* stream) {
+// Called before memory of so many bytes is taken for a frame. Returns false if there is no room.
+using FrameHold = std::function<bool(std::uint64_t bytes)>;
+
+// Reads one frame. `hold` may be empty. Precondition: the stream's timeout has been set.
+Task<Result<std::string, PeerError>> ReadFrame(beast::tcp_stream* stream, FrameHold hold) {
   boost::system::error_code error;
   std::array<unsigned char, kLengthPrefixBytes> prefix;
   co_await asio::async_read(*stream, asio::buffer(prefix),
@@ -60,7 +64,10 @@
   std::string frame;
   while (!error && frame.size() < length) {
     const std::size_t received = frame.size();
-    frame.resize(std::min(length, std::max(kMinReadBytes, 2 * received)));
+    const std::size_t size = std::min(length, std::max(kMinReadBytes, 2 * received));
+    const bool held = !hold || hold(size);
+    if (!held) co_return outcome::failure(PeerError::kNoRoom);
+    frame.resize(size);
     co_await asio::async_read(*stream, asio::buffer(frame) + received,
                               asio::redirect_error(asio::use_awaitable, error));
   }
@@ -134,7 +141,8 @@
                              asio::redirect_error(asio::use_awaitable, error));
   if (error) co_return outcome::failure(PeerError::kBroken);
   CountSent(metrics_, frame.size());
-  auto reply = co_await ReadFrame(&connection->stream);
+  FrameHold no_limit;
+  auto reply = co_await ReadFrame(&connection->stream, std::move(no_limit));
   if (!reply) co_return outcome::failure(reply.error());
   CountReceived(metrics_, reply.value().size() + kLengthPrefixBytes);
   auto envelope = DecodeEnvelope(reply.value(), identity_.shared_key, WallNow());
@@ -157,13 +165,84 @@
   co_return reply;
 }
 
+// A connection from another daemon.
+class PeerServer::Connection {
+ public:
+  Connection(std::shared_ptr<State> state, asio::ip::tcp::socket socket);
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+  ~Connection();
+
+  // Receives the next frame, which holds its memory until the next call.
+  Task<Result<std::string, PeerError>> Receive();
+
+  // See Evictable. There are no responses to frames that are not complete.
+  void Evict(bool) {
+    evicted_ = true;
+    memory_.Release();
+    stream_.cancel();
+  }
+  std::uint64_t held_bytes() const { return memory_.bytes(); }
+
+  beast::tcp_stream* stream() { return &stream_; }
+
+ private:
+  bool HoldFrame(std::uint64_t bytes);
+
+  std::shared_ptr<State> state_;
+  beast::tcp_stream stream_;
+  MemoryHold memory_;
+  bool evicted_ = false;
+};
+
+struct PeerServer::State {
+  ConnectionTable<Connection> connections;
+  MemoryBudget frames{kDefaultFrameMemory};
+};
+
+PeerServer::Connection::Connection(std::shared_ptr<State> state, asio::ip::tcp::socket socket)
+    : state_(std::move(state)), stream_(std::move(socket)) {
+  state_->connections.Add(this);
+}
+
+PeerServer::Connection::~Connection() { state_->connections.Remove(this); }
+
+bool PeerServer::Connection::HoldFrame(std::uint64_t bytes) {
+  const MonotonicTime now = MonotonicNow();
+  // The time of a frame begins with its first bytes.
+  if (memory_.bytes() == 0) state_->connections.SetReceiving(this, now);
+  if (state_->frames.GrowRequest(&memory_, bytes)) return true;
+  state_->connections.MakeRoomInMemory(state_->frames, this, &memory_, bytes, now);
+  return state_->frames.GrowRequest(&memory_, bytes);
+}
+
+Task<Result<std::string, PeerError>> PeerServer::Connection::Receive() {
+  state_->connections.SetReceiving(this, MonotonicNow());
+  memory_ = state_->frames.Open(MemoryKind::kRequests, "");
+  stream_.expires_after(kServerIdleTimeout);
+  FrameHold hold = [this](std::uint64_t bytes) { return HoldFrame(bytes); };
+  auto frame = co_await ReadFrame(&stream_, std::move(hold));
+  if (evicted_) co_return outcome::failure(PeerError::kNoRoom);
+  state_->connections.SetBusy(this);
+  co_return frame;
+}
+
 PeerServer::PeerServer(asio::any_io_executor executor, PeerIdentity identity, Metrics* metrics,
                        PeerHandler handler)
     : executor_(std::move(executor)),
       identity_(std::move(identity)),
       metrics_(metrics),
       handler_(std::move(handler)),
-      acceptor_(executor_) {}
+      acceptor_(executor_),
+      max_connections_(kDefaultConnections),
+      state_(std::make_shared<State>()) {}
+
+PeerServer::~PeerServer() = default;
+
+void PeerServer::SetLimits(std::uint64_t frame_bytes, std::size_t connections) {
+  state_->frames.set_limit(frame_bytes);
+  max_connections_ = connections;
+}
 
 Result<void, std::string> PeerServer::Listen(const Address& address) {
   auto port = OpenListener(address, std::nullopt, &acceptor_);
@@ -184,48 +263,53 @@
     co_await acceptor_.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
       if (acceptor_.is_open()) co_await Sleep(kAcceptRetryDelay);
-    } else if (*open_connections_ < kMaxConnections) {
-      SpawnDetached(executor_, "connection of a daemon", Serve(std::move(socket)));
+    } else if (state_->connections.MakeRoomForConnection(max_connections_, MonotonicNow())) {
+      auto connection = std::make_unique<Connection>(state_, std::move(socket));
+      SpawnDetached(executor_, "connection of a daemon", Serve(std::move(connection)));
+    } else {
+      metrics_->CountPeerError(PeerError::kNoRoom);
     }
   }
 }
 
-Task<void> PeerServer::Serve(asio::ip::tcp::socket socket) {
-  ++*open_connections_;
-  const ScopeExit closed(open_connections_, [count = open_connections_.get()] { --*count; });
-  beast::tcp_stream stream(std::move(socket));
-  boost::system::error_code error;
-  stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
-  for (;;) {
-    stream.expires_after(kServerIdleTimeout);
-    auto frame = co_await ReadFrame(&stream);
-    if (!frame) {
-      if (frame.error() == PeerError::kMalformed || frame.error() == PeerError::kTruncated) {
-        metrics_->CountPeerError(frame.error());
-      }
-      break;
-    }
-    CountReceived(metrics_, frame.value().size() + kLengthPrefixBytes);
-    auto request = DecodeEnvelope(frame.value(), identity_.shared_key, WallNow());
-    if (!request) {
-      metrics_->CountPeerError(request.error());
-      break;
-    }
-    const std::uint64_t correlation_id = request.value().correlation_id;
-    auto answer = co_await handler_(std::move(request).value());
-    if (!answer) {
-      metrics_->CountPeerError(answer.error());
-      break;
-    }
-    Envelope envelope = std::move(answer).value();
-    envelope.correlation_id = correlation_id;
-    const std::string bytes = AddLengthPrefix(EncodeEnvelope(envelope, identity_.shared_key));
-    stream.expires_after(kWriteTimeout);
-    co_await asio::async_write(stream, asio::buffer(bytes),
-                               asio::redirect_error(asio::use_awaitable, error));
-    if (error) break;
-    CountSent(metrics_, bytes.size());
+Task<void> PeerServer::Serve(std::unique_ptr<Connection> connection) {
+  boost::system::error_code ignored;
+  connection->stream()->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  bool open = true;
+  while (open) open = co_await ServeRequest(connection.get());
+}
+
+// Receives and answers one request. Returns false if the connection is to be closed.
+Task<bool> PeerServer::ServeRequest(Connection* connection) {
+  auto frame = co_await connection->Receive();
+  if (!frame) {
+    const PeerError error = frame.error();
+    const bool counts = error == PeerError::kMalformed || error == PeerError::kTruncated ||
+                        error == PeerError::kNoRoom;
+    if (counts) metrics_->CountPeerError(error);
+    co_return false;
   }
+  CountReceived(metrics_, frame.value().size() + kLengthPrefixBytes);
+  auto request = DecodeEnvelope(frame.value(), identity_.shared_key, WallNow());
+  if (!request) {
+    metrics_->CountPeerError(request.error());
+    co_return false;
+  }
+  const std::uint64_t correlation_id = request.value().correlation_id;
+  auto answer = co_await handler_(std::move(request).value());
+  if (!answer) {
+    metrics_->CountPeerError(answer.error());
+    co_return false;
+  }
+  Envelope envelope = std::move(answer).value();
+  envelope.correlation_id = correlation_id;
+  const std::string bytes = AddLengthPrefix(EncodeEnvelope(envelope, identity_.shared_key));
+  connection->stream()->expires_after(kWriteTimeout);
+  boost::system::error_code error;
+  co_await asio::async_write(*connection->stream(), asio::buffer(bytes),
+                             asio::redirect_error(asio::use_awaitable, error));
+  if (!error) CountSent(metrics_, bytes.size());
+  co_return !error;
 }
 
 }  // namespace mimosabend
--- a/src/peer_transport.h
+++ b/src/peer_transport.h
@@ -72,6 +72,11 @@
   // Precondition: `metrics` outlives this object.
   PeerServer(boost::asio::any_io_executor executor, PeerIdentity identity, Metrics* metrics,
              PeerHandler handler);
+  ~PeerServer();
+
+  // Limits the memory for frames that are received or handled, in bytes, and the connections. If
+  // one falls short, connections that have cost or waited most are closed for others, and counted.
+  void SetLimits(std::uint64_t frame_bytes, std::size_t connections);
 
   // Binds the address and starts to accept connections. Returns the error message on failure.
   Result<void, std::string> Listen(const Address& address);
@@ -81,15 +86,20 @@
 
  private:
   Task<void> Accept();
-  Task<void> Serve(boost::asio::ip::tcp::socket socket);
+  class Connection;
+  struct State;
+
+  Task<void> Serve(std::unique_ptr<Connection> connection);
+  Task<bool> ServeRequest(Connection* connection);
 
   boost::asio::any_io_executor executor_;
   PeerIdentity identity_;
   Metrics* metrics_;
   PeerHandler handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  std::size_t max_connections_;
   // Shared with the coroutines of the connections, which may outlive the server.
-  std::shared_ptr<std::size_t> open_connections_ = std::make_shared<std::size_t>(0);
+  std::shared_ptr<State> state_;
 };
 
 }  // namespace mimosabend
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -169,7 +169,7 @@
         }},
        {"limits", [&](IniSection* section) { ReadLimits(section, &settings); }},
        {"host", [&](IniSection* section) { ReadHostResources(section, &settings.resources); }},
-       {"memory", [&](IniSection* section) { ReadMemoryShare(section, &settings.resources); }},
+       {"memory", [&](IniSection* section) { ReadMemoryShares(section, &settings.resources); }},
        {"callers", [&](IniSection* section) { ReadReceiveBuffer(section, &settings.resources); }},
        {"policy",
         [&](IniSection* section) {
--- a/tests/test_untrusted_clients.cpp
+++ b/tests/test_untrusted_clients.cpp
@@ -289,9 +289,14 @@
   CheckCrowds(daemon, kHost, behavior.name, {behavior});
 }
 
-// Guards against frames whose length takes memory before they have been received.
+// Guards against frames whose length takes memory before they have been received, and against those
+// that stop short of their end.
 TEST_CASE("a crowd at the port for daemons does not end the process", "[crowd]") {
-  const CrowdBehavior behavior{"announced frames", 60, kFrame, "", kBodyLimit, 1, 1};
+  const CrowdBehavior behavior = GENERATE(
+      CrowdBehavior{"announced frames", 60, kFrame, "", kBodyLimit, 1, 1},
+      CrowdBehavior{"unfinished frames", 60, kFrame, "", kBodyLimit, kShort, 64 * 1024},
+      CrowdBehavior{"frames, coming back", 60, kFrame, "", kBodyLimit, kShort, 64 * 1024, true},
+      CrowdBehavior{"idle peers", 3000, kNothing});
   if (!IsSelected(behavior)) return;
   PlatformFleet fleet(Deployed(kHost));
   Target target = GatewayOf(&fleet);
