Answer an evicted connection whose request has just been received

What callers saw: nothing yet. Found by reading: a connection that is closed for another one got no response if its first bytes had been received by then, but not been looked at, since nothing was left to peek at. For an order, the close of a connection promises nothing. It takes a stall of 20 ms between the two, as where the processor is a quota.

Change: whether something has been received is decided in the connection's own task, after its read has ended, and a header that has begun is not waited for any more.

No test: the order of the two events can't be forced from outside. http_messages (6,185 assertions), memory_budget (143) and two crowds, "nothing sent, coming back" and "many small announced", pass.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -108,7 +108,7 @@
   // See Evictable. A connection without a part of a request is closed without a response.
   void Evict(bool with_response) {
     evicted_ = true;
-    answers_eviction_ = with_response && (!waits_ || Peek() > 0);
+    answers_eviction_ = with_response;
     request_memory_.Release();
     stream_.cancel();
   }
@@ -296,6 +296,7 @@
   auto begun = co_await reader_.AwaitMessage(&stream_);
   if (!begun) co_return outcome::failure(begun.error());
   waits_ = false;
+  if (evicted_) co_return outcome::failure(HttpReadError::kEvicted);
   connections_->SetReceiving(this, MonotonicNow());
   if (!short_wait) stream_.expires_after(server_->limits_.header_timeout + kHeaderTimeMargin);
   if (server_->memory_ != nullptr) {
@@ -352,6 +353,8 @@
   keep_alive_ = false;
   const int status = ReadErrorStatus(message.error());
   request_memory_.Release();
+  // The client may send a request again that nothing has been received of.
+  answers_eviction_ = answers_eviction_ && (!waits_ || Peek() > 0);
   if (status == 0 || (evicted_ && !answers_eviction_)) co_return false;
   const bool no_room = evicted_ || message.error() == HttpReadError::kNoMemory;
   if (no_room) {
