Receive most frames between daemons at once again

Each frame took a read for 4, 8 and 16 KiB and so on, and the platform charges for each call of the system.

Change: the first part of a frame is up to 64 KiB, as much as most need.

--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -24,8 +24,8 @@
 
 constexpr std::size_t kMaxFrameBytes = 4 * 1024 * 1024;
 constexpr std::size_t kLengthPrefixBytes = 4;
-// Memory for the first part of a frame.
-constexpr std::size_t kMinReadBytes = 4096;
+// Memory for the first part of a frame; most frames are smaller, and are received at once.
+constexpr std::size_t kMinReadBytes = 64 * 1024;
 constexpr std::size_t kMaxIdleConnectionsPerPeer = 16;
 constexpr std::size_t kDefaultConnections = 4096;
 constexpr std::uint64_t kDefaultFrameMemory = 32 << 20;
