Hold the only place by a running request in a test of refusals

It holds the only place by a connection that waits for a request, and sends the other one 20 ms later. Since a connection gives its place away after 20 ms, so on a busy machine the second request is served, which is the intended behaviour.

Change: the place is held by a request that is being handled, which never gives its place away. The checks are the same: 503, Retry-After, the outcome not_run, one rejection, and the refused request is not handled. The fixed times are gone, so the test waits for what it checks.

--- a/tests/test_faults_requests.cpp
+++ b/tests/test_faults_requests.cpp
@@ -547,28 +547,32 @@
   HttpLimits limits;
   limits.connections = 1;
   asio::io_context io(1);
-  int handled = 0;
+  std::vector<std::string> handled;
   HttpServer server(io.get_executor(), limits, [&](HttpExchange& exchange) -> Task<void> {
-    ++handled;
-    co_await exchange.Reply(200, {}, "ok");
+    handled.push_back(exchange.request().target);
+    co_await Sleep(seconds(60));
   });
   const auto port = server.Listen({"127.0.0.1", 0});
   REQUIRE(port);
   HttpCall call;
   call.address = {"127.0.0.1", port.value()};
-  call.target = "/";
+  call.target = "/held";
   asio::io_context client_io;
+  // A connection that only waits would give its place to the next one.
   tcp::socket holder = ConnectTo(&client_io, call.address);
-  io.run_for(milliseconds(20));
+  asio::write(holder, asio::buffer(RequestText(call)));
+  const MonotonicTime limit = MonotonicNow() + seconds(20);
+  while (handled.empty() && MonotonicNow() < limit) io.run_one_for(milliseconds(100));
+  call.target = "/";
   tcp::socket refused = ConnectTo(&client_io, call.address);
   asio::write(refused, asio::buffer(RequestText(call)));
-  io.run_for(milliseconds(100));
+  while (refused.available() == 0 && MonotonicNow() < limit) io.run_one_for(milliseconds(100));
   std::string bytes(4096, '\0');
   bytes.resize(refused.read_some(asio::buffer(bytes)));
   CHECK(bytes.find("503 Service Unavailable") != std::string::npos);
   CHECK(bytes.find("Retry-After: ") != std::string::npos);
   CHECK(bytes.find("\"outcome\":\"not_run\"") != std::string::npos);
-  CHECK(handled == 0);
+  CHECK(handled == std::vector<std::string>{"/held"});
   CHECK(server.rejected_requests() == 1);
 }
 
