Allocate parsed values without their alignment

Cause: the address sanitizer reported new-delete-type-mismatch for HeldJsonMemory: the JSON library states another alignment when it releases than when it allocates. Harmless in the allocator used. Change: the plain operators, whose alignment suffices for all values.

--- a/src/held_json.cpp
+++ b/src/held_json.cpp
@@ -1,5 +1,7 @@
 #include "held_json.h"
 
+#include <cassert>
+#include <cstddef>
 #include <new>
 
 namespace mimosabend {
@@ -16,15 +18,16 @@
   return parser.release();
 }
 
-void* HeldJsonMemory::do_allocate(std::size_t bytes, std::size_t alignment) {
+void* HeldJsonMemory::do_allocate(std::size_t bytes, [[maybe_unused]] std::size_t alignment) {
+  assert(alignment <= alignof(std::max_align_t));
   const bool held =
       hold_ == nullptr || hold_->TryGrow(bytes, HoldShare::kBriefly) == MemoryResult::kHeld;
   if (!held) throw std::bad_alloc();
-  return ::operator new(bytes, static_cast<std::align_val_t>(alignment));
+  return ::operator new(bytes);
 }
 
-void HeldJsonMemory::do_deallocate(void* memory, std::size_t bytes, std::size_t alignment) {
-  ::operator delete(memory, static_cast<std::align_val_t>(alignment));
+void HeldJsonMemory::do_deallocate(void* memory, std::size_t bytes, std::size_t /*alignment*/) {
+  ::operator delete(memory);
   if (hold_ != nullptr) hold_->Shrink(bytes);
 }
 
