--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 
 #include "bounded_appender.h"
 #include "caller_limits.h"
@@ -29,6 +30,7 @@
 #include "platform/request_headers.h"
 #include "prefix_watcher.h"
 #include "quota_meter.h"
+#include "readiness.h"
 #include "relay_handler.h"
 #include "state_sync.h"
 #include "supervisor.h"
@@ -58,6 +60,8 @@
 // Smaller differences can come from reading the two clocks one after the other.
 constexpr milliseconds kMinSuspension{200};
 constexpr milliseconds kDrainPollPeriod{20};
+// A start takes less than this if nothing fails.
+constexpr milliseconds kReadinessLogDelay{1000};
 // The load balancer still opens connections during two of its checks after the daemon has become
 // unready.
 constexpr milliseconds kBalancerDelay{2300};
@@ -120,7 +124,8 @@
   using Finder = LeaderFinder<PlatformStore, EngineOrders>;
   using Link = LeaderLink<PlatformStore, EngineOrders>;
 
-  bool IsReady() const;
+  Readiness CurrentReadiness(MonotonicTime now) const;
+  void LogReadiness(MonotonicTime now);
   bool KnowsLeftEndpoints(MonotonicTime now) const;
   Task<void> HandleReadiness(HttpExchange& exchange);
   Task<void> HandleMetrics(HttpExchange& exchange);
@@ -195,6 +200,7 @@
   asio::signal_set reload_signals_;
   MonotonicTime started_at_ = MonotonicNow();
   bool heard_leader_ = false;
+  std::optional<Readiness> logged_readiness_;
   bool stopping_ = false;
   int exit_code_ = 0;
 };
@@ -455,9 +461,23 @@
   return link;
 }
 
-bool Gateway::IsReady() const {
-  return !stopping_ && directory_.config() != nullptr && state_.directory().revision().exists() &&
-         KnowsLeftEndpoints(MonotonicNow());
+Readiness Gateway::CurrentReadiness(MonotonicTime now) const {
+  if (stopping_) return Readiness::kStopping;
+  if (directory_.config() == nullptr) return Readiness::kNoConfig;
+  if (!state_.directory().revision().exists()) return Readiness::kNoEndpoints;
+  if (!KnowsLeftEndpoints(now)) return Readiness::kLeftEndpointsUnknown;
+  return Readiness::kReady;
+}
+
+// Logs a change of the readiness, and why the daemon is not ready a moment after its start.
+void Gateway::LogReadiness(MonotonicTime now) {
+  const Readiness readiness = CurrentReadiness(now);
+  relay_metrics_.ready->Set(readiness == Readiness::kReady ? 1 : 0);
+  if (readiness == logged_readiness_ || now < started_at_ + kReadinessLogDelay) return;
+  logged_readiness_ = readiness;
+  LOG4CPLUS_INFO(Log(), "readiness changed, state=\""
+                            << kReadinessNames[readiness] << "\" listing_pages="
+                            << store_.listing_pages() << " store_errors=" << store_.errors());
 }
 
 // Whether this daemon knows which of the restored endpoints have left, as far as others know it.
@@ -468,7 +488,7 @@
 
 Task<void> Gateway::HandleReadiness(HttpExchange& exchange) {
   const bool known = exchange.request().target == platform::ReadyPath();
-  int status = IsReady() ? 200 : 503;
+  int status = CurrentReadiness(MonotonicNow()) == Readiness::kReady ? 200 : 503;
   if (!known) status = 404;
   co_await exchange.Reply(status, {}, "");
 }
@@ -526,6 +546,7 @@
 Task<void> Gateway::RunHousekeeping() {
   for (;;) {
     heard_leader_ = heard_leader_ || link_.has_leader(MonotonicNow());
+    LogReadiness(MonotonicNow());
     directory_.PruneExpired(MonotonicNow());
     crash_correlator_.PruneExpired(MonotonicNow());
     evidence_.PruneExpired(MonotonicNow());
@@ -557,6 +578,7 @@
 Task<void> Gateway::UpdateMetrics() {
   std::uint64_t calls = 0;
   std::uint64_t errors = 0;
+  std::uint64_t listing_pages = 0;
   std::uint64_t restores = 0;
   std::uint64_t dropped_responses = 0;
   std::uint64_t invalid_eras = 0;
@@ -570,6 +592,9 @@
     caller_metrics_.Update(caller_server_, memory_);
     relay_metrics_.store_calls_total->Increment(static_cast<double>(store_.calls() - calls));
     relay_metrics_.store_errors_total->Increment(static_cast<double>(store_.errors() - errors));
+    relay_metrics_.store_listing_pages_total->Increment(
+        static_cast<double>(store_.listing_pages() - listing_pages));
+    listing_pages = store_.listing_pages();
     const StoreEra& era = store_.era();
     relay_metrics_.store_restores_total->Increment(static_cast<double>(era.begun() - restores));
     restores = era.begun();
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -91,6 +91,8 @@
       registry_.AddCounter("store_calls_total", "Calls to the store, watches included.");
   store_errors_total =
       registry_.AddCounter("store_errors_total", "Calls to the store that failed.");
+  store_listing_pages_total = registry_.AddCounter("store_listing_pages_total",
+                                                   "Pages of listings that the store returned.");
   store_restores_total = registry_.AddCounter(
       "store_restores_total", "Times that the store was found to be restored from an older copy.");
   store_dropped_responses_total =
@@ -118,6 +120,7 @@
   requests_in_flight = registry_.AddGauge("requests_in_flight", "Requests that have not ended.");
   leads_placement =
       registry_.AddGauge("leads_placement", "1 if this daemon leads placement, else 0.");
+  ready = registry_.AddGauge("ready", "1 if this daemon is ready for callers, else 0.");
 }
 
 std::string RelayMetrics::Expose() const { return registry_.Expose(); }
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -90,6 +90,7 @@
   prometheus::Counter* connections_opened_total;
   prometheus::Counter* store_calls_total;
   prometheus::Counter* store_errors_total;
+  prometheus::Counter* store_listing_pages_total;
   prometheus::Counter* store_restores_total;
   prometheus::Counter* store_dropped_responses_total;
   prometheus::Counter* store_invalid_eras_total;
@@ -105,6 +106,7 @@
   prometheus::Gauge* endpoints;
   prometheus::Gauge* requests_in_flight;
   prometheus::Gauge* leads_placement;
+  prometheus::Gauge* ready;
 
  private:
   static constexpr std::size_t kKinds = 3;
