--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -137,6 +137,7 @@
   if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("mkdtemp failed");
   directory_ = pattern;
   std::vector<std::string> store_flags;
+  store_flags.push_back("--page_items=" + std::to_string(options_.store_page_items));
   if (options_.restore_store) store_flags.emplace_back(kCopyPeriod);
   store_ = std::make_unique<Process>(Program("tests/platform_store_standin"), store_flags,
                                      Log("store"), true);
@@ -188,14 +189,24 @@
   std::filesystem::remove_all(directory_, ignored);
 }
 
+void PlatformFleet::WriteToStore(const json::object& transaction) {
+  const auto reply =
+      CallOne(StoreCall(store_->address(), "POST", "/mimosabend/kv-txn", transaction));
+  if (!reply || reply.value().status != 200) throw std::runtime_error("the store refused a write");
+}
+
+void PlatformFleet::PutStoreItem(const std::string& key, const std::string& value) {
+  const json::object put{{"key", key}, {"value", EncodeBase64(value)}};
+  WriteToStore({{"puts", json::array{put}}});
+}
+
+void PlatformFleet::RemoveStoreItem(const std::string& key) {
+  WriteToStore({{"remove", json::array{key}}});
+}
+
 void PlatformFleet::WriteConfig(int version) {
-  const json::object put{{"key", "op/config"},
-                         {"value", EncodeBase64(json::serialize(ConfigObject(
-                                       version, options_.extra_models, options_.limits)))}};
-  const json::object body{{"expected", json::array()}, {"puts", json::array{put}}};
-  auto reply = CallOne(StoreCall(store_->address(), "POST", "/mimosabend/kv-txn", body));
-  if (!reply || reply.value().status != 200)
-    throw std::runtime_error("the store did not accept the configuration");
+  PutStoreItem("op/config",
+               json::serialize(ConfigObject(version, options_.extra_models, options_.limits)));
 }
 
 void PlatformFleet::StartEndpoint(Endpoint* endpoint) {
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -51,6 +51,8 @@
   // Number of further models, "n0" and up, of which an engine holds two at a time. Engines then
   // execute orders and add them to a file.
   int extra_models = 0;
+  // Most items of one page of a listing of the store.
+  int store_page_items = 500;
   // Whether the store keeps copies of its contents, and gateways can be cut off from it.
   bool restore_store = false;
   // If set, gateways run with the settings file of deploy/, filled in for such a host.
@@ -118,6 +120,9 @@
   // Makes the store refuse all calls, or accept them again.
   void RefuseStoreCalls(bool refuse);
 
+  // Writes an item to the store, as another writer.
+  void PutStoreItem(const std::string& key, const std::string& value);
+  void RemoveStoreItem(const std::string& key);
   // Writes the operator's configuration under a version. The first version is 1.
   void WriteConfig(int version);
   // Makes the store unavailable for a time, and then restores it to a copy that is `age` old now.
@@ -171,6 +176,7 @@
     MonotonicTime exited_at;
   };
 
+  void WriteToStore(const boost::json::object& transaction);
   void WriteSettings(int index);
   std::string DeployedSettings(int index) const;
   void StartEndpoint(Endpoint* endpoint);
--- a/tests/standins/platform_store_standin.cpp
+++ b/tests/standins/platform_store_standin.cpp
@@ -17,6 +17,7 @@
 #include "standin.h"
 
 DEFINE_int32(port, 0, "port to listen on; 0 picks a free one");
+DEFINE_int32(page_items, 500, "most items of one page of a listing");
 DEFINE_int32(copy_period_ms, 0, "time between two copies of the contents; 0 for no copies");
 
 namespace mimosabend::standin {
@@ -30,8 +31,18 @@
 // Older copies are dropped.
 constexpr milliseconds kMaxCopyAge{15000};
 
+// Whether all parameters that name keys can be decoded.
+bool HasValidQuery(std::string_view target) {
+  const bool path_only = TargetPath(target) == target;
+  return path_only || DecodedQueryParameter(target, "").has_value();
+}
+
+std::string TextParameter(std::string_view target, std::string_view name) {
+  return DecodedQueryParameter(target, name).value_or("");
+}
+
 std::uint64_t NumberParameter(std::string_view target, std::string_view name) {
-  const std::string text = QueryParameter(target, name);
+  const std::string text = TextParameter(target, name);
   std::uint64_t number = 0;
   std::from_chars(text.data(), text.data() + text.size(), number);
   return number;
@@ -78,9 +89,13 @@
       co_await ReplyJson(&exchange, 404, "no such call");
       co_return;
     }
+    if (!HasValidQuery(target)) {
+      co_await ReplyJson(&exchange, 400, "not a valid query");
+      co_return;
+    }
     const std::string call = path.substr(kCallPrefix.size());
-    if (call == "kv-key") co_await Read(&exchange, QueryParameter(target, "key"));
-    if (call == "kv-range") co_await List(&exchange, QueryParameter(target, "prefix"));
+    if (call == "kv-key") co_await Read(&exchange, TextParameter(target, "key"));
+    if (call == "kv-range") co_await List(&exchange, target);
     if (call == "kv-watch") co_await Watch(&exchange, target);
     if (call == "kv-txn") co_await Write(&exchange);
     if (call == "kv-lease") co_await Grant(&exchange);
@@ -161,10 +176,16 @@
     co_await Respond(exchange, entry.exists() ? 200 : 404, std::move(body));
   }
 
-  Task<void> List(HttpExchange* exchange, std::string prefix) {
-    auto snapshot = co_await store_.Snapshot(prefix);
-    json::object body{{"items", ItemArray(snapshot.value().items)},
-                      {"truncated", false},
+  Task<void> List(HttpExchange* exchange, std::string target) {
+    auto snapshot = co_await store_.Snapshot(TextParameter(target, "prefix"));
+    std::vector<KvItem> items = std::move(snapshot.value().items);
+    const std::string after = TextParameter(target, "after");
+    std::erase_if(items, [&](const KvItem& item) { return item.key <= after; });
+    const auto most = static_cast<std::size_t>(FLAGS_page_items);
+    const bool truncated = items.size() > most;
+    if (truncated) items.resize(most);
+    json::object body{{"items", ItemArray(items)},
+                      {"truncated", truncated},
                       {"store-revision", snapshot.value().revision.revision}};
     co_await Respond(exchange, 200, std::move(body));
   }
@@ -172,7 +193,7 @@
   Task<void> Watch(HttpExchange* exchange, std::string target) {
     const milliseconds wait(NumberParameter(target, "wait-ms"));
     const StoreRevision after{store_.era(), NumberParameter(target, "after")};
-    auto changes = co_await store_.WatchPrefix(QueryParameter(target, "prefix"), after, wait);
+    auto changes = co_await store_.WatchPrefix(TextParameter(target, "prefix"), after, wait);
     if (changes.value().compacted) {
       co_await Respond(exchange, 410, "no such history");
       co_return;
--- a/tests/standins/standin.cpp
+++ b/tests/standins/standin.cpp
@@ -1,5 +1,7 @@
 #include "standin.h"
 
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
 #include <cstdlib>
 #include <iostream>
 
@@ -46,6 +48,15 @@
   return {};
 }
 
+std::optional<std::string> DecodedQueryParameter(std::string_view target, std::string_view name) {
+  const auto parsed = boost::urls::parse_origin_form({target.data(), target.size()});
+  if (!parsed) return std::nullopt;
+  const auto parameters = parsed->params();
+  const auto found = parameters.find({name.data(), name.size()});
+  if (found == parameters.end()) return std::string();
+  return (*found).value;
+}
+
 std::string_view TargetPath(std::string_view target) { return target.substr(0, target.find('?')); }
 
 boost::json::value JsonBody(const HttpExchange& exchange) {
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -2,6 +2,7 @@
 #define MIMOSABEND_TESTS_STANDINS_STANDIN_H_
 
 #include <boost/asio/io_context.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,6 +23,10 @@
 // The value of a query parameter of a target, not percent-decoded; empty if it is absent.
 std::string QueryParameter(std::string_view target, std::string_view name);
 
+// The value of a query parameter, percent-decoded and with "+" for a space; empty if it is absent,
+// std::nullopt if the target is not valid.
+std::optional<std::string> DecodedQueryParameter(std::string_view target, std::string_view name);
+
 // The target without its query string.
 std::string_view TargetPath(std::string_view target);
 
