--- a/src/http_kv_store.cpp
+++ b/src/http_kv_store.cpp
@@ -2,6 +2,7 @@
 
 #include "base64.h"
 #include "json.h"
+#include "request_target.h"
 
 namespace mimosabend {
 
@@ -28,8 +29,7 @@
   return KvError::kOutcomeUnknown;
 }
 
-// Keys aren't escaped: this program uses only characters that Consul allows in a path.
-std::string KeyTarget(const std::string& key) { return "/v1/kv/" + key; }
+std::string KeyTarget(const std::string& key) { return "/v1/kv/" + EncodeForTarget(key); }
 
 std::optional<KvItem> ParseItem(const json::value& value) {
   const auto version = IntegerMember(value, "ModifyIndex");
@@ -120,7 +120,8 @@
 }
 
 Task<Result<bool, KvError>> HttpKvStore::Delete(std::string key, std::uint64_t expected_version) {
-  const std::string target = KeyTarget(key) + "?cas=" + std::to_string(expected_version);
+  const std::string version = std::to_string(expected_version);
+  const std::string target = MakeTarget(KeyTarget(key), {{"cas", version}});
   co_return ParseBoolean(co_await Call("DELETE", target, "", kCallTimeout));
 }
 
@@ -132,8 +133,9 @@
 
 Task<Result<KvEntry, KvError>> HttpKvStore::Watch(std::string key, std::uint64_t known_version,
                                                   milliseconds wait) {
-  const std::string target = KeyTarget(key) + "?index=" + std::to_string(known_version) +
-                             "&wait=" + std::to_string(wait.count()) + "ms";
+  const std::string version = std::to_string(known_version);
+  const std::string wait_text = std::to_string(wait.count()) + "ms";
+  const std::string target = MakeTarget(KeyTarget(key), {{"index", version}, {"wait", wait_text}});
   co_return ParseEntry(co_await Call("GET", target, "", wait + kWatchTimeoutMargin));
 }
 
@@ -151,7 +153,8 @@
 }
 
 Task<Result<bool, KvError>> HttpKvStore::RenewLease(LeaseId lease) {
-  auto reply = co_await Call("PUT", "/v1/session/renew/" + lease, "", kCallTimeout);
+  auto reply =
+      co_await Call("PUT", "/v1/session/renew/" + EncodeForTarget(lease), "", kCallTimeout);
   if (!reply) co_return outcome::failure(reply.error());
   if (reply.value().status == 404) co_return false;
   if (reply.value().status != 200) co_return outcome::failure(KvError::kBadAnswer);
@@ -159,14 +162,15 @@
 }
 
 Task<Result<void, KvError>> HttpKvStore::RevokeLease(LeaseId lease) {
-  auto reply = co_await Call("PUT", "/v1/session/destroy/" + lease, "", kCallTimeout);
+  auto reply =
+      co_await Call("PUT", "/v1/session/destroy/" + EncodeForTarget(lease), "", kCallTimeout);
   if (!reply) co_return outcome::failure(reply.error());
   co_return outcome::success();
 }
 
 Task<Result<bool, KvError>> HttpKvStore::Acquire(std::string key, std::string value,
                                                  LeaseId lease) {
-  const std::string target = KeyTarget(key) + "?acquire=" + lease;
+  const std::string target = MakeTarget(KeyTarget(key), {{"acquire", lease}});
   co_return ParseBoolean(co_await Call("PUT", target, std::move(value), kCallTimeout));
 }
 
--- a/tests/standins/kv_standin.cpp
+++ b/tests/standins/kv_standin.cpp
@@ -49,7 +49,7 @@
       : changed_(executor), random_(FLAGS_seed) {}
 
   Task<void> Handle(HttpExchange& exchange) {
-    const std::string_view path = TargetPath(exchange.request().target);
+    const std::string path = DecodedPath(exchange.request().target);
     if (path == "/fault") {
       co_await SetFaults(exchange);
       co_return;
--- a/tests/standins/standin.cpp
+++ b/tests/standins/standin.cpp
@@ -57,6 +57,11 @@
   return (*found).value;
 }
 
+std::string DecodedPath(std::string_view target) {
+  const auto parsed = boost::urls::parse_origin_form({target.data(), target.size()});
+  return parsed ? parsed->path() : std::string();
+}
+
 std::string_view TargetPath(std::string_view target) { return target.substr(0, target.find('?')); }
 
 boost::json::value JsonBody(const HttpExchange& exchange) {
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -27,6 +27,9 @@
 // std::nullopt if the target is not valid.
 std::optional<std::string> DecodedQueryParameter(std::string_view target, std::string_view name);
 
+// The path of a target, percent-decoded; empty if the target is not valid.
+std::string DecodedPath(std::string_view target);
+
 // The target without its query string.
 std::string_view TargetPath(std::string_view target);
 
