--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -189,19 +189,17 @@
   std::filesystem::remove_all(directory_, ignored);
 }
 
-void PlatformFleet::WriteToStore(const json::object& transaction) {
-  const auto reply =
-      CallOne(StoreCall(store_->address(), "POST", "/mimosabend/kv-txn", transaction));
+void PlatformFleet::WriteToStore(const json::object& item) {
+  const auto reply = CallOne(StoreCall(store_->address(), "PUT", "/item", item));
   if (!reply || reply.value().status != 200) throw std::runtime_error("the store refused a write");
 }
 
 void PlatformFleet::PutStoreItem(const std::string& key, const std::string& value) {
-  const json::object put{{"key", key}, {"value", EncodeBase64(value)}};
-  WriteToStore({{"puts", json::array{put}}});
+  WriteToStore({{"key", EncodeBase64(key)}, {"value", EncodeBase64(value)}});
 }
 
 void PlatformFleet::RemoveStoreItem(const std::string& key) {
-  WriteToStore({{"remove", json::array{key}}});
+  WriteToStore({{"key", EncodeBase64(key)}});
 }
 
 void PlatformFleet::WriteConfig(int version) {
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -120,7 +120,7 @@
   // Makes the store refuse all calls, or accept them again.
   void RefuseStoreCalls(bool refuse);
 
-  // Writes an item to the store, as another writer.
+  // Writes an item to the store, or deletes it, as another writer. The key may be any bytes.
   void PutStoreItem(const std::string& key, const std::string& value);
   void RemoveStoreItem(const std::string& key);
   // Writes the operator's configuration under a version. The first version is 1.
@@ -176,7 +176,7 @@
     MonotonicTime exited_at;
   };
 
-  void WriteToStore(const boost::json::object& transaction);
+  void WriteToStore(const boost::json::object& item);
   void WriteSettings(int index);
   std::string DeployedSettings(int index) const;
   void StartEndpoint(Endpoint* endpoint);
--- a/tests/standins/platform_store_standin.cpp
+++ b/tests/standins/platform_store_standin.cpp
@@ -2,7 +2,8 @@
 // prefixes. PUT /fault {"refuse": true} makes it reject all further calls with 503. PUT /restore
 // {"age-ms": 3000, "down-ms": 200} rejects calls for 200 ms and then restores the contents to a
 // copy that was 3 s old at the time of the call; the answer is sent afterwards. Responses have
-// Store-Era from the first restore on.
+// Store-Era from the first restore on. PUT /item {"key": base64, "value": base64} writes an item
+// under any bytes as its key; without a value it deletes it.
 #include <gflags/gflags.h>
 
 #include <algorithm>
@@ -76,6 +77,11 @@
       co_await ReplyJson(&exchange, 200, "ok");
       co_return;
     }
+    if (target == "/item") {
+      WriteItem(JsonBody(exchange));
+      co_await ReplyJson(&exchange, 200, "ok");
+      co_return;
+    }
     if (target == "/restore") {
       co_await Restore(&exchange);
       co_return;
@@ -137,6 +143,15 @@
     std::map<LeaseId, Lease> leases;
   };
 
+  void WriteItem(const json::value& item) {
+    const std::string key = DecodeBase64(StringMember(item, "key")).value_or("");
+    if (JsonMember(item, "value") == nullptr) {
+      store_.Erase(key);
+      return;
+    }
+    store_.Put(key, DecodeBase64(StringMember(item, "value")).value_or(""));
+  }
+
   // Leases of the copy get their full time to live again.
   Task<void> Restore(HttpExchange* exchange) {
     const json::value body = JsonBody(*exchange);
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -117,6 +117,29 @@
   }
 }
 
+// Guards against names that can't be sent to other daemons or in a header.
+TEST_CASE("an endpoint with a name that can't be passed on is rejected", "[platform]") {
+  const auto entry = [](const std::string& service, const std::string& ip,
+                        const std::string& zone) {
+    return R"({"state":"ready","service":")" + service + R"(","address":")" + ip +
+           R"(:80","zone":")" + zone + R"("})";
+  };
+  const std::string longest(255, 'n');
+  const std::string good = entry(longest, "10.0.0.1", longest);
+  CHECK(platform::DecodeEndpoint("i-1", good));
+  for (const char* id : {"", "a\r\nb", "a b", "a\xc3\xa9", "\x7f"}) {
+    CHECK_FALSE(platform::DecodeEndpoint(id, good));
+  }
+  CHECK_FALSE(platform::DecodeEndpoint("i-1", entry(longest + "n", "10.0.0.1", "z")));
+  CHECK_FALSE(platform::DecodeEndpoint("i-1", entry("s", "10.0.0.1", longest + "n")));
+  CHECK_FALSE(platform::DecodeEndpoint("i-1", entry("s", "[fe80::1%" + longest + "]", "z")));
+  const std::string report = R"({"models":[{"name":"m","adapters":["a",")" + longest +
+                             R"(n"]},{"name":")" + longest + R"(n"}]})";
+  const auto decoded = platform::DecodeReport(report);
+  REQUIRE((decoded && decoded->holdings.models.size() == 1));
+  CHECK(decoded->holdings.models.front().adapters == std::vector<std::string>{"a"});
+}
+
 // Guards against malformed or unrelated store entries that are taken for endpoints.
 TEST_CASE("a store entry that does not describe an endpoint is rejected", "[platform]") {
   const std::string good =
