Read listings of the store with keys that are no UTF-8

What callers saw: gateways that are never ready (FAULT). One key of another writer that is no UTF-8 made each page with it unreadable: a gateway that started was never ready, and one that ran stopped following the entries.

Change: responses of the store may hold strings of any bytes. Such a key names no endpoint.

Test store_entries, "id that is no UTF-8": both gateways never ready before, ready now. platform, decoders pass. x86-64.

--- a/src/json.h
+++ b/src/json.h
@@ -18,6 +18,18 @@
   return value;
 }
 
+// Like ParseJson, but accepts strings that are not valid UTF-8, such as the keys of other writers.
+// Thread-safe.
+inline std::optional<boost::json::value> ParseJsonOfAnyBytes(std::string_view text) {
+  boost::json::parse_options options;
+  options.allow_invalid_utf8 = true;
+  boost::json::error_code error;
+  boost::json::value value =
+      boost::json::parse(boost::json::string_view(text.data(), text.size()), error, {}, options);
+  if (error) return std::nullopt;
+  return value;
+}
+
 // Returns a member of an object, or nullptr if `value` is not an object or has no such member.
 // Thread-safe.
 inline const boost::json::value* JsonMember(const boost::json::value& value,
--- a/tests/test_store_entries.cpp
+++ b/tests/test_store_entries.cpp
@@ -49,6 +49,7 @@
       {"long model", "x3", With(entry, "models", Models(long_name, 1))},
       {"many adapters", "x4", With(entry, "models", Models("m", 40000))},
       {"line break in the id", "x5\r\nRequest-Id: 1", json::serialize(entry)},
+      {"id that is no UTF-8", "x6\xff\xfe", json::serialize(entry)},
       {"empty id", "", json::serialize(entry)},
       {"least numbers", "x7", With(entry, "born", std::numeric_limits<std::int64_t>::min())},
       {"longest time", "x8", With(entry, "remaining-ms", std::numeric_limits<std::int64_t>::max())},
