--- a/tests/standins/platform_store_standin.cpp
+++ b/tests/standins/platform_store_standin.cpp
@@ -19,6 +19,7 @@
 
 DEFINE_int32(port, 0, "port to listen on; 0 picks a free one");
 DEFINE_int32(page_items, 500, "most items of one page of a listing");
+DEFINE_bool(ignore_cursors, false, "each page of a listing begins with the first item");
 DEFINE_int32(copy_period_ms, 0, "time between two copies of the contents; 0 for no copies");
 
 namespace mimosabend::standin {
@@ -194,7 +195,7 @@
   Task<void> List(HttpExchange* exchange, std::string target) {
     auto snapshot = co_await store_.Snapshot(TextParameter(target, "prefix"));
     std::vector<KvItem> items = std::move(snapshot.value().items);
-    const std::string after = TextParameter(target, "after");
+    const std::string after = FLAGS_ignore_cursors ? "" : TextParameter(target, "after");
     std::erase_if(items, [&](const KvItem& item) { return item.key <= after; });
     const auto most = static_cast<std::size_t>(FLAGS_page_items);
     const bool truncated = items.size() > most;
