Keep text of others within its log line, and log an invalid entry once

What callers saw: nothing.

Change: control characters are escaped in one place, for all lines. An invalid entry is logged once until it is valid again or gone; gauge invalid_entries counts them.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <optional>
+#include <set>
 
 #include "bounded_appender.h"
 #include "caller_limits.h"
@@ -201,6 +202,8 @@
   MonotonicTime started_at_ = MonotonicNow();
   bool heard_leader_ = false;
   std::optional<Readiness> logged_readiness_;
+  // Ids of the entries in the store that describe no endpoint.
+  std::set<std::string> invalid_entries_;
   bool stopping_ = false;
   int exit_code_ = 0;
 };
@@ -327,14 +330,17 @@
   handlers.put = [this](const KvItem& item, MonotonicTime now) { PutItem(item, now); };
   handlers.remove = [this, prefix](const std::string& key, StoreRevision revision,
                                    MonotonicTime now) {
-    LOG4CPLUS_INFO(Log(), "endpoint " << key.substr(prefix) << " was deleted from the store");
-    directory_.Remove(key.substr(prefix), now);
-    state_.directory().Remove(key.substr(prefix), revision);
+    const std::string id = key.substr(prefix);
+    const bool was_invalid = invalid_entries_.erase(id) > 0;
+    if (!was_invalid) LOG4CPLUS_INFO(Log(), "endpoint " << id << " was deleted from the store");
+    directory_.Remove(id, now);
+    state_.directory().Remove(id, revision);
   };
   handlers.keep_only = [this, prefix](const std::set<std::string>& keys, StoreRevision revision,
                                       MonotonicTime now) {
     std::set<std::string> ids;
     for (const std::string& key : keys) ids.insert(key.substr(prefix));
+    std::erase_if(invalid_entries_, [&](const std::string& id) { return !ids.contains(id); });
     const bool new_era = revision.era > state_.directory().revision().era;
     directory_.KeepOnly(ids, now, new_era ? MissingCause::kRestored : MissingCause::kDeleted);
     state_.directory().KeepOnly(ids, revision);
@@ -375,11 +381,14 @@
   const std::string id = item.key.substr(PlatformStore::endpoint_prefix().size());
   auto endpoint = platform::DecodeEndpoint(id, item.entry.value);
   if (!endpoint) {
-    LOG4CPLUS_WARN(Log(), "entry " << item.key << " is not a valid endpoint, ignored");
+    if (invalid_entries_.insert(id).second) {
+      LOG4CPLUS_WARN(Log(), "entry " << item.key << " is not a valid endpoint, ignored");
+    }
     directory_.Remove(id, now);
     state_.directory().Remove(id, item.entry.revision());
     return;
   }
+  invalid_entries_.erase(id);
   const auto state = state_.directory().Put(*endpoint, item.entry.revision());
   if (!state) {
     LOG4CPLUS_WARN(Log(), "endpoint " << id << " was gone before the store was restored, ignored");
@@ -628,6 +637,7 @@
     relay_metrics_.crash_suspects->Set(static_cast<double>(evidence_.suspects()));
     relay_metrics_.contained_parts->Set(static_cast<double>(part_evidence_.contained()));
     relay_metrics_.limited_endpoints->Set(static_cast<double>(limits_.size()));
+    relay_metrics_.invalid_entries->Set(static_cast<double>(invalid_entries_.size()));
     relay_metrics_.endpoints->Set(static_cast<double>(directory_.entries().size()));
     relay_metrics_.requests_in_flight->Set(static_cast<double>(relay_.in_flight()));
     relay_metrics_.leads_placement->Set(leader_.IsLeader(MonotonicNow()) ? 1 : 0);
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/json.hpp>
 #include <memory>
+#include <sstream>
 
 #include "bounded_appender.h"
 
@@ -49,8 +50,40 @@
   std::string process_name_;
 };
 
+// A pattern layout whose lines hold no control characters of what was logged.
+class OneLineLayout : public log4cplus::PatternLayout {
+ public:
+  using PatternLayout::PatternLayout;
+
+  void formatAndAppend(log4cplus::tostream& output,
+                       const log4cplus::spi::InternalLoggingEvent& event) override {
+    std::ostringstream line;
+    PatternLayout::formatAndAppend(line, event);
+    const std::string text = line.str();
+    output << EscapeControlCharacters(std::string_view(text).substr(0, text.size() - 1)) << '\n';
+  }
+};
+
 }  // namespace
 
+std::string EscapeControlCharacters(std::string_view text) {
+  constexpr char kDigits[] = "0123456789abcdef";
+  constexpr unsigned char kDelete = 0x7f;
+  std::string escaped;
+  escaped.reserve(text.size());
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte >= ' ' && byte != kDelete) {
+      escaped += c;
+      continue;
+    }
+    escaped += "\\x";
+    escaped += kDigits[byte / 16];
+    escaped += kDigits[byte % 16];
+  }
+  return escaped;
+}
+
 void SetUpLog(const LogSettings& settings, const std::string& process_name) {
   log4cplus::initialize();
   log4cplus::SharedAppenderPtr appender;
@@ -62,11 +95,9 @@
   if (settings.format == LogFormat::kJson) {
     appender->setLayout(std::make_unique<JsonLayout>(process_name));
   } else if (settings.format == LogFormat::kLogfmt) {
-    appender->setLayout(
-        std::make_unique<log4cplus::PatternLayout>(kLogfmtPattern + process_name + " %m%n"));
+    appender->setLayout(std::make_unique<OneLineLayout>(kLogfmtPattern + process_name + " %m%n"));
   } else {
-    appender->setLayout(
-        std::make_unique<log4cplus::PatternLayout>(kTextPattern + process_name + ": %m%n"));
+    appender->setLayout(std::make_unique<OneLineLayout>(kTextPattern + process_name + ": %m%n"));
   }
   log4cplus::Logger logger = log4cplus::Logger::getInstance("mimosabend");
   logger.addAppender(appender);
--- a/src/log.h
+++ b/src/log.h
@@ -5,6 +5,7 @@
 #include <log4cplus/loggingmacros.h>
 
 #include <string>
+#include <string_view>
 
 #include "settings.h"
 
@@ -14,6 +15,9 @@
 // Must be called once, before other threads are started.
 void SetUpLog(const LogSettings& settings, const std::string& process_name);
 
+// Replaces control characters, so that text of others stays within its log line. Thread-safe.
+std::string EscapeControlCharacters(std::string_view text);
+
 // Returns the logger of the process. Thread-safe.
 const log4cplus::Logger& Log();
 
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -120,6 +120,8 @@
   requests_in_flight = registry_.AddGauge("requests_in_flight", "Requests that have not ended.");
   leads_placement =
       registry_.AddGauge("leads_placement", "1 if this daemon leads placement, else 0.");
+  invalid_entries =
+      registry_.AddGauge("invalid_entries", "Entries in the store that describe no endpoint.");
   ready = registry_.AddGauge("ready", "1 if this daemon is ready for callers, else 0.");
 }
 
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -107,6 +107,7 @@
   prometheus::Gauge* requests_in_flight;
   prometheus::Gauge* leads_placement;
   prometheus::Gauge* ready;
+  prometheus::Gauge* invalid_entries;
 
  private:
   static constexpr std::size_t kKinds = 3;
--- a/tests/test_store_entries.cpp
+++ b/tests/test_store_entries.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <limits>
 #include <thread>
@@ -64,6 +65,14 @@
          fleet.GatewayLogLines("ended by an exception").size();
 }
 
+// Lines of the gateways' logs that do not begin as all of them do.
+std::size_t ForgedLogLines(const PlatformFleet& fleet) {
+  const auto lines = fleet.GatewayLogLines("Request-Id: 1");
+  return std::count_if(lines.begin(), lines.end(), [](const std::string& line) {
+    return line.find("process=") == std::string::npos;
+  });
+}
+
 int StatusOf(PlatformFleet* fleet, int gateway) {
   HttpCall call = fleet->MakeCall(gateway, "/read/1", "");
   const auto reply = CallOne(std::move(call));
@@ -91,6 +100,7 @@
     }
     std::this_thread::sleep_for(kExchangeTime);
     CHECK(Failures(fleet) == failures_before);
+    CHECK(ForgedLogLines(fleet) == 0);
     for (int i = 0; i < options.gateways; ++i) {
       CHECK(fleet.gateway(i).running());
       CHECK(StatusOf(&fleet, i) == 200);
