Wait at a start for settings and addresses that are about to change

A gateway that started while its settings file was being written, or while its address was still taken, for example by the process that it replaces or by a connection that the system gave that port, ended at once with an error.

Change: the start tries again for 3 s. An acceptor is closed when it can't be bound.

Test startup: a file that is written in two steps 0.8 s apart, and an address that is released after 0.8 s; the gateway ended before, and runs now. x86-64.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -33,6 +33,7 @@
 #include "quota_meter.h"
 #include "readiness.h"
 #include "relay_handler.h"
+#include "startup.h"
 #include "state_sync.h"
 #include "supervisor.h"
 #include "suspension.h"
@@ -786,13 +787,15 @@
 
 Result<void, std::string> Gateway::Start() {
   relay_.SetWaitRules({settings_.forecast == ForecastSetting::kOn});
-  for (auto [server, address] : {std::pair{&caller_server_, &settings_.caller_address},
-                                 std::pair{&readiness_server_, &settings_.readiness_address},
-                                 std::pair{&metrics_server_, &settings_.metrics_address}}) {
-    const auto port = server->Listen(*address);
-    if (!port) return outcome::failure(ToString(*address) + ": " + port.error());
+  const std::pair<HttpServer*, const Address*> listeners[] = {
+      {&caller_server_, &settings_.caller_address},
+      {&readiness_server_, &settings_.readiness_address},
+      {&metrics_server_, &settings_.metrics_address}};
+  for (const auto& listener : listeners) {
+    const auto port = RetryAtStart([&] { return listener.first->Listen(*listener.second); });
+    if (!port) return outcome::failure(port.error());
   }
-  const auto listening = peer_server_.Listen(settings_.peer_address);
+  const auto listening = RetryAtStart([&] { return peer_server_.Listen(settings_.peer_address); });
   if (!listening) return outcome::failure("peers: " + listening.error());
   lease_.SetWanted(false);
   supervisor_.Start("termination", [this] { return WaitForTermination(); });
--- a/src/operator_commands.cpp
+++ b/src/operator_commands.cpp
@@ -3,6 +3,7 @@
 #include <gflags/gflags.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -22,6 +23,7 @@
 #include "json.h"
 #include "request_record.h"
 #include "settings.h"
+#include "startup.h"
 #include "status_report.h"
 #include "supervisor.h"
 
@@ -371,9 +373,9 @@
 }
 
 ExitCode RunGatewayCommand(const CommandLine& line) {
-  const auto settings = ReadGatewaySettings(line.overrides);
-  if (!settings) return ExitCode::kUsage;
   const std::vector<std::string> overrides = line.overrides;
+  const auto settings = RetryAtStart([&] { return ReadGatewaySettings(overrides); });
+  if (!settings) return ExitCode::kUsage;
   return static_cast<ExitCode>(
       RunGateway(*settings, [overrides] { return ReadGatewaySettings(overrides); }));
 }
--- /dev/null
+++ b/src/startup.h
@@ -0,0 +1,30 @@
+#ifndef MIMOSABEND_STARTUP_H_
+#define MIMOSABEND_STARTUP_H_
+
+#include <thread>
+
+#include "clock.h"
+
+namespace mimosabend {
+
+// How long a start waits for what another process may be about to change: settings that are being
+// written, or an address that a former process is about to release.
+inline constexpr milliseconds kStartRetryTime{3000};
+inline constexpr milliseconds kStartRetryPeriod{100};
+
+// Calls `attempt` until its result converts to true or kStartRetryTime has passed, and returns the
+// last result. Blocks the thread.
+template <class Attempt>
+auto RetryAtStart(Attempt attempt) {
+  const MonotonicTime deadline = MonotonicNow() + kStartRetryTime;
+  auto result = attempt();
+  while (!result && MonotonicNow() < deadline) {
+    std::this_thread::sleep_for(kStartRetryPeriod);
+    result = attempt();
+  }
+  return result;
+}
+
+}  // namespace mimosabend
+
+#endif  // MIMOSABEND_STARTUP_H_
--- a/src/tcp_listener.cpp
+++ b/src/tcp_listener.cpp
@@ -21,7 +21,11 @@
   }
   if (!error) acceptor->bind(endpoint, error);
   if (!error) acceptor->listen(asio::socket_base::max_listen_connections, error);
-  if (error) return outcome::failure(ToString(address) + ": " + error.message());
+  if (error) {
+    boost::system::error_code ignored;
+    acceptor->close(ignored);
+    return outcome::failure(ToString(address) + ": " + error.message());
+  }
   return acceptor->local_endpoint().port();
 }
 
--- /dev/null
+++ b/tests/test_startup.cpp
@@ -0,0 +1,103 @@
+#include <signal.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/process.hpp>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <thread>
+
+#include "fleet.h"
+#include "tcp_listener.h"
+
+namespace mimosabend::testing {
+
+namespace {
+
+namespace bp = boost::process;
+
+// Time in which a gateway has started, and in which a task would have written to the log.
+constexpr milliseconds kStartTime{1500};
+// Less than the time for which a start waits.
+constexpr milliseconds kChangeTime{800};
+constexpr char kProgram[] = MIMOSABEND_BUILD_DIRECTORY "/mimosabend";
+constexpr char kHost[] = "127.0.0.61";
+
+// A gateway with settings of its own and no store.
+class LoneGateway {
+ public:
+  LoneGateway() : ports_(FreePorts(5)) {
+    std::string pattern = (std::filesystem::temp_directory_path() / "mimosabend-XXXXXX").string();
+    if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("mkdtemp failed");
+    directory_ = pattern;
+  }
+  ~LoneGateway() {
+    if (child_.running()) child_.terminate();
+    std::error_code ignored;
+    std::filesystem::remove_all(directory_, ignored);
+  }
+
+  Address caller_address() const { return {kHost, ports_[0]}; }
+
+  std::string Settings() const {
+    const auto at = [&](int port) {
+      return std::string(kHost) + ":" + std::to_string(ports_[port]);
+    };
+    return "[gateway]\nname = g\nregion = north\nfailure_domain = a\nseeds = " + at(2) +
+           "\ndomains = a:north\n[listen]\ncaller = " + at(0) + "\nreadiness = " + at(1) +
+           "\npeer = " + at(2) + "\nmetrics = " + at(3) + "\n[platform]\nstore = " + at(4) +
+           "\n[log]\nlevel = info\nformat = logfmt\n";
+  }
+
+  void WriteSettings(const std::string& text) const {
+    std::ofstream(directory_ / "gateway.ini") << text;
+  }
+
+  // Starts it. Nobody reads the other end of `output`.
+  template <class Output>
+  void Start(Output&& output) {
+    const std::string config = (directory_ / "gateway.ini").string();
+    child_ = bp::child(kProgram, "gateway", "--config=" + config,
+                       bp::std_out > std::forward<Output>(output), bp::std_err > bp::null);
+  }
+
+  void Signal(int signal_number) { ::kill(child_.id(), signal_number); }
+  bool RunsAfter(milliseconds time) {
+    std::this_thread::sleep_for(time);
+    return child_.running();
+  }
+
+ private:
+  std::vector<std::uint16_t> ports_;
+  std::filesystem::path directory_;
+  bp::child child_;
+};
+
+}  // namespace
+
+// Guards against a start that fails because the settings are just being written.
+TEST_CASE("a gateway waits for settings that are incomplete when it starts", "[startup]") {
+  LoneGateway gateway;
+  const std::string settings = gateway.Settings();
+  gateway.WriteSettings(settings.substr(0, settings.size() / 2));
+  gateway.Start(bp::null);
+  CHECK(gateway.RunsAfter(kChangeTime));
+  gateway.WriteSettings(settings);
+  CHECK(gateway.RunsAfter(kStartTime));
+}
+
+// Guards against a start that fails because the address is released a moment later.
+TEST_CASE("a gateway waits for an address that is in use when it starts", "[startup]") {
+  LoneGateway gateway;
+  gateway.WriteSettings(gateway.Settings());
+  boost::asio::io_context io(1);
+  std::optional<boost::asio::ip::tcp::acceptor> holder(io);
+  REQUIRE(OpenListener(gateway.caller_address(), std::nullopt, &*holder));
+  gateway.Start(bp::null);
+  CHECK(gateway.RunsAfter(kChangeTime));
+  holder.reset();
+  CHECK(gateway.RunsAfter(kStartTime));
+}
+
+}  // namespace mimosabend::testing
