Test gateways that are cut off from all endpoints

A fleet of processes in which one gateway is cut off: its connections to endpoints hang, are reset, or live on while new ones are refused.

--- a/tests/fault_proxy.cpp
+++ b/tests/fault_proxy.cpp
@@ -32,6 +32,7 @@
 constexpr milliseconds kMinIdle{100};
 // How long bytes that are still held are delivered after the client has closed its connection.
 constexpr milliseconds kLinger{2500};
+constexpr milliseconds kHoldPollPeriod{5};
 
 // Closes a connection with a reset, so that the peer loses what it has not read.
 void Reset(tcp::socket* socket) {
@@ -100,6 +101,9 @@
   // Thread-safe.
   void Cut(bool cut) { cut_ = cut; }
 
+  // Thread-safe.
+  void Hold(bool hold) { hold_ = hold; }
+
   // Thread-safe.
   std::map<LinkFault, int> injected() const {
     const std::lock_guard lock(mutex_);
@@ -165,6 +169,7 @@
     for (;;) {
       std::string bytes = co_await ReadSome(&link->client);
       if (bytes.empty()) break;
+      while (self->hold_) co_await Sleep(kHoldPollPeriod);
       if (self->cut_) {
         Reset(&link->client);
         break;
@@ -208,6 +213,7 @@
     for (;;) {
       std::string bytes = co_await ReadSome(&link->server);
       if (bytes.empty()) break;
+      while (self->hold_) co_await Sleep(kHoldPollPeriod);
       if (self->cut_) {
         Reset(&link->client);
         break;
@@ -260,6 +266,7 @@
   // Thread-safe.
   std::atomic<bool> injecting_ = false;
   std::atomic<bool> cut_ = false;
+  std::atomic<bool> hold_ = false;
   mutable std::mutex mutex_;
   // Guarded by mutex_.
   std::map<LinkFault, int> injected_;
@@ -287,6 +294,8 @@
 
 void FaultProxy::Cut(bool cut) { impl_->Cut(cut); }
 
+void FaultProxy::Hold(bool hold) { impl_->Hold(hold); }
+
 void FaultProxy::InjectFaults(bool inject) { impl_->InjectFaults(inject); }
 
 std::map<LinkFault, int> FaultProxy::injected() const { return impl_->injected(); }
--- a/tests/fault_proxy.h
+++ b/tests/fault_proxy.h
@@ -90,6 +90,10 @@
   // carry one are reset, and new ones, too.
   void Cut(bool cut);
 
+  // Until this is called with `false` again, no byte passes in either direction and connections
+  // stay open. What was held passes then.
+  void Hold(bool hold);
+
   // How often each fault was injected.
   std::map<LinkFault, int> injected() const;
 
--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -1,5 +1,9 @@
 #include "platform_fleet.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/algorithm/string/replace.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -131,8 +135,37 @@
   return std::move(CallAll(std::move(calls)).front());
 }
 
+SilentPort::SilentPort() {
+  constexpr int kFillers = 3;
+  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  sockets_.push_back(listener);
+  const bool listens = ::bind(listener, reinterpret_cast<const sockaddr*>(&address), size) == 0 &&
+                       ::listen(listener, 0) == 0 &&
+                       ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+  if (!listens) throw std::runtime_error("no port without an answer");
+  port_ = ntohs(address.sin_port);
+  // The system drops what arrives while the queue of the listener is full.
+  for (int i = 0; i < kFillers; ++i) {
+    sockets_.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    static_cast<void>(
+        ::connect(sockets_.back(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
+  }
+}
+
+SilentPort::~SilentPort() {
+  for (const int socket : sockets_) ::close(socket);
+}
+
 PlatformFleet::PlatformFleet(PlatformFleetOptions options)
     : options_(std::move(options)), ports_(FreePorts(4)) {
+  // Gateways listen for each other's requests on the port after that for peers.
+  while (std::find(ports_.begin(), ports_.end(), ports_[2] + 1) != ports_.end()) {
+    ports_ = FreePorts(4);
+  }
   std::string pattern = (std::filesystem::temp_directory_path() / "mimosabend-XXXXXX").string();
   if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("mkdtemp failed");
   directory_ = pattern;
@@ -162,6 +195,17 @@
     StartEndpoint(&endpoint);
     endpoints_.push_back(std::move(endpoint));
   }
+  for (int i = 0; options_.cut_endpoints && i < options_.gateways; ++i) {
+    FaultProxyOptions sound;
+    sound.reset_connection_rate = 0;
+    cut_proxies_.push_back(std::make_unique<FaultProxy>(sound));
+    cut_proxy_ports_.emplace_back();
+    for (const Endpoint& endpoint : endpoints_) {
+      cut_proxy_ports_.back().push_back(
+          cut_proxies_.back()->Forward({"127.0.0.1", endpoint.registered_port}));
+    }
+  }
+  if (options_.cut_endpoints) silent_port_ = std::make_unique<SilentPort>();
   restart_thread_ = std::thread([this] { RestartEndpoints(); });
   if (options_.caller_faults) {
     caller_proxy_ = std::make_unique<FaultProxy>(*options_.caller_faults);
@@ -415,14 +459,12 @@
   const std::string config = (directory_ / (name + ".ini")).string();
   const std::string log = Log(name + "-" + std::to_string(++gateway_starts_.at(index)));
   std::vector<std::string> command{GatewayProgram(), "gateway", "--config=" + config};
-  if (options_.restore_store) {
-    // All gateways name the same store, since their messages are signed with a key that follows
-    // from its address. Each reaches it through a proxy of its own.
-    const std::string redirection =
-        std::to_string(store_->address().port) + ":" + std::to_string(store_proxy_ports_.at(index));
+  const std::string redirections = Redirections(index);
+  if (!redirections.empty()) {
     command.insert(command.begin(),
                    {"/usr/bin/env", "LD_PRELOAD=" + Program("tests/libredirect_connect.so"),
-                    "MIMOSABEND_REDIRECT_CONNECT=" + redirection});
+                    "MIMOSABEND_REDIRECT_CONNECT=" + redirections,
+                    "MIMOSABEND_REDIRECT_ALL=" + CutFile(index)});
   }
   gateways_.at(index) = std::make_unique<Process>(
       command.front(), std::vector<std::string>(command.begin() + 1, command.end()), log, false);
@@ -437,6 +479,32 @@
   if (!started) throw std::runtime_error(name + " is not ready");
 }
 
+// The proxies through which a gateway connects: to the store, since all gateways name the same one
+// (their messages are signed with a key that follows from its address), and to the endpoints.
+std::string PlatformFleet::Redirections(int gateway) const {
+  std::string redirections;
+  const auto add = [&](std::uint16_t from, std::uint16_t to) {
+    if (!redirections.empty()) redirections += ",";
+    redirections += std::to_string(from) + ":" + std::to_string(to);
+  };
+  if (options_.restore_store) add(store_->address().port, store_proxy_ports_.at(gateway));
+  if (!options_.cut_endpoints) return redirections;
+  const std::lock_guard lock(mutex_);
+  for (const Endpoint& endpoint : endpoints_) {
+    add(endpoint.registered_port, cut_proxy_ports_.at(gateway).at(endpoint.index));
+  }
+  return redirections;
+}
+
+void PlatformFleet::CutFromEndpoints(int gateway, EndpointCut cut) {
+  cut_proxies_.at(gateway)->Hold(cut == EndpointCut::kHang);
+  cut_proxies_.at(gateway)->Cut(cut == EndpointCut::kReset);
+  std::uint16_t port = 0;
+  if (cut == EndpointCut::kHang) port = silent_port_->port();
+  if (cut == EndpointCut::kRefuseNew) port = FreePorts(1).front();
+  std::ofstream(CutFile(gateway)) << port;
+}
+
 double PlatformFleet::Metric(int index, const std::string& name) {
   HttpCall call;
   call.address = {HostOf(index), ports_[3]};
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -55,12 +55,21 @@
   int store_page_items = 500;
   // Whether the store keeps copies of its contents, and gateways can be cut off from it.
   bool restore_store = false;
+  // Whether gateways can be cut off from the endpoints.
+  bool cut_endpoints = false;
   // If set, gateways run with the settings file of deploy/, filled in for such a host.
   std::optional<DeployedHost> host;
   // If set, the operator's configuration names these limits.
   std::optional<HttpLimits> limits;
 };
 
+// What becomes of a gateway's connections to all endpoints. kHang: no byte passes, and new ones are
+// not answered. kReset: they are reset, new ones too. kRefuseNew: they live on, new ones are
+// refused.
+enum class EndpointCut : std::uint8_t { kNone, kHang, kReset, kRefuseNew };
+inline constexpr NameTable<EndpointCut, 4> kEndpointCutNames{
+    {"none", "hang", "reset", "refuse new"}};
+
 // An order that an engine accepted.
 struct AcceptedOrder {
   MonotonicTime at;
@@ -93,6 +102,22 @@
   std::optional<WallTime> end;
 };
 
+// A port of the loopback address at which connections are neither accepted nor refused.
+class SilentPort {
+ public:
+  SilentPort();
+  ~SilentPort();
+  SilentPort(const SilentPort&) = delete;
+  SilentPort& operator=(const SilentPort&) = delete;
+
+  std::uint16_t port() const { return port_; }
+
+ private:
+  std::uint16_t port_ = 0;
+  // The listener, and the connections that fill its queue.
+  std::vector<int> sockets_;
+};
+
 // Runs gateways as processes, with stand-ins for the platform: its store, engines that hold the
 // model "m", and plain endpoints. Endpoints that exit are restarted under another id. The
 // destructor ends all processes. The environment variable MIMOSABEND_TEST_GATEWAY names another
@@ -131,6 +156,8 @@
   // Cuts the connections between a gateway and the store, or allows them again. Precondition:
   // `restore_store`.
   void CutFromStore(int gateway, bool cut);
+  // Cuts a gateway off from all endpoints. Precondition: `cut_endpoints`.
+  void CutFromEndpoints(int gateway, EndpointCut cut);
   // Makes an endpoint delete its entry. It still answers requests.
   void LetLeave(int endpoint);
   // The orders that engines accepted, by time. Precondition: `extra_models`.
@@ -186,6 +213,11 @@
   std::string RunLog() const { return (directory_ / "runs").string(); }
   std::string OrderLog() const { return (directory_ / "orders").string(); }
   std::string ArrivalLog() const { return (directory_ / "arrivals").string(); }
+  // Names the port that replaces the endpoints' ones for new connections of a gateway.
+  std::string CutFile(int gateway) const {
+    return (directory_ / ("cut-" + std::to_string(gateway))).string();
+  }
+  std::string Redirections(int gateway) const;
   std::string Log(const std::string& name) const { return (directory_ / (name + ".log")).string(); }
 
   PlatformFleetOptions options_;
@@ -198,6 +230,10 @@
   std::vector<std::unique_ptr<FaultProxy>> store_proxies_;
   std::vector<std::uint16_t> store_proxy_ports_;
   std::unique_ptr<FaultProxy> endpoint_proxy_;
+  // Between each gateway and the endpoints, with the ports by endpoint.
+  std::vector<std::unique_ptr<FaultProxy>> cut_proxies_;
+  std::vector<std::vector<std::uint16_t>> cut_proxy_ports_;
+  std::unique_ptr<SilentPort> silent_port_;
   std::unique_ptr<FaultProxy> caller_proxy_;
   // Ports of the proxy by gateway.
   std::vector<std::uint16_t> caller_proxy_ports_;
