Keep connections to endpoints that are silent for a moment

Cause: TCP_USER_TIMEOUT decides when keep-alive probes give up, whatever their count. With 1.5 s and a probe every 2 s, the first lost probe ended the connection: an endpoint that was silent for a second while it worked lost its requests. Change: probes every second and a time-out of 3.5 s, so that three probes in a row must be lost. A vanished host is noticed after 4 s, as before; data that is not acknowledged now ends a connection after 3.5 s and no longer after 1.5 s.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -81,8 +81,7 @@
 // Requests that still wait are refused this long before the end.
 constexpr milliseconds kRefusalMargin{500};
 constexpr HttpLimits kInternalLimits{64, 8192, 8192, milliseconds(15000)};
-// Bound the time until the loss of a peer's host or of the link is detected.
-constexpr HttpClientOptions kEndpointOptions{milliseconds(1500), seconds(2)};
+// Bounds the time until the loss of the store's host or of the link is detected.
 constexpr HttpClientOptions kStoreOptions{milliseconds(1500), seconds(1)};
 // Part of the fleet's retry limits that the daemons use: each learns late how many others there
 // are.
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -76,13 +76,28 @@
 // TCP settings that detect a peer that vanished without closing its connections. Zero keeps the
 // system's default.
 struct HttpClientOptions {
-  // Longest time that sent data may remain unacknowledged (TCP_USER_TIMEOUT).
+  // Longest time that sent data may remain unacknowledged (TCP_USER_TIMEOUT). It also decides when
+  // keep-alive probes give up, whatever their number.
   milliseconds unacknowledged_timeout{0};
-  // Idle time after which a keep-alive probe is sent; the connection is dropped if the probe is not
-  // answered within the same time.
+  // Idle time after which a keep-alive probe is sent, and time between two probes.
   seconds keep_alive{0};
+
+  // Keep-alive probes in a row that must stay unanswered until the connection is dropped. Linux
+  // drops it when a probe is due, one is unanswered, and the connection has been idle for
+  // `unacknowledged_timeout`.
+  constexpr int LostProbesToDrop() const {
+    if (unacknowledged_timeout.count() == 0 || keep_alive.count() == 0) return 1;
+    const auto period = std::chrono::duration_cast<milliseconds>(keep_alive).count();
+    const auto periods = (unacknowledged_timeout.count() + period - 1) / period;
+    return periods > 2 ? static_cast<int>(periods) - 1 : 1;
+  }
 };
 
+// For connections to endpoints. A sound one may be silent for a second or so and go on, so several
+// lost probes and retransmissions are tolerated.
+inline constexpr HttpClientOptions kEndpointOptions{milliseconds(3500), seconds(1)};
+static_assert(kEndpointOptions.LostProbesToDrop() >= 3);
+
 // A complete response.
 struct HttpReply {
   int status = 0;
