--- a/src/request_forwarder.cpp
+++ b/src/request_forwarder.cpp
@@ -1,5 +1,6 @@
 #include "request_forwarder.h"
 
+#include <array>
 #include <boost/beast/core/string.hpp>
 #include <charconv>
 
@@ -77,10 +78,10 @@
 std::string RequestForwarder::MacOf(const std::string& sender_and_time,
                                     const HttpRequest& request) const {
   const std::string id_header = platform::RequestIdHeader("").first;
+  const std::array<std::string_view, 4> parts{request.method, request.target,
+                                              request.header("Host"), request.header(id_header)};
   std::string data = sender_and_time;
-  for (const std::string_view part :
-       {std::string_view(request.method), std::string_view(request.target), request.header("Host"),
-        request.header(id_header)}) {
+  for (const std::string_view part : parts) {
     data += '\n';
     data += part;
   }
--- a/tests/test_relay_forward.cpp
+++ b/tests/test_relay_forward.cpp
@@ -219,7 +219,8 @@
   HttpCall call = gateway.relay.MakeCall("/order/");
   call.address = {kHelperHost, gateway.port};
   call.deadline = MonotonicNow() + milliseconds(200);
-  CHECK_FALSE(gateway.relay.Send(std::move(call)));
+  const auto reply = gateway.relay.Send(std::move(call));
+  CHECK_FALSE(reply);
   gateway.relay.io.run_for(milliseconds(200));
   CHECK(left);
 }
