Take no endpoint for crashed while none is reached

Cause: an endpoint that breaks a connection and refuses the next one counts as crashed. A gateway that the network separates from all endpoints, with connections reset and new ones refused, recorded crashes of sound endpoints under sound requests and spread them to all gateways. Change: a refusal counts only if one of up to four other endpoints accepts a connection, or there is no other.

--- a/src/endpoint_prober.cpp
+++ b/src/endpoint_prober.cpp
@@ -1,6 +1,7 @@
 #include "endpoint_prober.h"
 
 #include "directory_log.h"
+#include "endpoint_reach.h"
 #include "event_loop.h"
 #include "log.h"
 #include "supervisor.h"
@@ -14,6 +15,9 @@
 constexpr milliseconds kMaxWait{60};
 // An ending process may still accept a connection before its listening socket is closed.
 constexpr milliseconds kSecondProbeDelay{25};
+// Other endpoints that are probed after one has refused a connection, and the time for each.
+constexpr std::size_t kOthersProbed = 4;
+constexpr milliseconds kOtherTimeout{100};
 
 }  // namespace
 
@@ -43,6 +47,21 @@
   co_return correlator_->HasEnded(number);
 }
 
+// Whether one of a few other endpoints accepts connections, or there is no other.
+Task<bool> EndpointProber::ReachesAnother(std::string endpoint) {
+  std::vector<FleetEndpoint> others;
+  for (const auto& [id, entry] : directory_->entries()) {
+    if (id != endpoint) others.push_back(entry.endpoint);
+  }
+  const bool single = others.empty();
+  const auto targets = ChooseProbeTargets(std::move(others), kOthersProbed, ++seed_);
+  for (const FleetEndpoint& target : targets) {
+    const Reachability reachability = co_await client_->Probe(target.address, kOtherTimeout);
+    if (reachability == Reachability::kAccepts) co_return true;
+  }
+  co_return single;
+}
+
 Task<void> EndpointProber::Probe(FleetEndpoint endpoint, std::uint32_t number,
                                  std::shared_ptr<Notifier> done) {
   Reachability reachability = co_await client_->Probe(endpoint.address, kConnectTimeout);
@@ -50,12 +69,17 @@
     co_await Sleep(kSecondProbeDelay);
     reachability = co_await client_->Probe(endpoint.address, kConnectTimeout);
   }
+  bool ended = false;
+  if (reachability == Reachability::kRefuses) {
+    const bool reaches_another = co_await ReachesAnother(endpoint.id);
+    ended = reaches_another;
+  }
   LOG4CPLUS_INFO(Log(), "probed after a lost connection: endpoint="
                             << endpoint.id << " started_ms=" << endpoint.started_ms
-                            << " new connections=" << kReachabilityNames[reachability]);
+                            << " new connections=" << kReachabilityNames[reachability]
+                            << " ended=" << ended);
   const bool expected_to_stay = directory_->IsExpectedToStay(endpoint.id, endpoint.started_ms);
-  if (reachability == Reachability::kRefuses && expected_to_stay)
-    correlator_->RecordEnd(number, MonotonicNow());
+  if (ended && expected_to_stay) correlator_->RecordEnd(number, MonotonicNow());
   probes_.erase(number);
   done->NotifyAll();
 }
--- a/src/endpoint_prober.h
+++ b/src/endpoint_prober.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <string>
 
 #include "crash_correlator.h"
 #include "fleet_directory.h"
@@ -14,8 +15,9 @@
 
 // Determines whether an endpoint that broke off a request has ended, by connecting to it. An
 // address without a process refuses connections; an endpoint that only lost a connection accepts
-// them. A process that is about to end may still accept one, so a successful probe is repeated. Not
-// thread-safe.
+// them. A process that is about to end may still accept one, so a successful probe is repeated. A
+// refusal says nothing while other endpoints can't be reached either: a network that separates this
+// daemon from all of them may refuse connections, too. Not thread-safe.
 class EndpointProber {
  public:
   // Precondition: all pointers outlive this object and its calls.
@@ -32,11 +34,14 @@
   Task<bool> HasEnded(FleetEndpoint endpoint);
 
  private:
+  Task<bool> ReachesAnother(std::string endpoint);
   Task<void> Probe(FleetEndpoint endpoint, std::uint32_t number, std::shared_ptr<Notifier> done);
 
   HttpClient* client_;
   const FleetDirectory* directory_;
   CrashCorrelator* correlator_;
+  // Varies the endpoints that are probed beside one that refuses connections.
+  std::uint64_t seed_ = 0;
   // Probes in progress, by EndpointNumber.
   std::map<std::uint32_t, std::shared_ptr<Notifier>> probes_;
 };
--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -498,10 +498,10 @@
 
 void PlatformFleet::CutFromEndpoints(int gateway, EndpointCut cut) {
   cut_proxies_.at(gateway)->Hold(cut == EndpointCut::kHang);
-  cut_proxies_.at(gateway)->Cut(cut == EndpointCut::kReset);
+  cut_proxies_.at(gateway)->Cut(cut == EndpointCut::kReset || cut == EndpointCut::kRefuse);
   std::uint16_t port = 0;
   if (cut == EndpointCut::kHang) port = silent_port_->port();
-  if (cut == EndpointCut::kRefuseNew) port = FreePorts(1).front();
+  if (cut == EndpointCut::kRefuse || cut == EndpointCut::kRefuseNew) port = FreePorts(1).front();
   std::ofstream(CutFile(gateway)) << port;
 }
 
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -64,11 +64,11 @@
 };
 
 // What becomes of a gateway's connections to all endpoints. kHang: no byte passes, and new ones are
-// not answered. kReset: they are reset, new ones too. kRefuseNew: they live on, new ones are
-// refused.
-enum class EndpointCut : std::uint8_t { kNone, kHang, kReset, kRefuseNew };
-inline constexpr NameTable<EndpointCut, 4> kEndpointCutNames{
-    {"none", "hang", "reset", "refuse new"}};
+// not answered. kReset: they are reset, new ones after they were accepted. kRefuse: they are reset,
+// new ones are refused. kRefuseNew: they live on, new ones are refused.
+enum class EndpointCut : std::uint8_t { kNone, kHang, kReset, kRefuse, kRefuseNew };
+inline constexpr NameTable<EndpointCut, 5> kEndpointCutNames{
+    {"none", "hang", "reset", "refuse", "refuse new"}};
 
 // An order that an engine accepted.
 struct AcceptedOrder {
--- a/tests/test_partitioned_gateway.cpp
+++ b/tests/test_partitioned_gateway.cpp
@@ -176,6 +176,10 @@
                     << " after the cut; most runs " << MostRuns(fleet.Runs()));
   CHECK(ServedShare(sent, cut_off, returned, MonotonicTime::max()) == 1);
   CHECK(passed_on_later == passed_on);
+  // A gateway must not take endpoints for crashed that it doesn't reach.
+  for (int i = 0; i < kGateways; ++i) {
+    CHECK(fleet.Metric(i, "mimosabend_gateway_crash_suspects") == 0);
+  }
   CHECK(MostRuns(fleet.Runs()) <= 1);
 }
 
@@ -191,6 +195,10 @@
   CutOff(EndpointCut::kReset, 1, 1);
 }
 
+TEST_CASE("a gateway whose connections to endpoints end and are refused", "[partitioned_gateway]") {
+  CutOff(EndpointCut::kRefuse, 1, 1);
+}
+
 TEST_CASE("a gateway whose new connections to endpoints are refused", "[partitioned_gateway]") {
   CutOff(EndpointCut::kRefuseNew, 1, 1);
 }
