--- a/tests/test_gateway_settings.cpp
+++ b/tests/test_gateway_settings.cpp
@@ -51,6 +51,20 @@
         "test.ini:15: [quotas] order: unknown value '-1' (use one of: equal, priority)");
 }
 
+// Guards against a gateway that listens for other gateways' requests where these don't send them.
+TEST_CASE("the address for forwarded requests follows from that for peers", "[settings]") {
+  const auto settings =
+      ParseGatewaySettings("test.ini", Settings(""), {"listen.peer=127.0.0.1:30"});
+  REQUIRE(settings);
+  CHECK(settings.value().forward_address == Address{"127.0.0.1", 31});
+  const auto other =
+      ParseGatewaySettings("test.ini", Settings(""), {"listen.forward=127.0.0.1:40"});
+  CHECK(other.value().forward_address == Address{"127.0.0.1", 40});
+  const auto invalid = ParseGatewaySettings("test.ini", Settings(""), {"listen.forward=nowhere"});
+  REQUIRE_FALSE(invalid);
+  CHECK(invalid.error().front().key == "forward");
+}
+
 // Guards against a daemon that asks itself for the fleet's state, or connects to a port of a seed
 // that is not its peer port, and against a failure without seeds.
 TEST_CASE("seeds are contacted on the peer port", "[settings]") {
