Let relays pass on that no gateway reaches a service

The leader's answer that no gateway is less cut off did not reach gateways behind relays; they would have refused requests at once while endpoints were down for all. Not shown by a test: fleets of that size are simulated only.

--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -356,12 +356,20 @@
     answer->helpers_complete = complete;
   }
 
+  bool HelpersAreCurrent(MonotonicTime now) const { return now - helpers_at_ < kHelpersLifetime; }
+
+  // Whether the leader has said that no daemon reaches more than those that report through this
+  // one.
+  bool NobodyHelps(MonotonicTime now) const {
+    return HelpersAreCurrent(now) && helpers_complete_ && helpers_.empty();
+  }
+
   // The daemons that a relay can name: itself, those that report through it, and those that the
   // leader has named.
   std::vector<DaemonInfo> KnownDaemons(MonotonicTime now) const {
     std::vector<DaemonInfo> daemons = aggregator_.Daemons();
     daemons.push_back(SelfInfo());
-    if (now - helpers_at_ >= kHelpersLifetime) return daemons;
+    if (!HelpersAreCurrent(now)) return daemons;
     for (const Address& helper : helpers_) {
       const bool known = std::any_of(daemons.begin(), daemons.end(),
                                      [&](const auto& daemon) { return daemon.address == helper; });
@@ -380,6 +388,7 @@
   void AdoptHelpers(const UsageAnswer& answer, MonotonicTime now) {
     if (answer.helpers.empty() && !answer.helpers_complete) return;
     helpers_ = answer.helpers;
+    helpers_complete_ = answer.helpers_complete;
     helpers_at_ = now;
     if (settings_.set_helpers) settings_.set_helpers(helpers_, answer.helpers_complete, now);
   }
@@ -561,7 +570,7 @@
     if (report.urgent) report_is_urgent_ = true;
     if (report.urgent || aggregator_.HasWaiting(now)) parts_.usage->waiting_began().NotifyAll();
     answer.accepted = true;
-    AddHelpers(report, KnownDaemons(now), false, &answer);
+    AddHelpers(report, KnownDaemons(now), NobodyHelps(now), &answer);
     answer.quota = parts_.quota->Shares();
     answer.quota_known = parts_.quota->HasValidShares(now);
     answer.leader = state.MakeLeaderNotice(now);
@@ -612,6 +621,7 @@
   MonotonicTime last_search_at_;
   // Daemons to which requests may be passed on, as last named, and when.
   std::vector<Address> helpers_;
+  bool helpers_complete_ = false;
   MonotonicTime helpers_at_;
   // Used while this daemon leads; reset when the fence changes.
   QuotaAllocator quota_allocator_;
