--- a/tests/test_partitioned_gateway.cpp
+++ b/tests/test_partitioned_gateway.cpp
@@ -1,3 +1,5 @@
+#include <signal.h>
+
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
@@ -209,4 +211,28 @@
   CutOff(EndpointCut::kHang, 2, 2);
 }
 
+// Guards against a helper that stops and cuts off requests that were passed on to it.
+TEST_CASE("a helper is drained", "[partitioned_gateway]") {
+  PlatformFleetOptions options;
+  options.gateways = kGateways;
+  options.engines = 3;
+  options.plain_endpoints = 3;
+  options.engine_flags = {"--events=10", "--event_gap_ms=50"};
+  options.cut_endpoints = true;
+  PlatformFleet fleet(options);
+  const int leader = std::max(fleet.Leader(), 0);
+  const int cut_off = (leader + 1) % kGateways;
+  const int helper = (leader + 2) % kGateways;
+  fleet.CutFromEndpoints(cut_off, EndpointCut::kRefuse);
+  std::this_thread::sleep_for(kContactTime);
+  Callers callers(&fleet);
+  std::this_thread::sleep_for(seconds(1));
+  fleet.gateway(helper).Signal(SIGTERM);
+  std::this_thread::sleep_for(seconds(5));
+  const std::vector<SentRequest> sent = callers.Finish();
+  const double served = ServedShare(sent, {cut_off}, MonotonicTime(), MonotonicTime::max());
+  WARN("served " << served << " where cut off");
+  CHECK(served == 1);
+}
+
 }  // namespace mimosabend::testing
