Go on with a stream only at the software version that began it

Cause: no code read the version of an endpoint's software, or the header Resumes. A stream went on wherever there was room: in the gateway's own second attempt, and when its caller took it up at another gateway.

Ruled out: that only take-ups, or only those after the loss of all gateways, go wrong.

Change: the version is part of an endpoint's record. Once a stream has begun, endpoints of other versions are no candidates. Gateways report the streams that begin there to the placement leader, unless they know that a single version has served; the leader answers for streams that are taken up, and keeps in the store which versions may have begun streams and, while a service has several, which streams they began.

Messages between daemons have new fields: gateways of this commit and of earlier ones do not understand each other's reports.

Tests of the decoders, headers and entries get the new fields. The engine stand-in registers a version and adds it to its events if asked to.

--- a/src/directory_log.cpp
+++ b/src/directory_log.cpp
@@ -22,6 +22,7 @@
   endpoint.slots = change.slots;
   endpoint.state = change.state;
   endpoint.started_ms = change.started_ms;
+  endpoint.software = change.software;
   return endpoint;
 }
 
@@ -73,9 +74,10 @@
                                                StoreRevision revision) {
   const auto known = entries_.find(endpoint.id);
   if (known != entries_.end() && known->second.revision > revision) return endpoint.state;
-  const EndpointRecord entry = Reconcile(
-      {endpoint.id, revision, false, endpoint.service, endpoint.address, endpoint.failure_domain,
-       endpoint.slots, endpoint.state, endpoint.started_ms, MayBeRestored(revision), revision});
+  const EndpointRecord entry =
+      Reconcile({endpoint.id, revision, false, endpoint.service, endpoint.address,
+                 endpoint.failure_domain, endpoint.slots, endpoint.state, endpoint.started_ms,
+                 MayBeRestored(revision), revision, endpoint.software});
   SetEntry(entry);
   return entry.gone ? std::nullopt : std::optional(entry.state);
 }
--- a/src/directory_log.h
+++ b/src/directory_log.h
@@ -35,6 +35,7 @@
   bool restored = false;
   // The last known write of the entry; differs from `revision` if that is the deletion.
   StoreRevision written{};
+  std::string software{};
 
   auto operator<=>(const EndpointRecord&) const = default;
 
@@ -50,6 +51,7 @@
     revision.serialize(archive);
     written.serialize(archive);
     archive(address.port, slots, started_ms);
+    SerializeName(archive, software);
   }
 };
 
--- a/src/fleet_endpoint.h
+++ b/src/fleet_endpoint.h
@@ -50,6 +50,8 @@
   EngineHoldings holdings;
   // Unix time of the start. An endpoint may restart under the same id and then holds nothing.
   std::int64_t started_ms = 0;
+  // Version of the endpoint's software, not of the weights that it serves.
+  std::string software;
 };
 
 // An engine's report of its state. It may be a few hundred milliseconds old.
--- a/src/fleet_usage.h
+++ b/src/fleet_usage.h
@@ -16,6 +16,7 @@
 #include "quota_usage.h"
 #include "relay_plan.h"
 #include "store_era.h"
+#include "stream_versions.h"
 
 namespace mimosabend {
 
@@ -169,6 +170,8 @@
   std::vector<LimitNotice> limits;
   EvidenceMessage evidence;
   std::vector<QuotaUsage> quota;
+  // Streams that have begun at the daemon, as far as the leader may need their versions.
+  std::vector<StreamOrigins> streams;
   // Relays should forward the quota use to the leader without delay.
   bool urgent = false;
 
@@ -186,6 +189,7 @@
     SerializeList(archive, runs);
     evidence.serialize(archive);
     SerializeList(archive, quota);
+    SerializeList(archive, streams);
     SerializeFlag(archive, urgent);
   }
 };
@@ -416,6 +420,30 @@
   }
 };
 
+// Asks the leader which software version began a stream. TCP.
+struct StreamOriginRequest {
+  static constexpr PeerMessageType kType = PeerMessageType::kStreamOriginRequest;
+  std::string service;
+  // See StreamKey.
+  std::uint64_t key = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SerializeText(archive, service);
+    archive(key);
+  }
+};
+
+struct StreamOriginAnswer {
+  static constexpr PeerMessageType kType = PeerMessageType::kStreamOriginAnswer;
+  StreamOrigin origin;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    origin.serialize(archive);
+  }
+};
+
 }  // namespace mimosabend
 
 #endif  // MIMOSABEND_FLEET_USAGE_H_
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -36,6 +36,8 @@
 #include "relay_handler.h"
 #include "startup.h"
 #include "state_sync.h"
+#include "stream_record.h"
+#include "stream_versions.h"
 #include "supervisor.h"
 #include "suspension.h"
 #include "view_age.h"
@@ -140,6 +142,8 @@
   bool AdoptConfig(const std::string& raw_text, const std::string& source);
   void PutItem(const KvItem& item, MonotonicTime now);
   void PutEndpoint(FleetEndpoint endpoint, MonotonicTime read_at);
+  void RecordVersion(const FleetEndpoint& endpoint, MonotonicTime now);
+  void RecordVersions(MonotonicTime now);
   void ConfirmReading();
   void BeginEra(std::uint32_t era);
   StateHooks MakeStateHooks();
@@ -184,6 +188,7 @@
   UsageCollector usage_;
   QuotaMeter quota_;
   EndpointLimits limits_;
+  StreamVersions streams_;
   CrashEvidence evidence_;
   PartEvidence part_evidence_;
   CrashCorrelator crash_correlator_;
@@ -193,6 +198,7 @@
   Leader leader_;
   PeerClient peer_client_;
   PeerServer peer_server_;
+  StreamRecord<PlatformStore> stream_record_;
   StateSync sync_;
   Finder finder_;
   Link link_;
@@ -244,6 +250,7 @@
                 RandomId()),
       usage_(io->get_executor()),
       quota_([this] { link_.ReportAtOnce(); }),
+      streams_(MonotonicNow()),
       part_evidence_(RandomId()),
       crash_correlator_(&evidence_, &part_evidence_),
       prober_(&endpoint_client_, &directory_, &crash_correlator_),
@@ -257,13 +264,17 @@
       peer_client_(io->get_executor(), {settings.name, fleet_key_, {}}, &metrics_),
       peer_server_(io->get_executor(), {settings.name, fleet_key_, {}}, &metrics_,
                    [this](Envelope request) { return HandlePeer(std::move(request)); }),
+      stream_record_(&store_, &streams_,
+                     [this](MonotonicTime now) {
+                       return leader_.IsLeader(now) ? leader_.fence() : std::uint64_t{0};
+                     }),
       sync_(io->get_executor(), &peer_client_, &state_, &directory_, &usage_, &exchange_,
             MakeStateHooks()),
       finder_(&store_, &lease_, &peer_client_, &leader_, &state_, MakeDaemonInfo(settings).capacity,
               RandomId()),
       link_(MakeLinkSettings(),
             {&peer_client_, &leader_, &finder_, &state_, &sync_, &directory_, &stats_, &usage_,
-             &exchange_, &quota_, &limits_},
+             &exchange_, &quota_, &limits_, &streams_},
             RandomId()),
       reach_(
           &endpoint_client_, &directory_,
@@ -277,7 +288,7 @@
                  [this] { return link_.Contacts(); }),
       relay_({&endpoint_client_, &directory_, &stats_, &prefixes_, &selector_, &usage_,
               &relay_metrics_, &evidence_, &part_evidence_, &prober_, &quota_, &limits_,
-              MakePlacementHooks(), &memory_, &forwarder_},
+              MakePlacementHooks(), &memory_, &forwarder_, &streams_},
              RandomId()),
       config_watcher_(io->get_executor(), &store_, PlatformStore::config_key(), kConfigBatchDelay,
                       ConfigHandlers()),
@@ -330,6 +341,11 @@
     const PermitAnswer answer = co_await link_.RequestPermit(request);
     co_return answer;
   };
+  hooks.find_stream_origin = [this](StreamOriginRequest request) -> Task<StreamOrigin> {
+    const StreamOrigin origin = co_await link_.FindStreamOrigin(std::move(request));
+    if (origin.state == OriginState::kNoAnswer) stream_record_.RequestRead();
+    co_return origin;
+  };
   hooks.load_end = [this](const std::string& model) -> std::optional<MonotonicTime> {
     return link_.LoadEnd(model);
   };
@@ -399,6 +415,7 @@
                    "configuration " << version << " is older than the one in force, ignored");
     return false;
   }
+  RecordVersions(MonotonicNow());
   if (known) return true;
   if (version > 0) state_.SetConfig(MultipartDocument(version, SplitJsonDocument(text)));
   caller_limits_ = limits;
@@ -438,6 +455,7 @@
   const bool draining = endpoint.state == EndpointState::kDraining;
   const bool drains_now =
       draining && (known == nullptr || known->endpoint.state != EndpointState::kDraining);
+  RecordVersion(endpoint, MonotonicNow());
   const bool created = directory_.Put(std::move(endpoint), read_at);
   if (created) {
     stats_.Forget(id);
@@ -452,6 +470,20 @@
   }
 }
 
+// Records that the software version of an endpoint serves. Services that are not configured have no
+// streams.
+void Gateway::RecordVersion(const FleetEndpoint& endpoint, MonotonicTime now) {
+  const auto config = directory_.config();
+  if (config == nullptr || config->FindService(endpoint.service) == nullptr) return;
+  if (!streams_.RecordServing(endpoint.service, endpoint.software, now)) return;
+  LOG4CPLUS_INFO(Log(), "service " << endpoint.service << " has the software version \""
+                                   << endpoint.software << "\"");
+}
+
+void Gateway::RecordVersions(MonotonicTime now) {
+  for (const auto& [id, entry] : directory_.entries()) RecordVersion(entry.endpoint, now);
+}
+
 // Updates the time at which the store is known to have held the configuration and the endpoints.
 void Gateway::ConfirmReading() {
   const auto confirmed = [this](const PrefixWatcher<PlatformStore>& watcher) {
@@ -605,6 +637,12 @@
     co_return Wrap(link_.DecidePermit(message.value(), MonotonicNow()), settings_.name, 0,
                    WallNow());
   }
+  if (request.type == PeerMessageType::kStreamOriginRequest) {
+    auto message = Unwrap<StreamOriginRequest>(request);
+    if (!message) co_return outcome::failure(message.error());
+    co_return Wrap(link_.AnswerStreamOrigin(message.value(), MonotonicNow()), settings_.name, 0,
+                   WallNow());
+  }
   co_return outcome::failure(PeerError::kUnknownType);
 }
 
@@ -623,6 +661,8 @@
     state_.holdings().KeepIf(is_known);
     limits_.KeepIf(is_known);
     limits_.PruneExpired(MonotonicNow());
+    RecordVersions(MonotonicNow());
+    streams_.PruneExpired(MonotonicNow());
     ConfirmReading();
     ApplyRetryLimits();
     HandOverIfCutOff(MonotonicNow());
@@ -696,6 +736,7 @@
     relay_metrics_.cut_off_services->Set(static_cast<double>(reach_.cut_off()));
     relay_metrics_.limited_endpoints->Set(static_cast<double>(limits_.size()));
     relay_metrics_.invalid_entries->Set(static_cast<double>(invalid_entries_.size()));
+    relay_metrics_.stream_origins->Set(static_cast<double>(streams_.streams()));
     relay_metrics_.endpoints->Set(static_cast<double>(directory_.entries().size()));
     relay_metrics_.requests_in_flight->Set(static_cast<double>(relay_.in_flight()));
     relay_metrics_.leads_placement->Set(leader_.IsLeader(MonotonicNow()) ? 1 : 0);
@@ -880,6 +921,7 @@
   supervisor_.Start("view requests", [this] { return link_.RunViewRequests(); });
   supervisor_.Start("endpoint reach", [this] { return reach_.Run(); });
   supervisor_.Start("placement leader", [this] { return leader_.Run(); });
+  supervisor_.Start("stream versions", [this] { return stream_record_.Run(); });
   supervisor_.Start("tick", [this] { return RunHousekeeping(); });
   supervisor_.Start("metrics", [this] { return UpdateMetrics(); });
   LOG4CPLUS_INFO(Log(), "started, serving requests at " << ToString(settings_.caller_address));
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -27,6 +27,7 @@
 #include "quota_meter.h"
 #include "report_aggregator.h"
 #include "state_sync.h"
+#include "stream_versions.h"
 #include "uplink.h"
 #include "usage_collector.h"
 #include "view_age.h"
@@ -79,6 +80,8 @@
     EvidenceExchange* evidence;
     QuotaMeter* quota;
     EndpointLimits* limits;
+    // May be null.
+    StreamVersions* streams = nullptr;
   };
 
   LeaderLink(LinkSettings settings, Parts parts, std::uint64_t seed)
@@ -193,6 +196,30 @@
     return contacts;
   }
 
+  // Finds out which software version began a stream, from this daemon's records or from the leader.
+  Task<StreamOrigin> FindStreamOrigin(StreamOriginRequest request) {
+    const MonotonicTime now = MonotonicNow();
+    const StreamOrigin own =
+        parts_.streams->Find(request.service, request.key, ViewIsCurrent(now), now);
+    const bool leads = parts_.leader->IsLeader(now);
+    if (leads || own.state == OriginState::kKnown) co_return own;
+    // Only the leader says that a stream is unknown.
+    StreamOrigin origin;
+    const std::optional<Address> leader = KnownLeader();
+    if (!leader) co_return origin;
+    auto answer =
+        co_await parts_.peers->template Call<StreamOriginAnswer>(*leader, request, kOriginTimeout);
+    if (answer) origin = answer.value().origin;
+    co_return origin;
+  }
+
+  // Answers another daemon's question for a stream. Has no answer unless this daemon leads.
+  StreamOriginAnswer AnswerStreamOrigin(const StreamOriginRequest& request,
+                                        MonotonicTime now) const {
+    if (!parts_.leader->IsLeader(now)) return {};
+    return {parts_.streams->Find(request.service, request.key, ViewIsCurrent(now), now)};
+  }
+
   // Number of daemons that report to the leader, as last reported by it; at least 1.
   std::uint32_t daemons() const { return daemons_; }
 
@@ -226,6 +253,9 @@
   static constexpr milliseconds kPermitTimeout{300};
   // How long a relay passes on the helpers that the leader has named.
   static constexpr milliseconds kHelpersLifetime{3000};
+  static constexpr milliseconds kOriginTimeout{300};
+  // While the store can't be read, the directory counts as current if it was read within this time.
+  static constexpr milliseconds kCurrentViewAge{2000};
   // How long an endpoint with a rate limit is left alone if the leader does not answer.
   static constexpr milliseconds kPermitRetryDelay{300};
   static constexpr milliseconds kSearchPeriod{250};
@@ -296,6 +326,13 @@
     return now - parts_.state->confirmed() >= kStoreFreshness;
   }
 
+  // Whether no other daemon knows of endpoints that this one does not know of. While nobody can
+  // read the store, the leader's view is that of all daemons that report to it.
+  bool ViewIsCurrent(MonotonicTime now) const {
+    if (now - parts_.state->confirmed() < kCurrentViewAge) return true;
+    return parts_.leader->IsLeader(now) ? daemons_ > 1 : has_leader(now);
+  }
+
   Task<void> WaitForNextReport(bool answered) {
     const MonotonicTime now = MonotonicNow();
     if (parts_.usage->HasWaiting() || aggregator_.HasWaiting(now)) {
@@ -409,6 +446,7 @@
     if (answer.accepted) AddHelpers(report, parts_.leader->LiveDaemons(now), true, &answer);
     permit_issuer_.PruneExpired(now);
     quota_allocator_.AddUsage(report.quota, now);
+    if (parts_.streams != nullptr) parts_.streams->AddReport(report.streams, now);
     const auto config = parts_.directory->config();
     if (config == nullptr || !config->customers) return answer;
     answer.quota = quota_allocator_.Shares(*config->customers, settings_.quota_tolerance, now);
@@ -416,6 +454,13 @@
     return answer;
   }
 
+  // The streams that began here. A new leader is told of all that are remembered.
+  std::vector<StreamOrigins> TakeStreams() {
+    if (parts_.state->leader_fence() != streams_fence_) parts_.streams->ReportAgain();
+    streams_fence_ = parts_.state->leader_fence();
+    return parts_.streams->TakeReport(MonotonicNow());
+  }
+
   // Reports the usage of this daemon itself.
   UsageReport MakeReport() {
     UsageReport report;
@@ -441,6 +486,7 @@
     report.left = parts_.state->directory().Left();
     report.limits = parts_.limits->Notices(MonotonicNow());
     report.quota = parts_.quota->TakeUsage();
+    if (parts_.streams != nullptr) report.streams = TakeStreams();
     report.urgent = report_is_urgent_;
     report_is_urgent_ = false;
     return report;
@@ -627,6 +673,8 @@
   QuotaAllocator quota_allocator_;
   PermitIssuer permit_issuer_;
   std::uint64_t term_fence_ = 0;
+  // Fencing token of the leader to which the streams were reported.
+  std::uint64_t streams_fence_ = 0;
   bool report_is_urgent_ = false;
   bool stopping_ = false;
 };
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -58,9 +58,11 @@
   kStandDownRequest,
   kStandDownAnswer,
   kPermitRequest,
-  kPermitAnswer
+  kPermitAnswer,
+  kStreamOriginRequest,
+  kStreamOriginAnswer
 };
-inline constexpr std::uint8_t kPeerMessageTypeCount = 21;
+inline constexpr std::uint8_t kPeerMessageTypeCount = 23;
 
 // Liveness probe of SWIM, sent over UDP.
 struct Ping {
--- a/src/relay_containment.cpp
+++ b/src/relay_containment.cpp
@@ -95,7 +95,7 @@
 // started.
 std::set<std::string> RelayHandler::AvoidedWithTrials(const Context& context,
                                                       MonotonicTime now) const {
-  std::set<std::string> avoided = context.AvoidedEndpoints(now);
+  std::set<std::string> avoided = ExcludedEndpoints(context, now);
   avoided.insert(trials_.busy().begin(), trials_.busy().end());
   return avoided;
 }
@@ -105,14 +105,15 @@
 std::set<std::string> RelayHandler::AvoidedEndpoints(const Context& context,
                                                      MonotonicTime now) const {
   return MustRunIsolated(context, now) ? AvoidedWithTrials(context, now)
-                                       : context.AvoidedEndpoints(now);
+                                       : ExcludedEndpoints(context, now);
 }
 
 // Whether a suspect finds endpoints that are unavailable only because other suspects reserve them.
 bool RelayHandler::IsBusyWithTrials(const Context& context, MonotonicTime now) const {
   if (!MustRunIsolated(context, now)) return false;
   const std::string model = context.service->engine ? context.params.model : "";
-  return deps_.selector->HasEngine(context.service_name, model, context.AvoidedEndpoints(now), now);
+  return deps_.selector->HasEngine(context.service_name, model, ExcludedEndpoints(context, now),
+                                   now);
 }
 
 // Records an attempt that is about to be sent, and reserves the endpoint for a suspect.
--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -140,6 +140,8 @@
   // Progress of the stream to the caller.
   bool stream_open = false;
   std::uint64_t last_event_id = 0;
+  // The software version that began the stream, once it is known. It goes on nowhere else.
+  std::optional<std::string> stream_version;
   std::uint64_t events = 0;
   EventPauses pauses;
 
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -166,7 +166,7 @@
   milliseconds limit = route.timeout.count() > 0 ? route.timeout : kDefaultRouteTimeout;
   if (context->params.time_limit) limit = std::min(limit, *context->params.time_limit);
   context->deadline = context->arrival + limit;
-  context->service_name = PickService(route, context->params.id);
+  context->service_name = PickService(route, StreamId(context->params));
   context->service = context->config->FindService(context->service_name);
   const bool forwarded = co_await ForwardIfPartitioned(context);
   if (!forwarded) co_await AdmitAndServe(context);
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -28,6 +28,7 @@
 #include "response_times.h"
 #include "retry_budget.h"
 #include "run_check.h"
+#include "stream_versions.h"
 #include "suspect_trials.h"
 #include "usage_collector.h"
 #include "wait_policy.h"
@@ -46,6 +47,8 @@
   std::function<Task<bool>(AdapterRequest)> place_adapter;
   // Asks for a permit to send a request to an endpoint with a rate limit.
   std::function<Task<PermitAnswer>(PermitRequest)> request_permit;
+  // Asks which software version began a stream. May be empty: take-ups are then not checked.
+  std::function<Task<StreamOrigin>(StreamOriginRequest)> find_stream_origin;
   // Expected end of a load of the model that is in progress; std::nullopt if there is none.
   std::function<std::optional<MonotonicTime>(const std::string& model)> load_end;
   // Expected end of a load of a model of the service that has not been ordered, for a request of
@@ -82,6 +85,8 @@
     MemoryBudget* memory = nullptr;
     // May be null, then requests are not passed on to other gateways.
     RequestForwarder* forwarder = nullptr;
+    // May be null.
+    StreamVersions* streams = nullptr;
   };
 
   // `seed` initializes the random numbers for jitter and quota admission.
@@ -168,6 +173,10 @@
   Task<bool> AdmitByMemory(ContextPtr context);
   Task<bool> WriteEvents(ContextPtr context, std::string events);
   Task<void> DrainCaller(ContextPtr context);
+  Task<bool> FindStreamVersion(ContextPtr context);
+  void RecordStream(Context* context, const FleetEndpoint& endpoint);
+  bool LacksVersion(Context* context, MonotonicTime now) const;
+  std::set<std::string> ExcludedEndpoints(const Context& context, MonotonicTime now) const;
   Task<bool> AcquirePermit(ContextPtr context, FleetEndpoint endpoint);
   bool AreAllEndpointsLimited(const Context& context, MonotonicTime now) const;
   void RecordRateLimit(const Context& context, const FleetEndpoint& endpoint,
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -62,6 +62,14 @@
       registry_.AddCounter("repeats_denied_total", "Repeats that the budget refused.");
   stream_resumes_total =
       registry_.AddCounter("stream_resumes_total", "Streams resumed after a break.");
+  stream_take_ups_total = registry_.AddCounter(
+      "stream_take_ups_total", "Streams that callers took up after their first event.");
+  stream_versions_unknown_total = registry_.AddCounter(
+      "stream_versions_unknown_total",
+      "Take-ups refused since it is not known which software version began the stream.");
+  stream_versions_gone_total = registry_.AddCounter(
+      "stream_versions_gone_total",
+      "Streams that ended since no endpoint of their software version could go on.");
   endpoint_breaks_total = registry_.AddCounter(
       "endpoint_breaks_total", "Requests whose endpoint broke off without a whole answer.");
   invalid_responses_total = registry_.AddCounter(
@@ -125,6 +133,8 @@
   limited_endpoints = registry_.AddGauge("limited_endpoints", "Endpoints that state a rate limit.");
   cut_off_services = registry_.AddGauge(
       "cut_off_services", "Services of which this gateway reaches no endpoint, though it probes.");
+  stream_origins = registry_.AddGauge(
+      "stream_origins", "Streams of which the software version that began them is known.");
   config_version = registry_.AddGauge("config_version", "Version of the configuration in force.");
   endpoints = registry_.AddGauge("endpoints", "Endpoints in the directory.");
   requests_in_flight = registry_.AddGauge("requests_in_flight", "Requests that have not ended.");
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -76,6 +76,9 @@
   prometheus::Counter* repeats_total;
   prometheus::Counter* repeats_denied_total;
   prometheus::Counter* stream_resumes_total;
+  prometheus::Counter* stream_take_ups_total;
+  prometheus::Counter* stream_versions_unknown_total;
+  prometheus::Counter* stream_versions_gone_total;
   prometheus::Counter* endpoint_breaks_total;
   prometheus::Counter* invalid_responses_total;
   prometheus::Counter* invalid_requests_total;
@@ -106,6 +109,7 @@
   prometheus::Counter* prefix_evictions_total;
   prometheus::Gauge* limited_endpoints;
   prometheus::Gauge* cut_off_services;
+  prometheus::Gauge* stream_origins;
   prometheus::Gauge* config_version;
   prometheus::Gauge* endpoints;
   prometheus::Gauge* requests_in_flight;
--- a/src/relay_request.h
+++ b/src/relay_request.h
@@ -42,8 +42,18 @@
   std::vector<PromptPart> prompt;
   // The last event of a stream that the caller has already received; 0 for none.
   std::uint64_t last_event_id = 0;
+  // The id of the request that brought the stream's first event, if this one takes the stream up;
+  // empty if the caller does not name it.
+  std::string resumes;
 };
 
+// The id by which all attempts of a stream are known: that of the attempt which brought the first
+// event, else that of the request itself. Thread-safe.
+inline const std::string& StreamId(const RelayRequest& request) {
+  const bool takes_up = request.last_event_id > 0 && !request.resumes.empty();
+  return takes_up ? request.resumes : request.id;
+}
+
 // What a response tells about the execution of the request.
 enum class ResponseKind : std::uint8_t {
   // The endpoint ran the request, whatever the status.
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -79,11 +79,19 @@
   context->prefix_hashes = PrefixHashes(params.model, params.adapter, params.prompt);
   context->last_event_id = params.last_event_id;
   context->first_event_deadline = context->arrival + FirstEventTimeout(*context->route);
+  if (params.last_event_id > 0) {
+    const bool found = co_await FindStreamVersion(context);
+    if (!found) {
+      co_await FinishUnserved(context);
+      co_return;
+    }
+  }
   // A request that must not run again does not wait for another engine.
   while (!context->caller_gone && MayWait(*context, MonotonicNow()) &&
          RouteAllowsAttempt(*context)) {
     const MonotonicTime now = MonotonicNow();
     if (ContainedUntil(*context, now) || MustLeave(*context, now)) break;
+    if (LacksVersion(context.get(), now)) break;
     if (const auto until = HeldUntil(*context, now)) {
       const bool waited = co_await WaitForEvidence(context, *until);
       if (!waited) break;
@@ -389,6 +397,7 @@
       context->response_started = true;
       context->response_started_at = now;
       context->trial.reset();
+      RecordStream(context.get(), choice.endpoint);
       deps_.stats->RecordFirstEvent(choice.endpoint.id, choice.prefill_tokens);
       deps_.prefixes->Insert(choice.endpoint.id, context->prefix_hashes, params.prompt,
                              context->service->engine->cache_tokens);
--- a/src/report_aggregator.cpp
+++ b/src/report_aggregator.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace mimosabend {
 
@@ -9,6 +10,8 @@
 
 // A daemon that has not reported for this long is assumed to report elsewhere or to be gone.
 constexpr milliseconds kReportLifetime{2500};
+// More streams than this are not kept for the next report.
+constexpr std::size_t kMaxStreamKeys = 30000;
 
 std::uint16_t SaturatedSum(std::uint16_t a, std::uint16_t b) {
   return static_cast<std::uint16_t>(
@@ -34,6 +37,14 @@
   for (const AdapterRequests& adapter : usage.adapters) AddAdapterRequests(&sum, adapter);
 }
 
+void ReportAggregator::AddStreams(const std::vector<StreamOrigins>& streams) {
+  for (const StreamOrigins& part : streams) {
+    if (stream_keys_ + part.keys.size() > kMaxStreamKeys) return;
+    stream_keys_ += part.keys.size();
+    streams_.push_back(part);
+  }
+}
+
 void ReportAggregator::AddReport(const std::string& daemon, const UsageReport& report,
                                  MonotonicTime now) {
   loads_.SetLoads(daemon, report.loads, report.runs, now);
@@ -47,6 +58,7 @@
   }
   unreachable_.insert(report.unreachable.begin(), report.unreachable.end());
   quota_.Add(report.quota);
+  AddStreams(report.streams);
 }
 
 std::vector<DaemonInfo> ReportAggregator::Daemons() const {
@@ -101,11 +113,15 @@
   usage_.clear();
   quota_.Add(report->quota);
   report->quota = quota_.Take();
+  AddStreams(report->streams);
+  report->streams = std::exchange(streams_, {});
+  stream_keys_ = 0;
 }
 
 void ReportAggregator::Restore(const UsageReport& report) {
   for (const ModelUsage& usage : report.models) AddUsage(usage);
   quota_.Add(report.quota);
+  AddStreams(report.streams);
 }
 
 void ReportAggregator::SetExternalLoads(const std::vector<EndpointLoad>& loads) {
--- a/src/report_aggregator.h
+++ b/src/report_aggregator.h
@@ -26,8 +26,8 @@
   // this daemon. Precondition: `report` has only the usage of this daemon itself.
   void MergeInto(const std::string& own_name, UsageReport* report, MonotonicTime now);
 
-  // To be called if a merged report could not be sent: its requests and quota use are merged into
-  // the next one.
+  // To be called if a merged report could not be sent: its requests, quota use and streams are
+  // merged into the next one.
   void Restore(const UsageReport& report);
 
   // Sets the loads of daemons that do not report through this one.
@@ -60,6 +60,7 @@
   };
 
   void AddUsage(const ModelUsage& usage);
+  void AddStreams(const std::vector<StreamOrigins>& streams);
   void PruneExpired(MonotonicTime now);
 
   LoadTotals loads_;
@@ -68,6 +69,9 @@
   std::map<Key, ModelUsage> usage_;
   std::set<std::uint32_t> unreachable_;
   QuotaUsageSums quota_;
+  // Streams to be reported, and the number of their keys.
+  std::vector<StreamOrigins> streams_;
+  std::size_t stream_keys_ = 0;
 };
 
 // Adds `load` to the sum for the same endpoint, with saturation. Thread-safe.
--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -269,6 +269,8 @@
   if (options_.log_arrivals) flags.push_back("--arrival_log=" + ArrivalLog());
   const auto limit = options_.rate_limits.find(endpoint->index);
   if (limit != options_.rate_limits.end()) flags.push_back("--rate_limit=" + limit->second);
+  const auto version = options_.versions.find(endpoint->index);
+  if (version != options_.versions.end()) flags.push_back("--software=" + version->second);
   endpoint->process =
       std::make_unique<Process>(Program("tests/platform_endpoint_standin"), flags, Log(id), true);
 }
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -42,6 +42,8 @@
   std::string gateway_settings;
   // Rate limits that endpoints state from their start, by endpoint index.
   std::map<int, std::string> rate_limits;
+  // Software versions that endpoints register, by endpoint index; others register none.
+  std::map<int, std::string> versions;
   // Whether endpoints add the arrivals of callers' requests to a file.
   bool log_arrivals = false;
   // If set, gateways reach the endpoints through a proxy that injects these faults.
--- a/tests/relay_fixture.cpp
+++ b/tests/relay_fixture.cpp
@@ -98,7 +98,7 @@
       usage(io.get_executor()),
       prober(&client, &directory, &crash_correlator),
       handler({&client, &directory, &stats, &prefixes, &selector, &usage, &metrics, &evidence,
-               &part_evidence, &prober, &quota, &limits, Hooks(), &memory},
+               &part_evidence, &prober, &quota, &limits, Hooks(), &memory, nullptr, &streams},
               5),
       server(io.get_executor(), HttpLimits(),
              [this](HttpExchange& exchange) { return handler.Handle(exchange); }) {
@@ -133,6 +133,10 @@
     co_await Sleep(permit_time);
     co_return answer;
   };
+  hooks.find_stream_origin = [this](StreamOriginRequest) -> Task<StreamOrigin> {
+    const StreamOrigin origin = stream_origin;
+    co_return origin;
+  };
   hooks.load_end = [this](const std::string&) {
     if (std::exchange(load_end_throws, false)) throw std::runtime_error("load_end_throws");
     return load_end;
@@ -143,15 +147,18 @@
   return hooks;
 }
 
-void RelayFixture::Add(const TestEndpoint& endpoint, const std::string& service) {
+void RelayFixture::Add(const TestEndpoint& endpoint, const std::string& service,
+                       const std::string& software) {
   FleetEndpoint entry;
   entry.id = endpoint.id;
   entry.service = service;
   entry.address = {"127.0.0.1", endpoint.port};
   entry.failure_domain = "a";
   entry.slots = 64;
+  entry.software = software;
   entry.holdings.models.push_back({"m", {}});
   directory.Put(entry);
+  streams.RecordServing(service, software, MonotonicNow());
 }
 
 HttpCall RelayFixture::MakeCall(const std::string& path, const std::string& model) const {
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -72,7 +72,8 @@
   PlacementHooks Hooks();
 
   // Registers an endpoint in the directory.
-  void Add(const TestEndpoint& endpoint, const std::string& service);
+  void Add(const TestEndpoint& endpoint, const std::string& service,
+           const std::string& software = "");
 
   HttpCall MakeCall(const std::string& path, const std::string& model = "m") const;
 
@@ -115,6 +116,9 @@
   bool adapter_placement_succeeds = true;
   milliseconds adapter_placement_time{0};
   bool has_leader = true;
+  // Answers questions for the software version that began a stream.
+  StreamOrigin stream_origin;
+  StreamVersions streams{MonotonicNow()};
   bool config_may_be_stale = false;
   std::optional<MonotonicTime> load_end;
   std::optional<MonotonicTime> queued_load_end;
--- a/tests/standins/platform_endpoint_standin.cpp
+++ b/tests/standins/platform_endpoint_standin.cpp
@@ -6,7 +6,7 @@
 // deletes its entry, although it still answers requests. With --order_log it executes orders for
 // models as an engine that checks fencing tokens; otherwise it accepts all orders and does nothing.
 // The header "Test-Bytes" of a request is the size of its answer, for a stream without the framing
-// of events.
+// of events. The text of each event ends with the version of the endpoint's software.
 #include <fcntl.h>
 #include <gflags/gflags.h>
 #include <unistd.h>
@@ -41,6 +41,7 @@
 DEFINE_int32(anonymous_refusal_rate, 0, "percentage of refusals without Request-Id");
 DEFINE_uint64(fault_seed, 1, "seed of the faults; the id of the endpoint is mixed in");
 DEFINE_string(rate_limit, "", "Server-Limit of all answers to callers' requests; empty for none");
+DEFINE_string(software, "", "version of its software, which it registers and adds to each event");
 DEFINE_string(order_log, "", "file to which each accepted order is added");
 DEFINE_string(
     arrival_log, "",
@@ -235,6 +236,7 @@
                              {"state", "ready"},
                              {"born", ToUnixMillis(started_)},
                              {"seq-no", sequence_}};
+    if (!FLAGS_software.empty()) description["version"] = FLAGS_software;
     json::array models;
     for (const std::string& model : models_) {
       models.push_back(json::object{{"name", model}, {"adapters", json::array()}});
@@ -264,7 +266,8 @@
     bool open = co_await exchange->StartStream(200, std::move(headers));
     for (std::int64_t id = first; open && id <= FLAGS_events; ++id) {
       const std::string padding(bytes / FLAGS_events, 'b');
-      open = co_await exchange->Write("id: " + std::to_string(id) + "\ndata: e" + padding + "\n\n");
+      open = co_await exchange->Write("id: " + std::to_string(id) + "\ndata: e" + padding +
+                                      FLAGS_software + "\n\n");
       co_await Sleep(milliseconds(FLAGS_event_gap_ms));
     }
     if (open) co_await exchange->FinishStream();
--- a/tests/test_decoders.cpp
+++ b/tests/test_decoders.cpp
@@ -151,6 +151,7 @@
   report.evidence = Evidence();
   report.quota = {{1, 4, 2, -3}};
   report.limits = {{3, 0.5, 1200}, {4, LimitNotice::kNoLimit, 7}};
+  report.streams = {{"models", "v1", {7, 8}}};
   return report;
 }
 
@@ -230,6 +231,10 @@
   Fuzz("usage report", {Encode(Report())}, CheckStable<UsageReport>);
   Fuzz("usage answer", {Encode(ReportAnswer())}, CheckStable<UsageAnswer>);
   Fuzz("permit request", {Encode(PermitRequest{{3, 0.5, 1200}, 2})}, CheckStable<PermitRequest>);
+  Fuzz("stream origin request", {Encode(StreamOriginRequest{"models", 7})},
+       CheckStable<StreamOriginRequest>);
+  Fuzz("stream origin answer", {Encode(StreamOriginAnswer{{OriginState::kKnown, "v1"}})},
+       CheckStable<StreamOriginAnswer>);
   Fuzz("permit answer", {Encode(PermitAnswer{false, 350})}, CheckStable<PermitAnswer>);
   const ViewAnswer view{ReportAnswer().view, ReportAnswer().leader, Evidence()};
   Fuzz("evidence", {Encode(Evidence())}, CheckStable<EvidenceMessage>);
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -132,6 +132,9 @@
   }
   CHECK_FALSE(platform::DecodeEndpoint("i-1", entry(longest + "n", "10.0.0.1", "z")));
   CHECK_FALSE(platform::DecodeEndpoint("i-1", entry("s", "10.0.0.1", longest + "n")));
+  const std::string version = R"(","version":")" + longest;
+  CHECK(platform::DecodeEndpoint("i-1", entry("s", "10.0.0.1", "z" + version)));
+  CHECK_FALSE(platform::DecodeEndpoint("i-1", entry("s", "10.0.0.1", "z" + version + "n")));
   CHECK_FALSE(platform::DecodeEndpoint("i-1", entry("s", "[fe80::1%" + longest + "]", "z")));
   const std::string report = R"({"models":[{"name":"m","adapters":["a",")" + longest +
                              R"(n"]},{"name":")" + longest + R"(n"}]})";
@@ -144,11 +147,12 @@
 TEST_CASE("a store entry that does not describe an endpoint is rejected", "[platform]") {
   const std::string good =
       R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":64,"state":"ready","born":12,
-          "models":[{"name":"m","version":1,"adapters":["a1"]}],"seq-no":4,"remaining-ms":1500})";
+          "version":"v1.2","models":[{"name":"m","version":1,"adapters":["a1"]}],"seq-no":4,"remaining-ms":1500})";
   const auto endpoint = platform::DecodeEndpoint("i-1", good);
   REQUIRE(endpoint);
   CHECK(endpoint->address == Address{"10.0.0.1", 80});
   CHECK(endpoint->started_ms == 12);
+  CHECK(endpoint->software == "v1.2");
   CHECK(endpoint->leaves_in == milliseconds(1500));
   REQUIRE(endpoint->holdings.Find("m") != nullptr);
   CHECK(endpoint->holdings.Find("m")->adapters == std::vector<std::string>{"a1"});
@@ -180,7 +184,8 @@
                                               {"Model", "m/a3"},
                                               {"Token-Count", "1460,80"},
                                               {"Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
-                                              {"Last-Event-Id", "12"}}));
+                                              {"Last-Event-Id", "12"},
+                                              {"Resumes", "77f0"}}));
   CHECK(relay.id == "9c41");
   CHECK(relay.time_limit == milliseconds(800));
   CHECK(relay.model == "m");
@@ -193,6 +198,7 @@
   CHECK(SharedPartsText(relay.prompt) == "000000005c1e07a2");
   CHECK(SharedPartsText({}) == "-");
   CHECK(relay.last_event_id == 12);
+  CHECK(StreamId(relay) == "77f0");
   const RelayRequest odd = platform::ReadRelayRequest(
       RequestWith({{"Deadline-Ms", "soon"}, {"Prompt-Prefix", "zz:1"}, {"Token-Count", ""}}));
   CHECK_FALSE(odd.time_limit);
