Keep brittle endpoints from falling over

Cause: nothing read Server-Brittle, so gateways made endpoints reject as many requests as callers sent beyond their room.

Change: the placement leader divides the slots of endpoints that state the header among the gateways, and each gateway keeps to its shares, with retries and without hedges. A share counts until its gateway confirms a smaller one, holds for 2.5 s without a leader, and a new leader grants no more than what is held for 3 s. Rejections lower the capacity and pause it near the stated number. Endpoints that have not answered yet count as brittle while others of their service do, and begin with a quarter of their slots. Requests without room wait within their time, urgent ones first, and are refused with 503 otherwise. Notices travel with the usage reports.

Without the header one thing changes: requests that arrive in the first 200 ms of a process wait until another daemon has told what it knows. Messages between daemons gain fields.

--- a/src/endpoint_stats.cpp
+++ b/src/endpoint_stats.cpp
@@ -82,6 +82,11 @@
   return work;
 }
 
+std::uint32_t EndpointStats::OwnRequests(const std::string& endpoint) const {
+  const auto local = local_.find(endpoint);
+  return local == local_.end() ? 0 : local->second.requests;
+}
+
 void EndpointStats::SetBackoff(const std::string& endpoint, MonotonicTime until) {
   MonotonicTime& known = health_[endpoint].backoff_until;
   known = std::max(known, until);
--- a/src/endpoint_stats.h
+++ b/src/endpoint_stats.h
@@ -49,6 +49,8 @@
 
   // Work of all daemons at an endpoint.
   EndpointWork Work(const std::string& endpoint, MonotonicTime now) const;
+  // Requests of this daemon at an endpoint.
+  std::uint32_t OwnRequests(const std::string& endpoint) const;
   // Work of this daemon by endpoint.
   const std::map<std::string, EndpointWork>& own() const { return local_; }
 
--- a/src/fleet_usage.h
+++ b/src/fleet_usage.h
@@ -15,6 +15,7 @@
 #include "peer_message.h"
 #include "quota_usage.h"
 #include "relay_plan.h"
+#include "slot_share_allocator.h"
 #include "store_era.h"
 #include "stream_versions.h"
 
@@ -166,8 +167,10 @@
   std::vector<std::uint32_t> leaving;
   // See DirectoryLog::Left.
   std::vector<std::uint32_t> left;
-  // The rate limits of endpoints that the daemon knows.
+  // The rate limits of endpoints that the daemon knows, and the limits on rejections of brittle
+  // ones.
   std::vector<LimitNotice> limits;
+  std::vector<LimitNotice> brittle;
   EvidenceMessage evidence;
   std::vector<QuotaUsage> quota;
   // Streams that have begun at the daemon, as far as the leader may need their versions.
@@ -184,6 +187,7 @@
     SerializeNumbers(archive, leaving);
     SerializeNumbers(archive, left);
     SerializeList(archive, limits);
+    SerializeList(archive, brittle);
     SerializeList(archive, models);
     SerializeList(archive, loads);
     SerializeList(archive, runs);
@@ -254,7 +258,7 @@
 struct UsageAnswer {
   static constexpr PeerMessageType kType = PeerMessageType::kUsageAnswer;
   // False if the answering daemon is neither the leader nor a relay. All other members except
-  // `leaving`, `limits` and `evidence` are empty then.
+  // `leaving`, `limits`, `brittle` and `evidence` are empty then.
   bool accepted = false;
   LeaderNotice leader;
   // Number of daemons that report to the leader.
@@ -268,8 +272,10 @@
   std::vector<PendingLoad> loads;
   // Numbers of endpoints that announced a shutdown.
   std::vector<std::uint32_t> leaving;
-  // The rate limits of endpoints that the answering daemon knows.
+  // The rate limits of endpoints that the answering daemon knows, and the limits on rejections of
+  // brittle ones.
   std::vector<LimitNotice> limits;
+  std::vector<LimitNotice> brittle;
   EvidenceMessage evidence;
   std::vector<QuotaShare> quota;
   // False if the answering daemon does not know the customers' demand yet.
@@ -303,6 +309,7 @@
     SerializeList(archive, loads);
     SerializeNumbers(archive, leaving);
     SerializeList(archive, limits);
+    SerializeList(archive, brittle);
     evidence.serialize(archive);
     SerializeList(archive, quota);
     SerializeFlag(archive, quota_known);
@@ -444,6 +451,35 @@
   }
 };
 
+// Asks the leader for shares of brittle endpoints (see SlotShareAllocator). TCP.
+struct SlotShareRequest {
+  static constexpr PeerMessageType kType = PeerMessageType::kSlotShareRequest;
+  // Random number of the process: endpoints may still run requests of a former one.
+  std::uint64_t process = 0;
+  std::vector<SlotShareDemand> demands;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(process);
+    SerializeList(archive, demands);
+  }
+};
+
+// The shares, in the order of the demands. Valid from the time of the request for
+// SlotShareAllocator::kShareLifetime.
+struct SlotShareAnswer {
+  static constexpr PeerMessageType kType = PeerMessageType::kSlotShareAnswer;
+  // False if the answering daemon does not lead; there are no shares then.
+  bool accepted = false;
+  std::vector<std::uint32_t> shares;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SerializeFlag(archive, accepted);
+    SerializeNumbers(archive, shares);
+  }
+};
+
 }  // namespace mimosabend
 
 #endif  // MIMOSABEND_FLEET_USAGE_H_
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -9,6 +9,7 @@
 #include <set>
 
 #include "bounded_appender.h"
+#include "brittle_endpoints.h"
 #include "caller_limits.h"
 #include "crash_correlator.h"
 #include "crash_evidence.h"
@@ -189,6 +190,7 @@
   QuotaMeter quota_;
   EndpointLimits limits_;
   StreamVersions streams_;
+  BrittleEndpoints brittle_;
   CrashEvidence evidence_;
   PartEvidence part_evidence_;
   CrashCorrelator crash_correlator_;
@@ -274,7 +276,7 @@
               RandomId()),
       link_(MakeLinkSettings(),
             {&peer_client_, &leader_, &finder_, &state_, &sync_, &directory_, &stats_, &usage_,
-             &exchange_, &quota_, &limits_, &streams_},
+             &exchange_, &quota_, &limits_, &streams_, &brittle_},
             RandomId()),
       reach_(
           &endpoint_client_, &directory_,
@@ -288,7 +290,7 @@
                  [this] { return link_.Contacts(); }),
       relay_({&endpoint_client_, &directory_, &stats_, &prefixes_, &selector_, &usage_,
               &relay_metrics_, &evidence_, &part_evidence_, &prober_, &quota_, &limits_,
-              MakePlacementHooks(), &memory_, &forwarder_, &streams_},
+              MakePlacementHooks(), &memory_, &forwarder_, &streams_, &brittle_},
              RandomId()),
       config_watcher_(io->get_executor(), &store_, PlatformStore::config_key(), kConfigBatchDelay,
                       ConfigHandlers()),
@@ -643,6 +645,13 @@
     co_return Wrap(link_.AnswerStreamOrigin(message.value(), MonotonicNow()), settings_.name, 0,
                    WallNow());
   }
+  if (request.type == PeerMessageType::kSlotShareRequest) {
+    auto message = Unwrap<SlotShareRequest>(request);
+    if (!message) co_return outcome::failure(message.error());
+    const SlotShareAnswer answer =
+        link_.DecideShares(request.sender, message.value(), MonotonicNow());
+    co_return Wrap(answer, settings_.name, 0, WallNow());
+  }
   co_return outcome::failure(PeerError::kUnknownType);
 }
 
@@ -663,6 +672,7 @@
     limits_.PruneExpired(MonotonicNow());
     RecordVersions(MonotonicNow());
     streams_.PruneExpired(MonotonicNow());
+    brittle_.KeepIf(is_known, MonotonicNow());
     ConfirmReading();
     ApplyRetryLimits();
     HandOverIfCutOff(MonotonicNow());
@@ -737,6 +747,7 @@
     relay_metrics_.limited_endpoints->Set(static_cast<double>(limits_.size()));
     relay_metrics_.invalid_entries->Set(static_cast<double>(invalid_entries_.size()));
     relay_metrics_.stream_origins->Set(static_cast<double>(streams_.streams()));
+    relay_metrics_.brittle_endpoints->Set(static_cast<double>(brittle_.size()));
     relay_metrics_.endpoints->Set(static_cast<double>(directory_.entries().size()));
     relay_metrics_.requests_in_flight->Set(static_cast<double>(relay_.in_flight()));
     relay_metrics_.leads_placement->Set(leader_.IsLeader(MonotonicNow()) ? 1 : 0);
@@ -920,6 +931,7 @@
   supervisor_.Start("leader link", [this] { return link_.Run(); });
   supervisor_.Start("view requests", [this] { return link_.RunViewRequests(); });
   supervisor_.Start("endpoint reach", [this] { return reach_.Run(); });
+  supervisor_.Start("share requests", [this] { return link_.RunShareRequests(); });
   supervisor_.Start("placement leader", [this] { return leader_.Run(); });
   supervisor_.Start("stream versions", [this] { return stream_record_.Run(); });
   supervisor_.Start("tick", [this] { return RunHousekeeping(); });
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "brittle_endpoints.h"
 #include "endpoint_limits.h"
 #include "endpoint_stats.h"
 #include "fleet_directory.h"
@@ -26,6 +27,7 @@
 #include "quota_allocator.h"
 #include "quota_meter.h"
 #include "report_aggregator.h"
+#include "slot_share_allocator.h"
 #include "state_sync.h"
 #include "stream_versions.h"
 #include "uplink.h"
@@ -82,13 +84,15 @@
     EndpointLimits* limits;
     // May be null.
     StreamVersions* streams = nullptr;
+    BrittleEndpoints* brittle = nullptr;
   };
 
   LeaderLink(LinkSettings settings, Parts parts, std::uint64_t seed)
       : settings_(std::move(settings)),
         parts_(parts),
         uplink_(settings_.self.address, settings_.self.failure_domain),
-        random_(seed) {
+        random_(seed),
+        process_(seed) {
     quota_allocator_.set_order(settings_.quota_order);
   }
 
@@ -137,10 +141,12 @@
     MarkLeaving(report.leaving);
     parts_.sync->ApplyLeft(report, sender);
     AdoptLimits(report.limits, sender, now);
+    AdoptBrittle(report.brittle, sender, now);
     UsageAnswer answer = parts_.leader->IsLeader(now) ? AnswerAsLeader(sender, report, now)
                                                       : AnswerAsRelay(sender, report, now);
     answer.leaving = LeavingEndpoints();
     answer.limits = parts_.limits->Notices(now);
+    if (parts_.brittle != nullptr) answer.brittle = parts_.brittle->Notices(now);
     answer.evidence = parts_.evidence->HandleRequest(report.evidence, now);
     return answer;
   }
@@ -220,6 +226,40 @@
     return {parts_.streams->Find(request.service, request.key, ViewIsCurrent(now), now)};
   }
 
+  // Decides on a daemon's request for shares of brittle endpoints. Accepts none unless this daemon
+  // leads.
+  SlotShareAnswer DecideShares(const std::string& sender, const SlotShareRequest& request,
+                               MonotonicTime now) {
+    SlotShareAnswer answer;
+    if (!parts_.leader->IsLeader(now)) return answer;
+    BeginTermIfNew(now);
+    answer.accepted = true;
+    const bool confirmed = parts_.leader->LeadsAlone(now);
+    const std::string process = sender + " " + std::to_string(request.process);
+    for (const SlotShareDemand& demand : request.demands) {
+      answer.shares.push_back(share_allocator_.Decide(process, demand, confirmed, now));
+    }
+    return answer;
+  }
+
+  // Asks for shares of brittle endpoints while there are any. Runs until Stop is called.
+  Task<void> RunShareRequests() {
+    const Notifier& wanted = parts_.usage->shares_wanted();
+    while (!stopping_) {
+      const std::uint64_t notifications = wanted.notifications();
+      SlotShareRequest request = MakeShareRequest(MonotonicNow());
+      bool shrunk = false;
+      if (!request.demands.empty()) {
+        const bool smaller = co_await RequestShares(std::move(request));
+        shrunk = smaller;
+        // Requests that come together are asked for together.
+        co_await Sleep(SharePeriod() / kShareRequestsPerPeriod);
+      }
+      if (shrunk || wanted.notifications() != notifications) continue;
+      co_await parts_.usage->shares_wanted().WaitUntil(MonotonicNow() + SharePeriod());
+    }
+  }
+
   // Number of daemons that report to the leader, as last reported by it; at least 1.
   std::uint32_t daemons() const { return daemons_; }
 
@@ -258,6 +298,11 @@
   static constexpr milliseconds kCurrentViewAge{2000};
   // How long an endpoint with a rate limit is left alone if the leader does not answer.
   static constexpr milliseconds kPermitRetryDelay{300};
+  // Each daemon with requests for brittle endpoints asks for shares this often, and at most
+  // kShareRequestsPerPeriod times as often while requests find no room.
+  static constexpr milliseconds kMinSharePeriod{100};
+  static constexpr milliseconds kSharePeriodPerDaemon{2};
+  static constexpr int kShareRequestsPerPeriod = 5;
   static constexpr milliseconds kSearchPeriod{250};
   // The leader is looked up in the store when it has not been heard of for this long. Daemons
   // behind a relay wait much longer, since the relay does the lookup.
@@ -430,12 +475,81 @@
     if (settings_.set_helpers) settings_.set_helpers(helpers_, answer.helpers_complete, now);
   }
 
+  // Adopts limits on rejections that another daemon knows at `at`.
+  void AdoptBrittle(const std::vector<LimitNotice>& notices, const std::string& source,
+                    MonotonicTime at) {
+    if (parts_.brittle == nullptr) return;
+    for (const LimitNotice& notice : notices) {
+      const EndpointRecord* endpoint = parts_.state->directory().FindNumber(notice.number);
+      if (endpoint == nullptr || !parts_.brittle->Adopt(endpoint->service, notice, at)) continue;
+      LOG4CPLUS_INFO(Log(), "endpoint " << endpoint->id
+                                        << " is brittle, rejections_per_second=" << notice.rate
+                                        << " age_ms=" << notice.age_ms << " source=" << source);
+    }
+  }
+
+  // Lets requests go on that waited for the first notices of another daemon.
+  void MarkInformed() {
+    if (parts_.brittle == nullptr || parts_.brittle->informed()) return;
+    parts_.brittle->set_informed();
+    parts_.usage->endpoints_changed().NotifyAll();
+  }
+
+  // Time between two requests for shares of brittle endpoints.
+  milliseconds SharePeriod() const {
+    return std::max(kMinSharePeriod, kSharePeriodPerDaemon * daemons_);
+  }
+
+  // What this daemon would like to have at brittle endpoints.
+  SlotShareRequest MakeShareRequest(MonotonicTime now) {
+    SlotShareRequest request;
+    request.process = process_;
+    if (parts_.brittle == nullptr || parts_.brittle->empty()) return request;
+    for (const auto& [id, entry] : parts_.directory->entries()) {
+      const FleetEndpoint& endpoint = entry.endpoint;
+      const auto demand =
+          parts_.brittle->TakeDemand(endpoint.service, EndpointNumber(id, endpoint.started_ms),
+                                     endpoint.slots, parts_.stats->OwnRequests(id), now);
+      if (demand) request.demands.push_back(*demand);
+    }
+    return request;
+  }
+
+  // Asks the leader for shares and adopts them. Without an answer, this daemon keeps its shares
+  // until they expire.
+  // Returns whether the leader is to be told soon that a share is smaller.
+  Task<bool> RequestShares(SlotShareRequest request) {
+    const MonotonicTime asked_at = MonotonicNow();
+    std::optional<SlotShareAnswer> answer;
+    if (parts_.leader->IsLeader(asked_at)) {
+      answer = DecideShares(settings_.name, request, asked_at);
+    } else if (const std::optional<Address> leader = KnownLeader()) {
+      auto reply =
+          co_await parts_.peers->template Call<SlotShareAnswer>(*leader, request, kPermitTimeout);
+      if (reply) answer = std::move(reply).value();
+    }
+    const auto& demands = request.demands;
+    const bool valid = answer && answer->accepted && answer->shares.size() == demands.size();
+    bool grown = false;
+    bool shrunk = false;
+    for (std::size_t i = 0; i < demands.size(); ++i) {
+      shrunk = shrunk || (valid && answer->shares[i] < demands[i].held);
+      if (valid && parts_.brittle->SetShare(demands[i].number, answer->shares[i], asked_at)) {
+        grown = true;
+      }
+      if (!valid) parts_.brittle->RestoreDemand(demands[i]);
+    }
+    if (grown) parts_.usage->endpoints_changed().NotifyAll();
+    co_return shrunk;
+  }
+
   // Drops what was decided in an earlier term.
   void BeginTermIfNew(MonotonicTime now) {
     if (term_fence_ == parts_.leader->fence()) return;
     term_fence_ = parts_.leader->fence();
     quota_allocator_.Reset(now);
     permit_issuer_.Reset();
+    share_allocator_.Reset(now);
   }
 
   // Answers as the leader.
@@ -445,6 +559,7 @@
     BeginTermIfNew(now);
     if (answer.accepted) AddHelpers(report, parts_.leader->LiveDaemons(now), true, &answer);
     permit_issuer_.PruneExpired(now);
+    share_allocator_.PruneExpired(now);
     quota_allocator_.AddUsage(report.quota, now);
     if (parts_.streams != nullptr) parts_.streams->AddReport(report.streams, now);
     const auto config = parts_.directory->config();
@@ -485,6 +600,7 @@
     report.leaving = LeavingEndpoints();
     report.left = parts_.state->directory().Left();
     report.limits = parts_.limits->Notices(MonotonicNow());
+    if (parts_.brittle != nullptr) report.brittle = parts_.brittle->Notices(MonotonicNow());
     report.quota = parts_.quota->TakeUsage();
     if (parts_.streams != nullptr) report.streams = TakeStreams();
     report.urgent = report_is_urgent_;
@@ -514,6 +630,8 @@
     const MonotonicTime now = MonotonicNow();
     if (answer) parts_.evidence->HandleAnswer(*uplink, answer.value().evidence, now);
     if (answer) AdoptLimits(answer.value().limits, ToString(*uplink), sent_at);
+    if (answer) AdoptBrittle(answer.value().brittle, ToString(*uplink), sent_at);
+    if (answer) MarkInformed();
     const bool accepted = answer && answer.value().accepted &&
                           answer.value().leader.fence >= parts_.state->leader_fence();
     if (!accepted) {
@@ -656,6 +774,8 @@
   Uplink uplink_;
   ReportAggregator aggregator_;
   std::mt19937_64 random_;
+  // Tells this process from former ones of the same name.
+  std::uint64_t process_;
   std::uint32_t daemons_ = 1;
   milliseconds report_period_ = kDefaultPeriod;
   std::map<std::string, MonotonicTime> loads_;
@@ -672,6 +792,7 @@
   // Used while this daemon leads; reset when the fence changes.
   QuotaAllocator quota_allocator_;
   PermitIssuer permit_issuer_;
+  SlotShareAllocator share_allocator_;
   std::uint64_t term_fence_ = 0;
   // Fencing token of the leader to which the streams were reported.
   std::uint64_t streams_fence_ = 0;
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -60,9 +60,11 @@
   kPermitRequest,
   kPermitAnswer,
   kStreamOriginRequest,
-  kStreamOriginAnswer
+  kStreamOriginAnswer,
+  kSlotShareRequest,
+  kSlotShareAnswer
 };
-inline constexpr std::uint8_t kPeerMessageTypeCount = 23;
+inline constexpr std::uint8_t kPeerMessageTypeCount = 25;
 
 // Liveness probe of SWIM, sent over UDP.
 struct Ping {
--- a/src/relay_containment.cpp
+++ b/src/relay_containment.cpp
@@ -96,16 +96,19 @@
 std::set<std::string> RelayHandler::AvoidedWithTrials(const Context& context,
                                                       MonotonicTime now) const {
   std::set<std::string> avoided = ExcludedEndpoints(context, now);
+  AvoidFullEndpoints(context, now, &avoided);
   avoided.insert(trials_.busy().begin(), trials_.busy().end());
   return avoided;
 }
 
-// Endpoints that must not be chosen at `now`. A suspect also avoids those reserved by other
-// suspects.
+// Endpoints that must not be chosen at `now`, such as brittle ones without room. A suspect also
+// avoids those reserved by other suspects.
 std::set<std::string> RelayHandler::AvoidedEndpoints(const Context& context,
                                                      MonotonicTime now) const {
-  return MustRunIsolated(context, now) ? AvoidedWithTrials(context, now)
-                                       : ExcludedEndpoints(context, now);
+  if (MustRunIsolated(context, now)) return AvoidedWithTrials(context, now);
+  std::set<std::string> avoided = ExcludedEndpoints(context, now);
+  AvoidFullEndpoints(context, now, &avoided);
+  return avoided;
 }
 
 // Whether a suspect finds endpoints that are unavailable only because other suspects reserve them.
--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -104,6 +104,8 @@
   std::set<Address> attempted;
   // When the permit for the current attempt expires; max() if the endpoint needs none.
   MonotonicTime permit_until = MonotonicTime::max();
+  // Until when the request may wait for room at brittle endpoints, once it has begun to.
+  std::optional<MonotonicTime> room_wait_until;
   // Permits that were denied.
   std::uint32_t denied_permits = 0;
   // Whether the current attempt may use a kept-alive connection.
--- a/src/relay_handler.cpp
+++ b/src/relay_handler.cpp
@@ -177,6 +177,7 @@
   const bool within_quota = co_await AdmitByQuota(context);
   if (!within_quota) co_return;
   RetryBudgetFor(context->service_name).RecordRequest(MonotonicNow());
+  co_await WaitForNotices(context);
   if (context->service == nullptr) {
     co_await Refuse(context, "service of the route is not configured");
   } else if (context->arrival >= refuse_from_) {
--- a/src/relay_handler.h
+++ b/src/relay_handler.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "brittle_endpoints.h"
 #include "crash_evidence.h"
 #include "endpoint_limits.h"
 #include "endpoint_prober.h"
@@ -28,6 +29,7 @@
 #include "response_times.h"
 #include "retry_budget.h"
 #include "run_check.h"
+#include "share_queue.h"
 #include "stream_versions.h"
 #include "suspect_trials.h"
 #include "usage_collector.h"
@@ -87,6 +89,8 @@
     RequestForwarder* forwarder = nullptr;
     // May be null.
     StreamVersions* streams = nullptr;
+    // May be null.
+    BrittleEndpoints* brittle = nullptr;
   };
 
   // `seed` initializes the random numbers for jitter and quota admission.
@@ -181,6 +185,19 @@
   bool AreAllEndpointsLimited(const Context& context, MonotonicTime now) const;
   void RecordRateLimit(const Context& context, const FleetEndpoint& endpoint,
                        const HttpHeaders& headers);
+  bool IsBrittle(const FleetEndpoint& endpoint, MonotonicTime now) const;
+  std::uint32_t RoomAt(const FleetEndpoint& endpoint, MonotonicTime now) const;
+  bool HasRoom(const FleetEndpoint& endpoint, MonotonicTime now) const;
+  void AvoidFullEndpoints(const Context& context, MonotonicTime now,
+                          std::set<std::string>* avoided) const;
+  bool LacksRoom(const Context& context, MonotonicTime now);
+  std::uint32_t UsableRoom(const Context& context, MonotonicTime now) const;
+  Task<bool> WaitForRoom(ContextPtr context);
+  Task<void> WaitForNotices(ContextPtr context);
+  void RecordBrittleness(const Context& context, const FleetEndpoint& endpoint, ResponseKind kind,
+                         const HttpHeaders& headers);
+  void RecordStartAt(const FleetEndpoint& endpoint);
+  void RecordEndAt(const FleetEndpoint& endpoint);
   Task<void> ServePlain(ContextPtr context);
   Task<NextStep> AttemptPlain(ContextPtr context, EndpointChoice choice);
   HttpCall BeginPlain(Context* context, const PlainAttemptPtr& attempt);
@@ -291,6 +308,8 @@
   // The requests that wait for a model.
   std::set<Context*> model_waiters_;
   std::map<std::string, RetryBudget> budgets_;
+  // The requests that wait for room at brittle endpoints, by service and model.
+  std::map<std::pair<std::string, std::string>, ShareQueue> share_queues_;
   // Expires with this object, which coroutines of its requests may outlive.
   std::shared_ptr<const int> alive_ = std::make_shared<const int>(0);
   std::size_t in_flight_ = 0;
--- a/src/relay_hedge.cpp
+++ b/src/relay_hedge.cpp
@@ -58,7 +58,8 @@
   candidate.impaired = deps_.stats->IsEjected(endpoint.id, now) ||
                        !deps_.directory->IsExpectedToStay(endpoint.id, endpoint.started_ms);
   candidate.has_rate_limit =
-      deps_.limits->Rate(EndpointNumber(endpoint.id, endpoint.started_ms)).has_value();
+      deps_.limits->Rate(EndpointNumber(endpoint.id, endpoint.started_ms)).has_value() ||
+      IsBrittle(endpoint, now);
   return candidate;
 }
 
--- a/src/relay_limits.cpp
+++ b/src/relay_limits.cpp
@@ -47,14 +47,15 @@
 }
 
 // Whether all endpoints that could serve the request, for a model those that hold it, state rate
-// limits. Permits are issued one by one at these rates, so most of the requests that wait for one
-// would wait in vain.
+// limits or are brittle. Permits are issued one by one at these rates, so most of the requests that
+// wait for one would wait in vain.
 bool RelayHandler::AreAllEndpointsLimited(const Context& context, MonotonicTime now) const {
   bool any = false;
   for (const DirectoryEntry* entry : deps_.directory->OfService(context.service_name, now)) {
     if (context.service->engine && !entry->Holds(context.params.model)) continue;
     const FleetEndpoint& endpoint = entry->endpoint;
-    if (!deps_.limits->Rate(EndpointNumber(endpoint.id, endpoint.started_ms))) return false;
+    const std::uint32_t number = EndpointNumber(endpoint.id, endpoint.started_ms);
+    if (!deps_.limits->Rate(number) && !IsBrittle(endpoint, now)) return false;
     any = true;
   }
   return any;
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -87,6 +87,12 @@
       "permits_total", "Permits granted for requests to endpoints with a rate limit.");
   permits_denied_total = registry_.AddCounter(
       "permits_denied_total", "Permits denied for requests to endpoints with a rate limit.");
+  brittle_rejections_total =
+      registry_.AddCounter("brittle_rejections_total", "Requests that brittle endpoints rejected.");
+  brittle_waits_total = registry_.AddCounter("brittle_waits_total",
+                                             "Requests that waited for room at brittle endpoints.");
+  brittle_refusals_total = registry_.AddCounter(
+      "brittle_refusals_total", "Requests refused for want of room at brittle endpoints.");
   hedges_sent_total = registry_.AddCounter(
       "hedges_sent_total", "Second attempts sent while the first of their request was open.");
   hedges_won_total =
@@ -130,6 +136,8 @@
       "prefix_evictions_total", "Parts of prompts that were forgotten beyond the limit.");
   contained_parts = registry_.AddGauge(
       "contained_parts", "Parts of prompts that are contained because endpoints crashed.");
+  brittle_endpoints = registry_.AddGauge(
+      "brittle_endpoints", "Endpoints that state how many rejections they withstand.");
   limited_endpoints = registry_.AddGauge("limited_endpoints", "Endpoints that state a rate limit.");
   cut_off_services = registry_.AddGauge(
       "cut_off_services", "Services of which this gateway reaches no endpoint, though it probes.");
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -87,6 +87,9 @@
   prometheus::Counter* adapter_waits_total;
   prometheus::Counter* permits_total;
   prometheus::Counter* permits_denied_total;
+  prometheus::Counter* brittle_rejections_total;
+  prometheus::Counter* brittle_waits_total;
+  prometheus::Counter* brittle_refusals_total;
   prometheus::Counter* hedges_sent_total;
   prometheus::Counter* hedges_won_total;
   prometheus::Counter* hedges_lost_total;
@@ -110,6 +113,7 @@
   prometheus::Gauge* limited_endpoints;
   prometheus::Gauge* cut_off_services;
   prometheus::Gauge* stream_origins;
+  prometheus::Gauge* brittle_endpoints;
   prometheus::Gauge* config_version;
   prometheus::Gauge* endpoints;
   prometheus::Gauge* requests_in_flight;
--- a/src/relay_plain.cpp
+++ b/src/relay_plain.cpp
@@ -38,6 +38,11 @@
       co_await WaitForTrials(context);
       continue;
     }
+    if (!choice && LacksRoom(*context, now)) {
+      const bool found = co_await WaitForRoom(context);
+      if (found) continue;
+      break;
+    }
     if (!choice) {
       if (context->reason.empty()) {
         context->reason = AreAllEndpointsLimited(*context, now)
@@ -53,6 +58,8 @@
       context->excluded.insert(choice->endpoint.id);
       continue;
     }
+    // The permit took time, in which others may have taken the room.
+    if (!HasRoom(choice->endpoint, MonotonicNow())) continue;
     if (!ReserveAttempt(context.get())) break;
     const NextStep next_step = co_await AttemptPlain(context, *choice);
     if (next_step == NextStep::kDone) co_return;
@@ -88,6 +95,7 @@
   attempt->sent_at = context->sent_at;
   attempt->permit_until = context->permit_until;
   deps_.stats->Start(attempt->choice.endpoint.id, kPlainWork);
+  RecordStartAt(attempt->choice.endpoint);
   context->step = RelayStep::kEndpoint;
   HttpCall call = MakeCall(context, attempt->choice, attempt->deadline);
   attempt->canceller = context->canceller;
@@ -113,6 +121,7 @@
       platform::ClassifyResponse(reply.status, reply.headers, context.params.id);
   if (kind != ResponseKind::kWrongRequest) {
     RecordRateLimit(context, attempt.choice.endpoint, reply.headers);
+    RecordBrittleness(context, attempt.choice.endpoint, kind, reply.headers);
   }
   return kind;
 }
@@ -140,6 +149,7 @@
   const MonotonicTime now = MonotonicNow();
   context->excluded.insert(id);
   deps_.stats->End(id, kPlainWork, outcome, now);
+  RecordEndAt(attempt->choice.endpoint);
   RecordWork(*context, *attempt, outcome, now);
 }
 
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -102,6 +102,11 @@
       co_await WaitForTrials(context);
       continue;
     }
+    if (!choice && LacksRoom(*context, now)) {
+      const bool found = co_await WaitForRoom(context);
+      if (found) continue;
+      break;
+    }
     if (!choice) {
       const bool found = co_await WaitForModel(context);
       if (!found) break;
@@ -115,7 +120,7 @@
       if (Classify(*context, MonotonicNow()) == CrashVerdict::kContained) continue;
     }
     const bool permitted = co_await AcquirePermit(context, choice->endpoint);
-    if (!permitted) continue;
+    if (!permitted || !HasRoom(choice->endpoint, MonotonicNow())) continue;
     if (!ReserveAttempt(context.get())) break;
     const NextStep next_step = co_await AttemptStream(context, *choice);
     if (next_step == NextStep::kDone) co_return;
@@ -170,11 +175,13 @@
       1, choice.prefill_tokens,
       static_cast<std::uint64_t>(params.prompt_tokens) + params.max_output_tokens};
   deps_.stats->Start(id, work);
+  RecordStartAt(choice.endpoint);
   deps_.usage->BeginRun(id, params.model, params.adapter);
   EndpointWork left = work;
   AttemptOutcome outcome = AttemptOutcome::kFailed;
   const ScopeExit end(alive_, [&] {
     deps_.stats->End(id, left, outcome, MonotonicNow());
+    RecordEndAt(choice.endpoint);
     deps_.usage->EndRun(id, params.model, params.adapter);
   });
   deps_.usage->RecordRequest(
@@ -206,7 +213,10 @@
     const HttpHeaders headers = stream.value()->headers();
     ApplyEndpointHeaders(choice, status, headers);
     const ResponseKind kind = platform::ClassifyResponse(status, headers, params.id);
-    if (kind != ResponseKind::kWrongRequest) RecordRateLimit(*context, choice.endpoint, headers);
+    if (kind != ResponseKind::kWrongRequest) {
+      RecordRateLimit(*context, choice.endpoint, headers);
+      RecordBrittleness(*context, choice.endpoint, kind, headers);
+    }
     const bool success = status >= 200 && status < 300;
     if (kind == ResponseKind::kMisdirected) {
       context->reason = "engine does not hold the model or adapter";
--- a/src/usage_collector.h
+++ b/src/usage_collector.h
@@ -19,7 +19,9 @@
 class UsageCollector {
  public:
   explicit UsageCollector(boost::asio::any_io_executor executor)
-      : waiting_began_(executor), endpoints_changed_(std::move(executor)) {}
+      : waiting_began_(executor),
+        endpoints_changed_(executor),
+        shares_wanted_(std::move(executor)) {}
 
   // Records a request that starts at an engine. `adapter` is empty if it uses none. `prefill_ms` is
   // the engine time for its prefill.
@@ -109,6 +111,9 @@
   Notifier& waiting_began() { return waiting_began_; }
   // Notified when the known state of the endpoints has changed.
   Notifier& endpoints_changed() { return endpoints_changed_; }
+  // Notified when a request finds no room in this daemon's share of a brittle endpoint, or such an
+  // endpoint rejects one.
+  Notifier& shares_wanted() { return shares_wanted_; }
 
  private:
   // Service and model.
@@ -128,6 +133,7 @@
   std::map<std::string, std::map<std::string, std::multiset<std::string>>> runs_;
   Notifier waiting_began_;
   Notifier endpoints_changed_;
+  Notifier shares_wanted_;
 };
 
 }  // namespace mimosabend
--- a/tests/standins/platform_endpoint_standin.cpp
+++ b/tests/standins/platform_endpoint_standin.cpp
@@ -3,7 +3,9 @@
 // contains "crash" ends the process when it starts to run, like a request that crashes an engine;
 // so does a request whose prompt has a part with an id that begins with "dead". PUT /fault
 // {"rate_limit": "3"} changes the rate limit that its answers state; "" ends it; {"leave": true}
-// deletes its entry, although it still answers requests. With --order_log it executes orders for
+// deletes its entry, although it still answers requests. With --brittle=N, its answers state that
+// it is brittle: 3 s after --brittle_from_ms, fewer requests may wait, and the process ends when it
+// has rejected more than N requests within a second. With --order_log it executes orders for
 // models as an engine that checks fencing tokens; otherwise it accepts all orders and does nothing.
 // The header "Test-Bytes" of a request is the size of its answer, for a stream without the framing
 // of events. The text of each event ends with the version of the endpoint's software.
@@ -14,6 +16,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <cstdlib>
+#include <deque>
 #include <iostream>
 #include <random>
 #include <set>
@@ -42,6 +45,10 @@
 DEFINE_uint64(fault_seed, 1, "seed of the faults; the id of the endpoint is mixed in");
 DEFINE_string(rate_limit, "", "Server-Limit of all answers to callers' requests; empty for none");
 DEFINE_string(software, "", "version of its software, which it registers and adds to each event");
+DEFINE_int32(slots, 64, "slots that it registers");
+DEFINE_string(brittle, "", "Server-Brittle of all answers to callers' requests; empty for none");
+DEFINE_int64(brittle_from_ms, 0, "Unix time from which it is brittle");
+DEFINE_int32(brittle_waiting, 1, "max_waiting from 3 s after that time");
 DEFINE_string(order_log, "", "file to which each accepted order is added");
 DEFINE_string(
     arrival_log, "",
@@ -56,6 +63,8 @@
 constexpr int kRenewalsPerLease = 3;
 constexpr milliseconds kSlotPollInterval{2};
 constexpr std::int64_t kDefaultDeadlineMillis = 10000;
+constexpr std::int64_t kBrittleNoticeMillis = 3000;
+constexpr seconds kRejectWindow{1};
 
 class PlatformEndpointStandin {
  public:
@@ -135,13 +144,33 @@
     const MonotonicTime deadline =
         MonotonicNow() + milliseconds(limit.empty() ? kDefaultDeadlineMillis : std::stoll(limit));
     const auto is_full = [&] { return FLAGS_max_running > 0 && running_ >= FLAGS_max_running; };
-    if (is_full() && waiting_ >= FLAGS_max_waiting) co_return false;
+    if (is_full() && waiting_ >= MaxWaiting()) {
+      RecordRejection();
+      co_return false;
+    }
     ++waiting_;
     while (is_full() && MonotonicNow() < deadline) co_await Sleep(kSlotPollInterval);
     --waiting_;
     co_return !is_full();
   }
 
+  static std::int64_t BrittleMillis() {
+    return FLAGS_brittle.empty() ? -1 : ToUnixMillis(WallNow()) - FLAGS_brittle_from_ms;
+  }
+
+  static int MaxWaiting() {
+    return BrittleMillis() < kBrittleNoticeMillis ? FLAGS_max_waiting : FLAGS_brittle_waiting;
+  }
+
+  // Ends the process if it is brittle and has rejected too many requests.
+  void RecordRejection() {
+    if (BrittleMillis() < kBrittleNoticeMillis) return;
+    const MonotonicTime now = MonotonicNow();
+    rejections_.push_back(now);
+    while (rejections_.front() + kRejectWindow <= now) rejections_.pop_front();
+    if (static_cast<double>(rejections_.size()) > std::stod(FLAGS_brittle)) std::_Exit(1);
+  }
+
   bool Draw(int percent) { return static_cast<int>(random_() % 100) < percent; }
 
   // Records the start or the end of a run where the test can count it, whatever becomes of the
@@ -203,6 +232,7 @@
     HttpHeaders headers;
     if (with_id) headers.emplace_back("Request-Id", request.header("Request-Id"));
     if (!rate_limit_.empty()) headers.emplace_back("Server-Limit", rate_limit_);
+    if (BrittleMillis() >= 0) headers.emplace_back("Server-Brittle", FLAGS_brittle);
     return headers;
   }
 
@@ -232,7 +262,7 @@
     json::object description{{"service", FLAGS_service},
                              {"address", ToString(address_)},
                              {"zone", "a"},
-                             {"slots", 64},
+                             {"slots", FLAGS_slots},
                              {"state", "ready"},
                              {"born", ToUnixMillis(started_)},
                              {"seq-no", sequence_}};
@@ -286,6 +316,8 @@
   bool leaves_ = false;
   int running_ = 0;
   int waiting_ = 0;
+  // Rejections for want of room in the last second, while it is brittle.
+  std::deque<MonotonicTime> rejections_;
   std::mt19937_64 random_{FLAGS_fault_seed ^ Hash64(FLAGS_id)};
 };
 
