Survive names that are too long for messages between daemons

What callers saw: nothing yet.

Change: a request or answer that can't be encoded fails and is counted (peer_errors_total, unencodable). Models and services with such names are left out of a configuration; the leader places no such adapter.

--- a/src/codec.h
+++ b/src/codec.h
@@ -16,6 +16,7 @@
 // it reads the elements, so with unchecked lengths a short message could exhaust the memory.
 inline constexpr std::uint32_t kMaxEncodedTextBytes = 2 * 1024 * 1024;
 inline constexpr std::uint32_t kMaxEncodedItems = 65536;
+inline constexpr std::uint32_t kMaxEncodedNameBytes = UINT8_MAX;
 
 namespace codec_internal {
 
@@ -48,7 +49,7 @@
 // Serializes a name of at most 255 bytes with one byte for its length. Throws cereal::Exception.
 template <class Archive>
 void SerializeName(Archive& archive, std::string& name) {
-  codec_internal::CheckLength(static_cast<std::uint32_t>(name.size()), UINT8_MAX);
+  codec_internal::CheckLength(static_cast<std::uint32_t>(name.size()), kMaxEncodedNameBytes);
   auto length = static_cast<std::uint8_t>(name.size());
   archive(length);
   if constexpr (Archive::is_loading::value) name.resize(length);
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -30,12 +30,14 @@
   kTimedOut,
   kBroken,
   // Its memory or its connection is needed for others.
-  kNoRoom
+  kNoRoom,
+  // A name in it is too long to be sent.
+  kUnencodable
 };
-inline constexpr std::uint8_t kPeerErrorCount = 11;
+inline constexpr std::uint8_t kPeerErrorCount = 12;
 inline constexpr NameTable<PeerError, kPeerErrorCount> kPeerErrorNames{
     {"truncated", "bad_magic", "bad_version", "unknown_type", "bad_mac", "outside_replay_window",
-     "malformed", "not_sent", "timed_out", "broken", "no_room"}};
+     "malformed", "not_sent", "timed_out", "broken", "no_room", "unencodable"}};
 
 enum class PeerMessageType : std::uint8_t {
   kPing,
@@ -267,7 +269,8 @@
 Result<Envelope, PeerError> DecodeEnvelope(std::string_view bytes, std::string_view shared_key,
                                            WallTime now);
 
-// Encodes a message into an envelope. Thread-safe.
+// Encodes a message into an envelope. Throws cereal::Exception if a name in it is too long.
+// Thread-safe.
 template <class Message>
 Envelope Wrap(const Message& message, std::string sender, std::uint64_t correlation_id,
               WallTime now) {
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -296,7 +296,13 @@
     co_return false;
   }
   const std::uint64_t correlation_id = request.value().correlation_id;
-  auto answer = co_await handler_(std::move(request).value());
+  Result<Envelope, PeerError> answer = outcome::failure(PeerError::kUnencodable);
+  try {
+    auto handled = co_await handler_(std::move(request).value());
+    answer = std::move(handled);
+  } catch (const cereal::Exception&) {
+    // The answer can't be encoded.
+  }
   if (!answer) {
     metrics_->CountPeerError(answer.error());
     co_return false;
--- a/src/peer_transport.h
+++ b/src/peer_transport.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,8 +39,9 @@
   // Sends a request and returns the answer. Errors of the exchange are counted in the metrics.
   template <class Answer, class Request>
   Task<Result<Answer, PeerError>> Call(Address peer, Request request, milliseconds timeout) {
-    Envelope envelope = Wrap(request, identity_.name, ++last_correlation_id_, WallNow());
-    auto reply = co_await Exchange(std::move(peer), std::move(envelope), timeout);
+    std::optional<Envelope> envelope = WrapRequest(request);
+    if (!envelope) co_return outcome::failure(PeerError::kUnencodable);
+    auto reply = co_await Exchange(std::move(peer), std::move(*envelope), timeout);
     if (!reply) co_return outcome::failure(reply.error());
     co_return Unwrap<Answer>(reply.value());
   }
@@ -47,6 +49,17 @@
  private:
   struct Connection;
 
+  // Counts a request that can't be encoded: it must not end the task that sends it.
+  template <class Request>
+  std::optional<Envelope> WrapRequest(const Request& request) {
+    try {
+      return Wrap(request, identity_.name, ++last_correlation_id_, WallNow());
+    } catch (const cereal::Exception&) {
+      metrics_->CountPeerError(PeerError::kUnencodable);
+      return std::nullopt;
+    }
+  }
+
   // Calls ExchangeOnce and counts its errors.
   Task<Result<Envelope, PeerError>> Exchange(Address peer, Envelope request, milliseconds timeout);
   Task<Result<Envelope, PeerError>> ExchangeOnce(Address peer, const Envelope& request,
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -234,7 +234,8 @@
     AdapterAnswer answer;
     const EngineRecord* engine = table_.Find(request.endpoint);
     const EngineProfilePtr profile = engine == nullptr ? nullptr : ProfileOf(engine->service);
-    if (profile == nullptr) co_return answer;
+    const bool known = profile != nullptr && profile->models.contains(request.model);
+    if (!known || request.adapter.size() > kMaxEncodedNameBytes) co_return answer;
     demand_[engine->service][request.model].AddAdapterDemand(request.adapter, MonotonicNow());
     const ModelAdapter adapter{request.model, request.adapter};
     answer.placed = co_await controller_.PlaceAdapter(request.endpoint, adapter, profile);
--- a/tests/test_peers.cpp
+++ b/tests/test_peers.cpp
@@ -1,8 +1,13 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <random>
 
+#include "fleet_usage.h"
 #include "membership.h"
 #include "peer_message.h"
+#include "peer_transport.h"
 
 namespace mimosabend {
 
@@ -56,6 +61,25 @@
   }
 }
 
+// Guards against a task that ends each time it sends a name that is too long.
+TEST_CASE("a request that can't be encoded fails and is counted") {
+  boost::asio::io_context io(1);
+  Metrics metrics;
+  PeerClient client(io.get_executor(), {"g", kSharedKey, {}}, &metrics);
+  std::optional<PeerError> error;
+  const auto call = [&]() -> Task<void> {
+    UsageReport report;
+    report.models.resize(1);
+    report.models.front().model = std::string(300, 'm');
+    const Address peer{"127.0.0.1", 1};
+    auto answer = co_await client.Call<UsageAnswer>(peer, report, seconds(1));
+    if (!answer) error = answer.error();
+  };
+  boost::asio::co_spawn(io, call(), boost::asio::detached);
+  io.run();
+  CHECK(error == PeerError::kUnencodable);
+}
+
 // Guards against length fields that make the decoder allocate too much memory, and against
 // accepting trailing bytes.
 TEST_CASE("random bodies decode to a message or an error without a crash") {
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -136,6 +136,13 @@
   CHECK(platform::DecodeEndpoint("i-1", entry("s", "10.0.0.1", "z" + version)));
   CHECK_FALSE(platform::DecodeEndpoint("i-1", entry("s", "10.0.0.1", "z" + version + "n")));
   CHECK_FALSE(platform::DecodeEndpoint("i-1", entry("s", "[fe80::1%" + longest + "]", "z")));
+  const std::string config = R"({"version":1,"routes":[],"services":[{"name":")" + longest +
+                             R"(n"},{"name":"s","engine":{"models":[{"name":")" + longest +
+                             R"(n"},{"name":"m"}]}}]})";
+  const auto decoded_config = platform::DecodeConfig(config);
+  REQUIRE(decoded_config);
+  CHECK(decoded_config.value().services.size() == 1);
+  CHECK(decoded_config.value().services.at("s").engine->models.size() == 1);
   const std::string report = R"({"models":[{"name":"m","adapters":["a",")" + longest +
                              R"(n"]},{"name":")" + longest + R"(n"}]})";
   const auto decoded = platform::DecodeReport(report);
--- a/tests/test_store_entries.cpp
+++ b/tests/test_store_entries.cpp
@@ -109,4 +109,26 @@
   }
 }
 
+// Guards against a caller's adapter name that makes all answers of the leader fail.
+TEST_CASE("a long adapter name of a caller does not disturb the exchange between gateways",
+          "[store_entries]") {
+  PlatformFleetOptions options;
+  options.gateways = 2;
+  PlatformFleet fleet(options);
+  for (int i = 0; i < 12; ++i) {
+    HttpCall call = fleet.MakeCall(i % options.gateways, "/chat/1", "");
+    for (auto& [name, value] : call.headers) {
+      if (name == "Model") value = "m/" + std::string(kLongName, 'a');
+      if (name == "Deadline-Ms") value = "500";
+    }
+    const auto reply = CallOne(std::move(call));
+    CHECK(reply);
+  }
+  std::this_thread::sleep_for(kExchangeTime);
+  CHECK(Failures(fleet) == 0);
+  for (int i = 0; i < options.gateways; ++i) {
+    CHECK(fleet.Metric(i, R"(mimosabend_peer_errors_total{kind="unencodable"})") == 0);
+  }
+}
+
 }  // namespace mimosabend::testing
