--- a/src/json.h
+++ b/src/json.h
@@ -18,14 +18,22 @@
   return value;
 }
 
-// Like ParseJson, but accepts strings that are not valid UTF-8, such as the keys of other writers.
+// Replaces escapes of surrogates that form no pair by bytes: U+DC80 to U+DCFF, by which some
+// encoders write the bytes 80 to ff, by that byte, others by the three bytes of their code point.
 // Thread-safe.
+std::string ReplaceLoneSurrogates(std::string_view text);
+
+// Like ParseJson, but accepts strings that are not valid UTF-8, also escaped ones, such as the keys
+// of other writers. Thread-safe.
 inline std::optional<boost::json::value> ParseJsonOfAnyBytes(std::string_view text) {
   boost::json::parse_options options;
   options.allow_invalid_utf8 = true;
   boost::json::error_code error;
   boost::json::value value =
       boost::json::parse(boost::json::string_view(text.data(), text.size()), error, {}, options);
+  if (!error) return value;
+  const std::string replaced = ReplaceLoneSurrogates(text);
+  value = boost::json::parse(replaced, error, {}, options);
   if (error) return std::nullopt;
   return value;
 }
