--- a/src/log.cpp
+++ b/src/log.cpp
@@ -59,8 +59,9 @@
                        const log4cplus::spi::InternalLoggingEvent& event) override {
     std::ostringstream line;
     PatternLayout::formatAndAppend(line, event);
-    const std::string text = line.str();
-    output << EscapeControlCharacters(std::string_view(text).substr(0, text.size() - 1)) << '\n';
+    std::string text = line.str();
+    text.pop_back();
+    output << EscapeControlCharacters(text) << '\n';
   }
 };
 
