--- a/tests/standins/kv_standin.cpp
+++ b/tests/standins/kv_standin.cpp
@@ -66,11 +66,11 @@
     if (faults_.delay.count() > 0) co_await Sleep(faults_.delay);
     ExpireSessions();
     if (path.starts_with("/v1/kv/")) {
-      co_await HandleKey(std::string(path.substr(7)), exchange);
+      co_await HandleKey(path.substr(7), exchange);
     } else if (path == "/v1/txn") {
       co_await HandleTransaction(exchange);
     } else if (path.starts_with("/v1/session/")) {
-      co_await HandleSession(std::string(path.substr(12)), exchange);
+      co_await HandleSession(path.substr(12), exchange);
     } else {
       co_await ReplyJson(&exchange, 404, "unknown path");
     }
