--- a/tests/test_listing_progress.cpp
+++ b/tests/test_listing_progress.cpp
@@ -49,7 +49,8 @@
     put.target = "/item";
     put.body = R"({"key":")" + std::string(key) + R"(","value":""})";
     put.deadline = MonotonicNow() + seconds(5);
-    REQUIRE(CallOne(std::move(put)));
+    const auto written = CallOne(std::move(put));
+    REQUIRE(written);
   }
   boost::asio::io_context io(1);
   HttpClient client(io.get_executor());
