Count only endpoints at other addresses as reached beside a refusal

Cause: since a refusal counts only if another endpoint is reached; entries at the same address say nothing about the network.

Change: such entries are no others. faulty_endpoints passes (2,992 assertions). x86-64.

--- a/src/endpoint_prober.cpp
+++ b/src/endpoint_prober.cpp
@@ -47,11 +47,14 @@
   co_return correlator_->HasEnded(number);
 }
 
-// Whether one of a few other endpoints accepts connections, or there is no other.
+// Whether one of a few endpoints at other addresses accepts connections, or there is no other.
 Task<bool> EndpointProber::ReachesAnother(std::string endpoint) {
+  const DirectoryEntry* refusing = directory_->Find(endpoint);
   std::vector<FleetEndpoint> others;
   for (const auto& [id, entry] : directory_->entries()) {
-    if (id != endpoint) others.push_back(entry.endpoint);
+    const bool same_address =
+        refusing != nullptr && entry.endpoint.address == refusing->endpoint.address;
+    if (id != endpoint && !same_address) others.push_back(entry.endpoint);
   }
   const bool single = others.empty();
   const auto targets = ChooseProbeTargets(std::move(others), kOthersProbed, ++seed_);
