Fail the test instead of ending the program if a fleet does not start

Cause: an exception in the constructor of PlatformFleet left its thread joinable, and the program ended by std::terminate, without saying which gateway was not ready.

Change: the thread is ended first.

--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -215,16 +215,25 @@
   }
   gateways_.resize(options_.gateways);
   gateway_starts_.resize(options_.gateways);
-  for (int i = 0; i < options_.gateways; ++i) StartGateway(i);
+  try {
+    for (int i = 0; i < options_.gateways; ++i) StartGateway(i);
+  } catch (...) {
+    StopRestarts();
+    throw;
+  }
   WaitFor(kStartTimeout, [this] { return Leader() >= 0; });
 }
 
-PlatformFleet::~PlatformFleet() {
+void PlatformFleet::StopRestarts() {
   {
     const std::lock_guard lock(mutex_);
     stopping_ = true;
   }
   restart_thread_.join();
+}
+
+PlatformFleet::~PlatformFleet() {
+  StopRestarts();
   gateways_.clear();
   endpoints_.clear();
   store_.reset();
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -212,6 +212,8 @@
   int IndexOfPort(std::uint16_t port) const;
   void ChangeEndpoint(int index, const boost::json::object& change);
   void RestartEndpoints();
+  // Ends the thread that restarts endpoints.
+  void StopRestarts();
   std::string RunLog() const { return (directory_ / "runs").string(); }
   std::string OrderLog() const { return (directory_ / "orders").string(); }
   std::string ArrivalLog() const { return (directory_ / "arrivals").string(); }
