--- a/src/endpoint_reach.cpp
+++ b/src/endpoint_reach.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-// A service without a response for this long is probed, one service per kHeartbeatPeriod.
-constexpr milliseconds kQuietTime{1000};
-constexpr milliseconds kHeartbeatPeriod{500};
+// One service is probed when no endpoint of any service has responded for this long. Leaves time
+// for a confirmation within the users' contact time of 3 s.
+constexpr milliseconds kQuietTime{1500};
 // A failed attempt is no suspicion if another one was answered this recently.
 constexpr milliseconds kRecentResponse{300};
 // Shortest time between two rounds of probes at suspicion.
@@ -45,6 +45,7 @@
 
 void EndpointReach::SetServices(const std::map<std::string, std::size_t>& endpoints,
                                 MonotonicTime now) {
+  if (services_.empty()) heard_at_ = now;
   std::erase_if(services_, [&](const auto& item) { return !endpoints.contains(item.first); });
   for (const auto& [name, count] : endpoints) {
     const auto [it, added] = services_.try_emplace(name);
@@ -55,7 +56,9 @@
 
 void EndpointReach::RecordResponse(const std::string& service, MonotonicTime now) {
   const auto it = services_.find(service);
-  if (it != services_.end()) it->second.heard_at = now;
+  if (it == services_.end()) return;
+  it->second.heard_at = now;
+  heard_at_ = now;
 }
 
 bool EndpointReach::RecordFailure(const std::string& service, bool unreachable, MonotonicTime now) {
@@ -88,12 +91,12 @@
     } else if (service.suspected) {
       if (since_probe < kSuspicionPeriod) continue;
       rounds.push_back(Begin(name, &service, ProbeKind::kSuspicion));
-    } else if (now - service.heard_at >= kQuietTime) {
+    } else {
       const bool quieter = quietest == nullptr || service.heard_at < quietest->second.heard_at;
       if (quieter) quietest = &item;
     }
   }
-  if (quietest != nullptr && now - heartbeat_at_ >= kHeartbeatPeriod) {
+  if (quietest != nullptr && now - std::max(heard_at_, heartbeat_at_) >= kQuietTime) {
     heartbeat_at_ = now;
     rounds.push_back(Begin(quietest->first, &quietest->second, ProbeKind::kHeartbeat));
   }
@@ -110,6 +113,7 @@
   service.probed_at = now;
   if (reached > 0) {
     service.heard_at = now;
+    heard_at_ = now;
     service.suspected = false;
     service.confirming = false;
     if (service.silent > 0 && ++service.returns >= kRoundsToReturn) service.silent = 0;
--- a/src/endpoint_reach.h
+++ b/src/endpoint_reach.h
@@ -11,9 +11,9 @@
 
 namespace mimosabend {
 
-// Why endpoints of a service are probed. kHeartbeat: no response came for a while. kSuspicion: a
-// connection or an attempt failed. kConfirmation: none of the suspicion's endpoints was reached.
-// kReturn: none was reached, and the end of that is looked for.
+// Why endpoints of a service are probed. kHeartbeat: no response of any service came for a while.
+// kSuspicion: a connection or an attempt failed. kConfirmation: none of the suspicion's endpoints
+// was reached. kReturn: none was reached, and the end of that is looked for.
 enum class ProbeKind : std::uint8_t { kHeartbeat, kSuspicion, kConfirmation, kReturn };
 
 // Probes to send to a number of endpoints of a service.
@@ -73,6 +73,8 @@
   bool IsCutOff(const Service& service) const;
 
   std::map<std::string, Service> services_;
+  // The last response or successful probe of any service, and the last heartbeat.
+  MonotonicTime heard_at_;
   MonotonicTime heartbeat_at_;
 };
 
--- a/tests/test_endpoint_reach.cpp
+++ b/tests/test_endpoint_reach.cpp
@@ -68,6 +68,20 @@
   CHECK(network.probes == 0);
 }
 
+// Guards against connections to endpoints whose number grows with the services that are seldom
+// used.
+TEST_CASE("a daemon that hears from one service probes no other", "[endpoint_reach]") {
+  Network network({{"busy", 20}, {"quiet", 20}, {"rare", 2}});
+  for (int i = 0; i < 50; ++i) {
+    network.reach.RecordResponse("busy", network.now);
+    network.Run(milliseconds(1000));
+  }
+  CHECK(network.probes == 0);
+  // Without any response, one probe in half of the contact time is enough.
+  network.Run(seconds(60));
+  CHECK(network.probes <= 60 / 1.5);
+}
+
 // Guards against a single endpoint that crashes or falls silent being taken for a partition.
 TEST_CASE("one silent endpoint is no partition", "[endpoint_reach]") {
   Network network({{"a", 20}, {"single", 1}});
