--- a/tests/standins/platform_endpoint_standin.cpp
+++ b/tests/standins/platform_endpoint_standin.cpp
@@ -262,11 +262,12 @@
     json::object description{{"service", FLAGS_service},
                              {"address", ToString(address_)},
                              {"zone", "a"},
+                             {"version", FLAGS_software},
                              {"slots", FLAGS_slots},
                              {"state", "ready"},
                              {"born", ToUnixMillis(started_)},
+                             {"cold-left-ms", 0},
                              {"seq-no", sequence_}};
-    if (!FLAGS_software.empty()) description["version"] = FLAGS_software;
     json::array models;
     for (const std::string& model : models_) {
       models.push_back(json::object{{"name", model}, {"adapters", json::array()}});
--- a/tests/test_decoders.cpp
+++ b/tests/test_decoders.cpp
@@ -203,9 +203,10 @@
 // Guards against store entries and status reports of endpoints that crash the process.
 TEST_CASE("any entry and report is decoded or rejected", "[decoders]") {
   const std::vector<std::string> entries{
-      R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":64,"state":"ready","born":12,
-      "models":[{"name":"m","version":1,"adapters":["a","b"]}],"stage":{"m":"disk"}})",
-      R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":1,"state":"draining","born":1})"};
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":64,"state":"ready","born":12,"version":"v1",
+      "cold-left-ms":0,"seq-no":1,"models":[{"name":"m","version":1,"adapters":["a","b"]}],"stage":{"m":"disk"}})",
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":1,"state":"draining","born":1,
+      "version":"","cold-left-ms":9,"seq-no":0})"};
   Fuzz("entry", entries, [](const std::string& text) {
     const auto endpoint = platform::DecodeEndpoint("e1", text);
     if (endpoint) CHECK(endpoint->id == "e1");
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -1,3 +1,4 @@
+#include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
 #include "platform/decode.h"
@@ -121,8 +122,8 @@
 TEST_CASE("an endpoint with a name that can't be passed on is rejected", "[platform]") {
   const auto entry = [](const std::string& service, const std::string& ip,
                         const std::string& zone) {
-    return R"({"state":"ready","service":")" + service + R"(","address":")" + ip +
-           R"(:80","zone":")" + zone + R"("})";
+    return R"({"state":"ready","slots":1,"cold-left-ms":0,"seq-no":0,"version":"","service":")" +
+           service + R"(","address":")" + ip + R"(:80","zone":")" + zone + R"("})";
   };
   const std::string longest(255, 'n');
   const std::string good = entry(longest, "10.0.0.1", longest);
@@ -154,7 +155,7 @@
 TEST_CASE("a store entry that does not describe an endpoint is rejected", "[platform]") {
   const std::string good =
       R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":64,"state":"ready","born":12,
-          "version":"v1.2","models":[{"name":"m","version":1,"adapters":["a1"]}],"seq-no":4,"remaining-ms":1500})";
+          "version":"v1.2","cold-left-ms":0,"models":[{"name":"m","version":1,"adapters":["a1"]}],"seq-no":4,"remaining-ms":1500})";
   const auto endpoint = platform::DecodeEndpoint("i-1", good);
   REQUIRE(endpoint);
   CHECK(endpoint->address == Address{"10.0.0.1", 80});
@@ -170,6 +171,16 @@
         R"({"service":"s","state":"ready"})"}) {
     CHECK_FALSE(platform::DecodeEndpoint("i-2", text));
   }
+  for (const char* name : {"service", "address", "zone", "version", "slots", "state",
+                           "cold-left-ms", "seq-no", "born"}) {
+    CAPTURE(name);
+    boost::json::object entry = boost::json::parse(good).as_object();
+    entry[name] = boost::json::array();
+    CHECK_FALSE(platform::DecodeEndpoint("i-2", boost::json::serialize(entry)));
+    entry.erase(name);
+    const bool optional = std::string_view(name) == "born";
+    CHECK(platform::DecodeEndpoint("i-2", boost::json::serialize(entry)).has_value() == optional);
+  }
 }
 
 TEST_CASE("a status report lists what an engine holds and loads", "[platform]") {
--- a/tests/test_store_entries.cpp
+++ b/tests/test_store_entries.cpp
@@ -19,7 +19,8 @@
 
 json::object Entry(const std::string& service) {
   return {{"service", service}, {"address", "127.0.0.1:9"}, {"zone", "a"},
-          {"slots", 1},         {"state", "ready"},         {"born", 1}};
+          {"slots", 1},         {"state", "ready"},         {"born", 1},
+          {"version", ""},      {"cold-left-ms", 0},        {"seq-no", 1}};
 }
 
 std::string With(json::object entry, const std::string& name, const json::value& value) {
