Read a listing of the key-value store without the items that can't be read

ParseKvItems leaves such items out. A read of one key still reports an unreadable item as a bad answer, not as absent.

--- a/src/http_kv_store.cpp
+++ b/src/http_kv_store.cpp
@@ -2,6 +2,7 @@
 
 #include "base64.h"
 #include "json.h"
+#include "kv_items.h"
 #include "request_target.h"
 
 namespace mimosabend {
@@ -31,33 +32,19 @@
 
 std::string KeyTarget(const std::string& key) { return "/v1/kv/" + EncodeForTarget(key); }
 
-std::optional<KvItem> ParseItem(const json::value& value) {
-  const auto version = IntegerMember(value, "ModifyIndex");
-  auto data = DecodeBase64(StringMember(value, "Value"));
-  if (!version || *version <= 0 || !data) return std::nullopt;
-  return KvItem{StringMember(value, "Key"),
-                {std::move(*data), static_cast<std::uint64_t>(*version)}};
-}
-
 Result<std::vector<KvItem>, KvError> ParseItems(const HttpReply& reply) {
-  std::vector<KvItem> items;
-  if (reply.status == 404) return items;
-  const auto body = ParseJson(reply.body);
-  const json::array* array = body ? body->if_array() : nullptr;
-  if (reply.status != 200 || array == nullptr) return outcome::failure(KvError::kBadAnswer);
-  for (const json::value& value : *array) {
-    std::optional<KvItem> item = ParseItem(value);
-    if (!item) return outcome::failure(KvError::kBadAnswer);
-    items.push_back(std::move(*item));
-  }
-  return items;
+  if (reply.status == 404) return std::vector<KvItem>();
+  auto items = reply.status == 200 ? ParseKvItems(reply.body) : std::nullopt;
+  if (!items) return outcome::failure(KvError::kBadAnswer);
+  return std::move(*items);
 }
 
 Result<KvEntry, KvError> ParseEntry(const Result<HttpReply, KvError>& reply) {
   if (!reply) return outcome::failure(reply.error());
   auto items = ParseItems(reply.value());
   if (!items) return outcome::failure(items.error());
-  if (items.value().empty()) return KvEntry{};
+  if (reply.value().status == 404) return KvEntry{};
+  if (items.value().empty()) return outcome::failure(KvError::kBadAnswer);
   return std::move(items.value().front().entry);
 }
 
