Reject a response with status 101

The client never asks to switch protocols, so 101 is now malformed, as any status outside of 100 to 599. The test's new check failed before.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -34,6 +34,7 @@
 constexpr int kMaxInterimResponses = 16;
 // Responses with another status are malformed.
 constexpr unsigned kMinStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kMaxStatus = 599;
 // Pause between two checks whether the memory budget has room.
 constexpr milliseconds kRoomPollPeriod{20};
@@ -92,11 +93,13 @@
   }
 }
 
-// Whether a response with this status precedes the final one. The client never asks to switch
-// protocols, so 101 is not expected before another response.
-bool IsInterim(unsigned status) { return status >= 100 && status < 200 && status != 101; }
+// Whether a response with this status precedes the final one.
+bool IsInterim(unsigned status) { return status < 200; }
 
-bool IsValidStatus(unsigned status) { return status >= kMinStatus && status <= kMaxStatus; }
+// The client never asks to switch protocols.
+bool IsValidStatus(unsigned status) {
+  return status >= kMinStatus && status <= kMaxStatus && status != kSwitchingProtocols;
+}
 
 // Moves the body out of `call`.
 http::request<http::string_body> BuildRequest(HttpCall* moved) {
--- a/tests/test_http_messages.cpp
+++ b/tests/test_http_messages.cpp
@@ -370,6 +370,10 @@
       CHECK(reply.value().body == "body");
     }
   }
+  // The client never asks to switch protocols: what follows is no response.
+  const auto switched = endpoint.Receive({"HTTP/1.1 101 Switching Protocols\r\n\r\n"});
+  REQUIRE(!switched);
+  CHECK(switched.error() == HttpError::kMalformed);
   const auto without_end = endpoint.Receive({interim}, interim);
   REQUIRE(!without_end);
   CHECK(without_end.error() == HttpError::kTooLarge);
