Start with absent numbers and with the resources of a large machine

A template value that the platform doesn't state is rendered as nothing. An empty text, flag or whole number fell back to its default, but an empty fraction ended the start; so did more than 1,000,000 descriptors, although 1,048,576 and 1,073,741,816 are usual limits of Linux processes. Empty numbers now fall back, too, and the upper limits of a host's resources exceed all real ones. The test failed before.

--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -12,8 +12,8 @@
 constexpr double kMaxMillis = 600000;
 constexpr double kMaxWindowSeconds = 3600;
 constexpr double kMaxQuotaTolerance = 1e15;
-constexpr double kMaxCores = 4096;
-constexpr double kMaxLinkMbps = 1e6;
+constexpr double kMaxCores = 1e6;
+constexpr double kMaxLinkMbps = 1e9;
 constexpr double kMaxMinDelayMillis = 10000;
 constexpr double kMaxMaxDelayMillis = 60000;
 constexpr double kMillisPerSecond = 1000;
--- a/src/host_resources.cpp
+++ b/src/host_resources.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-constexpr double kMaxMemoryMb = 1e6;
+constexpr double kMaxMemoryMb = 1e9;
 constexpr double kMaxRelayShare = 0.8;
 constexpr double kBytesPerMb = 1 << 20;
-constexpr double kMaxDescriptors = 1e6;
+constexpr double kMaxDescriptors = 1e10;
 // The largest frame has room in the least memory.
 constexpr double kMinPeerMb = 32;
 constexpr double kMaxPeerMb = 1024;
--- a/src/ini_file.cpp
+++ b/src/ini_file.cpp
@@ -158,7 +158,7 @@
 double IniSection::Number(const std::string& key, double low, double high,
                           std::optional<double> fallback) {
   const Value* value = Find(key);
-  if (value == nullptr && fallback) return *fallback;
+  if ((value == nullptr || value->text.empty()) && fallback) return *fallback;
   const std::string text = Text(key);
   if (text.empty()) return low;
   double number = 0;
--- a/tests/test_gateway_settings.cpp
+++ b/tests/test_gateway_settings.cpp
@@ -39,6 +39,24 @@
   CHECK(settings.error().front().key == "endpoint_drain_ms");
 }
 
+// Guards against gateways that never start since the platform states no value, or one as of a large
+// machine without limits.
+TEST_CASE("absent values and unlimited resources don't end a start", "[settings]") {
+  const std::string empty =
+      "endpoint_drain_ms =\nshutdown_grace_s =\nretry_ratio =\nretry_extra =\nretry_window_s =\n"
+      "holder_gap_ms =\nfencing_required =\nceiling_window_s =\nceiling_over =\n"
+      "[host]\ncores =\nlink_mbps =\nmemory_mb =\ndescriptors =\n";
+  const auto absent = ParseGatewaySettings("test.ini", Settings(empty), {});
+  REQUIRE(absent);
+  CHECK(absent.value().bounds.endpoint_drain == GatewayBounds().endpoint_drain);
+  CHECK(absent.value().resources.memory_bytes == 0);
+  const std::string large =
+      "[host]\ncores = 8192\nlink_mbps = 1e7\nmemory_mb = 16777216\ndescriptors = 1073741816\n";
+  const auto unlimited = ParseGatewaySettings("test.ini", Settings(large), {});
+  REQUIRE(unlimited);
+  CHECK(unlimited.value().resources.descriptors == 1073741816);
+}
+
 // Guards against an order of quotas that is ignored, and against an unknown one that is accepted.
 TEST_CASE("the order of quotas is read and checked", "[settings]") {
   CHECK(ParseGatewaySettings("test.ini", Settings(""), {}).value().quota_order ==
