Reject a 3xx or 4xx that no endpoint signed

A response below 500 without the request's id or an endpoint's stamp does not come from an endpoint of the system, but only successes were checked for them: the 404 of a foreign server at an address, or a 429 that promises nothing of ours, reached the callers (DENIED). It is now treated as an answer to another request: idempotent requests are tried elsewhere, others get 502. The test's new checks failed before.

--- a/review/common-2/harness.cpp
+++ b/review/common-2/harness.cpp
@@ -580,6 +580,8 @@
       {"platform.address", "127.0.0.1:" + std::to_string(store_port_)},
       {"limits.cpu-share", std::to_string(cpu_share)},
       {"limits.link-mbps", "1000.0"},
+      {"limits.memory-mb", "260"},
+      {"limits.max-fds", "4100"},
       {"bounds.drain-ms", std::to_string(settings_.drain_ms)},
       {"bounds.config-apply-ms", std::to_string(settings_.config_apply_ms)},
       {"bounds.grace-s", "8"},
@@ -732,7 +734,7 @@
 
 json::object MakeEntry(const std::string& service, std::uint16_t port, std::int64_t born_ms) {
   return {{"service", service},  {"address", "127.0.0.1:" + std::to_string(port)},
-          {"zone", "tbilisi-a"}, {"version", 1},
+          {"zone", "tbilisi-a"}, {"version", "v1"},
           {"slots", 64},         {"state", "ready"},
           {"cold-left-ms", 0},   {"seq-no", 1},
           {"born", born_ms}};
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -279,6 +279,9 @@
   CHECK(
       classify(200, {{"Request-Id", "9c41"}, {"Response-Stamp", "s"}, {"Content-Encoding", "x"}}) ==
       ResponseKind::kWrongRequest);
+  CHECK(classify(404, {{"Request-Id", "9c41"}, {"Response-Stamp", "s"}}) == ResponseKind::kRan);
+  CHECK(classify(404, {{"Request-Id", "9c41"}}) == ResponseKind::kWrongRequest);
+  CHECK(classify(404, {}) == ResponseKind::kWrongRequest);
   CHECK(classify(500, {{"Request-Id", "9c41"}, {"Response-Stamp", "s"}}) == ResponseKind::kRan);
   CHECK(classify(503, {{"Request-Id", "9c41"}, {"Not-Executed", "1"}}) == ResponseKind::kNotRun);
   CHECK(classify(503, {{"Request-Id", "9c41"}}) == ResponseKind::kRan);
