Probe the endpoint before a stream without a length counts as complete

Cause: the end of the connection marks the end of a response with neither a length nor chunks.

Change: before the stream is ended, EndpointProber::HasEndedWithResponse connects once to the endpoint, 25 ms after the end of the response and for at most 100 ms. If the endpoint has ended, the stream is handled like one that broke inside an event. A resumed run without events then completes a stream whose endpoint ended after the last event. Streams that end at one endpoint within 25 ms share the connection. Endpoints that have announced that they leave are not probed.

Plain responses without a length are not probed.

--- a/src/endpoint_prober.cpp
+++ b/src/endpoint_prober.cpp
@@ -14,7 +14,9 @@
 // Maximum delay of the request's next attempt. Endpoints in other regions respond sooner.
 constexpr milliseconds kMaxWait{60};
 // An ending process may still accept a connection before its listening socket is closed.
-constexpr milliseconds kSecondProbeDelay{25};
+constexpr milliseconds kProbeDelay{25};
+// Maximum delay of the end of a response.
+constexpr milliseconds kMaxEndDelay{100};
 // Other endpoints that are probed after one has refused a connection, and the time for each.
 constexpr std::size_t kOthersProbed = 4;
 constexpr milliseconds kOtherTimeout{100};
@@ -47,6 +49,46 @@
   co_return correlator_->HasEnded(number);
 }
 
+Task<bool> EndpointProber::HasEndedWithResponse(FleetEndpoint endpoint) {
+  const std::uint32_t number = EndpointNumber(endpoint.id, endpoint.started_ms);
+  if (correlator_->HasEnded(number)) co_return true;
+  if (!directory_->IsExpectedToStay(endpoint.id, endpoint.started_ms)) co_return false;
+  std::shared_ptr<Notifier>& pending = delayed_probes_[number];
+  const bool is_new = pending == nullptr;
+  if (is_new) pending = std::make_shared<Notifier>(client_->executor());
+  const std::shared_ptr<Notifier> done = pending;
+  if (is_new) {
+    SpawnDetached(client_->executor(), "probe of an endpoint",
+                  ProbeLater(std::move(endpoint), number, done));
+  }
+  co_await done->WaitUntil(MonotonicNow() + kMaxEndDelay);
+  co_return correlator_->HasEnded(number);
+}
+
+// A single probe after the time in which an ending process may still accept a connection.
+Task<void> EndpointProber::ProbeLater(FleetEndpoint endpoint, std::uint32_t number,
+                                      std::shared_ptr<Notifier> done) {
+  co_await Sleep(kProbeDelay);
+  // The result says nothing about responses that end after the connection was accepted.
+  delayed_probes_.erase(number);
+  const Reachability reachability = co_await client_->Probe(endpoint.address, kConnectTimeout);
+  if (reachability == Reachability::kRefuses) {
+    const bool ended = co_await ReachesAnother(endpoint.id);
+    LOG4CPLUS_INFO(Log(), "probed after the end of a response: endpoint="
+                              << endpoint.id << " started_ms=" << endpoint.started_ms
+                              << " new connections=" << kReachabilityNames[reachability]
+                              << " ended=" << ended);
+    RecordIfEnded(endpoint, number, ended);
+  }
+  done->NotifyAll();
+}
+
+void EndpointProber::RecordIfEnded(const FleetEndpoint& endpoint, std::uint32_t number,
+                                   bool ended) {
+  const bool expected_to_stay = directory_->IsExpectedToStay(endpoint.id, endpoint.started_ms);
+  if (ended && expected_to_stay) correlator_->RecordEnd(number, MonotonicNow());
+}
+
 // Whether one of a few endpoints at other addresses accepts connections, or there is no other.
 Task<bool> EndpointProber::ReachesAnother(std::string endpoint) {
   const DirectoryEntry* refusing = directory_->Find(endpoint);
@@ -69,7 +111,7 @@
                                  std::shared_ptr<Notifier> done) {
   Reachability reachability = co_await client_->Probe(endpoint.address, kConnectTimeout);
   if (reachability == Reachability::kAccepts) {
-    co_await Sleep(kSecondProbeDelay);
+    co_await Sleep(kProbeDelay);
     reachability = co_await client_->Probe(endpoint.address, kConnectTimeout);
   }
   bool ended = false;
@@ -81,8 +123,7 @@
                             << endpoint.id << " started_ms=" << endpoint.started_ms
                             << " new connections=" << kReachabilityNames[reachability]
                             << " ended=" << ended);
-  const bool expected_to_stay = directory_->IsExpectedToStay(endpoint.id, endpoint.started_ms);
-  if (ended && expected_to_stay) correlator_->RecordEnd(number, MonotonicNow());
+  RecordIfEnded(endpoint, number, ended);
   probes_.erase(number);
   done->NotifyAll();
 }
--- a/src/endpoint_prober.h
+++ b/src/endpoint_prober.h
@@ -33,8 +33,17 @@
   // continues in the background.
   Task<bool> HasEnded(FleetEndpoint endpoint);
 
+  // Probes an endpoint that has ended a response by closing its connection, as a terminated process
+  // does, too. Calls within a few tens of milliseconds share one connection. False if the endpoint
+  // has not ended, if it has announced that it leaves, or if the probe takes longer than the end of
+  // the response should wait.
+  Task<bool> HasEndedWithResponse(FleetEndpoint endpoint);
+
  private:
+  Task<void> ProbeLater(FleetEndpoint endpoint, std::uint32_t number,
+                        std::shared_ptr<Notifier> done);
   Task<bool> ReachesAnother(std::string endpoint);
+  void RecordIfEnded(const FleetEndpoint& endpoint, std::uint32_t number, bool ended);
   Task<void> Probe(FleetEndpoint endpoint, std::uint32_t number, std::shared_ptr<Notifier> done);
 
   HttpClient* client_;
@@ -44,6 +53,8 @@
   std::uint64_t seed_ = 0;
   // Probes in progress, by EndpointNumber.
   std::map<std::uint32_t, std::shared_ptr<Notifier>> probes_;
+  // Probes of HasEndedWithResponse that have not begun to connect, by EndpointNumber.
+  std::map<std::uint32_t, std::shared_ptr<Notifier>> delayed_probes_;
 };
 
 }  // namespace mimosabend
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -262,6 +262,8 @@
   return headers;
 }
 
+bool HttpStream::ends_with_connection() const { return connection_->parser->need_eof(); }
+
 Task<Result<std::string, HttpError>> HttpStream::Read(MonotonicTime deadline) {
   auto& parser = *connection_->parser;
   std::string bytes;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -129,6 +129,11 @@
   // request; otherwise its end fails with kBroken.
   Task<Result<std::string, HttpError>> Read(MonotonicTime deadline);
 
+  // Whether the body has neither a length nor chunks. Its end is then that of the connection, which
+  // a process closes when it is terminated, too. Precondition: Read has returned the end of the
+  // body.
+  bool ends_with_connection() const;
+
   const std::shared_ptr<MemoryHold>& memory() const { return memory_; }
 
   // Reads the rest of the body. Fails with kTooLarge if it exceeds 8 MiB or the share of one
--- a/src/relay_context.h
+++ b/src/relay_context.h
@@ -142,6 +142,9 @@
   // Progress of the stream to the caller.
   bool stream_open = false;
   std::uint64_t last_event_id = 0;
+  // The last attempt ended between two events together with its endpoint, so the stream may be
+  // whole and a further attempt may have nothing to add.
+  bool may_be_whole = false;
   // The software version that began the stream, once it is known. It goes on nowhere else.
   std::optional<std::string> stream_version;
   std::uint64_t events = 0;
--- a/src/relay_stream.cpp
+++ b/src/relay_stream.cpp
@@ -390,6 +390,7 @@
       co_return NextStep::kRetry;
     }
     if (bytes.value().empty()) break;
+    context->may_be_whole = false;
     const std::string events = splitter.Add(bytes.value());
     if (splitter.partial_bytes() > kMaxEventBytes) {
       context->reason = "stream: event too large";
@@ -435,17 +436,29 @@
     context->pauses.BeginWait(MonotonicNow());
     await_event(stall_timeout);
   }
-  if (splitter.has_partial() || first) {
+  const bool is_empty = first && !context->may_be_whole;
+  if (splitter.has_partial() || is_empty) {
     context->reason = "stream ended before an event was complete";
     // A stream without a length ends with its connection, also when the engine crashes.
     co_await HandleIncompleteResponse(context, choice.endpoint, HttpError::kBroken);
     co_return NextStep::kRetry;
   }
-  RecordServed(context.get());
-  context->outcome = RelayOutcome::kAnswered;
   // The engine is done, the caller may not be.
   watch.Pause();
+  const bool ends_with_connection = stream->ends_with_connection();
   stream.reset();
+  bool endpoint_ended = false;
+  if (ends_with_connection) {
+    endpoint_ended = co_await deps_.prober->HasEndedWithResponse(choice.endpoint);
+  }
+  if (endpoint_ended) {
+    context->reason = "stream ended together with its endpoint";
+    context->may_be_whole = true;
+    co_await HandleIncompleteResponse(context, choice.endpoint, HttpError::kBroken);
+    co_return NextStep::kRetry;
+  }
+  RecordServed(context.get());
+  context->outcome = RelayOutcome::kAnswered;
   context->step = RelayStep::kCaller;
   co_await DrainCaller(context);
   if (context->caller_gone) co_return NextStep::kRetry;
--- a/tests/test_unproven_ends.cpp
+++ b/tests/test_unproven_ends.cpp
@@ -1,6 +1,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
@@ -109,8 +113,128 @@
   RelayFixture relay;
 };
 
+// What the engine does that gets the first request.
+struct FirstRun {
+  int events = kEvents;
+  // Whether its listening socket closes before the connection, as when a process is killed.
+  bool engine_ends = false;
+  // Whether it announces before that it leaves.
+  bool leaves = false;
+};
+
+// A relay with two engines whose responses have neither a length nor chunks.
+struct UnframedEngines {
+  explicit UnframedEngines(FirstRun first) : first_run(first) {
+    for (tcp::acceptor* acceptor : {&e1, &e2}) {
+      FleetEndpoint entry;
+      entry.id = acceptor == &e1 ? "e1" : "e2";
+      entry.service = "models";
+      entry.address = {"127.0.0.1", acceptor->local_endpoint().port()};
+      entry.failure_domain = "a";
+      entry.slots = 64;
+      entry.holdings.models.push_back({"m", {}});
+      relay.directory.Put(entry);
+      asio::co_spawn(relay.io, Accept(acceptor, entry.id), asio::detached);
+    }
+  }
+
+  Task<void> Accept(tcp::acceptor* acceptor, std::string id) {
+    boost::system::error_code error;
+    for (;;) {
+      tcp::socket socket(relay.io);
+      co_await acceptor->async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+      if (error) co_return;
+      ++connections;
+      asio::co_spawn(relay.io, Serve(acceptor, id, std::move(socket)), asio::detached);
+    }
+  }
+
+  Task<void> Serve(tcp::acceptor* acceptor, std::string id, tcp::socket socket) {
+    boost::system::error_code error;
+    std::string request;
+    co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n",
+                                    asio::redirect_error(asio::use_awaitable, error));
+    // A probe.
+    if (error) co_return;
+    const bool is_first = runs++ == 0;
+    std::string response =
+        "HTTP/1.1 200 OK\r\nRequest-Id: 9c41\r\nResponse-Stamp: stamp\r\n"
+        "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+    const std::string header = "Last-Event-Id: ";
+    const std::size_t last = request.find(header);
+    const int begin =
+        last == std::string::npos ? 0 : std::stoi(request.substr(last + header.size()));
+    const int end = is_first ? first_run.events : kEvents;
+    for (int event = begin + 1; event <= end; ++event) response += Event(event);
+    if (is_first && first_run.leaves) relay.directory.MarkLeaving(id, 0);
+    if (is_first && first_run.engine_ends) acceptor->close();
+    co_await asio::async_write(socket, asio::buffer(response),
+                               asio::redirect_error(asio::use_awaitable, error));
+  }
+
+  FirstRun first_run;
+  int connections = 0;
+  int runs = 0;
+  // Destroyed before the members above: its coroutines refer to them.
+  RelayFixture relay;
+  tcp::acceptor e1{relay.io, {asio::ip::address_v4::loopback(), 0}};
+  tcp::acceptor e2{relay.io, {asio::ip::address_v4::loopback(), 0}};
+};
+
 }  // namespace
 
+// Guards against a stream that is passed on as complete although its engine was killed between two
+// events, and against whole streams that fail or are run again because their engine ended later.
+TEST_CASE("a stream that ends between two events is complete if its engine lives", "[unproven]") {
+  struct Case {
+    std::string path;
+    FirstRun first_run;
+    bool complete;
+    int runs;
+  };
+  const Case tested = GENERATE(
+      // A living engine.
+      Case{"/resumable/1", {kEvents, false, false}, true, 1},
+      Case{"/once/1", {kEvents, false, false}, true, 1},
+      // One that is killed, the last time after the stream's last event.
+      Case{"/resumable/1", {1, true, false}, true, 2}, Case{"/once/1", {1, true, false}, false, 1},
+      Case{"/resumable/1", {kEvents, true, false}, true, 2},
+      // One that leaves as planned.
+      Case{"/once/1", {kEvents, true, true}, true, 1});
+  CAPTURE(tested.path, tested.first_run.events, tested.first_run.engine_ends);
+  UnframedEngines engines(tested.first_run);
+  const auto reply = engines.relay.Send(tested.path);
+  CHECK(reply.has_value() == tested.complete);
+  if (reply) CHECK(reply.value().body == Event(1) + Event(2) + Event(3));
+  CHECK(engines.runs == tested.runs);
+  // At most one probe for each end, and one that shows that other engines can be reached.
+  CHECK(engines.connections <= 2 * tested.runs + (tested.first_run.engine_ends ? 1 : 0));
+}
+
+// Guards against a connection for each of many streams that end at once at a living engine, and
+// against a noticeable delay of their ends.
+TEST_CASE("streams that end together at an engine share one probe", "[unproven]") {
+  UnframedEngines engines({});
+  engines.relay.directory.MarkLeaving("e2", 0);
+  constexpr int kStreams = 20;
+  int complete = 0;
+  const auto send = [&]() -> Task<void> {
+    HttpCall call = engines.relay.MakeCall("/resumable/1");
+    const auto reply = co_await engines.relay.test_client.Call(std::move(call));
+    if (reply) ++complete;
+  };
+  const MonotonicTime begin = MonotonicNow();
+  for (int i = 0; i < kStreams; ++i) asio::co_spawn(engines.relay.io, send(), asio::detached);
+  while (complete < kStreams && MonotonicNow() < begin + seconds(3)) {
+    engines.relay.io.run_for(milliseconds(5));
+  }
+  CHECK(complete == kStreams);
+  CHECK(MonotonicNow() - begin < milliseconds(500));
+  CHECK(engines.runs == kStreams);
+  // The streams may end in two groups on a busy machine.
+  CHECK(engines.connections <= kStreams + 2);
+}
+
 // Guards against a request that two engines work on at once, because the copy of another request's
 // answer ended the first attempt and the engine was not asked for the run.
 TEST_CASE("a foreign answer does not end the run of a stream", "[unproven]") {
