Probe other endpoints at the same time after a refused connection

After an endpoint refuses connections, another one has to accept one before a crash is concluded, since a network that separates the daemon from all endpoints may refuse, too. Up to four were probed one after the other, 100 ms each, while a request waits 60 ms for the answer: where many endpoints fall silent as one crashes, the crash was known too late, and streams that could go on broke off. The probes now run at the same time, and the first that succeeds decides.

--- a/src/endpoint_prober.cpp
+++ b/src/endpoint_prober.cpp
@@ -17,7 +17,7 @@
 constexpr milliseconds kProbeDelay{25};
 // Maximum delay of the end of a response.
 constexpr milliseconds kMaxEndDelay{100};
-// Other endpoints that are probed after one has refused a connection, and the time for each.
+// Other endpoints that are probed after one has refused a connection, and the time for them.
 constexpr std::size_t kOthersProbed = 4;
 constexpr milliseconds kOtherTimeout{100};
 
@@ -98,13 +98,27 @@
         refusing != nullptr && entry.endpoint.address == refusing->endpoint.address;
     if (id != endpoint && !same_address) others.push_back(entry.endpoint);
   }
-  const bool single = others.empty();
+  if (others.empty()) co_return true;
+  const auto probes = std::make_shared<OtherProbes>(client_->executor());
   const auto targets = ChooseProbeTargets(std::move(others), kOthersProbed, ++seed_);
+  probes->pending = targets.size();
+  // At the same time: many may have crashed together, and a request waits for the first answer.
   for (const FleetEndpoint& target : targets) {
-    const Reachability reachability = co_await client_->Probe(target.address, kOtherTimeout);
-    if (reachability == Reachability::kAccepts) co_return true;
+    SpawnDetached(client_->executor(), "probe of another endpoint",
+                  ProbeOther(target.address, probes));
   }
-  co_return single;
+  const MonotonicTime deadline = MonotonicNow() + kOtherTimeout;
+  while (!probes->reached && probes->pending > 0 && MonotonicNow() < deadline) {
+    co_await probes->changed.WaitUntil(deadline);
+  }
+  co_return probes->reached;
+}
+
+Task<void> EndpointProber::ProbeOther(Address address, std::shared_ptr<OtherProbes> probes) {
+  const Reachability reachability = co_await client_->Probe(std::move(address), kOtherTimeout);
+  if (reachability == Reachability::kAccepts) probes->reached = true;
+  --probes->pending;
+  probes->changed.NotifyAll();
 }
 
 Task<void> EndpointProber::Probe(FleetEndpoint endpoint, std::uint32_t number,
--- a/src/endpoint_prober.h
+++ b/src/endpoint_prober.h
@@ -42,7 +42,16 @@
  private:
   Task<void> ProbeLater(FleetEndpoint endpoint, std::uint32_t number,
                         std::shared_ptr<Notifier> done);
+  // Probes of several other endpoints.
+  struct OtherProbes {
+    explicit OtherProbes(boost::asio::any_io_executor executor) : changed(std::move(executor)) {}
+    Notifier changed;
+    std::size_t pending = 0;
+    bool reached = false;
+  };
+
   Task<bool> ReachesAnother(std::string endpoint);
+  Task<void> ProbeOther(Address address, std::shared_ptr<OtherProbes> probes);
   void RecordIfEnded(const FleetEndpoint& endpoint, std::uint32_t number, bool ended);
   Task<void> Probe(FleetEndpoint endpoint, std::uint32_t number, std::shared_ptr<Notifier> done);
 
--- a/tests/test_unproven_ends.cpp
+++ b/tests/test_unproven_ends.cpp
@@ -384,4 +384,53 @@
   CHECK_FALSE(*ended);
 }
 
+// Guards against a crash that is noticed too late for its streams, because other endpoints that
+// fell silent in the same moment are probed one after the other.
+TEST_CASE("a crash is known in time beside silent endpoints", "[unproven]") {
+  const tcp::endpoint any(asio::ip::address_v4::loopback(), 0);
+  asio::io_context io{1};
+  HttpClient client(io.get_executor());
+  FleetDirectory directory;
+  directory.Adopt(Config());
+  std::vector<tcp::acceptor> acceptors;
+  std::vector<tcp::socket> queued;
+  const auto put = [&](const std::string& id) {
+    tcp::acceptor& acceptor = acceptors.emplace_back(io, any);
+    FleetEndpoint endpoint;
+    endpoint.id = id;
+    endpoint.service = "models";
+    endpoint.address = {"127.0.0.1", acceptor.local_endpoint().port()};
+    directory.Put(endpoint);
+    return endpoint;
+  };
+  put("living");
+  for (const char* id : {"silent1", "silent2", "silent3"}) {
+    put(id);
+    // Full with one connection: the system drops further ones.
+    acceptors.back().listen(0);
+    queued.emplace_back(io).connect(acceptors.back().local_endpoint());
+  }
+  CrashEvidence evidence;
+  PartEvidence part_evidence{1};
+  CrashCorrelator correlator(&evidence, &part_evidence);
+  EndpointProber prober(&client, &directory, &correlator);
+  FleetEndpoint crashed = put("crashed");
+  acceptors.pop_back();
+  // Each probes the others in another order. Those at the address of a crashed one are no others.
+  for (int i = 0; i < 4; ++i) {
+    crashed.id = "crashed" + std::to_string(i);
+    directory.Put(crashed);
+    std::optional<bool> ended;
+    const auto ask = [&]() -> Task<void> {
+      const bool answer = co_await prober.HasEnded(crashed);
+      ended = answer;
+    };
+    asio::co_spawn(io, ask(), asio::detached);
+    const MonotonicTime end = MonotonicNow() + seconds(2);
+    while (!ended && MonotonicNow() < end) io.run_for(milliseconds(5));
+    CHECK(ended.value_or(false));
+  }
+  io.run_for(milliseconds(200));
+}
+
 }  // namespace mimosabend::testing
