Give the keys of one claim one version in the store's stand-in

FakeFleetStore::Claim gave each written key a revision of its own, against the FleetStore concept: the version of a claim's result is that of all written keys. A caller that expects the version of one of several keys lost its next claim in tests only.

--- a/tests/fake_fleet_store.h
+++ b/tests/fake_fleet_store.h
@@ -37,8 +37,8 @@
   const std::map<LeaseId, bool>& leases() const { return leases_; }
 
   void Put(const std::string& key, const std::string& value, const LeaseId& lease = {}) {
-    items_[key] = {{value, ++revision_}, lease};
-    history_.push_back({key, {value, revision_, era_}});
+    ++revision_;
+    PutAtRevision(key, value, lease);
   }
   void Erase(const std::string& key) {
     if (items_.erase(key) == 0) return;
@@ -161,7 +161,8 @@
     for (const KvPut& put : puts) {
       if (!put.lease.empty() && !leases_.contains(put.lease)) co_return KvSwap{false, 0, era_};
     }
-    for (const KvPut& put : puts) Put(put.key, put.value, put.lease);
+    ++revision_;
+    for (const KvPut& put : puts) PutAtRevision(put.key, put.value, put.lease);
     if (lose_claim_answer_) {
       lose_claim_answer_ = false;
       co_return outcome::failure(KvError::kOutcomeUnknown);
@@ -177,6 +178,11 @@
     LeaseId lease;
   };
 
+  void PutAtRevision(const std::string& key, const std::string& value, const LeaseId& lease) {
+    items_[key] = {{value, revision_}, lease};
+    history_.push_back({key, {value, revision_, era_}});
+  }
+
   KvChanges After(const std::string& prefix, StoreRevision after) const {
     KvChanges changes;
     changes.revision = {era_, revision_};
