Do not take stored streams of an old release for a version that serves

What callers see: long after a release, all gateways are lost at once, and take-ups are refused with 503 for 60 s although a single software version serves (LOST).

Cause: the ring stream-versions/streams-N keeps the streams of the last release until it is overwritten, and reading a value recorded the version of its streams as serving now. With a version that left long ago, the service has two, so a stream that was not reported, as none is while one version serves, counts as unknown. The same happened at each change of the leader.

Change: a ring value records its version only if it was written after stream-versions/services, which names all versions when a value of the ring is written.

--- a/src/stream_record.h
+++ b/src/stream_record.h
@@ -104,29 +104,44 @@
       co_return false;
     }
     const MonotonicTime now = MonotonicNow();
+    const std::vector<KvItem>& items = snapshot.value().items;
+    AddVersions(items, now);
+    const std::size_t streams = AddStreams(items, now);
+    versions_->history().MarkComplete();
+    stored_versions_.reset();
+    LOG4CPLUS_INFO(Log(), "read the software versions of streams from the store, fence="
+                              << term_ << " streams=" << streams);
+    co_return true;
+  }
+
+  void AddVersions(const std::vector<KvItem>& items, MonotonicTime now) {
     services_version_ = 0;
+    for (const KvItem& item : items) {
+      if (item.key != kServicesKey) continue;
+      services_version_ = item.entry.version;
+      const auto stored = Decode<StoredVersions>(item.entry.value);
+      if (stored) versions_->AddStored(stored->services, now);
+    }
+  }
+
+  // Adds the streams of the ring, and continues it. Returns how many they are.
+  std::size_t AddStreams(const std::vector<KvItem>& items, MonotonicTime now) {
     std::size_t streams = 0;
     std::uint64_t last_write = 0;
-    for (const KvItem& item : snapshot.value().items) {
-      if (item.key == kServicesKey) {
-        services_version_ = item.entry.version;
-        const auto stored = Decode<StoredVersions>(item.entry.value);
-        if (stored) versions_->AddStored(stored->services, now);
-        continue;
-      }
+    for (const KvItem& item : items) {
+      if (item.key == kServicesKey) continue;
       const auto stored = Decode<StoredStreams>(item.entry.value);
       if (!stored) continue;
-      versions_->AddStored(stored->streams, now);
+      // The ring keeps streams of versions that have left. Those of a value that was written after
+      // the versions are among them, or began to serve while the values were being read.
+      const bool may_serve = item.entry.version > services_version_;
+      versions_->AddStored(stored->streams, may_serve, now);
       for (const StreamOrigins& part : stored->streams) streams += part.keys.size();
       if (item.entry.version <= last_write) continue;
       last_write = item.entry.version;
       next_index_ = NextIndex(item.key);
     }
-    versions_->history().MarkComplete();
-    stored_versions_.reset();
-    LOG4CPLUS_INFO(Log(), "read the software versions of streams from the store, fence="
-                              << term_ << " streams=" << streams);
-    co_return true;
+    return streams;
   }
 
   static std::size_t NextIndex(const std::string& key) {
--- a/src/stream_versions.cpp
+++ b/src/stream_versions.cpp
@@ -153,12 +153,12 @@
 }
 
 void StreamVersions::AddToTable(const StreamOrigins& streams, MonotonicTime now) {
-  history_.Record(streams.service, streams.version, now);
   for (const std::uint64_t key : streams.keys) table_.Add(key, streams.version, now);
 }
 
 void StreamVersions::AddReport(const std::vector<StreamOrigins>& report, MonotonicTime now) {
   for (const StreamOrigins& streams : report) {
+    history_.Record(streams.service, streams.version, now);
     AddToTable(streams, now);
     for (const std::uint64_t key : streams.keys) {
       unstored_.Add(streams.service, streams.version, key, now);
@@ -166,8 +166,12 @@
   }
 }
 
-void StreamVersions::AddStored(const std::vector<StreamOrigins>& streams, MonotonicTime now) {
-  for (const StreamOrigins& part : streams) AddToTable(part, now);
+void StreamVersions::AddStored(const std::vector<StreamOrigins>& streams, bool may_serve,
+                               MonotonicTime now) {
+  for (const StreamOrigins& part : streams) {
+    if (may_serve) history_.Record(part.service, part.version, now);
+    AddToTable(part, now);
+  }
 }
 
 void StreamVersions::AddStored(const std::vector<ServiceVersions>& versions, MonotonicTime now) {
--- a/src/stream_versions.h
+++ b/src/stream_versions.h
@@ -237,8 +237,9 @@
 
   // Adds streams that daemons reported to this one. Precondition: this daemon leads.
   void AddReport(const std::vector<StreamOrigins>& report, MonotonicTime now);
-  // Adds what an earlier leader has stored.
-  void AddStored(const std::vector<StreamOrigins>& streams, MonotonicTime now);
+  // Adds what an earlier leader has stored. `may_serve`: whether the versions of the streams may
+  // still serve.
+  void AddStored(const std::vector<StreamOrigins>& streams, bool may_serve, MonotonicTime now);
   void AddStored(const std::vector<ServiceVersions>& versions, MonotonicTime now);
 
   // The reported streams that are to be stored, since their services have several versions.
--- a/tests/test_stream_origins.cpp
+++ b/tests/test_stream_origins.cpp
@@ -85,7 +85,7 @@
     leader_ = random_() % kDaemons;
     StreamVersions& leader = *daemons_[*leader_];
     leader.AddStored(stored_versions_, now_);
-    for (const auto& [index, streams] : stored_streams_) leader.AddStored(streams, now_);
+    for (const auto& [index, streams] : stored_streams_) leader.AddStored(streams, false, now_);
     leader.history().MarkComplete();
     for (auto& daemon : daemons_) daemon->ReportAgain();
   }
