Do not trust a single version after a time without a view of the endpoints

Cause: the history of versions counted as complete for good once it was, or 60 s after the start, also if the daemon saw no endpoints meanwhile. A version that came and went in that time is missing, so the one that the daemon knows looks like the only one.

Change: VersionHistory::RecordView begins the history anew after 3 s without a current view. The daemon then asks the leader or reads the store's values; a leader reads them again.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -670,6 +670,7 @@
     state_.holdings().KeepIf(is_known);
     limits_.KeepIf(is_known);
     limits_.PruneExpired(MonotonicNow());
+    streams_.history().RecordView(link_.ViewIsCurrent(MonotonicNow()), MonotonicNow());
     RecordVersions(MonotonicNow());
     streams_.PruneExpired(MonotonicNow());
     brittle_.KeepIf(is_known, MonotonicNow());
--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -285,6 +285,13 @@
     return now < parts_.state->leader_heard() + AnswerLifetime();
   }
 
+  // Whether no other daemon knows of endpoints that this one does not know of. While nobody can
+  // read the store, the leader's view is that of all daemons that report to it.
+  bool ViewIsCurrent(MonotonicTime now) const {
+    if (now - parts_.state->confirmed() < kCurrentViewAge) return true;
+    return parts_.leader->IsLeader(now) ? daemons_ > 1 : has_leader(now);
+  }
+
  private:
   // Covers the full state of a large fleet over a slow link.
   static constexpr milliseconds kReportTimeout{800};
@@ -371,13 +378,6 @@
     return now - parts_.state->confirmed() >= kStoreFreshness;
   }
 
-  // Whether no other daemon knows of endpoints that this one does not know of. While nobody can
-  // read the store, the leader's view is that of all daemons that report to it.
-  bool ViewIsCurrent(MonotonicTime now) const {
-    if (now - parts_.state->confirmed() < kCurrentViewAge) return true;
-    return parts_.leader->IsLeader(now) ? daemons_ > 1 : has_leader(now);
-  }
-
   Task<void> WaitForNextReport(bool answered) {
     const MonotonicTime now = MonotonicNow();
     if (parts_.usage->HasWaiting() || aggregator_.HasWaiting(now)) {
--- a/src/stream_record.h
+++ b/src/stream_record.h
@@ -64,7 +64,7 @@
         versions_->ForgetUnstored();
         const bool reads = read_requested_ && now - read_at_ >= kMinReadPeriod;
         if (reads) co_await Read();
-      } else if (!loaded_ && now >= retry_at_) {
+      } else if (ReadIsDue(now)) {
         const bool read = co_await Read();
         loaded_ = read;
       } else if (loaded_ && WriteIsDue(now)) {
@@ -151,6 +151,13 @@
     return 0;
   }
 
+  // At the begin of a term, and after a time without a view of the endpoints.
+  bool ReadIsDue(MonotonicTime now) const {
+    const bool incomplete =
+        !versions_->history().IsComplete(now) && now - read_at_ >= kMinReadPeriod;
+    return now >= retry_at_ && (!loaded_ || incomplete);
+  }
+
   // A change of the versions is written at once.
   bool WriteIsDue(MonotonicTime now) const {
     const bool changed = stored_versions_ != versions_->history().All();
--- a/src/stream_versions.cpp
+++ b/src/stream_versions.cpp
@@ -24,6 +24,14 @@
   return added;
 }
 
+void VersionHistory::RecordView(bool is_current, MonotonicTime now) {
+  if (now - viewed_at_ >= kMaxViewGap) {
+    begun_ = now;
+    complete_ = false;
+  }
+  if (is_current) viewed_at_ = now;
+}
+
 std::optional<std::string> VersionHistory::OnlyVersion(const std::string& service,
                                                        MonotonicTime now) const {
   const auto it = last_served_.find(service);
--- a/src/stream_versions.h
+++ b/src/stream_versions.h
@@ -66,12 +66,17 @@
 class VersionHistory {
  public:
   // `begun`: since when the daemon has recorded the versions.
-  explicit VersionHistory(MonotonicTime begun) : begun_(begun) {}
+  explicit VersionHistory(MonotonicTime begun) : begun_(begun), viewed_at_(begun) {}
 
   // Records that endpoints of a version serve, or have served until now. Returns true if the
   // version is not in the history.
   bool Record(const std::string& service, const std::string& version, MonotonicTime now);
 
+  // Records whether the daemon's view of the endpoints is current. A version may have come and gone
+  // during a long time without one, also while the process was paused, so the history begins anew.
+  // To be called several times within kMaxViewGap.
+  void RecordView(bool is_current, MonotonicTime now);
+
   // All versions that served before this daemon recorded them have been recorded since.
   void MarkComplete() { complete_ = true; }
 
@@ -92,7 +97,11 @@
   void PruneExpired(MonotonicTime now);
 
  private:
+  static constexpr milliseconds kMaxViewGap{3000};
+
   MonotonicTime begun_;
+  // When the view of the endpoints was last current.
+  MonotonicTime viewed_at_;
   bool complete_ = false;
   // By service and version: when it last served.
   std::map<std::string, std::map<std::string, MonotonicTime>> last_served_;
--- a/tests/test_stream_origins.cpp
+++ b/tests/test_stream_origins.cpp
@@ -196,6 +196,32 @@
   CHECK(versions.Find(kService, key, true, kStart + kStreamLifetime).version == "v2");
 }
 
+// Guards against a daemon that was paused or cut off, did not see a version come and go meanwhile,
+// and trusts the only one that it knows.
+TEST_CASE("a single version is not trusted after a time without a view of the endpoints",
+          "[stream_origins]") {
+  const bool paused = GENERATE(false, true);
+  CAPTURE(paused);
+  StreamVersions versions(kStart);
+  versions.history().MarkComplete();
+  const auto state = [&](MonotonicTime now) {
+    return versions.Find(kService, StreamKey(kService, "1"), true, now).state;
+  };
+  const auto record = [&](bool view_is_current, MonotonicTime now) {
+    versions.history().RecordView(view_is_current, now);
+    versions.RecordServing(kService, "v1", now);
+  };
+  const MonotonicTime cut_off = kStart + seconds(10);
+  const MonotonicTime back = cut_off + seconds(20);
+  for (MonotonicTime now = kStart; now < cut_off; now += kStep) record(true, now);
+  CHECK(state(cut_off) == OriginState::kKnown);
+  for (MonotonicTime now = cut_off; now < back && !paused; now += kStep) record(false, now);
+  record(true, back);
+  CHECK(state(back) == OriginState::kNoAnswer);
+  for (MonotonicTime now = back; now < back + kStreamLifetime; now += kStep) record(true, now);
+  CHECK(state(back + kStreamLifetime) == OriginState::kKnown);
+}
+
 // Guards against streams that a daemon reports neither once a second version serves nor to a new
 // leader, and against reports that grow without bound.
 TEST_CASE("streams are reported once a service has several versions", "[stream_origins]") {
--- a/tests/test_stream_record.cpp
+++ b/tests/test_stream_record.cpp
@@ -56,6 +56,11 @@
   };
   CHECK(find("2").version == "v2");
   CHECK(find("1").version == "v1");
+  // A leader that had no view of the endpoints for a while reads the versions again.
+  next.versions.history().RecordView(false, MonotonicNow() + kStreamLifetime);
+  CHECK(find("2").state == OriginState::kNoAnswer);
+  time.RunFor(&io, seconds(2));
+  CHECK(find("2").version == "v2");
 }
 
 }  // namespace mimosabend::testing
