Keep a stream whose engine refused the model a moment ago

What callers see: a take-up is refused with 503, or an open stream broken off, although an engine of its software version holds the model (LOST).

Cause: RelayHandler::LacksVersion took an engine that answered 421 for one without the model for 0.6 s, while an engine of another version held it. Other requests wait that time out, since the engine may only be loading.

Change: LacksVersion looks at the holdings, and is asked again while the request waits for the model, so that it is refused as soon as the holdings show that the model is gone.

Evidence: of the two new cases of test_stream_origins, the first failed before (503) and passes 5 of 5.

--- a/src/relay_versions.cpp
+++ b/src/relay_versions.cpp
@@ -63,7 +63,8 @@
   bool other_holds = false;
   for (const DirectoryEntry* entry : deps_.directory->OfService(context->service_name, now)) {
     const bool same = entry->endpoint.software == *context->stream_version;
-    const bool has_model = entry->Holds(context->params.model);
+    // An engine that refused the model a moment ago may be loading it.
+    const bool has_model = entry->holdings().Find(context->params.model) != nullptr;
     serves = serves || same;
     holds = holds || (same && has_model);
     other_holds = other_holds || (!same && has_model);
--- a/src/relay_wait.cpp
+++ b/src/relay_wait.cpp
@@ -52,7 +52,7 @@
   bool found = false;
   while (!context->caller_gone) {
     const MonotonicTime now = MonotonicNow();
-    if (MustLeave(*context, now)) break;
+    if (MustLeave(*context, now) || LacksVersion(context.get(), now)) break;
     const WaitDecision decision = DecideOnModelWait(context.get(), now);
     context->ready_at = decision.ready_at;
     found = decision.action == WaitAction::kSend;
--- a/tests/test_stream_origins.cpp
+++ b/tests/test_stream_origins.cpp
@@ -1,3 +1,5 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 #include <map>
 #include <optional>
@@ -8,6 +10,7 @@
 #include "relay_fixture.h"
 #include "report_aggregator.h"
 #include "stream_versions.h"
+#include "supervisor.h"
 
 namespace mimosabend::testing {
 
@@ -281,6 +284,31 @@
     CHECK(MonotonicNow() - start < milliseconds(500));
     CHECK(relay.engine_arrivals() == 0);
   }
+  SECTION("taken up, its engine lacks the model for a moment") {
+    relay.SetBehavior(Respond(421), EventsAfter(2));
+    relay.stream_origin = {OriginState::kKnown, "v1"};
+    const auto housekeeping = [](FleetDirectory* directory) -> Task<void> {
+      co_await Sleep(FleetDirectory::kRefusedLifetime + milliseconds(100));
+      directory->PruneExpired(MonotonicNow());
+    };
+    boost::asio::co_spawn(relay.io, housekeeping(&relay.directory), boost::asio::detached);
+    CHECK(relay.Send(TakeUpCall(relay)).value().body == Event(3));
+    CHECK(relay.e2.arrivals == 0);
+  }
+  SECTION("taken up, its engine turns out to have dropped the model") {
+    relay.SetBehavior(Respond(421), Respond(421));
+    relay.stream_origin = {OriginState::kKnown, "v1"};
+    const auto report = [](RelayFixture* fixture) -> Task<void> {
+      co_await Sleep(milliseconds(200));
+      const FleetEndpoint& e1 = fixture->directory.Find(fixture->e1.id)->endpoint;
+      fixture->directory.SetLeaderHoldings(e1.id, e1.started_ms, {}, MonotonicNow());
+      fixture->usage.endpoints_changed().NotifyAll();
+    };
+    const MonotonicTime start = MonotonicNow();
+    boost::asio::co_spawn(relay.io, report(&relay), boost::asio::detached);
+    CHECK(relay.Send(TakeUpCall(relay)).value().status == 503);
+    CHECK(MonotonicNow() - start < milliseconds(700));
+  }
   SECTION("broken within a response") {
     relay.SetBehavior(SendEvents(1, 2, false), EventsAfter(2));
     CHECK_FALSE(relay.Send("/resumable/1"));
