Dispatch requests of other daemons by a table of handlers

Gateway::HandlePeer and Daemon::HandlePeer repeated the same decoding, error and reply for eight and four types of message. PeerDispatcher now does that once, with a handler for each type. Behaviour is unchanged: the same errors for unknown types and bodies that can't be decoded, the same answers.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -23,6 +23,7 @@
 #include "http_weight_store.h"
 #include "log.h"
 #include "ownership.h"
+#include "peer_dispatcher.h"
 #include "poison_guard.h"
 #include "request_sweeper.h"
 #include "service_handler.h"
@@ -74,7 +75,8 @@
   Task<void> HandleClient(HttpExchange& exchange);
   Task<void> RouteRequest(HttpExchange& exchange);
   Task<void> HandleAdmin(HttpExchange& exchange);
-  Task<Result<Envelope, PeerError>> HandlePeer(Envelope request);
+  void AddPeerHandlers();
+  Task<DemandAnswer> AnswerDemand(std::string sender, DemandRequest request);
   Task<DemandAnswer> SendDemandToOwner(DemandRequest request);
   Task<DemandAnswer> SendDemandThroughRelay(DemandRequest request, std::string owner);
   StoreLoad WeightStoreLoad(bool in_use);
@@ -120,6 +122,7 @@
   CompletionHandler<Engine, Kv> completions_;
   ServiceHandler<Kv> services_;
   Gossip gossip_;
+  PeerDispatcher peers_;
   PeerServer peer_server_;
   HttpServer caller_server_;
   HttpServer admin_server_;
@@ -185,13 +188,15 @@
                             [this](const Address& peer, std::uint64_t version) {
                               document_.OnPeerVersion(peer, version, MonotonicNow());
                             }}),
+      peers_(identity_.name),
       peer_server_(io->get_executor(), identity_, &metrics_,
-                   [this](Envelope request) { return HandlePeer(std::move(request)); }),
+                   [this](Envelope request) { return peers_.Handle(std::move(request)); }),
       caller_server_(io->get_executor(), settings.limits,
                      [this](HttpExchange& exchange) { return HandleClient(exchange); }),
       admin_server_(io->get_executor(), kAdminLimits,
                     [this](HttpExchange& exchange) { return HandleAdmin(exchange); }),
       signals_(*io, SIGTERM, SIGINT) {
+  AddPeerHandlers();
   caller_server_.set_memory_budget(&memory_);
   ApplyCallerLimits(settings_.resources, settings_.limits, &caller_server_, &memory_);
   ApplyPeerLimits(settings_.resources, &peer_server_);
@@ -353,45 +358,38 @@
   return boost::json::serialize(status);
 }
 
-Task<Result<Envelope, PeerError>> Daemon::HandlePeer(Envelope request) {
-  if (request.type == PeerMessageType::kMembersRequest) {
-    auto message = Unwrap<MembersRequest>(request);
-    if (!message) co_return outcome::failure(message.error());
-    for (const MemberUpdate& update : message.value().updates) {
-      membership_.Apply(update, MonotonicNow());
-    }
+// Sets how the requests of other daemons are answered.
+void Daemon::AddPeerHandlers() {
+  peers_.Add<MembersRequest>([this](const std::string&, const MembersRequest& request) {
+    for (const MemberUpdate& update : request.updates) membership_.Apply(update, MonotonicNow());
     MembersAnswer answer;
     answer.updates = membership_.AllUpdates();
-    co_return Wrap(answer, identity_.name, 0, WallNow());
-  }
-  if (request.type == PeerMessageType::kDemandRequest) {
-    auto message = Unwrap<DemandRequest>(request);
-    if (!message) co_return outcome::failure(message.error());
-    DemandAnswer answer;
-    answer.status = DemandStatus::kNotOwner;
-    const auto owner = ownership_.Find(message.value().group);
-    if (owner != nullptr && owner->is_owner()) {
-      answer = co_await owner->Demand(request.sender, std::move(message).value());
-    } else if (message.value().forward_to_owner) {
-      answer = co_await SendDemandToOwner(std::move(message).value());
-    }
-    co_return Wrap(answer, identity_.name, 0, WallNow());
-  }
-  if (request.type == PeerMessageType::kPoisonNotice) {
-    auto message = Unwrap<PoisonNotice>(request);
-    if (!message) co_return outcome::failure(message.error());
-    const PoisonNotice& notice = message.value();
+    return answer;
+  });
+  peers_.AddTask<DemandRequest>([this](const std::string& sender, DemandRequest request) {
+    return AnswerDemand(sender, std::move(request));
+  });
+  peers_.Add<PoisonNotice>([this](const std::string&, const PoisonNotice& notice) {
     poison_.AddAnnouncedCrash(notice.fingerprint, notice.crash, notice.recorded, WallNow());
     PoisonAck ack;
     ack.noted = true;
-    co_return Wrap(ack, identity_.name, 0, WallNow());
-  }
-  if (request.type == PeerMessageType::kDocumentRequest) {
-    auto message = Unwrap<DocumentRequest>(request);
-    if (!message) co_return outcome::failure(message.error());
-    co_return Wrap(document_.HandleRequest(message.value()), identity_.name, 0, WallNow());
+    return ack;
+  });
+  peers_.Add<DocumentRequest>([this](const std::string&, const DocumentRequest& request) {
+    return document_.HandleRequest(request);
+  });
+}
+
+Task<DemandAnswer> Daemon::AnswerDemand(std::string sender, DemandRequest request) {
+  DemandAnswer answer;
+  answer.status = DemandStatus::kNotOwner;
+  const auto owner = ownership_.Find(request.group);
+  if (owner != nullptr && owner->is_owner()) {
+    answer = co_await owner->Demand(std::move(sender), std::move(request));
+  } else if (request.forward_to_owner) {
+    answer = co_await SendDemandToOwner(std::move(request));
   }
-  co_return outcome::failure(PeerError::kUnknownType);
+  co_return answer;
 }
 
 // Sends a demand to the preferred owner of the group, or handles it locally if this daemon owns the
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -25,6 +25,7 @@
 #include "log.h"
 #include "memory_budget.h"
 #include "metrics.h"
+#include "peer_dispatcher.h"
 #include "placement_leader.h"
 #include "platform/decode.h"
 #include "platform/engine_orders.h"
@@ -136,7 +137,7 @@
   bool KnowsLeftEndpoints(MonotonicTime now) const;
   Task<void> HandleReadiness(HttpExchange& exchange);
   Task<void> HandleMetrics(HttpExchange& exchange);
-  Task<Result<Envelope, PeerError>> HandlePeer(Envelope request);
+  void AddPeerHandlers();
   ItemHandlers ConfigHandlers();
   ItemHandlers EndpointHandlers();
   PlacementHooks MakePlacementHooks();
@@ -199,6 +200,7 @@
   LeaseKeeper<PlatformStore> lease_;
   Leader leader_;
   PeerClient peer_client_;
+  PeerDispatcher peers_;
   PeerServer peer_server_;
   StreamRecord<PlatformStore> stream_record_;
   StateSync sync_;
@@ -264,8 +266,9 @@
                   settings.bounds.holder_gap, settings.bounds.fencing_required,
                   settings.bounds.ceiling_window, settings.bounds.ceiling_over}),
       peer_client_(io->get_executor(), {settings.name, fleet_key_, {}}, &metrics_),
+      peers_(settings.name),
       peer_server_(io->get_executor(), {settings.name, fleet_key_, {}}, &metrics_,
-                   [this](Envelope request) { return HandlePeer(std::move(request)); }),
+                   [this](Envelope request) { return peers_.Handle(std::move(request)); }),
       stream_record_(&store_, &streams_,
                      [this](MonotonicTime now) {
                        return leader_.IsLeader(now) ? leader_.fence() : std::uint64_t{0};
@@ -307,6 +310,7 @@
                       [this](HttpExchange& exchange) { return HandleMetrics(exchange); }),
       termination_signals_(*io, SIGTERM, SIGINT),
       reload_signals_(*io, SIGHUP) {
+  AddPeerHandlers();
   caller_server_.set_memory_budget(&memory_);
   forward_server_.set_memory_budget(&memory_);
   ApplyCallerLimits(settings_.resources, caller_limits_, &caller_server_, &memory_);
@@ -598,61 +602,36 @@
   co_await exchange.Reply(200, std::move(headers), std::move(body));
 }
 
-Task<Result<Envelope, PeerError>> Gateway::HandlePeer(Envelope request) {
-  if (request.type == PeerMessageType::kUsageReport) {
-    auto report = Unwrap<UsageReport>(request);
-    if (!report) co_return outcome::failure(report.error());
-    store_.era().Learn(report.value().known.directory_revision.era, request.sender);
-    const UsageAnswer answer = link_.HandleReport(request.sender, report.value(), MonotonicNow());
-    co_return Wrap(answer, settings_.name, 0, WallNow());
-  }
-  if (request.type == PeerMessageType::kStandDownRequest) {
-    auto message = Unwrap<StandDownRequest>(request);
-    if (!message) co_return outcome::failure(message.error());
-    co_return Wrap(leader_.StandDown(message.value(), MonotonicNow()), settings_.name, 0,
-                   WallNow());
-  }
-  if (request.type == PeerMessageType::kViewRequest) {
-    auto message = Unwrap<ViewRequest>(request);
-    if (!message) co_return outcome::failure(message.error());
-    store_.era().Learn(message.value().directory_revision.era, request.sender);
+// Sets how the requests of other daemons are answered.
+void Gateway::AddPeerHandlers() {
+  peers_.Add<UsageReport>([this](const std::string& sender, const UsageReport& report) {
+    store_.era().Learn(report.known.directory_revision.era, sender);
+    return link_.HandleReport(sender, report, MonotonicNow());
+  });
+  peers_.Add<StandDownRequest>([this](const std::string&, const StandDownRequest& request) {
+    return leader_.StandDown(request, MonotonicNow());
+  });
+  peers_.Add<ViewRequest>([this](const std::string& sender, const ViewRequest& request) {
+    store_.era().Learn(request.directory_revision.era, sender);
     const MonotonicTime now = MonotonicNow();
-    const ViewAnswer answer{state_.ViewSince(message.value().directory_revision, now),
-                            state_.MakeLeaderNotice(now),
-                            exchange_.HandleRequest(message.value().evidence, now)};
-    co_return Wrap(answer, settings_.name, 0, WallNow());
-  }
-  if (request.type == PeerMessageType::kDocumentRequest) {
-    auto message = Unwrap<DocumentRequest>(request);
-    if (!message) co_return outcome::failure(message.error());
-    co_return Wrap(state_.config().HandleRequest(message.value()), settings_.name, 0, WallNow());
-  }
-  if (request.type == PeerMessageType::kAdapterRequest) {
-    auto message = Unwrap<AdapterRequest>(request);
-    if (!message) co_return outcome::failure(message.error());
-    const AdapterAnswer answer = co_await leader_.PlaceAdapter(std::move(message).value());
-    co_return Wrap(answer, settings_.name, 0, WallNow());
-  }
-  if (request.type == PeerMessageType::kPermitRequest) {
-    auto message = Unwrap<PermitRequest>(request);
-    if (!message) co_return outcome::failure(message.error());
-    co_return Wrap(link_.DecidePermit(message.value(), MonotonicNow()), settings_.name, 0,
-                   WallNow());
-  }
-  if (request.type == PeerMessageType::kStreamOriginRequest) {
-    auto message = Unwrap<StreamOriginRequest>(request);
-    if (!message) co_return outcome::failure(message.error());
-    co_return Wrap(link_.AnswerStreamOrigin(message.value(), MonotonicNow()), settings_.name, 0,
-                   WallNow());
-  }
-  if (request.type == PeerMessageType::kSlotShareRequest) {
-    auto message = Unwrap<SlotShareRequest>(request);
-    if (!message) co_return outcome::failure(message.error());
-    const SlotShareAnswer answer =
-        link_.DecideShares(request.sender, message.value(), MonotonicNow());
-    co_return Wrap(answer, settings_.name, 0, WallNow());
-  }
-  co_return outcome::failure(PeerError::kUnknownType);
+    return ViewAnswer{state_.ViewSince(request.directory_revision, now),
+                      state_.MakeLeaderNotice(now), exchange_.HandleRequest(request.evidence, now)};
+  });
+  peers_.Add<DocumentRequest>([this](const std::string&, const DocumentRequest& request) {
+    return state_.config().HandleRequest(request);
+  });
+  peers_.AddTask<AdapterRequest>([this](const std::string&, AdapterRequest request) {
+    return leader_.PlaceAdapter(std::move(request));
+  });
+  peers_.Add<PermitRequest>([this](const std::string&, const PermitRequest& request) {
+    return link_.DecidePermit(request, MonotonicNow());
+  });
+  peers_.Add<StreamOriginRequest>([this](const std::string&, const StreamOriginRequest& request) {
+    return link_.AnswerStreamOrigin(request, MonotonicNow());
+  });
+  peers_.Add<SlotShareRequest>([this](const std::string& sender, const SlotShareRequest& request) {
+    return link_.DecideShares(sender, request, MonotonicNow());
+  });
 }
 
 Task<void> Gateway::RunHousekeeping() {
