Move the update of a gateway's metrics into a module of its own

Gateway::UpdateMetrics kept the last value of twelve totals in local variables, between the updates of its gauges. GatewayMetrics now holds them, one CounterGrowth each, and gateway.cpp keeps the task. The metrics and their values are unchanged, except that the task no longer counts all totals again if the supervisor restarts it.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -8,7 +8,6 @@
 #include <optional>
 #include <set>
 
-#include "bounded_appender.h"
 #include "brittle_endpoints.h"
 #include "caller_limits.h"
 #include "crash_correlator.h"
@@ -19,9 +18,9 @@
 #include "event_loop.h"
 #include "evidence_exchange.h"
 #include "fleet_state.h"
+#include "gateway_metrics.h"
 #include "leader_finder.h"
 #include "leader_link.h"
-#include "library_assertions.h"
 #include "log.h"
 #include "memory_budget.h"
 #include "metrics.h"
@@ -173,7 +172,6 @@
   std::string fleet_key_;
   Metrics metrics_;
   RelayMetrics relay_metrics_;
-  CallerMetrics caller_metrics_{relay_metrics_.registry()};
   MemoryBudget memory_;
   Supervisor supervisor_;
   HttpClient endpoint_client_;
@@ -218,6 +216,7 @@
   HttpLimits caller_limits_;
   HttpServer readiness_server_;
   HttpServer metrics_server_;
+  GatewayMetrics gateway_metrics_;
   asio::signal_set termination_signals_;
   asio::signal_set reload_signals_;
   MonotonicTime started_at_ = MonotonicNow();
@@ -308,6 +307,9 @@
                         [this](HttpExchange& exchange) { return HandleReadiness(exchange); }),
       metrics_server_(io->get_executor(), kInternalLimits,
                       [this](HttpExchange& exchange) { return HandleMetrics(exchange); }),
+      gateway_metrics_(&relay_metrics_, {&store_, &endpoint_client_, &caller_server_, &memory_,
+                                         &prefixes_, &evidence_, &part_evidence_, &reach_, &limits_,
+                                         &streams_, &brittle_, &directory_, &relay_}),
       termination_signals_(*io, SIGTERM, SIGINT),
       reload_signals_(*io, SIGHUP) {
   AddPeerHandlers();
@@ -672,65 +674,8 @@
 }
 
 Task<void> Gateway::UpdateMetrics() {
-  std::uint64_t calls = 0;
-  std::uint64_t errors = 0;
-  std::uint64_t listing_pages = 0;
-  std::uint64_t restores = 0;
-  std::uint64_t dropped_responses = 0;
-  std::uint64_t invalid_eras = 0;
-  std::uint64_t connections = 0;
-  std::uint64_t dropped_lines = 0;
-  std::uint64_t rejected = 0;
-  std::uint64_t failed_assertions = 0;
-  std::uint64_t exceptions = 0;
-  std::uint64_t prefix_evictions = 0;
   for (;;) {
-    caller_metrics_.Update(caller_server_, memory_);
-    relay_metrics_.store_calls_total->Increment(static_cast<double>(store_.calls() - calls));
-    relay_metrics_.store_errors_total->Increment(static_cast<double>(store_.errors() - errors));
-    relay_metrics_.store_listing_pages_total->Increment(
-        static_cast<double>(store_.listing_pages() - listing_pages));
-    listing_pages = store_.listing_pages();
-    const StoreEra& era = store_.era();
-    relay_metrics_.store_restores_total->Increment(static_cast<double>(era.begun() - restores));
-    restores = era.begun();
-    relay_metrics_.store_dropped_responses_total->Increment(
-        static_cast<double>(era.dropped() - dropped_responses));
-    dropped_responses = era.dropped();
-    relay_metrics_.store_invalid_eras_total->Increment(
-        static_cast<double>(era.invalid() - invalid_eras));
-    invalid_eras = era.invalid();
-    relay_metrics_.connections_opened_total->Increment(
-        static_cast<double>(endpoint_client_.connections_opened() - connections));
-    relay_metrics_.log_lines_dropped_total->Increment(
-        static_cast<double>(BoundedAppender::dropped_lines_total() - dropped_lines));
-    relay_metrics_.invalid_requests_total->Increment(
-        static_cast<double>(caller_server_.rejected_requests() - rejected));
-    rejected = caller_server_.rejected_requests();
-    relay_metrics_.library_assertions_total->Increment(
-        static_cast<double>(FailedLibraryAssertions() - failed_assertions));
-    failed_assertions = FailedLibraryAssertions();
-    relay_metrics_.exceptions_total->Increment(
-        static_cast<double>(ReportedExceptions() - exceptions));
-    exceptions = ReportedExceptions();
-    dropped_lines = BoundedAppender::dropped_lines_total();
-    calls = store_.calls();
-    errors = store_.errors();
-    connections = endpoint_client_.connections_opened();
-    relay_metrics_.prefix_parts->Set(static_cast<double>(prefixes_.parts()));
-    relay_metrics_.prefix_evictions_total->Increment(
-        static_cast<double>(prefixes_.evictions() - prefix_evictions));
-    prefix_evictions = prefixes_.evictions();
-    relay_metrics_.crash_suspects->Set(static_cast<double>(evidence_.suspects()));
-    relay_metrics_.contained_parts->Set(static_cast<double>(part_evidence_.contained()));
-    relay_metrics_.cut_off_services->Set(static_cast<double>(reach_.cut_off()));
-    relay_metrics_.limited_endpoints->Set(static_cast<double>(limits_.size()));
-    relay_metrics_.invalid_entries->Set(static_cast<double>(invalid_entries_.size()));
-    relay_metrics_.stream_origins->Set(static_cast<double>(streams_.streams()));
-    relay_metrics_.brittle_endpoints->Set(static_cast<double>(brittle_.size()));
-    relay_metrics_.endpoints->Set(static_cast<double>(directory_.entries().size()));
-    relay_metrics_.requests_in_flight->Set(static_cast<double>(relay_.in_flight()));
-    relay_metrics_.leads_placement->Set(leader_.IsLeader(MonotonicNow()) ? 1 : 0);
+    gateway_metrics_.Update(invalid_entries_.size(), leader_.IsLeader(MonotonicNow()));
     co_await Sleep(kMetricsPeriod);
   }
 }
