--- a/src/leader_link.h
+++ b/src/leader_link.h
@@ -18,7 +18,7 @@
 #include "fleet_state.h"
 #include "fleet_store.h"
 #include "fleet_usage.h"
-#include "forward_helpers.h"
+#include "helper_notices.h"
 #include "leader_finder.h"
 #include "log.h"
 #include "peer_transport.h"
@@ -298,8 +298,6 @@
   static constexpr milliseconds kAdapterTimeout{600};
   // Within the lifetime of a permit, so that one that is granted late can still be used.
   static constexpr milliseconds kPermitTimeout{300};
-  // How long a relay passes on the helpers that the leader has named.
-  static constexpr milliseconds kHelpersLifetime{3000};
   static constexpr milliseconds kOriginTimeout{300};
   // While the store can't be read, the directory counts as current if it was read within this time.
   static constexpr milliseconds kCurrentViewAge{2000};
@@ -417,47 +415,12 @@
     }
   }
 
-  // The daemon among the sender of a report and those that report through it that is cut off from
-  // most services.
-  static const DaemonInfo& MostCutOff(const UsageReport& report) {
-    const DaemonInfo* most = &report.sender;
-    for (const DaemonInfo& daemon : report.relayed) {
-      const bool counts = daemon.cut_off > most->cut_off || most->cut_off == kNoHelper;
-      if (counts && daemon.cut_off != kNoHelper) most = &daemon;
-    }
-    return *most;
-  }
-
-  // Names daemons to which the sender of a report may pass requests on, if that is needed.
-  static void AddHelpers(const UsageReport& report, const std::vector<DaemonInfo>& daemons,
-                         bool complete, UsageAnswer* answer) {
-    const DaemonInfo& requester = MostCutOff(report);
-    if (requester.cut_off == 0) return;
-    const std::size_t limit = report.relayed.empty() ? kMaxHelpers : kMaxRelayHelpers;
-    answer->helpers = ChooseHelpers(daemons, requester, limit);
-    answer->helpers_complete = complete;
-  }
-
-  bool HelpersAreCurrent(MonotonicTime now) const { return now - helpers_at_ < kHelpersLifetime; }
-
-  // Whether the leader has said that no daemon reaches more than those that report through this
-  // one.
-  bool NobodyHelps(MonotonicTime now) const {
-    return HelpersAreCurrent(now) && helpers_complete_ && helpers_.empty();
-  }
-
   // The daemons that a relay can name: itself, those that report through it, and those that the
   // leader has named.
   std::vector<DaemonInfo> KnownDaemons(MonotonicTime now) const {
     std::vector<DaemonInfo> daemons = aggregator_.Daemons();
     daemons.push_back(SelfInfo());
-    if (!HelpersAreCurrent(now)) return daemons;
-    for (const Address& helper : helpers_) {
-      const bool known = std::any_of(daemons.begin(), daemons.end(),
-                                     [&](const auto& daemon) { return daemon.address == helper; });
-      if (!known) daemons.push_back({helper, "", 0});
-    }
-    return daemons;
+    return helpers_.AddNamed(std::move(daemons), now);
   }
 
   DaemonInfo SelfInfo() const {
@@ -468,11 +431,8 @@
 
   // Adopts the daemons to which requests may be passed on.
   void AdoptHelpers(const UsageAnswer& answer, MonotonicTime now) {
-    if (answer.helpers.empty() && !answer.helpers_complete) return;
-    helpers_ = answer.helpers;
-    helpers_complete_ = answer.helpers_complete;
-    helpers_at_ = now;
-    if (settings_.set_helpers) settings_.set_helpers(helpers_, answer.helpers_complete, now);
+    if (!helpers_.Adopt(answer, now) || !settings_.set_helpers) return;
+    settings_.set_helpers(helpers_.helpers(), helpers_.complete(), now);
   }
 
   // Adopts limits on rejections that another daemon knows at `at`.
@@ -734,7 +694,7 @@
     if (report.urgent) report_is_urgent_ = true;
     if (report.urgent || aggregator_.HasWaiting(now)) parts_.usage->waiting_began().NotifyAll();
     answer.accepted = true;
-    AddHelpers(report, KnownDaemons(now), NobodyHelps(now), &answer);
+    AddHelpers(report, KnownDaemons(now), helpers_.NobodyHelps(now), &answer);
     answer.quota = parts_.quota->Shares();
     answer.quota_known = parts_.quota->HasValidShares(now);
     answer.leader = state.MakeLeaderNotice(now);
@@ -785,10 +745,8 @@
   // Version of the holdings that have been applied to this daemon's directory.
   std::uint64_t applied_holdings_ = 0;
   MonotonicTime last_search_at_;
-  // Daemons to which requests may be passed on, as last named, and when.
-  std::vector<Address> helpers_;
-  bool helpers_complete_ = false;
-  MonotonicTime helpers_at_;
+  // Daemons to which requests may be passed on.
+  HelperNotices helpers_;
   // Used while this daemon leads; reset when the fence changes.
   QuotaAllocator quota_allocator_;
   PermitIssuer permit_issuer_;
