Move the intake of configuration and endpoints out of the gateway

What applies the configuration and the entries of endpoints, from the store or from other daemons, is now FleetIntake; gateway.cpp keeps what a configuration changes at its listeners. The code is moved without a change of behaviour.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -6,17 +6,16 @@
 #include <cstdlib>
 #include <iostream>
 #include <optional>
-#include <set>
 
 #include "brittle_endpoints.h"
 #include "caller_limits.h"
 #include "crash_correlator.h"
 #include "crash_evidence.h"
 #include "digest.h"
-#include "document_parts.h"
 #include "endpoint_prober.h"
 #include "event_loop.h"
 #include "evidence_exchange.h"
+#include "fleet_intake.h"
 #include "fleet_state.h"
 #include "gateway_metrics.h"
 #include "leader_finder.h"
@@ -26,7 +25,6 @@
 #include "metrics.h"
 #include "peer_dispatcher.h"
 #include "placement_leader.h"
-#include "platform/decode.h"
 #include "platform/engine_orders.h"
 #include "platform/platform_store.h"
 #include "platform/request_headers.h"
@@ -137,14 +135,8 @@
   Task<void> HandleReadiness(HttpExchange& exchange);
   Task<void> HandleMetrics(HttpExchange& exchange);
   void AddPeerHandlers();
-  ItemHandlers ConfigHandlers();
-  ItemHandlers EndpointHandlers();
   PlacementHooks MakePlacementHooks();
-  bool AdoptConfig(const std::string& raw_text, const std::string& source);
-  void PutItem(const KvItem& item, MonotonicTime now);
-  void PutEndpoint(FleetEndpoint endpoint, MonotonicTime read_at);
-  void RecordVersion(const FleetEndpoint& endpoint, MonotonicTime now);
-  void RecordVersions(MonotonicTime now);
+  void ApplyConfig(std::uint64_t version, const HttpLimits& limits);
   void ConfirmReading();
   void BeginEra(std::uint32_t era);
   StateHooks MakeStateHooks();
@@ -207,6 +199,7 @@
   ReachMonitor reach_;
   RequestForwarder forwarder_;
   RelayHandler relay_;
+  FleetIntake intake_;
   PrefixWatcher<PlatformStore> config_watcher_;
   PrefixWatcher<PlatformStore> endpoint_watcher_;
   HttpServer caller_server_;
@@ -222,8 +215,6 @@
   MonotonicTime started_at_ = MonotonicNow();
   bool heard_leader_ = false;
   std::optional<Readiness> logged_readiness_;
-  // Ids of the entries in the store that describe no endpoint.
-  std::set<std::string> invalid_entries_;
   bool stopping_ = false;
   int exit_code_ = 0;
 };
@@ -294,11 +285,15 @@
               &relay_metrics_, &evidence_, &part_evidence_, &prober_, &quota_, &limits_,
               MakePlacementHooks(), &memory_, &forwarder_, &streams_, &brittle_},
              RandomId()),
+      intake_({&directory_, &state_, &stats_, &prefixes_, &streams_, &usage_},
+              [this](std::uint64_t version, const HttpLimits& limits) {
+                ApplyConfig(version, limits);
+              }),
       config_watcher_(io->get_executor(), &store_, PlatformStore::config_key(), kConfigBatchDelay,
-                      ConfigHandlers()),
+                      intake_.ConfigHandlers()),
       endpoint_watcher_(io->get_executor(), &store_, PlatformStore::endpoint_prefix(),
                         settings.bounds.endpoint_drain / kEndpointBatchesPerDrain,
-                        EndpointHandlers()),
+                        intake_.EndpointHandlers()),
       caller_server_(io->get_executor(), HttpLimits(),
                      [this](HttpExchange& exchange) { return relay_.Handle(exchange); }),
       forward_server_(io->get_executor(), HttpLimits(),
@@ -367,129 +362,12 @@
   return hooks;
 }
 
-ItemHandlers Gateway::ConfigHandlers() {
-  ItemHandlers handlers;
-  handlers.put = [this](const KvItem& item, MonotonicTime) {
-    if (item.key != PlatformStore::config_key()) return;
-    AdoptConfig(item.entry.value, "the store, revision " + ToString(item.entry.revision()));
-  };
-  handlers.remove = [](const std::string&, StoreRevision, MonotonicTime) {};
-  handlers.keep_only = [](const std::set<std::string>&, StoreRevision, MonotonicTime) {};
-  handlers.done = [](StoreRevision, MonotonicTime) {};
-  return handlers;
-}
-
-ItemHandlers Gateway::EndpointHandlers() {
-  const std::size_t prefix = PlatformStore::endpoint_prefix().size();
-  ItemHandlers handlers;
-  handlers.put = [this](const KvItem& item, MonotonicTime now) { PutItem(item, now); };
-  handlers.remove = [this, prefix](const std::string& key, StoreRevision revision,
-                                   MonotonicTime now) {
-    const std::string id = key.substr(prefix);
-    const bool was_invalid = invalid_entries_.erase(id) > 0;
-    if (!was_invalid) LOG4CPLUS_INFO(Log(), "endpoint " << id << " was deleted from the store");
-    directory_.Remove(id, now);
-    state_.directory().Remove(id, revision);
-  };
-  handlers.keep_only = [this, prefix](const std::set<std::string>& keys, StoreRevision revision,
-                                      MonotonicTime now) {
-    std::set<std::string> ids;
-    for (const std::string& key : keys) ids.insert(key.substr(prefix));
-    std::erase_if(invalid_entries_, [&](const std::string& id) { return !ids.contains(id); });
-    const bool new_era = revision.era > state_.directory().revision().era;
-    directory_.KeepOnly(ids, now, new_era ? MissingCause::kRestored : MissingCause::kDeleted);
-    state_.directory().KeepOnly(ids, revision);
-  };
-  handlers.done = [this](StoreRevision revision, MonotonicTime) {
-    state_.directory().Advance(revision);
-    usage_.endpoints_changed().NotifyAll();
-  };
-  return handlers;
-}
-
-// Applies a configuration. Returns false if it is invalid or older than the one in force.
-bool Gateway::AdoptConfig(const std::string& raw_text, const std::string& source) {
-  const std::string text = platform::HashApiKeys(raw_text);
-  auto config = platform::DecodeConfig(text);
-  if (!config) {
-    LOG4CPLUS_ERROR(Log(), "rejected the configuration from " << source << ": " << config.error());
-    return false;
-  }
-  const std::uint64_t version = config.value().version;
-  const bool known = version == state_.config().version();
-  const HttpLimits limits = config.value().limits;
-  if (!directory_.Adopt(std::move(config).value())) {
-    LOG4CPLUS_WARN(Log(),
-                   "configuration " << version << " is older than the one in force, ignored");
-    return false;
-  }
-  RecordVersions(MonotonicNow());
-  if (known) return true;
-  if (version > 0) state_.SetConfig(MultipartDocument(version, SplitJsonDocument(text)));
+// Applies what a new configuration says of this gateway's listeners.
+void Gateway::ApplyConfig(std::uint64_t version, const HttpLimits& limits) {
   caller_limits_ = limits;
   ApplyCallerLimits(settings_.resources, caller_limits_, &caller_server_, &memory_);
   ApplyForwardLimits(settings_.resources, caller_limits_, &forward_server_);
   relay_metrics_.config_version->Set(static_cast<double>(version));
-  LOG4CPLUS_INFO(Log(), "configuration " << version << " is in force, from " << source);
-  return true;
-}
-
-void Gateway::PutItem(const KvItem& item, MonotonicTime now) {
-  const std::string id = item.key.substr(PlatformStore::endpoint_prefix().size());
-  auto endpoint = platform::DecodeEndpoint(id, item.entry.value);
-  if (!endpoint) {
-    if (invalid_entries_.insert(id).second) {
-      LOG4CPLUS_WARN(Log(), "entry " << item.key << " is not a valid endpoint, ignored");
-    }
-    directory_.Remove(id, now);
-    state_.directory().Remove(id, item.entry.revision());
-    return;
-  }
-  invalid_entries_.erase(id);
-  const auto state = state_.directory().Put(*endpoint, item.entry.revision());
-  if (!state) {
-    LOG4CPLUS_WARN(Log(), "endpoint " << id << " was gone before the store was restored, ignored");
-    directory_.Remove(id, now, MissingCause::kRestored);
-    return;
-  }
-  endpoint->state = *state;
-  PutEndpoint(std::move(*endpoint), now);
-}
-
-void Gateway::PutEndpoint(FleetEndpoint endpoint, MonotonicTime read_at) {
-  const std::string id = endpoint.id;
-  const std::int64_t started_ms = endpoint.started_ms;
-  const DirectoryEntry* known = directory_.Find(id);
-  const bool draining = endpoint.state == EndpointState::kDraining;
-  const bool drains_now =
-      draining && (known == nullptr || known->endpoint.state != EndpointState::kDraining);
-  RecordVersion(endpoint, MonotonicNow());
-  const bool created = directory_.Put(std::move(endpoint), read_at);
-  if (created) {
-    stats_.Forget(id);
-    prefixes_.Forget(id);
-    const HoldingsUpdate* update = state_.holdings().Find(EndpointNumber(id, started_ms));
-    if (update != nullptr) {
-      directory_.SetLeaderHoldings(id, started_ms, ToHoldings(*update), state_.leader_heard());
-    }
-  }
-  if (created || drains_now) {
-    LOG4CPLUS_INFO(Log(), "endpoint " << id << (draining ? " is draining" : " is registered"));
-  }
-}
-
-// Records that the software version of an endpoint serves. Services that are not configured have no
-// streams.
-void Gateway::RecordVersion(const FleetEndpoint& endpoint, MonotonicTime now) {
-  const auto config = directory_.config();
-  if (config == nullptr || config->FindService(endpoint.service) == nullptr) return;
-  if (!streams_.RecordServing(endpoint.service, endpoint.software, now)) return;
-  LOG4CPLUS_INFO(Log(), "service " << endpoint.service << " has the software version \""
-                                   << endpoint.software << "\"");
-}
-
-void Gateway::RecordVersions(MonotonicTime now) {
-  for (const auto& [id, entry] : directory_.entries()) RecordVersion(entry.endpoint, now);
 }
 
 // Updates the time at which the store is known to have held the configuration and the endpoints.
@@ -519,9 +397,11 @@
   hooks.learn_era = [this](std::uint32_t era, const Address& daemon) {
     store_.era().Learn(era, ToString(daemon));
   };
-  hooks.put = [this](FleetEndpoint endpoint) { PutEndpoint(std::move(endpoint), MonotonicTime()); };
+  hooks.put = [this](FleetEndpoint endpoint) {
+    intake_.PutEndpoint(std::move(endpoint), MonotonicTime());
+  };
   hooks.adopt_config = [this](const MultipartDocument& document) {
-    return AdoptConfig(document.Text(), "another daemon");
+    return intake_.AdoptConfig(document.Text(), "another daemon");
   };
   hooks.read_config = [this] { config_watcher_.ReadNow(); };
   return hooks;
@@ -652,7 +532,7 @@
     limits_.KeepIf(is_known);
     limits_.PruneExpired(MonotonicNow());
     streams_.history().RecordView(link_.ViewIsCurrent(MonotonicNow()), MonotonicNow());
-    RecordVersions(MonotonicNow());
+    intake_.RecordVersions(MonotonicNow());
     streams_.PruneExpired(MonotonicNow());
     brittle_.KeepIf(is_known, MonotonicNow());
     ConfirmReading();
@@ -675,7 +555,7 @@
 
 Task<void> Gateway::UpdateMetrics() {
   for (;;) {
-    gateway_metrics_.Update(invalid_entries_.size(), leader_.IsLeader(MonotonicNow()));
+    gateway_metrics_.Update(intake_.invalid_entries(), leader_.IsLeader(MonotonicNow()));
     co_await Sleep(kMetricsPeriod);
   }
 }
