Move the readiness of a gateway into a module of its own

ReadinessMonitor decides on the readiness and logs its changes; the code is moved without a change of behaviour.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -31,7 +31,7 @@
 #include "prefix_watcher.h"
 #include "quota_meter.h"
 #include "reach_monitor.h"
-#include "readiness.h"
+#include "readiness_monitor.h"
 #include "relay_handler.h"
 #include "startup.h"
 #include "state_sync.h"
@@ -64,14 +64,9 @@
 // Smaller differences can come from reading the two clocks one after the other.
 constexpr milliseconds kMinSuspension{200};
 constexpr milliseconds kDrainPollPeriod{20};
-// A start takes less than this if nothing fails.
-constexpr milliseconds kReadinessLogDelay{1000};
 // The load balancer still opens connections during two of its checks after the daemon has become
 // unready.
 constexpr milliseconds kBalancerDelay{2300};
-// A daemon that starts after a restore of the store waits this long to hear from the others which
-// of the restored endpoints have left.
-constexpr milliseconds kLeftEndpointsWait{3000};
 // Part of the grace period that is kept for closing what is still open.
 constexpr milliseconds kExitMargin{300};
 // Time to tell all daemons that this one resigns, and to release the lease.
@@ -129,9 +124,6 @@
   using Finder = LeaderFinder<PlatformStore, EngineOrders>;
   using Link = LeaderLink<PlatformStore, EngineOrders>;
 
-  Readiness CurrentReadiness(MonotonicTime now) const;
-  void LogReadiness(MonotonicTime now);
-  bool KnowsLeftEndpoints(MonotonicTime now) const;
   Task<void> HandleReadiness(HttpExchange& exchange);
   Task<void> HandleMetrics(HttpExchange& exchange);
   void AddPeerHandlers();
@@ -207,15 +199,12 @@
   HttpServer forward_server_;
   // The operator's limits of requests.
   HttpLimits caller_limits_;
+  ReadinessMonitor readiness_;
   HttpServer readiness_server_;
   HttpServer metrics_server_;
   GatewayMetrics gateway_metrics_;
   asio::signal_set termination_signals_;
   asio::signal_set reload_signals_;
-  MonotonicTime started_at_ = MonotonicNow();
-  bool heard_leader_ = false;
-  std::optional<Readiness> logged_readiness_;
-  bool stopping_ = false;
   int exit_code_ = 0;
 };
 
@@ -298,6 +287,7 @@
                      [this](HttpExchange& exchange) { return relay_.Handle(exchange); }),
       forward_server_(io->get_executor(), HttpLimits(),
                       [this](HttpExchange& exchange) { return relay_.HandleForwarded(exchange); }),
+      readiness_(&directory_, &state_, &store_, &relay_metrics_, MonotonicNow()),
       readiness_server_(io->get_executor(), kInternalLimits,
                         [this](HttpExchange& exchange) { return HandleReadiness(exchange); }),
       metrics_server_(io->get_executor(), kInternalLimits,
@@ -428,7 +418,7 @@
 
 // What DaemonInfo::cut_off says of this gateway.
 std::uint8_t Gateway::CutOffServices() const {
-  if (stopping_) return kNoHelper;
+  if (readiness_.stopping()) return kNoHelper;
   return static_cast<std::uint8_t>(std::min<std::size_t>(reach_.cut_off(), kNoHelper - 1));
 }
 
@@ -446,34 +436,9 @@
   state_.ForgetLeader();
 }
 
-Readiness Gateway::CurrentReadiness(MonotonicTime now) const {
-  if (stopping_) return Readiness::kStopping;
-  if (directory_.config() == nullptr) return Readiness::kNoConfig;
-  if (!state_.directory().revision().exists()) return Readiness::kNoEndpoints;
-  if (!KnowsLeftEndpoints(now)) return Readiness::kLeftEndpointsUnknown;
-  return Readiness::kReady;
-}
-
-// Logs a change of the readiness, and why the daemon is not ready a moment after its start.
-void Gateway::LogReadiness(MonotonicTime now) {
-  const Readiness readiness = CurrentReadiness(now);
-  relay_metrics_.ready->Set(readiness == Readiness::kReady ? 1 : 0);
-  if (readiness == logged_readiness_ || now < started_at_ + kReadinessLogDelay) return;
-  logged_readiness_ = readiness;
-  LOG4CPLUS_INFO(Log(), "readiness changed, state=\""
-                            << kReadinessNames[readiness] << "\" listing_pages="
-                            << store_.listing_pages() << " store_errors=" << store_.errors());
-}
-
-// Whether this daemon knows which of the restored endpoints have left, as far as others know it.
-bool Gateway::KnowsLeftEndpoints(MonotonicTime now) const {
-  return state_.directory().revision().era == 0 || heard_leader_ ||
-         now >= started_at_ + kLeftEndpointsWait;
-}
-
 Task<void> Gateway::HandleReadiness(HttpExchange& exchange) {
   const bool known = exchange.request().target == platform::ReadyPath();
-  int status = CurrentReadiness(MonotonicNow()) == Readiness::kReady ? 200 : 503;
+  int status = readiness_.Current(MonotonicNow()) == Readiness::kReady ? 200 : 503;
   if (!known) status = 404;
   co_await exchange.Reply(status, {}, "");
 }
@@ -518,8 +483,8 @@
 
 Task<void> Gateway::RunHousekeeping() {
   for (;;) {
-    heard_leader_ = heard_leader_ || link_.has_leader(MonotonicNow());
-    LogReadiness(MonotonicNow());
+    if (link_.has_leader(MonotonicNow())) readiness_.set_heard_leader();
+    readiness_.Update(MonotonicNow());
     directory_.PruneExpired(MonotonicNow());
     crash_correlator_.PruneExpired(MonotonicNow());
     evidence_.PruneExpired(MonotonicNow());
@@ -654,7 +619,7 @@
 Task<void> Gateway::Drain() {
   const MonotonicTime end = MonotonicNow() + settings_.bounds.shutdown_grace - kExitMargin;
   LOG4CPLUS_INFO(Log(), "draining, in_flight=" << relay_.in_flight());
-  stopping_ = true;
+  readiness_.set_stopping();
   const MonotonicTime refuse_from =
       MonotonicNow() + std::min(kAcceptTime, settings_.bounds.shutdown_grace / 3);
   relay_.SetShutdownTimes(refuse_from, end - kRefusalMargin);
