--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -135,6 +135,12 @@
   return std::move(CallAll(std::move(calls)).front());
 }
 
+int StatusOf(PlatformFleet* fleet, int gateway) {
+  HttpCall call = fleet->MakeCall(gateway, "/read/1", "");
+  const auto reply = CallOne(std::move(call));
+  return reply ? reply.value().status : 0;
+}
+
 SilentPort::SilentPort() {
   constexpr int kFillers = 3;
   const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -259,6 +259,10 @@
 // Sends one request and returns its response.
 Result<HttpReply, HttpError> CallOne(HttpCall call);
 
+// Sends an idempotent request to a gateway and returns the status of its response; 0 if there is
+// none.
+int StatusOf(PlatformFleet* fleet, int gateway);
+
 }  // namespace mimosabend::testing
 
 #endif  // MIMOSABEND_TESTS_PLATFORM_FLEET_H_
--- a/tests/test_store_entries.cpp
+++ b/tests/test_store_entries.cpp
@@ -74,12 +74,6 @@
   });
 }
 
-int StatusOf(PlatformFleet* fleet, int gateway) {
-  HttpCall call = fleet->MakeCall(gateway, "/read/1", "");
-  const auto reply = CallOne(std::move(call));
-  return reply ? reply.value().status : 0;
-}
-
 }  // namespace
 
 // Guards against an entry of another writer that makes a task of the gateways fail again and again
--- a/tests/test_store_keys.cpp
+++ b/tests/test_store_keys.cpp
@@ -13,12 +13,6 @@
     "a06%25", "a07?c",   "a08/d",  "a09\u00e9e", "a10\"\\{}[]|^`<>", "a11%zz"};
 const std::string kNoEndpoint = R"({"odd": true})";
 
-int StatusOf(PlatformFleet* fleet, int gateway) {
-  HttpCall call = fleet->MakeCall(gateway, "/read/1", "");
-  const auto reply = CallOne(std::move(call));
-  return reply ? reply.value().status : 0;
-}
-
 PlatformFleetOptions PagedListings(int gateways) {
   PlatformFleetOptions options;
   options.gateways = gateways;
