Test the dispatch of requests of other daemons

Guards against a request that reaches the handler of another type, and against a handler that is given a body that can't be decoded.

--- a/tests/test_peers.cpp
+++ b/tests/test_peers.cpp
@@ -6,6 +6,7 @@
 
 #include "fleet_usage.h"
 #include "membership.h"
+#include "peer_dispatcher.h"
 #include "peer_message.h"
 #include "peer_transport.h"
 
@@ -133,4 +134,41 @@
   CHECK(observer.members().at("self").update.state == MemberState::kAlive);
 }
 
+// Guards against a request that reaches the handler of another type, or a handler that is given a
+// body that can't be decoded.
+TEST_CASE("a request is answered by the handler for its type") {
+  PeerDispatcher dispatcher("self");
+  int calls = 0;
+  dispatcher.Add<Ping>([&](const std::string& sender, const Ping& ping) {
+    ++calls;
+    CHECK(sender == "sender");
+    Ack ack;
+    ack.sequence = ping.sequence;
+    return ack;
+  });
+  const auto handle = [&](Envelope request) {
+    boost::asio::io_context io;
+    Result<Envelope, PeerError> answer = outcome::failure(PeerError::kTruncated);
+    const auto run = [&]() -> Task<void> {
+      auto task = dispatcher.Handle(std::move(request));
+      answer = co_await std::move(task);
+    };
+    boost::asio::co_spawn(io, run, boost::asio::detached);
+    io.run();
+    return answer;
+  };
+  Ping ping;
+  ping.sequence = 7;
+  const Envelope request = Wrap(ping, "sender", 3, WallNow());
+  const auto answer = handle(request);
+  REQUIRE(answer);
+  CHECK(answer.value().sender == "self");
+  CHECK(Unwrap<Ack>(answer.value()).value().sequence == 7);
+  Envelope malformed = request;
+  malformed.body = "?";
+  CHECK(handle(malformed).error() == PeerError::kMalformed);
+  CHECK(handle(Wrap(Ack(), "sender", 3, WallNow())).error() == PeerError::kUnknownType);
+  CHECK(calls == 1);
+}
+
 }  // namespace mimosabend
