--- a/src/host_resources.cpp
+++ b/src/host_resources.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr double kMaxMemoryMb = 1e9;
+constexpr double kMaxMemoryMb = 1e6;
 constexpr double kMaxRelayShare = 0.8;
 constexpr double kBytesPerMb = 1 << 20;
 constexpr double kMaxDescriptors = 1e10;
